Land the thin path as separate processes

Cause: nothing ran yet; every other piece of work needs a path to grow in. Change: workspace, shared wire types, platform interfaces with HTTP adapters, stand-ins (etcd JSON gateway, instance list, origin, engine, plain service), entry, agent, and a rig that starts them on loopback. Before: no code.

--- /dev/null
+++ b/crates/pistachiolug/tests/path.rs
@@ -0,0 +1,84 @@
+//! Whole path through real processes: caller, entry, agent, engine, origin and lists.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use pistachiolug_bench::rig::deployment::{Deployment, PAID_KEY, Size};
+use pistachiolug_standin::engine::answer;
+use pistachiolug_wire::{digest::Digest, outcome};
+use serde_json::{Value, json};
+
+fn weights(seed: u8) -> Vec<u8> {
+    (0..300_000_u32)
+        .map(|index| (index % 251) as u8 ^ seed)
+        .collect()
+}
+
+async fn deployment() -> Deployment {
+    let size = Size {
+        models: 3,
+        plains: 1,
+        entries: 2,
+        engine_args: Vec::new(),
+        origin_rate: 0,
+    };
+    let deployment = Deployment::start(&size).await.expect("deployment starts");
+    let manifest = deployment.upload("pasta", "v1", &weights(1), 65_536).await;
+    let manifest = manifest.expect("weights are uploaded");
+    deployment
+        .write_sample("v1", manifest)
+        .await
+        .expect("lists are written");
+    deployment.wait_serving("v1").await.expect("version serves");
+    deployment
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_come_whole_from_the_wanted_version() {
+    let deployment = deployment().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let body = json!({ "model": "pasta", "messages": [], "max_tokens": 8 }).to_string();
+
+    for entry in &deployment.entries {
+        let callers = entry.callers.expect("entries take callers");
+        let reply = deployment
+            .http
+            .send(
+                Method::POST,
+                callers,
+                "/v1/chat/completions",
+                Some(PAID_KEY),
+                body.clone(),
+            )
+            .await
+            .expect("entry answers");
+
+        assert_eq!(reply.status(), StatusCode::OK, "{:?}", reply.body());
+        assert_eq!(reply.headers()[outcome::HEADER], "answered");
+        assert_eq!(reply.headers()[outcome::VERSION_HEADER], "v1");
+        let answer: Value = serde_json::from_slice(reply.body()).unwrap();
+        let expected = answer::whole(&Digest::of(&weights(1)), body.as_bytes());
+        assert_eq!(answer["choices"][0]["message"]["content"], expected);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_keys_are_refused() {
+    let deployment = deployment().await;
+    let callers = deployment.entries[0].callers.expect("entries take callers");
+
+    let reply = deployment
+        .http
+        .send(
+            Method::POST,
+            callers,
+            "/v1/chat/completions",
+            Some("stranger"),
+            "{}",
+        )
+        .await
+        .expect("entry answers");
+
+    assert_eq!(reply.status(), StatusCode::UNAUTHORIZED);
+    assert_eq!(reply.headers()[outcome::HEADER], "not-run");
+}
--- /dev/null
+++ b/crates/pistachiolug_agent/src/lib.rs
@@ -0,0 +1,6 @@
+//! Agent: the process beside one backend server that admits its calls and keeps its weights in line.
+
+pub mod calls;
+pub mod door;
+pub mod process;
+pub mod weights;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -0,0 +1,28 @@
+//! Arguments of the load tool.
+
+#![allow(missing_docs, unreachable_pub)]
+
+use std::net::SocketAddr;
+
+xflags::xflags! {
+    /// Load tool and stand-ins of pistachiolug.
+    cmd bench {
+        /// Runs one stand-in: kv, directory, origin, engine or plain.
+        cmd standin {
+            /// Role.
+            required role: String
+            /// Address to listen on.
+            required --listen listen: SocketAddr
+            /// Bytes a second of an origin's link.
+            optional --rate rate: u64
+            /// Lag of the instance list in milliseconds.
+            optional --lag-ms lag_ms: u64
+            /// Time to an engine's first token, or of a plain call, in milliseconds.
+            optional --first-ms first_ms: u64
+            /// Time between an engine's tokens in milliseconds.
+            optional --gap-ms gap_ms: u64
+            /// Makes an engine refuse old fencing numbers.
+            optional --checks-fence
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Load tool and experiments: starts the real daemons and the stand-ins as processes on loopback.
+
+pub mod rig;
+pub mod standin;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/rig.rs
@@ -0,0 +1,6 @@
+//! Processes of one deployment on loopback, ended by id when the rig is dropped.
+
+pub mod client;
+pub mod deployment;
+pub mod port;
+pub mod process;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/rig/process.rs
@@ -0,0 +1,88 @@
+//! One child process.
+
+use std::{
+    env, fs, io,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+/// Child process that is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program with its standard error in a log file.
+    ///
+    /// # Errors
+    /// Returns the error of the start.
+    pub fn start(program: &Path, args: &[String], log: &Path, secret: &str) -> io::Result<Self> {
+        let child = Command::new(program)
+            .args(args)
+            .env("PISTACHIOLUG_SECRET", secret)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(fs::File::create(log)?)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`.
+    ///
+    /// # Errors
+    /// Returns the error of the `kill` program.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status()
+            .map(drop)
+    }
+
+    /// Kills the process and waits for its end.
+    ///
+    /// # Errors
+    /// Returns the error of the wait.
+    pub fn kill(&mut self) -> io::Result<ExitStatus> {
+        // Fails only when the process has ended, which is what is wanted.
+        let _ = self.child.kill();
+        self.child.wait()
+    }
+
+    /// Tells how the process ended, or `None` while it runs.
+    ///
+    /// # Errors
+    /// Returns the error of the wait.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Nothing is left to do about an error here.
+        let _ = self.kill();
+    }
+}
+
+/// Finds a program of this build beside the running one or in its parent folder.
+///
+/// # Errors
+/// `NotFound` when it has not been built.
+pub fn program(name: &str) -> io::Result<PathBuf> {
+    let here = env::current_exe()?;
+    let folders = here.ancestors().skip(1).take(2);
+    let mut candidates = folders.map(|folder| folder.join(name));
+    candidates.find(|path| path.is_file()).ok_or_else(|| {
+        io::Error::new(
+            io::ErrorKind::NotFound,
+            format!("{name} is not built; run `cargo build --workspace`"),
+        )
+    })
+}
--- /dev/null
+++ b/crates/pistachiolug_entry/src/internal.rs
@@ -0,0 +1,36 @@
+//! Internal port of an entry.
+
+use http::{Response, StatusCode};
+use pistachiolug_http::{
+    body::Body,
+    secret::Secret,
+    server::{Handler, Reply, Request},
+};
+use pistachiolug_kernel::admin::Admin;
+
+/// Routes requests on the internal port.
+#[derive(Debug, Clone)]
+pub struct Internal {
+    /// Paths of every process.
+    pub admin: Admin,
+    /// Secret that peers must show.
+    pub secret: Secret,
+}
+
+impl Handler for Internal {
+    async fn handle(&self, request: Request) -> Reply {
+        let path = request.uri().path();
+        let open = matches!(path, "/healthz" | "/readyz");
+        if !open && !self.secret.admits(request.headers()) {
+            return refuse(StatusCode::UNAUTHORIZED);
+        }
+        let served = self.admin.serve(path);
+        served.unwrap_or_else(|| refuse(StatusCode::NOT_FOUND))
+    }
+}
+
+fn refuse(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Body::from(status.as_str().to_owned()));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/pistachiolug_http/src/lib.rs
@@ -0,0 +1,7 @@
+//! HTTP plumbing shared by every process: a bounded server on `xitca-web`, a pooled client on `hyper-util`.
+
+pub mod body;
+pub mod client;
+pub mod limit;
+pub mod secret;
+pub mod server;
--- /dev/null
+++ b/crates/pistachiolug_http/src/server.rs
@@ -0,0 +1,212 @@
+//! Server that reads whole bounded requests and hands them to one handler.
+
+use std::{
+    convert::Infallible,
+    future::{Future, poll_fn},
+    io,
+    net::{SocketAddr, TcpListener},
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+    thread,
+};
+
+use bytes::{Bytes, BytesMut};
+use http::{Response, StatusCode};
+use tokio::{sync::mpsc, time::timeout};
+use xitca_web::{
+    HttpServer,
+    body::{Body as _, Frame, RequestBody, ResponseBody},
+    http::WebRequest,
+    service::fn_service,
+};
+
+use crate::{body::Body, limit::Limit};
+
+/// Whole request as a handler sees it.
+pub type Request = http::Request<Bytes>;
+
+/// Answer of a handler.
+pub type Reply = Response<Body>;
+
+/// Serves whole requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request; the future is dropped if the server stops at once.
+    fn handle(&self, request: Request) -> impl Future<Output = Reply> + Send;
+
+    /// Renders a refusal that the server makes before the handler sees the request.
+    ///
+    /// # Arguments
+    /// `status` is 400 (body cut short), 408 (slow sender), 413 (too large) or 503 (too many at once).
+    fn refuse(&self, status: StatusCode) -> Reply {
+        let mut reply = Response::new(Body::from(status.as_str().to_owned()));
+        *reply.status_mut() = status;
+        reply
+    }
+}
+
+/// Running server; dropping it does not stop it.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    active: Arc<AtomicUsize>,
+    handle: ServerStop,
+}
+
+struct ServerStop(Box<dyn Fn() + Send + Sync>);
+
+impl std::fmt::Debug for ServerStop {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("ServerStop")
+    }
+}
+
+impl Server {
+    /// Binds `address` and serves on `threads` worker threads of its own.
+    ///
+    /// # Errors
+    /// Returns the error of the bind or of the start of the workers.
+    pub fn bind<H: Handler>(
+        address: SocketAddr,
+        threads: usize,
+        limit: Limit,
+        handler: H,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let active = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&active);
+        let service = fn_service(move |request: WebRequest<RequestBody>| {
+            serve(request, handler.clone(), limit, Arc::clone(&counter))
+        });
+        let mut running = HttpServer::serve(service)
+            .server_threads(1)
+            .worker_threads(threads)
+            .disable_signal()
+            .request_head_timeout(limit.head_timeout)
+            .listen(listener)?
+            .run();
+        let stop = running.handle()?;
+        thread::Builder::new()
+            .name("http".into())
+            .spawn(move || running.wait())?;
+        Ok(Self {
+            address,
+            active,
+            handle: ServerStop(Box::new(move || stop.stop(false))),
+        })
+    }
+
+    /// Returns the bound address, with the real port when 0 was asked for.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many requests are being answered, streamed bodies included.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Acquire)
+    }
+
+    /// Closes the port and every connection; drain first.
+    pub fn stop(&self) {
+        (self.handle.0)();
+    }
+}
+
+/// Counts a request for as long as its body is being sent.
+struct Active(Arc<AtomicUsize>);
+
+impl Active {
+    fn enter(counter: Arc<AtomicUsize>) -> (Self, usize) {
+        let before = counter.fetch_add(1, Ordering::AcqRel);
+        (Self(counter), before)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Streams chunks from a channel and keeps the request counted meanwhile.
+struct Stream {
+    receiver: mpsc::Receiver<Bytes>,
+    _active: Active,
+}
+
+impl xitca_web::body::Body for Stream {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.receiver
+            .poll_recv(context)
+            .map(|chunk| chunk.map(|bytes| Ok(Frame::Data(bytes))))
+    }
+}
+
+async fn serve<H: Handler>(
+    request: WebRequest<RequestBody>,
+    handler: H,
+    limit: Limit,
+    counter: Arc<AtomicUsize>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    let (active, before) = Active::enter(counter);
+    let reply = if before >= limit.requests {
+        handler.refuse(StatusCode::SERVICE_UNAVAILABLE)
+    } else {
+        match read(request, limit).await {
+            Ok(request) => handler.handle(request).await,
+            Err(status) => handler.refuse(status),
+        }
+    };
+    Ok(render(reply, active))
+}
+
+async fn read(request: WebRequest<RequestBody>, limit: Limit) -> Result<Request, StatusCode> {
+    let (parts, extension) = request.into_parts();
+    let (_, body) = extension.replace_body(());
+    let mut whole = Request::new(Bytes::new());
+    *whole.method_mut() = parts.method;
+    *whole.uri_mut() = parts.uri;
+    *whole.headers_mut() = parts.headers;
+    let bytes = timeout(limit.body_timeout, collect(body, limit.body_bytes))
+        .await
+        .map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+    *whole.body_mut() = bytes;
+    Ok(whole)
+}
+
+async fn collect(body: RequestBody, most: usize) -> Result<Bytes, StatusCode> {
+    let mut body = std::pin::pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = poll_fn(|context| body.as_mut().poll_frame(context)).await {
+        let Ok(Frame::Data(chunk)) = frame else {
+            return Err(StatusCode::BAD_REQUEST);
+        };
+        if whole.len() + chunk.len() > most {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
+fn render(reply: Reply, active: Active) -> Response<ResponseBody> {
+    let (parts, body) = reply.into_parts();
+    let body = match body {
+        Body::Full(bytes) => ResponseBody::bytes(bytes),
+        Body::Stream(receiver) => ResponseBody::boxed(Stream {
+            receiver,
+            _active: active,
+        }),
+    };
+    Response::from_parts(parts, body)
+}
--- /dev/null
+++ b/crates/pistachiolug_kernel/src/lib.rs
@@ -0,0 +1,11 @@
+//! Micro-kernel of the daemons: services by name, timers, logs, metrics and ordered shutdown.
+
+pub mod admin;
+pub mod clock;
+pub mod dump;
+pub mod logs;
+pub mod phase;
+pub mod registry;
+pub mod signal;
+pub mod supervisor;
+pub mod timer;
--- /dev/null
+++ b/crates/pistachiolug_kernel/src/registry.rs
@@ -0,0 +1,77 @@
+//! Services that find each other by name, with typed handles resolved at start.
+
+use std::{
+    any::{Any, type_name},
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use snafu::{OptionExt, Snafu, ensure};
+
+/// Reports a look-up or registration that failed.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// No service has the name.
+    #[snafu(display("no service named `{name}`"))]
+    Missing {
+        /// Name asked for.
+        name: String,
+    },
+    /// The service has another type.
+    #[snafu(display("service `{name}` is not a `{wanted}`"))]
+    WrongType {
+        /// Name asked for.
+        name: String,
+        /// Type asked for.
+        wanted: &'static str,
+    },
+    /// Another service has the name.
+    #[snafu(display("service `{name}` is registered twice"))]
+    Taken {
+        /// Name.
+        name: String,
+    },
+}
+
+/// Holds the services of one process by name.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    /// Each name is registered once and never replaced.
+    services: Arc<Mutex<BTreeMap<&'static str, Arc<dyn Any + Send + Sync>>>>,
+}
+
+impl Registry {
+    /// Registers a service under a name.
+    ///
+    /// # Errors
+    /// [`Error::Taken`].
+    pub fn register<T: Send + Sync + 'static>(
+        &self,
+        name: &'static str,
+        service: Arc<T>,
+    ) -> Result<(), Error> {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        ensure!(!services.contains_key(name), TakenSnafu { name });
+        services.insert(name, service);
+        Ok(())
+    }
+
+    /// Finds a service; call it at start and keep the handle.
+    ///
+    /// # Errors
+    /// [`Error::Missing`] and [`Error::WrongType`].
+    pub fn find<T: Send + Sync + 'static>(&self, name: &str) -> Result<Arc<T>, Error> {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let service = services.get(name).context(MissingSnafu { name })?;
+        Arc::clone(service).downcast().ok().context(WrongTypeSnafu {
+            name,
+            wanted: type_name::<T>(),
+        })
+    }
+
+    /// Returns all names in order.
+    pub fn names(&self) -> Vec<&'static str> {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        services.keys().copied().collect()
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_kernel/src/signal.rs
@@ -0,0 +1,17 @@
+//! Signals that ask a process to stop in order.
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// Returns the error of the handler's installation.
+pub async fn stop() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pistachiolug_lists/src/lists.rs
@@ -0,0 +1,116 @@
+//! Lists as one consistent, indexed value.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use pistachiolug_wire::digest::Digest;
+use rustc_hash::FxHashMap;
+
+use crate::{
+    customer::Customer,
+    plan::{Model, Plan, Service},
+    row::{Name, Row},
+};
+
+/// Both lists at one revision.
+#[derive(Debug, Clone, Default)]
+pub struct Lists {
+    /// Key-value revision up to which all changes are included; never falls.
+    revision: u64,
+    customers: BTreeMap<String, Arc<Customer>>,
+    plans: BTreeMap<String, Arc<Plan>>,
+    models: BTreeMap<String, Arc<Model>>,
+    services: BTreeMap<String, Arc<Service>>,
+    /// Owner of each key digest; has exactly the digests of `customers`.
+    keys: FxHashMap<Digest, Arc<Customer>>,
+}
+
+impl Lists {
+    /// Returns the revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Finds the customer that owns a key.
+    pub fn customer_of(&self, key: &Digest) -> Option<&Arc<Customer>> {
+        self.keys.get(key)
+    }
+
+    /// Finds a plan.
+    pub fn plan(&self, name: &str) -> Option<&Arc<Plan>> {
+        self.plans.get(name)
+    }
+
+    /// Finds a model.
+    pub fn model(&self, name: &str) -> Option<&Arc<Model>> {
+        self.models.get(name)
+    }
+
+    /// Finds a plain service.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Iterates over the customers by name.
+    pub fn customers(&self) -> impl Iterator<Item = &Arc<Customer>> {
+        self.customers.values()
+    }
+
+    /// Iterates over the plans by name.
+    pub fn plans(&self) -> impl Iterator<Item = &Arc<Plan>> {
+        self.plans.values()
+    }
+
+    /// Iterates over the models by name.
+    pub fn models(&self) -> impl Iterator<Item = &Arc<Model>> {
+        self.models.values()
+    }
+
+    /// Stores a row.
+    pub fn insert(&mut self, row: Row) {
+        match row {
+            Row::Customer(customer) => self.insert_customer(customer),
+            Row::Plan(plan) => {
+                self.plans.insert(plan.name.clone(), Arc::new(plan));
+            }
+            Row::Model(model) => {
+                self.models.insert(model.name.clone(), Arc::new(model));
+            }
+            Row::Service(service) => {
+                self.services
+                    .insert(service.name.clone(), Arc::new(service));
+            }
+        }
+    }
+
+    /// Removes a row.
+    pub fn remove(&mut self, name: &Name) {
+        match name.kind {
+            crate::row::Kind::Customers => self.remove_customer(&name.name),
+            crate::row::Kind::Plans => drop(self.plans.remove(&name.name)),
+            crate::row::Kind::Models => drop(self.models.remove(&name.name)),
+            crate::row::Kind::Services => drop(self.services.remove(&name.name)),
+        }
+    }
+
+    /// Moves to a later revision; an earlier one is ignored.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    fn insert_customer(&mut self, customer: Customer) {
+        self.remove_customer(&customer.name);
+        let customer = Arc::new(customer);
+        for key in &customer.keys {
+            self.keys.insert(*key, Arc::clone(&customer));
+        }
+        self.customers.insert(customer.name.clone(), customer);
+    }
+
+    fn remove_customer(&mut self, name: &str) {
+        if let Some(customer) = self.customers.remove(name) {
+            for key in &customer.keys {
+                self.keys.remove(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_platform/src/engine/http.rs
@@ -0,0 +1,362 @@
+//! Adapter to an engine with an OpenAI-shaped API for calls and a JSON API for orders.
+//!
+//! Calls are always streamed. Extensions to the OpenAI body travel in headers, so the caller's body is passed on
+//! as it came:
+//!
+//! | header | meaning |
+//! |---|---|
+//! | `x-request-id` | call id, the name to cancel by |
+//! | `x-priority` | 0 to 255, larger runs earlier |
+//! | `x-model-version` | version that must answer; 409 if it is not loaded |
+//! | `x-resume-at` | number of tokens to skip |
+
+use std::{collections::VecDeque, time::Duration};
+
+use ::http::{Method, Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use pistachiolug_http::client::{self, Client};
+use pistachiolug_wire::call;
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use super::{CacheEvent, Chunk, Engine, Error, Generate, Generation, Order, Role, State};
+
+/// Longest time an order other than [`Engine::load`] may take.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time an engine may take to load staged weights.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Longest time an engine may take to accept a call; the wait for tokens comes after it.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest silence inside a stream; engines send comments at least this often.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Largest accepted answer to an order in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// Engine reached over HTTP.
+#[derive(Debug, Clone)]
+pub struct Http {
+    client: Client,
+    base: String,
+}
+
+#[derive(Debug, Serialize)]
+struct RoleOrder {
+    fence: u64,
+    role: Role,
+}
+
+#[derive(Debug, Deserialize)]
+struct Refusal {
+    #[serde(default)]
+    reason: String,
+    #[serde(default)]
+    fence: u64,
+}
+
+impl Http {
+    /// Creates an adapter for the engine at `base`, such as `http://127.0.0.1:7001`.
+    pub fn new(client: Client, base: &str) -> Self {
+        Self {
+            client,
+            base: base.to_owned(),
+        }
+    }
+
+    async fn order(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<Bytes, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header("content-type", "application/json")
+            .body(body)
+            .map_err(malformed)?;
+        let response = self
+            .client
+            .fetch(request, ANSWER_BYTES, within)
+            .await
+            .map_err(failure)?;
+        accept(response)
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        path: &str,
+        message: &T,
+        within: Duration,
+    ) -> Result<Bytes, Error> {
+        let body = serde_json::to_vec(message).map_err(malformed)?;
+        self.order(Method::POST, path, body.into(), within).await
+    }
+}
+
+impl Engine for Http {
+    type Generation = Stream;
+
+    async fn generate(&self, call: &Generate) -> Result<Stream, Error> {
+        let request = Request::post(format!("{}{}", self.base, call.path))
+            .header("content-type", "application/json")
+            .header("x-request-id", call.id.to_string())
+            .header("x-priority", u16::from(call.priority))
+            .header("x-model-version", &call.version)
+            .header("x-resume-at", call.reached)
+            .body(call.body.clone())
+            .map_err(malformed)?;
+        let response = self
+            .client
+            .send(request, ACCEPT_TIMEOUT)
+            .await
+            .map_err(failure)?;
+        if response.status() == StatusCode::OK {
+            return Ok(Stream::new(response.into_body(), call.reached));
+        }
+        let (parts, body) = response.into_parts();
+        let body = timeout(ORDER_TIMEOUT, body.collect())
+            .await
+            .map_err(broken)?
+            .map_err(broken)?
+            .to_bytes();
+        accept(Response::from_parts(parts, body))
+            .and_then(|_| Err(malformed("status without stream")))
+    }
+
+    async fn cancel(&self, id: call::Id) -> Result<(), Error> {
+        let path = format!("/v1/engine/requests/{id}");
+        self.order(Method::DELETE, &path, Bytes::new(), ORDER_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn state(&self) -> Result<State, Error> {
+        let body = self
+            .order(Method::GET, "/v1/engine/state", Bytes::new(), ORDER_TIMEOUT)
+            .await?;
+        serde_json::from_slice(&body).map_err(malformed)
+    }
+
+    async fn stage(&self, order: &Order, offset: u64, bytes: Bytes) -> Result<(), Error> {
+        let path = format!(
+            "/v1/engine/parts/{}/{}?fence={}&offset={offset}&length={}",
+            order.model, order.version, order.fence, order.length
+        );
+        self.order(Method::PUT, &path, bytes, ORDER_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn load(&self, order: &Order) -> Result<(), Error> {
+        self.post("/v1/engine/load", order, LOAD_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn unload(&self, order: &Order) -> Result<(), Error> {
+        self.post("/v1/engine/unload", order, ORDER_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn set_role(&self, fence: u64, role: Role) -> Result<(), Error> {
+        let order = RoleOrder { fence, role };
+        self.post("/v1/engine/role", &order, ORDER_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn export_cache(&self, id: call::Id) -> Result<Bytes, Error> {
+        let path = format!("/v1/engine/cache/{id}");
+        self.order(Method::GET, &path, Bytes::new(), ORDER_TIMEOUT)
+            .await
+    }
+
+    async fn import_cache(&self, id: call::Id, cache: Bytes) -> Result<(), Error> {
+        let path = format!("/v1/engine/cache/{id}");
+        self.order(Method::PUT, &path, cache, ORDER_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn cache_events(&self, sequence: u64, wait: Duration) -> Result<Vec<CacheEvent>, Error> {
+        let path = format!(
+            "/v1/engine/cache-events?after={sequence}&wait_ms={}",
+            wait.as_millis()
+        );
+        let body = self
+            .order(Method::GET, &path, Bytes::new(), wait + ORDER_TIMEOUT)
+            .await?;
+        serde_json::from_slice(&body).map_err(malformed)
+    }
+}
+
+/// Server-sent events of one generation.
+#[derive(Debug)]
+pub struct Stream {
+    body: Incoming,
+    /// Bytes after the last whole line.
+    buffer: BytesMut,
+    ready: VecDeque<Chunk>,
+    /// Index of the next token.
+    at: u32,
+    /// Version named by the last event.
+    version: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Sse {
+    #[serde(default)]
+    version: String,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+    /// Text of the completions API.
+    text: Option<String>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Usage {
+    prompt_tokens: u32,
+}
+
+impl Stream {
+    fn new(body: Incoming, at: u32) -> Self {
+        Self {
+            body,
+            buffer: BytesMut::new(),
+            ready: VecDeque::new(),
+            at,
+            version: String::new(),
+        }
+    }
+
+    fn take_lines(&mut self) -> Result<(), Error> {
+        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let line = self.buffer.split_to(end + 1);
+            self.take_line(line.trim_ascii())?;
+        }
+        Ok(())
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<(), Error> {
+        let Some(data) = line.strip_prefix(b"data:") else {
+            return Ok(());
+        };
+        let data = data.trim_ascii();
+        if data == b"[DONE]" {
+            return Ok(());
+        }
+        let event: Sse = serde_json::from_slice(data).map_err(malformed)?;
+        if !event.version.is_empty() {
+            self.version.clone_from(&event.version);
+        }
+        let prompt_tokens = event.usage.unwrap_or_default().prompt_tokens;
+        for choice in event.choices {
+            self.take_choice(choice, prompt_tokens);
+        }
+        Ok(())
+    }
+
+    fn take_choice(&mut self, choice: Choice, prompt_tokens: u32) {
+        if let Some(text) = choice
+            .delta
+            .content
+            .or(choice.text)
+            .filter(|text| !text.is_empty())
+        {
+            self.ready.push_back(Chunk::Tokens {
+                at: self.at,
+                texts: vec![text],
+                version: self.version.clone(),
+            });
+            self.at += 1;
+        }
+        if let Some(reason) = choice.finish_reason {
+            self.ready.push_back(Chunk::Done {
+                reason,
+                prompt_tokens,
+                tokens: self.at,
+            });
+        }
+    }
+}
+
+impl Generation for Stream {
+    async fn next(&mut self) -> Result<Chunk, Error> {
+        loop {
+            if let Some(chunk) = self.ready.pop_front() {
+                return Ok(chunk);
+            }
+            let frame = timeout(SILENCE_TIMEOUT, self.body.frame())
+                .await
+                .map_err(broken)?;
+            let Some(frame) = frame else {
+                return Err(broken("stream ended early"));
+            };
+            if let Ok(data) = frame.map_err(broken)?.into_data() {
+                self.buffer.extend_from_slice(&data);
+                self.take_lines()?;
+            }
+        }
+    }
+}
+
+fn accept(response: Response<Bytes>) -> Result<Bytes, Error> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response.into_body());
+    }
+    let refusal = serde_json::from_slice(response.body()).unwrap_or(Refusal {
+        reason: String::new(),
+        fence: 0,
+    });
+    if status == StatusCode::PRECONDITION_FAILED {
+        return Err(Error::Fenced {
+            current: refusal.fence,
+        });
+    }
+    Err(Error::Refused {
+        status: status.as_u16(),
+        reason: refusal.reason,
+    })
+}
+
+fn failure(error: client::Error) -> Error {
+    let reason = error.to_string();
+    if error.unsent() {
+        return Error::Unreachable { reason };
+    }
+    Error::Broken { reason }
+}
+
+fn broken(cause: impl ToString) -> Error {
+    Error::Broken {
+        reason: cause.to_string(),
+    }
+}
+
+fn malformed(cause: impl ToString) -> Error {
+    Error::Malformed {
+        reason: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -0,0 +1,156 @@
+//! Key-value service with compare-and-swap, leases and watches.
+
+pub mod etcd;
+
+use std::{future::Future, time::Duration};
+
+use bytes::Bytes;
+use snafu::Snafu;
+
+/// One stored value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Key.
+    pub key: String,
+    /// Value of at most 1 MiB.
+    pub value: Bytes,
+    /// Service revision of the write that stored the value; grows with every write to the service.
+    pub revision: u64,
+}
+
+/// All values under a prefix at one revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Range {
+    /// Values ordered by key.
+    pub entries: Vec<Entry>,
+    /// Service revision the read was made at.
+    pub revision: u64,
+}
+
+/// Condition under which a write takes effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expect {
+    /// The key holds nothing.
+    Absent,
+    /// The key holds the value stored at this revision.
+    Revision(u64),
+}
+
+/// Answer to a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Swap {
+    /// The write took effect at this revision.
+    Done {
+        /// Revision of the write.
+        revision: u64,
+    },
+    /// The condition did not hold; nothing was written.
+    Lost {
+        /// What the key holds instead.
+        current: Option<Entry>,
+    },
+}
+
+/// Change seen by a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A value was stored.
+    Put(Entry),
+    /// A key was deleted or its lease ended.
+    Delete {
+        /// Key.
+        key: String,
+        /// Revision of the deletion.
+        revision: u64,
+    },
+}
+
+impl Event {
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
+/// Lease that keys can be bound to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Lease(pub i64);
+
+/// Reports a call to the service that has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The call surely had no effect.
+    #[snafu(display("key-value service unavailable: {reason}"))]
+    Unavailable {
+        /// Cause.
+        reason: String,
+    },
+    /// The call may have taken effect; read again before acting on it.
+    #[snafu(display("effect unknown: {reason}"))]
+    Unknown {
+        /// Cause.
+        reason: String,
+    },
+    /// The service or the local budget refused the call for its rate.
+    #[snafu(display("throttled, come back in {} ms", after.as_millis()))]
+    Throttled {
+        /// When to try again.
+        after: Duration,
+    },
+    /// The watch's start is no longer kept; read the range anew.
+    #[snafu(display("revision compacted, oldest kept is {oldest}"))]
+    Compacted {
+        /// Oldest revision a watch may start from.
+        oldest: u64,
+    },
+    /// The lease has ended.
+    #[snafu(display("lease ended"))]
+    LeaseEnded,
+    /// The answer breaks the protocol.
+    #[snafu(display("malformed answer: {reason}"))]
+    Malformed {
+        /// What was wrong.
+        reason: String,
+    },
+}
+
+/// Key-value service of the platform; every method is one call of its rate budget.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads one key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, Error>> + Send;
+
+    /// Reads all keys that start with `prefix`.
+    fn range(&self, prefix: &str) -> impl Future<Output = Result<Range, Error>> + Send;
+
+    /// Stores `value`, or deletes the key for `None`, if `expect` holds.
+    ///
+    /// # Errors
+    /// [`Error::Unknown`] when the write may have taken effect.
+    fn swap(
+        &self,
+        key: &str,
+        expect: Expect,
+        value: Option<&[u8]>,
+        lease: Option<Lease>,
+    ) -> impl Future<Output = Result<Swap, Error>> + Send;
+
+    /// Waits up to `wait` for changes under `prefix` after revision `after`.
+    ///
+    /// Returns an empty list when nothing changed; events may repeat, so callers compare revisions.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Vec<Event>, Error>> + Send;
+
+    /// Grants a lease of `ttl` (whole seconds, at least one).
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease, Error>> + Send;
+
+    /// Renews a lease for its full time.
+    fn keep_alive(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
+}
--- /dev/null
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -0,0 +1,279 @@
+//! Adapter to a service that speaks the etcd v3 JSON gateway (`/v3/kv/...`, `/v3/lease/...`, `/v3/watch`).
+
+use std::time::Duration;
+
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use pistachiolug_http::client::{self, Client};
+use serde_json::{Value, json};
+use tokio::time::{Instant, timeout_at};
+
+use super::{Entry, Error, Event, Expect, Lease, Range, Store, Swap};
+
+/// Longest time a call other than a watch may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest accepted answer in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// Wait after a refusal for rate.
+const THROTTLE_WAIT: Duration = Duration::from_millis(500);
+
+/// Key-value service reached over the JSON gateway.
+#[derive(Debug, Clone)]
+pub struct Etcd {
+    client: Client,
+    base: String,
+}
+
+/// Tells how a lost answer to a call is judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    /// The call only reads.
+    Read,
+    /// The call may change the service's state.
+    Write,
+}
+
+impl Etcd {
+    /// Creates an adapter for the service at `base`, such as `http://127.0.0.1:2379`.
+    pub fn new(client: Client, base: &str) -> Self {
+        Self {
+            client,
+            base: base.to_owned(),
+        }
+    }
+
+    fn request(&self, path: &str, body: &Value) -> Result<Request<Bytes>, Error> {
+        Request::post(format!("{}{path}", self.base))
+            .header("content-type", "application/json")
+            .body(body.to_string().into())
+            .map_err(malformed)
+    }
+
+    async fn post(&self, path: &str, body: &Value, effect: Effect) -> Result<Value, Error> {
+        let request = self.request(path, body)?;
+        let response = self
+            .client
+            .fetch(request, ANSWER_BYTES, TIMEOUT)
+            .await
+            .map_err(|error| failure(&error, effect))?;
+        accept(&response, effect)
+    }
+}
+
+impl Store for Etcd {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        let body = json!({ "key": encode(key) });
+        let answer = self.post("/v3/kv/range", &body, Effect::Read).await?;
+        Ok(entries(&answer)?.into_iter().next())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Range, Error> {
+        let body = json!({ "key": encode(prefix), "range_end": encode_end(prefix) });
+        let answer = self.post("/v3/kv/range", &body, Effect::Read).await?;
+        Ok(Range {
+            entries: entries(&answer)?,
+            revision: number(&answer["header"]["revision"]),
+        })
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expect: Expect,
+        value: Option<&[u8]>,
+        lease: Option<Lease>,
+    ) -> Result<Swap, Error> {
+        let body = transaction(key, expect, value, lease);
+        let answer = self.post("/v3/kv/txn", &body, Effect::Write).await?;
+        if answer["succeeded"].as_bool() == Some(true) {
+            return Ok(Swap::Done {
+                revision: number(&answer["header"]["revision"]),
+            });
+        }
+        let current = &answer["responses"][0]["response_range"];
+        Ok(Swap::Lost {
+            current: entries(current)?.into_iter().next(),
+        })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Vec<Event>, Error> {
+        let deadline = Instant::now() + wait;
+        let body = json!({ "create_request": {
+            "key": encode(prefix),
+            "range_end": encode_end(prefix),
+            "start_revision": (after + 1).to_string(),
+        }});
+        let response = self
+            .client
+            .send(self.request("/v3/watch", &body)?, TIMEOUT)
+            .await
+            .map_err(|error| failure(&error, Effect::Read))?;
+        if response.status() != StatusCode::OK {
+            return Err(refusal(response.status(), Effect::Read));
+        }
+        let mut body = response.into_body();
+        let mut buffer = BytesMut::new();
+        loop {
+            let frame = match timeout_at(deadline, body.frame()).await {
+                Ok(Some(frame)) => frame.map_err(unavailable)?,
+                Ok(None) => return Err(unavailable("watch ended")),
+                Err(_) => return Ok(Vec::new()),
+            };
+            if let Ok(data) = frame.into_data() {
+                buffer.extend_from_slice(&data);
+            }
+            let events = take_events(&mut buffer)?;
+            if !events.is_empty() {
+                return Ok(events);
+            }
+        }
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        let body = json!({ "TTL": ttl.as_secs().max(1).to_string() });
+        let answer = self.post("/v3/lease/grant", &body, Effect::Write).await?;
+        Ok(Lease(number(&answer["ID"]).cast_signed()))
+    }
+
+    async fn keep_alive(&self, lease: Lease) -> Result<(), Error> {
+        let body = json!({ "ID": lease.0.to_string() });
+        let answer = self
+            .post("/v3/lease/keepalive", &body, Effect::Write)
+            .await?;
+        if number(&answer["result"]["TTL"]) == 0 {
+            return Err(Error::LeaseEnded);
+        }
+        Ok(())
+    }
+}
+
+fn transaction(key: &str, expect: Expect, value: Option<&[u8]>, lease: Option<Lease>) -> Value {
+    let key = encode(key);
+    let revision = match expect {
+        Expect::Absent => 0,
+        Expect::Revision(revision) => revision,
+    };
+    let success = match value {
+        Some(value) => json!({ "request_put": {
+            "key": key,
+            "value": BASE64.encode(value),
+            "lease": lease.map_or(0, |lease| lease.0).to_string(),
+        }}),
+        None => json!({ "request_delete_range": { "key": key } }),
+    };
+    json!({
+        "compare": [{ "key": key, "target": "MOD", "result": "EQUAL", "mod_revision": revision.to_string() }],
+        "success": [success],
+        "failure": [{ "request_range": { "key": key } }],
+    })
+}
+
+fn take_events(buffer: &mut BytesMut) -> Result<Vec<Event>, Error> {
+    let mut events = Vec::new();
+    while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+        let line = buffer.split_to(end + 1);
+        let message: Value = serde_json::from_slice(&line).map_err(malformed)?;
+        let result = &message["result"];
+        let oldest = number(&result["compact_revision"]);
+        if oldest > 0 {
+            return Err(Error::Compacted { oldest });
+        }
+        for event in result["events"].as_array().into_iter().flatten() {
+            events.push(read_event(event)?);
+        }
+    }
+    Ok(events)
+}
+
+fn read_event(event: &Value) -> Result<Event, Error> {
+    let entry = read_entry(&event["kv"])?;
+    if event["type"].as_str() == Some("DELETE") {
+        return Ok(Event::Delete {
+            key: entry.key,
+            revision: entry.revision,
+        });
+    }
+    Ok(Event::Put(entry))
+}
+
+fn entries(answer: &Value) -> Result<Vec<Entry>, Error> {
+    let rows = answer["kvs"].as_array();
+    rows.into_iter().flatten().map(read_entry).collect()
+}
+
+fn read_entry(row: &Value) -> Result<Entry, Error> {
+    let key = decode(&row["key"])?;
+    Ok(Entry {
+        key: String::from_utf8(key).map_err(malformed)?,
+        value: decode(&row["value"])?.into(),
+        revision: number(&row["mod_revision"]),
+    })
+}
+
+fn encode(text: &str) -> String {
+    BASE64.encode(text)
+}
+
+/// Returns the first key after all keys that start with `prefix`.
+fn encode_end(prefix: &str) -> String {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    BASE64.encode(end)
+}
+
+fn decode(value: &Value) -> Result<Vec<u8>, Error> {
+    let text = value.as_str().unwrap_or_default();
+    BASE64.decode(text).map_err(malformed)
+}
+
+/// Reads a number that the gateway renders as a string or leaves out for 0.
+fn number(value: &Value) -> u64 {
+    value
+        .as_u64()
+        .or_else(|| value.as_str().and_then(|text| text.parse().ok()))
+        .unwrap_or(0)
+}
+
+fn accept(response: &Response<Bytes>, effect: Effect) -> Result<Value, Error> {
+    if response.status() != StatusCode::OK {
+        return Err(refusal(response.status(), effect));
+    }
+    serde_json::from_slice(response.body()).map_err(malformed)
+}
+
+fn refusal(status: StatusCode, effect: Effect) -> Error {
+    let reason = format!("status {status}");
+    match (status, effect) {
+        (StatusCode::TOO_MANY_REQUESTS, _) => Error::Throttled {
+            after: THROTTLE_WAIT,
+        },
+        (StatusCode::SERVICE_UNAVAILABLE, _) | (_, Effect::Read) => Error::Unavailable { reason },
+        (_, Effect::Write) => Error::Unknown { reason },
+    }
+}
+
+fn failure(error: &client::Error, effect: Effect) -> Error {
+    let reason = error.to_string();
+    if error.unsent() || effect == Effect::Read {
+        return Error::Unavailable { reason };
+    }
+    Error::Unknown { reason }
+}
+
+fn unavailable(cause: impl ToString) -> Error {
+    Error::Unavailable {
+        reason: cause.to_string(),
+    }
+}
+
+fn malformed(cause: impl ToString) -> Error {
+    Error::Malformed {
+        reason: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/pistachiolug_settings/src/finding.rs
@@ -0,0 +1,62 @@
+//! Findings with their place, collected and reported together.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// Place in a text, from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Place {
+    /// Line.
+    pub line: usize,
+    /// Column in characters.
+    pub column: usize,
+}
+
+/// One thing that is wrong with a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// Name of the document, such as its path.
+    pub document: String,
+    /// Place, where the document has one.
+    pub place: Option<Place>,
+    /// Path of the field, such as `plans[2].share`.
+    pub field: String,
+    /// What is wrong.
+    pub reason: String,
+    /// How to mend it.
+    pub mend: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.document)?;
+        if let Some(place) = self.place {
+            write!(formatter, ":{}:{}", place.line, place.column)?;
+        }
+        if !self.field.is_empty() {
+            write!(formatter, ": {}", self.field)?;
+        }
+        write!(formatter, ": {}", self.reason)?;
+        if !self.mend.is_empty() {
+            write!(formatter, " ({})", self.mend)?;
+        }
+        Ok(())
+    }
+}
+
+impl Place {
+    /// Finds the place of a byte offset in a text.
+    pub fn of(text: &str, offset: usize) -> Self {
+        let mut end = offset.min(text.len());
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        let before = &text[..end];
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        Self {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_wire/src/digest.rs
@@ -0,0 +1,62 @@
+//! Content digests (BLAKE3, 32 bytes).
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies content by its BLAKE3 hash.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Hashes `content`.
+    pub fn of(content: &[u8]) -> Self {
+        Self(*blake3::hash(content).as_bytes())
+    }
+
+    /// Returns the raw hash.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl From<[u8; 32]> for Digest {
+    fn from(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        blake3::Hash::from_bytes(self.0).to_hex().fmt(formatter)
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = blake3::HexError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        blake3::Hash::from_hex(text).map(|hash| Self(*hash.as_bytes()))
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = blake3::HexError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Messages between the processes of one deployment, and the identifiers they share.
+
+pub mod call;
+pub mod codec;
+pub mod digest;
+pub mod fault;
+pub mod instance;
+pub mod load;
+pub mod outcome;
+pub mod revoke;
