--- a/crates/pistachiolug_wire/src/call.rs
+++ b/crates/pistachiolug_wire/src/call.rs
@@ -45,7 +45,7 @@
 pub struct Generation {
     /// Model's name in the plans list.
     pub model: String,
-    /// Only version that may answer.
+    /// Only version that may answer; empty lets the agent choose the newest version in force that it serves.
     pub version: String,
     /// Path of the engine's API, such as `/v1/chat/completions`.
     pub path: String,
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod fault;
 pub mod instance;
 pub mod load;
+pub mod notice;
 pub mod outcome;
 pub mod revoke;
