--- a/crates/pistachiolug_ledger/src/memory.rs
+++ b/crates/pistachiolug_ledger/src/memory.rs
@@ -47,7 +47,7 @@
         let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
         if rows
             .get(&claim.key)
-            .is_some_and(|row| row.claim.call == claim.call)
+            .is_some_and(|row| is_own(&row.claim, claim) && row.answer.is_none())
         {
             rows.remove(&claim.key);
         }
@@ -62,8 +62,13 @@
     if let Some(answer) = &row.answer {
         return Verdict::Finished(answer.clone());
     }
-    if row.claim.call == claim.call {
+    if is_own(&row.claim, claim) {
         return Verdict::Won;
     }
     Verdict::Held(row.claim.clone())
 }
+
+/// Tells whether a claim comes from the process that made the row.
+fn is_own(row: &Claim, claim: &Claim) -> bool {
+    row.call == claim.call && row.holder == claim.holder && row.instance == claim.instance
+}
--- a/crates/pistachiolug_platform/src/kv.rs
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -1,6 +1,8 @@
 //! Key-value service with compare-and-swap, leases and watches.
 
 pub mod etcd;
+pub mod memory;
+pub mod state;
 
 use std::{future::Future, time::Duration};
 
--- a/crates/pistachiolug_standin/src/kv/state.rs
+++ b/crates/pistachiolug_platform/src/kv/state.rs
@@ -1,11 +1,11 @@
-//! Stored values, history and leases.
+//! Stored values, history and leases of a key-value service, behind the memory store and the stand-in.
 
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
-use pistachiolug_platform::kv::{Entry, Event, Expect, Lease, Range, Swap};
+use super::{Entry, Event, Expect, Lease, Range, Swap};
 
 /// Number of events kept for watches; older ones are compacted.
 const HISTORY: usize = 100_000;
@@ -118,6 +118,11 @@
         Some(term.ttl)
     }
 
+    /// Tells whether a lease was granted and has not ended.
+    pub fn has_lease(&self, lease: Lease) -> bool {
+        self.leases.contains_key(&lease.0)
+    }
+
     /// Ends leases whose time is over and deletes their keys.
     pub fn expire(&mut self, now: Instant) -> bool {
         self.leases.retain(|_, term| term.ends > now);
--- a/crates/pistachiolug_standin/src/kv.rs
+++ b/crates/pistachiolug_standin/src/kv.rs
@@ -1,4 +1,3 @@
 //! Key-value service behind the etcd v3 JSON gateway's paths.
 
 pub mod gateway;
-pub mod state;
--- a/crates/pistachiolug_standin/src/kv/gateway.rs
+++ b/crates/pistachiolug_standin/src/kv/gateway.rs
@@ -12,11 +12,10 @@
     body::Body,
     server::{Handler, Reply, Request},
 };
-use pistachiolug_platform::kv::{Entry, Event, Expect, Lease, Swap};
+use pistachiolug_platform::kv::{Entry, Event, Expect, Lease, Swap, state::State};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
-use super::state::State;
 use crate::reply;
 
 /// Interval at which leases are checked.
