Decide which rows are in force, and add crash suspects

Cause: rows may be written straight into the service, and events may repeat, come out of order or be missed; the lists in force must not depend on the way they came. Change: a table of the latest writes with the last good value of each row, a digest over the writes, and rules for rows alone and together; suspects are rows with a lease. Conclusion: places can compare one digest to know that they agree.

--- a/crates/pistachiolug_ledger/tests/page.rs
+++ b/crates/pistachiolug_ledger/tests/page.rs
@@ -41,7 +41,7 @@
 
 /// Returns a UUID of version 7 with a creation time.
 fn uuid(time_ms: u64, number: u64) -> String {
-    format!("{time_ms:012x}7{number:03x}8{:015x}", number)
+    format!("{time_ms:012x}7{number:03x}8{number:015x}")
 }
 
 /// Page with the segments it refers to, as a writer keeps them.
--- a/crates/pistachiolug_lists/src/lists.rs
+++ b/crates/pistachiolug_lists/src/lists.rs
@@ -8,7 +8,9 @@
 use crate::{
     customer::Customer,
     plan::{Model, Plan, Service},
-    row::{Name, Row},
+    row::{Kind, Name, Row},
+    suspect::Suspect,
+    table::Problem,
 };
 
 /// Both lists at one revision.
@@ -20,6 +22,9 @@
     plans: BTreeMap<String, Arc<Plan>>,
     models: BTreeMap<String, Arc<Model>>,
     services: BTreeMap<String, Arc<Service>>,
+    suspects: FxHashMap<Digest, Arc<Suspect>>,
+    /// Rows that are not in force as they were written, with the reasons.
+    problems: Vec<Problem>,
     /// Owner of each key digest; has exactly the digests of `customers`.
     keys: FxHashMap<Digest, Arc<Customer>>,
 }
@@ -65,6 +70,31 @@
         self.models.values()
     }
 
+    /// Iterates over the plain services by name.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Finds the crash suspect with a content's digest.
+    pub fn suspect(&self, content: &Digest) -> Option<&Arc<Suspect>> {
+        self.suspects.get(content)
+    }
+
+    /// Iterates over the crash suspects.
+    pub fn suspects(&self) -> impl Iterator<Item = &Arc<Suspect>> {
+        self.suspects.values()
+    }
+
+    /// Returns the rows that are not in force as they were written, with the reasons.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+
+    /// Adds a row that is not in force as it was written.
+    pub fn report(&mut self, problem: Problem) {
+        self.problems.push(problem);
+    }
+
     /// Stores a row.
     pub fn insert(&mut self, row: Row) {
         match row {
@@ -79,16 +109,23 @@
                 self.services
                     .insert(service.name.clone(), Arc::new(service));
             }
+            Row::Suspect(suspect) => {
+                self.suspects.insert(suspect.digest, Arc::new(suspect));
+            }
         }
     }
 
     /// Removes a row.
     pub fn remove(&mut self, name: &Name) {
         match name.kind {
-            crate::row::Kind::Customers => self.remove_customer(&name.name),
-            crate::row::Kind::Plans => drop(self.plans.remove(&name.name)),
-            crate::row::Kind::Models => drop(self.models.remove(&name.name)),
-            crate::row::Kind::Services => drop(self.services.remove(&name.name)),
+            Kind::Customers => self.remove_customer(&name.name),
+            Kind::Plans => drop(self.plans.remove(&name.name)),
+            Kind::Models => drop(self.models.remove(&name.name)),
+            Kind::Services => drop(self.services.remove(&name.name)),
+            Kind::Suspects => {
+                let digest = name.name.parse();
+                drop(digest.map(|digest: Digest| self.suspects.remove(&digest)));
+            }
         }
     }
 
--- /dev/null
+++ b/crates/pistachiolug_lists/tests/table.rs
@@ -0,0 +1,242 @@
+//! Table of rows: the same writes give the same lists by whatever way they come, and bad rows stay out.
+
+use pistachiolug_lists::{
+    customer::Customer,
+    key,
+    lists::Lists,
+    plan::Plan,
+    row::{Kind, Name, Row, Stored},
+    suspect::{self, Crash},
+    table::{Change, Table},
+};
+use pistachiolug_platform::kv::memory::Memory;
+use pistachiolug_wire::digest::Digest;
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+fn plan(name: &str, share: u32) -> Row {
+    Row::Plan(Plan {
+        name: name.to_owned(),
+        share,
+        priority: 0,
+        models: Vec::new(),
+        services: Vec::new(),
+        tokens_per_minute: 0,
+        trial: false,
+    })
+}
+
+fn customer(name: &str, plan: &str, bearer: &str) -> Row {
+    Row::Customer(Customer {
+        name: name.to_owned(),
+        plan: plan.to_owned(),
+        keys: vec![key::digest(bearer)],
+        tokens_per_minute: 0,
+    })
+}
+
+fn put(row: &Row, revision: u64) -> Change {
+    let stored = Stored {
+        row: row.clone(),
+        edit: None,
+    };
+    Change {
+        name: row.name(),
+        revision,
+        value: Some(stored.render().into()),
+        good: None,
+    }
+}
+
+fn remove(row: &Row, revision: u64) -> Change {
+    Change {
+        value: None,
+        ..put(row, revision)
+    }
+}
+
+fn raw(row: &Row, revision: u64, value: &'static str) -> Change {
+    Change {
+        value: Some(value.into()),
+        ..put(row, revision)
+    }
+}
+
+fn admit(changes: &[Change]) -> Lists {
+    let mut table = Table::default();
+    let mut lists = Lists::default();
+    for change in changes {
+        table.take(change.clone());
+        table.advance(change.revision);
+        lists = table.admit();
+    }
+    lists
+}
+
+#[test]
+fn bad_rows_stay_out_and_the_last_good_ones_stay_in_force() {
+    let paid = plan("paid", 3);
+    let deli = customer("deli", "paid", "k1");
+    let thief = customer("thief", "paid", "k1");
+    let lost = customer("deli", "gone", "k1");
+    let base = [put(&paid, 1), put(&deli, 2)];
+    let rows = [
+        ("no JSON", raw(&paid, 3, "{"), "share 3"),
+        (
+            "unknown field",
+            raw(&paid, 3, r#"{"name":"paid","share":4,"x":1}"#),
+            "share 3",
+        ),
+        (
+            "another name",
+            raw(&paid, 3, r#"{"name":"free","share":4}"#),
+            "share 3",
+        ),
+        ("no share", put(&plan("paid", 0), 3), "share 3"),
+        ("unknown plan", put(&lost, 3), "share 3"),
+        ("stolen key", put(&thief, 3), "share 3"),
+        ("removal of a plan in use", remove(&paid, 3), "share 3"),
+        ("good change", put(&plan("paid", 4), 3), "share 4"),
+    ];
+    for (case, change, expected) in rows {
+        let lists = admit(&[base[0].clone(), base[1].clone(), change]);
+
+        let share = lists
+            .plan("paid")
+            .map(|plan| format!("share {}", plan.share));
+        assert_eq!(share.as_deref(), Some(expected), "{case}");
+        let owner = lists
+            .customer_of(&key::digest("k1"))
+            .expect("the key has an owner");
+        assert_eq!(
+            (owner.name.as_str(), owner.plan.as_str()),
+            ("deli", "paid"),
+            "{case}"
+        );
+        assert_eq!(lists.problems().is_empty(), case == "good change", "{case}");
+    }
+}
+
+#[test]
+fn a_removal_takes_effect_once_nothing_refers_to_the_row() {
+    let paid = plan("paid", 3);
+    let deli = customer("deli", "paid", "k1");
+
+    let lists = admit(&[
+        put(&paid, 1),
+        put(&deli, 2),
+        remove(&paid, 3),
+        remove(&deli, 4),
+    ]);
+
+    assert!(lists.plan("paid").is_none());
+    assert!(lists.customer_of(&key::digest("k1")).is_none());
+    assert!(lists.problems().is_empty());
+}
+
+/// Writes to a few rows, bad ones and removals included, in order of revision.
+fn writes(rng: &mut ChaCha8Rng) -> Vec<Change> {
+    let mut present = [false; 6];
+    let mut writes = Vec::new();
+    for revision in 1..=rng.random_range(1..60) {
+        let at = rng.random_range(0..present.len());
+        let row = match at {
+            0 | 1 => plan(&format!("plan {at}"), rng.random_range(0..4)),
+            _ => {
+                let plan = format!("plan {}", rng.random_range(0..2));
+                customer(&format!("customer {at}"), &plan, &format!("k{at}"))
+            }
+        };
+        let removal = present[at] && rng.random_bool(0.3);
+        present[at] = !removal;
+        writes.push(match removal {
+            true => remove(&row, revision),
+            false => put(&row, revision),
+        });
+    }
+    writes
+}
+
+/// Reads the state after all writes as the service would give it.
+fn reading(writes: &[Change]) -> Vec<Change> {
+    let newest = |name: &Name| writes.iter().rev().find(|it| it.name == *name);
+    let mut names: Vec<Name> = writes.iter().map(|it| it.name.clone()).collect();
+    names.sort();
+    names.dedup();
+    let rows = names.iter().filter_map(newest);
+    rows.filter(|it| it.value.is_some()).cloned().collect()
+}
+
+#[test]
+fn repeated_and_reordered_events_stale_peers_and_readings_converge() {
+    bolero::check!()
+        .exhaustive()
+        .with_generator(0_u64..1500)
+        .cloned()
+        .for_each(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let writes = writes(&mut rng);
+            let last = writes.len() as u64;
+            let split = rng.random_range(0..=writes.len());
+            let mut expected = Table::default();
+            expected.take_all(reading(&writes), last);
+
+            let mut shuffled = writes.clone();
+            shuffled.extend(writes.iter().take(7).cloned());
+            shuffled.shuffle(&mut rng);
+            let mut by_events = Table::default();
+            for change in shuffled {
+                by_events.take(change);
+            }
+            by_events.advance(last);
+
+            let mut by_peer = Table::default();
+            by_peer.take_all(reading(&writes[..split]), split as u64);
+            let (delta, all) = by_events.changes_after(by_peer.revision());
+            assert!(!all);
+            for change in delta {
+                by_peer.take(change);
+            }
+            by_peer.advance(last);
+            let stale = by_peer.take_all(reading(&writes[..split]), split as u64);
+
+            assert_eq!(stale, split == writes.len());
+            assert_eq!(by_events.digest(), expected.digest());
+            assert_eq!(by_peer.digest(), expected.digest());
+        });
+}
+
+#[tokio::test]
+async fn a_crash_counts_once_however_often_it_is_reported() {
+    let store = Memory::new(1);
+    let content = Digest::of(b"poison");
+    let crash = |call: &str| Crash {
+        instance: "assistant-1".to_owned(),
+        call: call.to_owned(),
+    };
+
+    for call in ["a", "a", "b"] {
+        suspect::report(&store, &content, &crash(call))
+            .await
+            .expect("service answers");
+    }
+
+    let name = Name {
+        kind: Kind::Suspects,
+        name: content.to_string(),
+    };
+    let entry = store.peek(&name.key()).expect("row is stored");
+    let lists = admit(&[Change {
+        name,
+        revision: entry.revision,
+        value: Some(entry.value),
+        good: None,
+    }]);
+    assert_eq!(
+        lists
+            .suspect(&content)
+            .expect("suspect is in force")
+            .count(),
+        2
+    );
+}
