Add the load tool: open-loop load, experiments, checks, reports

Cause: claims need figures; nothing measured the path. Change: `pistachiolug-bench run FILE…` starts the daemons and stand-ins, sends seeded Poisson arrivals, checks each answer against the text that its weights and request decide, counts runs in the stand-ins' records, and writes JSON, samples, Markdown and SVG; `compare` prints ratios. Before: no figures.

--- a/crates/pistachiolug/tests/path.rs
+++ b/crates/pistachiolug/tests/path.rs
@@ -21,6 +21,7 @@
         entries: 2,
         engine_args: Vec::new(),
         origin_rate: 0,
+        weights_bytes: 0,
     };
     let deployment = Deployment::start(&size).await.expect("deployment starts");
     let manifest = deployment.upload("pasta", "v1", &weights(1), 65_536).await;
--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -2,7 +2,7 @@
 
 #![allow(missing_docs, unreachable_pub)]
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
     /// Load tool and stand-ins of pistachiolug.
@@ -24,5 +24,19 @@
             /// Makes an engine refuse old fencing numbers.
             optional --checks-fence
         }
+        /// Runs experiments, writes their results, and exits 1 if a promise was broken.
+        cmd run {
+            /// Files of the experiments, JSON with comments.
+            repeated file: PathBuf
+            /// Folder of the results; `out` unless named.
+            optional --out out: PathBuf
+        }
+        /// Prints the figures of a second result against a first as ratios.
+        cmd compare {
+            /// First result, the base of the ratios.
+            required first: PathBuf
+            /// Second result.
+            required second: PathBuf
+        }
     }
 }
--- /dev/null
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -0,0 +1,76 @@
+//! Subcommands of the load tool.
+
+#![allow(clippy::print_stdout, clippy::print_stderr)]
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use pistachiolug_bench::{
+    experiment::{document::Document, run},
+    report::{compare, files, markdown},
+    standin,
+};
+
+use crate::args;
+
+/// Exit code of a run that broke a promise.
+const EXIT_BREACH: u8 = 1;
+
+/// Exit code of a command that could not be carried out.
+const EXIT_ERROR: u8 = 2;
+
+/// Folder of results unless another is named.
+const FOLDER: &str = "out";
+
+/// Runs one stand-in.
+pub(crate) fn standin(flags: &args::Standin) -> io::Result<ExitCode> {
+    let options = standin::Options {
+        listen: flags.listen,
+        rate: flags.rate.unwrap_or(0),
+        lag_ms: flags.lag_ms.unwrap_or(0),
+        first_ms: flags.first_ms.unwrap_or(20),
+        gap_ms: flags.gap_ms.unwrap_or(5),
+        checks_fence: flags.checks_fence,
+    };
+    standin::run(&flags.role, options)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs experiments one after the other.
+pub(crate) fn run(flags: &args::Run) -> io::Result<ExitCode> {
+    let folder = flags.out.clone().unwrap_or_else(|| PathBuf::from(FOLDER));
+    let mut breaches = 0;
+    for path in &flags.file {
+        breaches += run_one(path, &folder)?;
+    }
+    if breaches > 0 {
+        return Ok(ExitCode::from(EXIT_BREACH));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Compares two results.
+pub(crate) fn compare(flags: &args::Compare) -> io::Result<ExitCode> {
+    let first = files::read(&flags.first)?;
+    let second = files::read(&flags.second)?;
+    println!("{}", compare::render(&first, &second));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reports an error.
+pub(crate) fn fail(error: &io::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_ERROR)
+}
+
+fn run_one(path: &Path, folder: &Path) -> io::Result<usize> {
+    let document = Document::read(path)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let run = runtime.block_on(run::run(&document))?;
+    files::write(folder, &run)?;
+    println!("{}", markdown::render(&run.outcome));
+    Ok(run.outcome.breaches.len())
+}
--- /dev/null
+++ b/crates/pistachiolug_bench/src/experiment.rs
@@ -0,0 +1,10 @@
+//! Experiments: a deployment, its load and its faults by time, from one document.
+
+pub mod check;
+pub mod document;
+pub mod fault;
+pub mod record;
+pub mod result;
+pub mod run;
+pub mod usage;
+pub mod watch;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/experiment/check.rs
@@ -0,0 +1,136 @@
+//! Invariants checked from the callers' samples and the stand-ins' own records.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{document::Allow, record::Record, watch::Sighting};
+use crate::load::{
+    plan::Kind,
+    sample::{End, Sample},
+};
+
+/// Broken promise.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Breach {
+    /// Name of the invariant.
+    pub invariant: String,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Checks all invariants.
+pub fn run(
+    samples: &[Sample],
+    record: &Record,
+    sightings: &[Sighting],
+    allow: Allow,
+) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    breaches.extend(check_answers(samples));
+    breaches.extend(check_not_run(samples, record));
+    breaches.extend(check_once(record));
+    breaches.extend(check_lost(samples, record));
+    breaches.extend(check_revisions(sightings));
+    breaches.extend(check_ends(samples, allow));
+    breaches.extend(check_retry_after(samples));
+    breaches
+}
+
+/// An answer that says it is whole is the answer to its own request from the version it names.
+fn check_answers(samples: &[Sample]) -> Vec<Breach> {
+    let wrong = samples.iter().filter(|sample| sample.end == End::Wrong);
+    wrong
+        .map(|sample| breach("answers are whole and own", sample))
+        .collect()
+}
+
+/// A booking whose callers were all told `not-run` did not run.
+fn check_not_run(samples: &[Sample], record: &Record) -> Vec<Breach> {
+    let bookings = samples.iter().filter(|sample| is_booking(sample));
+    let mut ends: BTreeMap<String, Vec<End>> = BTreeMap::new();
+    for sample in bookings {
+        ends.entry(key(sample)).or_default().push(sample.end);
+    }
+    ends.iter()
+        .filter(|(key, ends)| {
+            ends.iter().all(|end| *end == End::NotRun) && record.bookings.contains_key(*key)
+        })
+        .map(|(key, _)| breach("not-run means not run", key))
+        .collect()
+}
+
+/// A booking runs at most once.
+fn check_once(record: &Record) -> Vec<Breach> {
+    let twice = record.bookings.iter().filter(|(_, runs)| **runs > 1);
+    twice
+        .map(|run| breach("bookings run at most once", &run))
+        .collect()
+}
+
+/// A booking that was answered did run.
+fn check_lost(samples: &[Sample], record: &Record) -> Vec<Breach> {
+    let answered: BTreeSet<String> = samples
+        .iter()
+        .filter(|sample| is_booking(sample) && sample.end == End::Whole)
+        .map(key)
+        .collect();
+    answered
+        .iter()
+        .filter(|key| !record.bookings.contains_key(*key))
+        .map(|key| breach("answered bookings ran", key))
+        .collect()
+}
+
+/// The revision in force at a process never falls.
+fn check_revisions(sightings: &[Sighting]) -> Vec<Breach> {
+    let mut last = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for sighting in sightings {
+        let before = last.insert(sighting.address, sighting.revision);
+        // A process that has just started has no lists yet.
+        if sighting.revision > 0 && before.is_some_and(|before| before > sighting.revision) {
+            breaches.push(breach("lists never revert", sighting));
+        }
+    }
+    breaches
+}
+
+/// Callers see no ends but those that the experiment allows.
+fn check_ends(samples: &[Sample], allow: Allow) -> Vec<Breach> {
+    let allowed = |end| match end {
+        End::Whole | End::Wrong => true,
+        End::NotRun => allow.not_run,
+        End::Unknown => allow.unknown,
+        End::Cut | End::Unconnected => allow.cut,
+    };
+    let others = samples.iter().filter(|sample| !allowed(sample.end));
+    others
+        .map(|sample| breach("allowed ends", sample))
+        .collect()
+}
+
+/// A refusal that may succeed later says when to come back.
+fn check_retry_after(samples: &[Sample]) -> Vec<Breach> {
+    let refused = samples.iter().filter(|sample| {
+        sample.end == End::NotRun && matches!(sample.status, 429 | 503) && !sample.retry_after
+    });
+    refused
+        .map(|sample| breach("refusals say when to come back", sample))
+        .collect()
+}
+
+fn is_booking(sample: &Sample) -> bool {
+    matches!(sample.kind, Kind::Booking | Kind::BookingTwice)
+}
+
+fn key(sample: &Sample) -> String {
+    format!("{:016x}", sample.nonce)
+}
+
+fn breach(invariant: &str, seen: &impl std::fmt::Debug) -> Breach {
+    Breach {
+        invariant: invariant.to_owned(),
+        seen: format!("{seen:?}"),
+    }
+}
--- a/crates/pistachiolug_bench/src/lib.rs
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -1,4 +1,7 @@
 //! Load tool and experiments: starts the real daemons and the stand-ins as processes on loopback.
 
+pub mod experiment;
+pub mod load;
+pub mod report;
 pub mod rig;
 pub mod standin;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/load/sse.rs
@@ -0,0 +1,61 @@
+//! Server-sent events as a caller reads them.
+
+use bytes::{Buf, BytesMut};
+use serde_json::Value;
+
+/// Event of a streamed answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Text of the answer with the version it names.
+    Text(String, String),
+    /// The answer is complete.
+    Done,
+    /// The answer can't be completed; holds the error's body.
+    Error(Value),
+}
+
+/// Splits a byte stream into events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    buffer: BytesMut,
+}
+
+impl Parser {
+    /// Adds received bytes.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.buffer.extend_from_slice(chunk);
+    }
+
+    /// Takes the next whole event; comments and empty events are passed over.
+    pub fn take(&mut self) -> Option<Event> {
+        loop {
+            let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+            let block = self.buffer.split_to(end);
+            self.buffer.advance(2);
+            if let Some(event) = read(&String::from_utf8_lossy(&block)) {
+                return Some(event);
+            }
+        }
+    }
+}
+
+fn read(block: &str) -> Option<Event> {
+    let data = block
+        .lines()
+        .find_map(|line| line.strip_prefix("data:"))?
+        .trim();
+    if data == "[DONE]" {
+        return Some(Event::Done);
+    }
+    let value: Value = serde_json::from_str(data).ok()?;
+    if value["error"].is_object() {
+        return Some(Event::Error(value));
+    }
+    let choice = &value["choices"][0];
+    let text = choice["delta"]["content"]
+        .as_str()
+        .or_else(|| choice["text"].as_str())
+        .filter(|text| !text.is_empty())?;
+    let version = value["version"].as_str().unwrap_or_default();
+    Some(Event::Text(text.to_owned(), version.to_owned()))
+}
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -34,6 +34,9 @@
 /// Bearer key of the trial customer.
 pub const TRIAL_KEY: &str = "trial-key";
 
+/// Length of a chunk in bytes.
+pub const CHUNK_BYTES: usize = 64 << 10;
+
 /// Wait between two looks at a process that starts.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -53,6 +56,8 @@
     pub engine_args: Vec<String>,
     /// Bytes a second of the origin's link; 0 means no limit.
     pub origin_rate: u64,
+    /// Length of the weights that [`Deployment::roll_out`] makes, in bytes.
+    pub weights_bytes: usize,
 }
 
 /// Running daemon.
@@ -68,6 +73,8 @@
     pub backend: Option<SocketAddr>,
     /// Service of the backend server; agents only.
     pub service: String,
+    /// State that the instance list shows.
+    pub state: State,
     /// Process.
     pub process: Process,
     /// Process of the backend server; agents only.
@@ -91,6 +98,8 @@
     pub http: Http,
     /// Processes of the platform stand-ins, in the order kv, directory, origin.
     pub platform: Vec<Process>,
+    /// Length of each version's weights in bytes.
+    weights_bytes: usize,
     folder: PathBuf,
 }
 
@@ -114,6 +123,7 @@
             entries: Vec::new(),
             http: Http::new(SECRET),
             platform: Vec::new(),
+            weights_bytes: size.weights_bytes,
             folder,
         };
         deployment.start_platform(size)?;
@@ -182,18 +192,8 @@
     /// # Errors
     /// Returns the error of the first write.
     pub async fn write_sample(&self, version: &str, manifest: Digest) -> io::Result<()> {
-        for (name, share, trial) in [("paid", 3, false), ("trial", 1, true)] {
-            let plan = Plan {
-                name: name.to_owned(),
-                share,
-                priority: u8::from(!trial),
-                models: vec!["pasta".to_owned()],
-                services: vec!["booking".to_owned()],
-                tokens_per_minute: 0,
-                trial,
-            };
-            self.write_row(Kind::Plans, name, &plan).await?;
-        }
+        self.write_share("paid", 3).await?;
+        self.write_share("trial", 1).await?;
         for (name, bearer) in [("paid", PAID_KEY), ("trial", TRIAL_KEY)] {
             let customer = Customer {
                 name: name.to_owned(),
@@ -211,6 +211,45 @@
         self.write_model(version, manifest).await
     }
 
+    /// Writes a plan's row with a share.
+    ///
+    /// # Errors
+    /// Returns the error of the write.
+    pub async fn write_share(&self, name: &str, share: u32) -> io::Result<()> {
+        let trial = name == "trial";
+        let plan = Plan {
+            name: name.to_owned(),
+            share,
+            priority: u8::from(!trial),
+            models: vec!["pasta".to_owned()],
+            services: vec!["booking".to_owned()],
+            tokens_per_minute: 0,
+            trial,
+        };
+        self.write_row(Kind::Plans, name, &plan).await
+    }
+
+    /// Writes the sample lists with a first version and waits until every engine serves it.
+    ///
+    /// # Errors
+    /// Returns the first error of an upload, write or wait.
+    pub async fn prepare(&self, version: &str) -> io::Result<()> {
+        let weights = weights(version, self.weights_bytes);
+        let manifest = self.upload("pasta", version, &weights, CHUNK_BYTES).await?;
+        self.write_sample(version, manifest).await?;
+        self.wait_serving(version).await
+    }
+
+    /// Uploads weights of their own for a version and asks for it.
+    ///
+    /// # Errors
+    /// Returns the error of the upload or write.
+    pub async fn roll_out(&self, version: &str) -> io::Result<()> {
+        let weights = weights(version, self.weights_bytes);
+        let manifest = self.upload("pasta", version, &weights, CHUNK_BYTES).await?;
+        self.write_model(version, manifest).await
+    }
+
     /// Writes the model's row with a wanted version.
     ///
     /// # Errors
@@ -296,6 +335,7 @@
             callers: None,
             backend: Some(backend),
             service: service.to_owned(),
+            state: State::Live,
             process: self.start_daemon("agent", name, &settings)?,
             backend_process: Some(backend_process),
         })
@@ -312,6 +352,7 @@
             callers: Some(callers),
             backend: None,
             service: String::new(),
+            state: State::Live,
             process: self.start_daemon("entry", name, &settings)?,
             backend_process: None,
         })
@@ -415,6 +456,16 @@
             region: "gauteng".to_owned(),
             zone: "midrand".to_owned(),
         },
-        state: State::Live,
+        state: daemon.state,
     }
 }
+
+/// Makes weights that belong to one version and no other.
+pub fn weights(version: &str, length: usize) -> Vec<u8> {
+    let mut bytes = vec![0; length];
+    blake3::Hasher::new()
+        .update(version.as_bytes())
+        .finalize_xof()
+        .fill(&mut bytes);
+    bytes
+}
--- a/crates/pistachiolug_bench/src/rig/process.rs
+++ b/crates/pistachiolug_bench/src/rig/process.rs
@@ -10,6 +10,16 @@
 #[derive(Debug)]
 pub struct Process {
     child: Child,
+    command: Invocation,
+}
+
+/// How a process was started, so that it can be started again.
+#[derive(Debug, Clone)]
+struct Invocation {
+    program: PathBuf,
+    args: Vec<String>,
+    log: PathBuf,
+    secret: String,
 }
 
 impl Process {
@@ -18,14 +28,24 @@
     /// # Errors
     /// Returns the error of the start.
     pub fn start(program: &Path, args: &[String], log: &Path, secret: &str) -> io::Result<Self> {
-        let child = Command::new(program)
-            .args(args)
-            .env("PISTACHIOLUG_SECRET", secret)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(fs::File::create(log)?)
-            .spawn()?;
-        Ok(Self { child })
+        let command = Invocation {
+            program: program.to_owned(),
+            args: args.to_owned(),
+            log: log.to_owned(),
+            secret: secret.to_owned(),
+        };
+        let child = command.spawn()?;
+        Ok(Self { child, command })
+    }
+
+    /// Ends the process if it still runs and starts it again with the same arguments.
+    ///
+    /// # Errors
+    /// Returns the error of the start.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill()?;
+        self.child = self.command.spawn()?;
+        Ok(())
     }
 
     /// Returns the process id.
@@ -64,6 +84,22 @@
     }
 }
 
+impl Invocation {
+    fn spawn(&self) -> io::Result<Child> {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        Command::new(&self.program)
+            .args(&self.args)
+            .env("PISTACHIOLUG_SECRET", &self.secret)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // Nothing is left to do about an error here.
