--- a/crates/pistachiolug_entry/src/call.rs
+++ b/crates/pistachiolug_entry/src/call.rs
@@ -78,6 +78,10 @@
                 Body::Response(response) => return Ok(Part::Response(response)),
                 Body::Finished(finish) => return Ok(Part::Finished(finish)),
                 Body::Failed(fault) => return Err(fault),
+                Body::Elsewhere(_) => {
+                    let message = "an earlier call with the key runs at another instance";
+                    return Err(Fault::unknown(Code::BackendFailed, message));
+                }
             }
         }
     }
--- a/crates/pistachiolug_entry/src/door.rs
+++ b/crates/pistachiolug_entry/src/door.rs
@@ -181,6 +181,8 @@
             content: Digest::of(body),
             work,
             join: false,
+            crashes: 0,
+            entry: None,
         }
     }
 }
--- a/crates/pistachiolug_wire/src/call.rs
+++ b/crates/pistachiolug_wire/src/call.rs
@@ -1,6 +1,6 @@
 //! Calls as an entry opens them at an agent, and the events that answer them.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, net::SocketAddr, str::FromStr};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -95,8 +95,12 @@
     pub content: Digest,
     /// The work.
     pub work: Work,
-    /// Joins a started or finished call instead of opening a new one.
+    /// Joins a queued, started or finished call; never opens a new one.
     pub join: bool,
+    /// Backend servers that died while they ran this content, as far as the entry knows.
+    pub crashes: u8,
+    /// Internal address of the entry, where a leaving agent sends its notice.
+    pub entry: Option<SocketAddr>,
 }
 
 /// One message of the agent's answer.
@@ -125,7 +129,23 @@
     /// The answer is complete.
     Finished(Finish),
     /// The call ends without an answer.
+    ///
+    /// After tokens of a model's answer, [`Code::Leaving`](crate::fault::Code::Leaving) with outcome `not-run` means that
+    /// the rest will not be generated here: the entry resumes it elsewhere, on the same version, at the token it has
+    /// reached. [`Code::CrashSuspect`](crate::fault::Code::CrashSuspect) with outcome `unknown` means that the backend
+    /// server died while it ran the call: an idempotent call may be opened once more, with [`Open::crashes`] raised.
     Failed(Fault),
+    /// An earlier call with the same idempotency key runs at another instance; the entry may join it there.
+    Elsewhere(Elsewhere),
+}
+
+/// Where an earlier call with the same idempotency key runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Elsewhere {
+    /// Name of the agent's instance.
+    pub instance: String,
+    /// Identity of the earlier call, to be opened with [`Open::join`].
+    pub call: Id,
 }
 
 /// Consecutive generated tokens.
