--- a/crates/pistachiolug_entry/src/door.rs
+++ b/crates/pistachiolug_entry/src/door.rs
@@ -11,7 +11,6 @@
 use pistachiolug_lists::{force::Force, lists::Lists};
 use pistachiolug_wire::{
     call::{Generation, Id, Open, Plain, Work},
-    digest::Digest,
     fault::{Code, Fault},
     outcome::{self, Outcome},
 };
@@ -98,15 +97,9 @@
             reached: 0,
             prefix: String::new(),
             estimate: openai::estimate(&parsed, body.len()),
+            cache: None,
         };
-        let open = self.open(
-            lists,
-            id,
-            caller,
-            &model.service,
-            body,
-            Work::Model(generation),
-        );
+        let open = self.open(lists, id, caller, &model.service, Work::Model(generation));
         let mut running = self.runner.open(&open).await?;
         let shape = Shape {
             api,
@@ -153,7 +146,7 @@
             body: request.body().clone(),
             key: text("idempotency-key"),
         };
-        let open = self.open(lists, id, caller, name, request.body(), Work::Plain(plain));
+        let open = self.open(lists, id, caller, name, Work::Plain(plain));
         let mut running = self.runner.open(&open).await?;
         started(&mut running).await?;
         match running.next().await? {
@@ -162,15 +155,7 @@
         }
     }
 
-    fn open(
-        &self,
-        lists: &Lists,
-        id: Id,
-        caller: &Caller,
-        service: &str,
-        body: &Bytes,
-        work: Work,
-    ) -> Open {
+    fn open(&self, lists: &Lists, id: Id, caller: &Caller, service: &str, work: Work) -> Open {
         Open {
             id,
             service: service.to_owned(),
@@ -178,7 +163,7 @@
             plan: caller.plan.name.clone(),
             lists_revision: lists.revision(),
             deadline_ms: self.deadline_ms,
-            content: Digest::of(body),
+            content: work.content(service),
             work,
             join: false,
             crashes: 0,
--- /dev/null
+++ b/crates/pistachiolug_routing/src/schedule.rs
@@ -0,0 +1,351 @@
+//! Schedule of one agent: which call starts next, which run is paused for it, and which calls are given up.
+
+use std::time::Duration;
+
+use pistachiolug_wire::{call::Id, load::Load};
+use rustc_hash::FxHashMap;
+
+use crate::{
+    pace::Pace,
+    share::{Class, Queue, Waiting},
+    wait::{self, Ahead},
+};
+
+/// Times one call may be paused; bounds the work spent on resuming it.
+const MOST_PAUSES: u8 = 4;
+
+/// Factor by which an admitted call's predicted wait must pass its time before it is given up, so that a prediction that
+/// wavers gives up no call that would have made it.
+const GIVE_UP_FACTOR: u32 = 2;
+
+/// Size of one backend server and of its queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Capacity {
+    /// Calls that run at once.
+    pub slots: u32,
+    /// Units worked off a second, until measured.
+    pub rate: f64,
+    /// Largest number of waiting calls.
+    pub calls: usize,
+    /// Largest total size of waiting calls in bytes.
+    pub bytes: usize,
+    /// Slots that trials leave free when their runs can't be paused.
+    pub reserve: u32,
+}
+
+/// Call that wants to run.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Identity.
+    pub id: Id,
+    /// Plan whose lane it waits in.
+    pub plan: String,
+    /// How the plan is served.
+    pub class: Class,
+    /// Estimated cost in units.
+    pub cost: u32,
+    /// Size in memory in bytes.
+    pub bytes: usize,
+    /// Time by which it must start.
+    pub due: Duration,
+    /// Whether its run may be paused and resumed.
+    pub pausable: bool,
+    /// Whether nothing else may run beside it.
+    pub alone: bool,
+}
+
+/// Next thing to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Start or resume a call.
+    Start(Id),
+    /// Pause a run, then report [`Schedule::pause`].
+    Pause(Id),
+}
+
+/// Refusal of a call, with the time after which a new attempt makes sense.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Predicted wait.
+    pub wait: Duration,
+    /// Time that the call had left.
+    pub time_left: Duration,
+}
+
+/// Schedule of one agent.
+#[derive(Debug)]
+pub struct Schedule {
+    capacity: Capacity,
+    pace: Pace,
+    queue: Queue<Id>,
+    /// Waiting calls that must run alone.
+    solo: Queue<Id>,
+    /// All calls that wait or run.
+    calls: FxHashMap<Id, Entry>,
+    /// Units that running calls may still cost.
+    owed: u64,
+    running: u32,
+    /// Runs that may be paused.
+    pausable: u32,
+    /// Runs that were told to pause and have not yet.
+    pausing: u32,
+    /// Whether a call that must be alone runs.
+    alone: bool,
+    /// Size of all calls in bytes.
+    bytes: usize,
+}
+
+#[derive(Debug)]
+struct Entry {
+    call: Call,
+    state: State,
+    /// Units charged to the lane for the current or next run.
+    charged: u32,
+    /// Units worked off in the current run.
+    done: u32,
+    pauses: u8,
+    /// Whether it has run before, so that it is no longer given up for its wait.
+    resumed: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Running { since: Duration },
+    Pausing,
+}
+
+impl Schedule {
+    /// Creates an idle schedule.
+    pub fn new(capacity: Capacity) -> Self {
+        Self {
+            capacity,
+            pace: Pace::new(capacity.rate),
+            queue: Queue::default(),
+            solo: Queue::default(),
+            calls: FxHashMap::default(),
+            owed: 0,
+            running: 0,
+            pausable: 0,
+            pausing: 0,
+            alone: false,
+            bytes: 0,
+        }
+    }
+
+    /// Queues a call, or refuses it at once if it would not start in its time.
+    ///
+    /// # Errors
+    /// [`Refusal`].
+    pub fn offer(&mut self, call: Call, now: Duration) -> Result<(), Refusal> {
+        let time_left = call.due.saturating_sub(now);
+        let own = self.queue.tokens_of(&call.plan);
+        let wait = self.predict(&call.plan, call.class, own);
+        let full =
+            self.waiting() >= self.capacity.calls || self.bytes + call.bytes > self.capacity.bytes;
+        if full || wait >= time_left {
+            return Err(Refusal { wait, time_left });
+        }
+        self.bytes += call.bytes;
+        let waiting = Waiting {
+            item: call.id,
+            cost: call.cost,
+        };
+        self.lane(call.alone).push(&call.plan, call.class, waiting);
+        let entry = Entry {
+            charged: call.cost,
+            call,
+            state: State::Waiting,
+            done: 0,
+            pauses: 0,
+            resumed: false,
+        };
+        self.calls.insert(entry.call.id, entry);
+        Ok(())
+    }
+
+    /// Decides the next thing to do; call it until it returns `None` after every change.
+    pub fn next(&mut self, now: Duration) -> Option<Action> {
+        if self.alone {
+            return None;
+        }
+        if !self.solo.is_empty() {
+            return self.start_alone(now);
+        }
+        if self.running < self.capacity.slots {
+            let trials = self.trials_allowed();
+            let id = self.queue.pop(trials)?;
+            self.run(id, now);
+            return Some(Action::Start(id));
+        }
+        self.choose_pause().map(Action::Pause)
+    }
+
+    /// Notes units worked off by a run.
+    pub fn progress(&mut self, id: Id, units: u32) {
+        let Some(entry) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let before = rest(entry);
+        entry.done = entry.done.saturating_add(units);
+        self.owed -= before - rest(entry);
+        self.pace.add(units.into());
+    }
+
+    /// Ends a call, wherever it is; its lane is charged for what it really cost.
+    pub fn end(&mut self, id: Id, now: Duration) {
+        let Some(entry) = self.calls.remove(&id) else {
+            return;
+        };
+        self.bytes -= entry.call.bytes;
+        if entry.state == State::Waiting {
+            let lane = self.lane(entry.call.alone);
+            lane.remove(&entry.call.plan, &id);
+            return;
+        }
+        self.leave_slot(&entry, now);
+        let lane = self.lane(entry.call.alone);
+        lane.settle(&entry.call.plan, entry.charged, entry.done);
+        lane.trim();
+    }
+
+    /// Puts a paused run back at the front of its lane.
+    pub fn pause(&mut self, id: Id, now: Duration) {
+        let Some(mut entry) = self.calls.remove(&id) else {
+            return;
+        };
+        if entry.state != State::Waiting {
+            self.leave_slot(&entry, now);
+            let (plan, class) = (entry.call.plan.clone(), entry.call.class);
+            let lane = self.lane(entry.call.alone);
+            lane.settle(&plan, entry.charged, entry.done);
+            entry.charged = entry.charged.saturating_sub(entry.done).max(1);
+            entry.done = 0;
+            entry.pauses += 1;
+            entry.resumed = true;
+            entry.state = State::Waiting;
+            let waiting = Waiting {
+                item: id,
+                cost: entry.charged,
+            };
+            lane.push_front(&plan, class, waiting);
+        }
+        self.calls.insert(id, entry);
+    }
+
+    /// Finds the waiting calls that are past their time or surely will be; each is to be ended at once.
+    pub fn given_up(&self, now: Duration) -> Vec<(Id, Refusal)> {
+        let lanes = self.queue.waiting().chain(self.solo.waiting());
+        let judged = lanes.filter_map(|(plan, class, own, waiting)| {
+            let entry = self.calls.get(&waiting.item)?;
+            if entry.resumed {
+                return None;
+            }
+            let time_left = entry.call.due.saturating_sub(now);
+            let wait = self.predict(plan, class, own);
+            let hopeless = time_left.is_zero() || wait > time_left * GIVE_UP_FACTOR;
+            hopeless.then_some((waiting.item, Refusal { wait, time_left }))
+        });
+        judged.collect()
+    }
+
+    /// Returns the load as entries are told it.
+    pub fn load(&self) -> Load {
+        Load {
+            queued: self.waiting() as u32,
+            running: self.running,
+            owed_tokens: self.owed + self.queue.tokens() + self.solo.tokens(),
+            leaving: false,
+        }
+    }
+
+    /// Returns the units worked off a second when busy.
+    pub fn rate(&self) -> f64 {
+        self.pace.rate()
+    }
+
+    fn waiting(&self) -> usize {
+        self.calls.len() - self.running as usize
+    }
+
+    fn lane(&mut self, alone: bool) -> &mut Queue<Id> {
+        if alone {
+            &mut self.solo
+        } else {
+            &mut self.queue
+        }
+    }
+
+    fn predict(&self, plan: &str, class: Class, own: u64) -> Duration {
+        let pausable = !class.trial && self.pausable > 0;
+        let free = pausable || self.running < self.capacity.slots;
+        let ahead = Ahead {
+            queued: self.queue.ahead(plan, class, own) + self.solo.tokens(),
+            owed: self.owed,
+            running: self.running,
+            free: free && !self.alone && self.solo.is_empty(),
+        };
+        wait::predict(&ahead, self.pace.rate())
+    }
+
+    fn start_alone(&mut self, now: Duration) -> Option<Action> {
+        if self.running > 0 {
+            return None;
+        }
+        let id = self.solo.pop(true)?;
+        self.run(id, now);
+        self.alone = true;
+        Some(Action::Start(id))
+    }
+
+    fn trials_allowed(&self) -> bool {
+        let kept = self.capacity.reserve.min(self.capacity.slots - 1);
+        self.running < self.capacity.slots - kept
+    }
+
+    fn run(&mut self, id: Id, now: Duration) {
+        let Some(entry) = self.calls.get_mut(&id) else {
+            return;
+        };
+        entry.state = State::Running { since: now };
+        self.owed += rest(entry);
+        self.running += 1;
+        self.pausable += u32::from(may_pause(entry));
+        self.pace.set_busy(self.running >= self.capacity.slots, now);
+    }
+
+    fn leave_slot(&mut self, entry: &Entry, now: Duration) {
+        self.owed -= rest(entry);
+        self.running -= 1;
+        self.pausable -= u32::from(may_pause(entry));
+        self.pausing -= u32::from(entry.state == State::Pausing);
+        self.alone = self.alone && !entry.call.alone;
+        self.pace.set_busy(self.running >= self.capacity.slots, now);
+    }
+
+    /// Chooses the trial run that started last, if a call of another plan waits that no pause was made for yet.
+    fn choose_pause(&mut self) -> Option<Id> {
+        if self.queue.len(false) <= self.pausing as usize {
+            return None;
+        }
+        let candidates = self.calls.values().filter_map(|entry| match entry.state {
+            State::Running { since } if may_pause(entry) => Some((since, entry.call.id)),
+            _ => None,
+        });
+        let (_, id) = candidates.max()?;
+        if let Some(entry) = self.calls.get_mut(&id) {
+            entry.state = State::Pausing;
+            self.pausing += 1;
+        }
+        Some(id)
+    }
+}
+
+fn may_pause(entry: &Entry) -> bool {
+    entry.call.class.trial && entry.call.pausable && entry.pauses < MOST_PAUSES
+}
+
+/// Units that a run may still cost.
+fn rest(entry: &Entry) -> u64 {
+    entry.charged.saturating_sub(entry.done).into()
+}
--- a/crates/pistachiolug_wire/src/call.rs
+++ b/crates/pistachiolug_wire/src/call.rs
@@ -57,6 +57,33 @@
     pub prefix: String,
     /// Estimated cost in tokens: prompt plus longest answer.
     pub estimate: u32,
+    /// Internal address of the leaving agent that keeps the engine's cache of the tokens reached, if there is one.
+    pub cache: Option<SocketAddr>,
+}
+
+impl Work {
+    /// Digests what the backend server sees, without names that differ from one send to the next.
+    ///
+    /// Entry and agent name crash suspects and compare reused idempotency keys by it.
+    pub fn content(&self, service: &str) -> Digest {
+        let parts: [&[u8]; 5] = match self {
+            Self::Model(generation) => [
+                service.as_bytes(),
+                b"POST",
+                generation.path.as_bytes(),
+                b"",
+                &generation.body,
+            ],
+            Self::Plain(plain) => [
+                service.as_bytes(),
+                plain.method.as_bytes(),
+                plain.path.as_bytes(),
+                plain.content_type.as_bytes(),
+                &plain.body,
+            ],
+        };
+        Digest::of_parts(&parts)
+    }
 }
 
 /// Request to a plain service.
--- a/crates/pistachiolug_wire/src/digest.rs
+++ b/crates/pistachiolug_wire/src/digest.rs
@@ -15,6 +15,16 @@
         Self(*blake3::hash(content).as_bytes())
     }
 
+    /// Hashes several parts, each with its length, so that moving a byte between parts changes the hash.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(*hasher.finalize().as_bytes())
+    }
+
     /// Returns the raw hash.
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
