Check settings against one table of fields, run processes from a kernel

Cause: settings stopped at the first error without its place; timers slept one task each; a panic in a thread of the server left a process half alive. Change: pistachiolug_settings walks the JSONC tree against a table of fields and reports all findings with line, column, field, reason and mend; roles, units, addresses, ranges, doubled fields and ports in use are checked; schemas and the operators' table follow from the same table. pistachiolug_kernel gains Kernel (services by name, timer with a manual clock, ordered shutdown, failure with its reason), a panic hook, and metrics with a fixed label set.

--- a/crates/pistachiolug/src/daemon.rs
+++ b/crates/pistachiolug/src/daemon.rs
@@ -4,7 +4,11 @@
 
 use pistachiolug_http::secret::Secret;
 use pistachiolug_kernel::logs;
-use pistachiolug_settings::{daemon::Daemon, load, secret};
+use pistachiolug_settings::{
+    daemon::{Daemon, Role},
+    finding::Finding,
+    load, ports, secret,
+};
 
 /// Exit code of settings that do not hold.
 const EXIT_SETTINGS: u8 = 1;
@@ -14,21 +18,21 @@
 
 /// Runs an entry.
 pub(crate) fn entry(settings: &Path) -> ExitCode {
-    start(settings, pistachiolug_entry::process::run)
+    start(settings, Role::Entry, pistachiolug_entry::process::run)
 }
 
 /// Runs an agent.
 pub(crate) fn agent(settings: &Path) -> ExitCode {
-    start(settings, pistachiolug_agent::process::run)
+    start(settings, Role::Agent, pistachiolug_agent::process::run)
 }
 
-fn start<F, R, E>(path: &Path, run: F) -> ExitCode
+fn start<F, R, E>(path: &Path, role: Role, run: F) -> ExitCode
 where
     F: FnOnce(Daemon, Secret) -> R,
     R: Future<Output = Result<(), E>>,
     E: Display,
 {
-    let (settings, secret) = match read(path) {
+    let (settings, secret) = match read(path, role) {
         Ok(read) => read,
         Err(report) => return fail(EXIT_SETTINGS, &report),
     };
@@ -49,17 +53,24 @@
     }
 }
 
-fn read(path: &Path) -> Result<(Daemon, Secret), String> {
+fn read(path: &Path, role: Role) -> Result<(Daemon, Secret), String> {
     let document = path.display().to_string();
     let text = fs::read_to_string(path).map_err(|error| format!("{document}: {error}"))?;
-    let settings = load::parse(&document, &text).map_err(|findings| {
-        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
-        lines.join("\n")
-    })?;
-    let secret = secret::read(&settings).map_err(|error| format!("{document}: {error}"))?;
+    let settings = load::daemon(&document, &text, Some(role)).map_err(|found| report(&found))?;
+    let busy = ports::check(&document, &settings);
+    if !busy.is_empty() {
+        return Err(report(&busy));
+    }
+    let secret = secret::read(settings.secret_file.as_deref());
+    let secret = secret.map_err(|error| format!("{document}: {error}"))?;
     Ok((settings, Secret::new(&secret)))
 }
 
+fn report(findings: &[Finding]) -> String {
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
 #[allow(clippy::print_stderr)]
 fn fail(code: u8, report: &str) -> ExitCode {
     eprintln!("{report}");
--- /dev/null
+++ b/crates/pistachiolug_kernel/src/kernel.rs
@@ -0,0 +1,147 @@
+//! Micro-kernel of one process: what every daemon starts from.
+
+use std::{io, sync::Arc, time::Duration};
+
+use prometheus::Registry as Metrics;
+use serde_json::json;
+use snafu::{ResultExt, Snafu};
+use tokio::time;
+
+use crate::{
+    admin::Admin,
+    dump::Dump,
+    phase::{Control, Phase},
+    registry::{self, Registry},
+    signal,
+    supervisor::Supervisor,
+    timer::Timer,
+};
+
+/// Interval at which a draining process looks whether its calls have ended.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Reports why a process ended before it was told to.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// Signals could not be handled.
+    #[snafu(display("signals: {source}"))]
+    Signal {
+        /// Cause.
+        source: io::Error,
+    },
+    /// A service failed; the process has drained since.
+    #[snafu(display("{reason}"))]
+    Failed {
+        /// What failed first.
+        reason: String,
+    },
+}
+
+/// Kernel of one process; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Kernel {
+    /// Services by name.
+    pub services: Registry,
+    /// Background tasks.
+    pub supervisor: Supervisor,
+    /// Parts of the state dump.
+    pub dump: Dump,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Timer that services subscribe to.
+    pub timer: Timer,
+}
+
+impl Kernel {
+    /// Starts a kernel: its timer runs and panics take the process down in order.
+    pub fn start(instance: &str) -> Self {
+        let kernel = Self::default();
+        kernel.supervisor.watch_panics();
+        kernel.supervisor.spawn("timer", kernel.timer.clone().run());
+        kernel.add_parts(instance);
+        kernel
+    }
+
+    /// Returns the phases of the process.
+    pub fn control(&self) -> &Control {
+        self.supervisor.control()
+    }
+
+    /// Returns what every internal port serves.
+    pub fn admin(&self) -> Admin {
+        Admin {
+            control: self.control().clone(),
+            dump: self.dump.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    /// Registers a service under a name and returns its handle.
+    ///
+    /// # Errors
+    /// [`registry::Error::Taken`].
+    pub fn register<T: Send + Sync + 'static>(
+        &self,
+        name: &'static str,
+        service: T,
+    ) -> Result<Arc<T>, registry::Error> {
+        let service = Arc::new(service);
+        self.services.register(name, Arc::clone(&service))?;
+        Ok(service)
+    }
+
+    /// Finds a service by name; call it at start and keep the handle.
+    ///
+    /// # Errors
+    /// [`registry::Error::Missing`] and [`registry::Error::WrongType`].
+    pub fn find<T: Send + Sync + 'static>(&self, name: &str) -> Result<Arc<T>, registry::Error> {
+        self.services.find(name)
+    }
+
+    /// Runs the process: ready until a signal or a failure, then drains until `idle` or `drain` has passed.
+    ///
+    /// # Errors
+    /// [`Error::Failed`] after a failure, once the process has drained.
+    pub async fn run(&self, drain: Duration, idle: impl Fn() -> bool) -> Result<(), Error> {
+        let control = self.control();
+        control.advance(Phase::Running);
+        let stopped = tokio::select! {
+            stopped = signal::stop() => stopped,
+            () = control.reached(Phase::Draining) => Ok(()),
+        };
+        control.advance(Phase::Draining);
+        log::info!("draining");
+        if time::timeout(drain, wait(idle)).await.is_err() {
+            log::warn!("drain deadline passed with calls still running");
+        }
+        control.advance(Phase::Stopped);
+        log::info!("stopped");
+        stopped.context(SignalSnafu)?;
+        match self.supervisor.failure() {
+            Some(reason) => FailedSnafu { reason }.fail(),
+            None => Ok(()),
+        }
+    }
+
+    fn add_parts(&self, instance: &str) {
+        let instance = instance.to_owned();
+        self.dump.add("instance", move || json!(instance));
+        self.dump
+            .add("version", || json!(env!("CARGO_PKG_VERSION")));
+        let control = self.control().clone();
+        self.dump
+            .add("phase", move || json!(control.now().as_str()));
+        let services = self.services.clone();
+        self.dump.add("services", move || json!(services.names()));
+        let supervisor = self.supervisor.clone();
+        self.dump
+            .add("failure", move || json!(supervisor.failure()));
+    }
+}
+
+async fn wait(idle: impl Fn() -> bool) {
+    while !idle() {
+        time::sleep(DRAIN_INTERVAL).await;
+    }
+}
--- a/crates/pistachiolug_kernel/src/lib.rs
+++ b/crates/pistachiolug_kernel/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod admin;
 pub mod clock;
 pub mod dump;
+pub mod kernel;
 pub mod logs;
+pub mod metric;
 pub mod phase;
 pub mod registry;
 pub mod signal;
--- a/crates/pistachiolug_settings/src/daemon.rs
+++ b/crates/pistachiolug_settings/src/daemon.rs
@@ -2,10 +2,19 @@
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+
+/// What a daemon does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Takes calls from callers.
+    Entry,
+    /// Guards one backend server.
+    Agent,
+}
 
 /// Settings of one daemon.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Daemon {
     /// Unique name of the instance.
@@ -39,7 +48,7 @@
 }
 
 /// Addresses of the platform's services, such as `http://10.0.0.1:2379`.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Key-value service.
@@ -54,7 +63,7 @@
 }
 
 /// Backend server beside an agent.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Backend {
     /// Service that the backend server belongs to.
@@ -75,7 +84,7 @@
 }
 
 /// Kind of a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// Model engine.
@@ -85,7 +94,7 @@
 }
 
 /// What an engine does with fencing numbers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fencing {
     /// Refuses an order with an old number.
@@ -96,7 +105,7 @@
 }
 
 /// Spread of weights.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Weights {
     /// What the spread saves first.
@@ -110,7 +119,7 @@
 }
 
 /// What a spread saves first.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// Time until N replicas run.
@@ -121,7 +130,7 @@
 }
 
 /// Calls.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Calls {
     /// Time a caller waits at most when it names no deadline, in milliseconds.
--- /dev/null
+++ b/crates/pistachiolug_settings/src/schema.rs
@@ -0,0 +1,69 @@
+//! JSON schemas of the settings files, for editors.
+
+use serde_json::{Map, Value, json};
+
+use crate::fields::{DAEMON, Field, Kind, Need, OPERATOR, Unit};
+
+/// Renders the schema of a daemon's settings.
+pub fn daemon() -> String {
+    render("Settings of a pistachiolug entry or agent", DAEMON)
+}
+
+/// Renders the schema of an operator's settings.
+pub fn operator() -> String {
+    render("Settings of the pistachiolug command line", OPERATOR)
+}
+
+fn render(title: &str, fields: &[Field]) -> String {
+    let mut schema = object(fields);
+    schema["$schema"] = json!("http://json-schema.org/draft-07/schema#");
+    schema["title"] = json!(title);
+    format!("{schema:#}\n")
+}
+
+fn object(fields: &[Field]) -> Value {
+    let properties: Map<String, Value> = fields
+        .iter()
+        .map(|field| (field.name.to_owned(), property(field)))
+        .collect();
+    let required: Vec<&str> = fields
+        .iter()
+        .filter(|field| field.need == Need::Required)
+        .map(|field| field.name)
+        .collect();
+    json!({
+        "type": "object",
+        "properties": properties,
+        "required": required,
+        "additionalProperties": false,
+    })
+}
+
+fn property(field: &Field) -> Value {
+    let mut schema = match field.kind {
+        Kind::Text | Kind::Path => json!({ "type": "string", "minLength": 1 }),
+        Kind::Name => json!({ "type": "string", "pattern": "^[a-z0-9-]+$" }),
+        Kind::Address => json!({ "type": "string", "pattern": ":[0-9]+$" }),
+        Kind::Url => json!({ "type": "string", "pattern": "^http://.*:[0-9]+$" }),
+        Kind::Whole { least, most, .. } => {
+            json!({ "type": "integer", "minimum": least, "maximum": most })
+        }
+        Kind::Real { least, most } => {
+            json!({ "type": "number", "minimum": least, "maximum": most })
+        }
+        Kind::Choice(choices) => json!({ "enum": choices }),
+        Kind::Object(fields) => object(fields),
+    };
+    schema["description"] = json!(about(field));
+    schema
+}
+
+/// Returns a field's text with its unit.
+pub fn about(field: &Field) -> String {
+    match field.kind {
+        Kind::Whole { unit, .. } if unit != Unit::Count => {
+            format!("{} ({})", field.about, unit.as_str())
+        }
+        _ => field.about.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_settings/tests/faults.rs
@@ -0,0 +1,175 @@
+//! Contract of the settings format: each fault is found at its place, all of them in one report.
+
+use pistachiolug_settings::{daemon::Role, finding::Finding, load};
+
+const ENTRY: &str = r#"{
+  // Comments are allowed.
+  "instance": "entry-1",
+  "region": "gauteng",
+  "zone": "midrand-a",
+  "internal": "10.0.0.1:7100",
+  "callers": "10.0.0.1:8080",
+  "platform": {
+    "key_value": "http://10.0.0.9:2379",
+    "instances": "http://10.0.0.9:7000",
+    "origin": "http://10.0.0.9:9000",
+  },
+  "calls": { "drain_ms": 600000 }
+}"#;
+
+const AGENT: &str = r#"{
+  "instance": "assistant-1",
+  "region": "gauteng",
+  "zone": "midrand-a",
+  "internal": "10.0.0.1:7100",
+  "platform": {
+    "key_value": "http://10.0.0.9:2379",
+    "instances": "http://10.0.0.9:7000",
+    "origin": "http://10.0.0.9:9000"
+  },
+  "backend": { "service": "assistant", "kind": "model", "address": "http://127.0.0.1:7001" }
+}"#;
+
+/// One change to sound settings and the finding that it must cause.
+struct Row {
+    from: &'static str,
+    to: &'static str,
+    line: usize,
+    column: usize,
+    field: &'static str,
+    reason: &'static str,
+    mend: &'static str,
+}
+
+const fn row(
+    (from, to): (&'static str, &'static str),
+    (line, column): (usize, usize),
+    field: &'static str,
+    reason: &'static str,
+    mend: &'static str,
+) -> Row {
+    Row {
+        from,
+        to,
+        line,
+        column,
+        field,
+        reason,
+        mend,
+    }
+}
+
+#[rustfmt::skip]
+const FAULTS: &[Row] = &[
+    row(("\"zone\"", "\"zome\""), (5, 3), "zome", "is no known field", "did you mean `zone`?"),
+    row(("\"zone\": \"midrand-a\",", ""), (1, 1), "zone", "is missing", "Availability zone the instance stands in."),
+    row(("\"region\": \"gauteng\",", ""), (1, 1), "region", "is missing", "Region the instance stands in."),
+    row(("\"midrand-a\"", "\"\""), (5, 11), "zone", "is empty", "write a value"),
+    row(("\"midrand-a\"", "\"Midrand A\""), (5, 11), "zone", "`Midrand A` is no name", "use lower-case letters, digits and hyphens"),
+    row(("\"midrand-a\"", "3"), (5, 11), "zone", "expects a text, has a number", ""),
+    row(("10.0.0.1:7100", "10.0.0.1"), (6, 15), "internal", "`10.0.0.1` is no address", "write an IP number and a port from 1 to 65535, such as \"10.0.0.1:7000\""),
+    row(("10.0.0.1:7100", "10.0.0.1:70000"), (6, 15), "internal", "`10.0.0.1:70000` is no address", "write an IP number and a port from 1 to 65535, such as \"10.0.0.1:7000\""),
+    row(("10.0.0.1:7100", "10.0.0.1:0"), (6, 15), "internal", "`10.0.0.1:0` has port 0", "write an IP number and a port from 1 to 65535, such as \"10.0.0.1:7000\""),
+    row(("http://10.0.0.9:2379", "10.0.0.9:2379"), (9, 18), "platform.key_value", "`10.0.0.9:2379` does not begin with \"http://\"", "write \"http://\", an IP number and a port, such as \"http://10.0.0.1:7000\""),
+    row(("http://10.0.0.9:2379", "http://kv.local:2379"), (9, 18), "platform.key_value", "`kv.local:2379` is no address", "write \"http://\", an IP number and a port, such as \"http://10.0.0.1:7000\""),
+    row(("600000", "\"10min\""), (13, 26), "calls.drain_ms", "expects a whole number of milliseconds, has the text `10min`", "write 600000"),
+    row(("600000", "\"10 fortnights\""), (13, 26), "calls.drain_ms", "expects a whole number of milliseconds, has the text `10 fortnights`", "write a bare number"),
+    row(("600000", "1.5"), (13, 26), "calls.drain_ms", "`1.5` is no whole number of milliseconds", "write a whole number from 0 to 86400000"),
+    row(("600000", "-1"), (13, 26), "calls.drain_ms", "`-1` is no whole number of milliseconds", "write a whole number from 0 to 86400000"),
+    row(("600000", "86400001"), (13, 26), "calls.drain_ms", "86400001 is out of range", "write a number from 0 to 86400000"),
+    row(("drain_ms", "drain"), (13, 14), "calls.drain", "is no known field", "did you mean `drain_ms`?"),
+    row(("{ \"drain_ms\": 600000 }", "7"), (13, 12), "calls", "expects an object, has a number", ""),
+    row(("\"instance\": \"entry-1\",", "\"instance\": \"entry-1\", \"instance\": \"b\","), (3, 26), "instance", "stands twice", "keep one"),
+    row(("\"calls\":", "\"log_level\": \"wran\", \"calls\":"), (13, 16), "log_level", "`wran` is not known", "did you mean `warn`?"),
+    row(("\"callers\": \"10.0.0.1:8080\",", ""), (1, 1), "callers", "is missing", "an entry takes callers; name their address"),
+    row(("\"calls\":", "\"backend\": { \"service\": \"s\", \"kind\": \"plain\", \"address\": \"http://127.0.0.1:1\" }, \"calls\":"), (13, 3), "backend", "does not belong to an entry", "remove it, or start `agent`"),
+    row(("\"region\"", "\"secret\": \"hunter2\", \"region\""), (4, 3), "secret", "is no known field", "did you mean `secret_file`?"),
+    row(("\"zone\":", "\"zone\""), (5, 10), "", "Expected colon after the string or word in object property", ""),
+];
+
+fn findings(text: &str, role: Role) -> Vec<Finding> {
+    load::daemon("entry.jsonc", text, Some(role)).expect_err("settings are at fault")
+}
+
+#[test]
+fn each_fault_is_reported_at_its_place() {
+    for row in FAULTS {
+        assert!(ENTRY.contains(row.from), "row for `{}` is stale", row.from);
+        let text = ENTRY.replacen(row.from, row.to, 1);
+
+        let found = findings(&text, Role::Entry);
+
+        assert_eq!(found.len(), 1, "{} -> {}: {found:?}", row.from, row.to);
+        let place = found[0].place.expect("findings of a text have a place");
+        assert_eq!(
+            (place.line, place.column),
+            (row.line, row.column),
+            "{found:?}"
+        );
+        assert_eq!(found[0].document, "entry.jsonc");
+        assert_eq!(found[0].field, row.field);
+        assert_eq!(found[0].reason, row.reason);
+        assert_eq!(found[0].mend, row.mend);
+    }
+}
+
+#[test]
+fn all_faults_come_in_one_report_in_order() {
+    let text = ENTRY
+        .replace("\"zone\"", "\"zome\"")
+        .replace("10.0.0.1:7100", "nowhere")
+        .replace("600000", "\"10min\"");
+
+    let found = findings(&text, Role::Entry);
+
+    let fields: Vec<&str> = found.iter().map(|finding| finding.field.as_str()).collect();
+    assert_eq!(fields, ["zome", "internal", "calls.drain_ms"]);
+}
+
+#[test]
+fn roles_are_matched() {
+    let without_backend = AGENT.replace("\"backend\"", "\"weights\": {}, \"backend\"");
+    let both = AGENT.replace("\"backend\"", "\"callers\": \"10.0.0.1:8080\", \"backend\"");
+    assert!(load::daemon("a", &without_backend, Some(Role::Agent)).is_ok());
+
+    let cases: [(&str, Option<Role>, &[&str]); 4] = [
+        (ENTRY, Some(Role::Agent), &["backend", "callers"]),
+        (AGENT, Some(Role::Entry), &["callers", "backend"]),
+        (&both, Some(Role::Agent), &["callers"]),
+        (&both, None, &["backend"]),
+    ];
+    for (text, role, fields) in cases {
+        let found = load::daemon("a", text, role).expect_err("roles differ");
+        let named: Vec<&str> = found.iter().map(|finding| finding.field.as_str()).collect();
+        assert_eq!(named, fields, "{role:?}");
+    }
+}
+
+#[test]
+fn findings_never_show_a_secret_given_in_the_wrong_place() {
+    let text = ENTRY.replace("\"region\"", "\"secret\": \"hunter2\", \"region\"");
+
+    let report: Vec<String> = findings(&text, Role::Entry)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+
+    assert!(!report.join("\n").contains("hunter2"), "{report:?}");
+}
+
+#[test]
+fn any_text_gives_settings_or_findings() {
+    bolero::check!()
+        .with_iterations(2_000)
+        .with_type::<(u16, u8)>()
+        .for_each(|(at, byte)| {
+            let mut bytes = ENTRY.as_bytes().to_vec();
+            let at = usize::from(*at) % bytes.len();
+            bytes[at] = *byte;
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            match load::daemon("entry.jsonc", &text, Some(Role::Entry)) {
+                Ok(settings) => assert!(settings.callers.is_some()),
+                Err(found) => assert!(!found.is_empty()),
+            }
+        });
+}
