--- a/crates/pistachiolug_lists/tests/table.rs
+++ b/crates/pistachiolug_lists/tests/table.rs
@@ -149,9 +149,10 @@
         };
         let removal = present[at] && rng.random_bool(0.3);
         present[at] = !removal;
-        writes.push(match removal {
-            true => remove(&row, revision),
-            false => put(&row, revision),
+        writes.push(if removal {
+            remove(&row, revision)
+        } else {
+            put(&row, revision)
         });
     }
     writes
