Apply the two documents row by row, with findings and their places

Cause: racing operators must not lose or revert each other's rows, and a lost answer must not show as somebody else's edit. Change: documents checked by one table of fields (which also renders the editors' schemas), rules across both lists, a three-way merge whose base is a file beside the documents, compare-and-swap per row with the writer's token in the row, bounded history. Conclusion: the sidecar is kept in version control, since a base per author gives false conflicts to whoever pulls a colleague's commit.

--- /dev/null
+++ b/crates/pistachiolug_lists/src/apply/effect.rs
@@ -0,0 +1,230 @@
+//! Effect of an apply on the service's rows, worked out without a write.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use pistachiolug_platform::kv::{self, Entry, Store};
+use pistachiolug_settings::finding::Finding;
+use snafu::ResultExt;
+use tokio::time::sleep;
+
+use super::{Error, Operator, UnreadSnafu};
+use crate::{
+    base::{self, Base},
+    check,
+    difference::{Conflict, Difference},
+    document::Document,
+    lists::Lists,
+    merge::{self, Merge},
+    row::{Kind, Name, PREFIX, Row, Stored},
+};
+
+/// Tries of the reading.
+const TRIES: u32 = 10;
+
+/// First wait after a failed call.
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+
+/// Longest wait between two tries.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+/// Effect that an apply would have now.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    /// Rows that would be written.
+    pub differences: Vec<Difference>,
+    /// Rows that both sides changed; while there are any, nothing is written.
+    pub conflicts: Vec<Conflict>,
+    /// Rows of the service that the checkout never knew; they stay.
+    pub unmanaged: Vec<Name>,
+    /// Rows that others changed since the checkout; they stay, and the checkout should be updated.
+    pub behind: Vec<Name>,
+    /// Rules that the result would break; while there are any, nothing is written.
+    pub findings: Vec<Finding>,
+    /// Revision of the reading.
+    pub revision: u64,
+    pub(super) service: BTreeMap<Name, Service>,
+}
+
+/// Row as the service holds it.
+#[derive(Debug, Clone)]
+pub(super) struct Service {
+    pub(super) revision: u64,
+    /// `None` for a value that is no row.
+    pub(super) stored: Option<Stored>,
+}
+
+impl Plan {
+    /// Tells whether the apply would be carried out.
+    pub fn holds(&self) -> bool {
+        self.conflicts.is_empty() && self.findings.is_empty()
+    }
+}
+
+/// Works out the effect of an apply without writing anything.
+///
+/// # Errors
+/// [`Error::Unread`].
+pub async fn plan<S: Store>(
+    store: &S,
+    document: &Document,
+    base: &Base,
+    operator: &Operator,
+) -> Result<Plan, Error> {
+    let range = read(store).await.context(UnreadSnafu)?;
+    let mut plan = Plan {
+        revision: range.revision,
+        service: range.entries.iter().filter_map(service_row).collect(),
+        ..Plan::default()
+    };
+    for name in names(document, base, &plan.service) {
+        let row = document.rows.get(&name);
+        let service = plan.service.get(&name);
+        match decide(&name, row, service, base, operator) {
+            Merge::Same => {}
+            Merge::Behind => plan.behind.push(name),
+            Merge::Unmanaged => plan.unmanaged.push(name),
+            Merge::Conflict => plan.conflicts.push(conflict(&name, row, service)),
+            Merge::Write => {
+                let before = service.and_then(Service::row);
+                let difference = Difference::between(&name, before, row);
+                plan.differences.push(difference);
+            }
+        }
+    }
+    plan.findings = findings(&plan, document);
+    Ok(plan)
+}
+
+pub(super) async fn read<S: Store>(store: &S) -> Result<kv::Range, kv::Error> {
+    let mut wait = FIRST_WAIT;
+    for _ in 1..TRIES {
+        match store.range(PREFIX).await {
+            Ok(range) => return Ok(range),
+            Err(error) => log::debug!(error:% = error; "lists not read"),
+        }
+        sleep(wait.mul_f64(rand::random_range(0.5..1.0))).await;
+        wait = (wait * 2).min(LONGEST_WAIT);
+    }
+    store.range(PREFIX).await
+}
+
+fn decide(
+    name: &Name,
+    row: Option<&Row>,
+    service: Option<&Service>,
+    base: &Base,
+    operator: &Operator,
+) -> Merge {
+    if service.is_some_and(|service| service.stored.is_none()) {
+        // A value that is no row is replaced only by someone who means to.
+        return match (row, operator.prefer.contains(name)) {
+            (Some(_), true) => Merge::Write,
+            (Some(_), false) => Merge::Conflict,
+            (None, _) => Merge::Unmanaged,
+        };
+    }
+    let merged = merge::row(base.rows.get(name), row, service.and_then(Service::row));
+    match merged {
+        Merge::Conflict | Merge::Behind | Merge::Unmanaged if operator.prefer.contains(name) => {
+            Merge::Write
+        }
+        merged => merged,
+    }
+}
+
+fn names(document: &Document, base: &Base, service: &BTreeMap<Name, Service>) -> BTreeSet<Name> {
+    let names = document.rows.keys().chain(base.rows.keys());
+    names.chain(service.keys()).cloned().collect()
+}
+
+/// Returns the base after a reading: rows on which document and service agree.
+pub(super) fn agreed(base: &Base, document: &Document, plan: &Plan) -> Base {
+    let mut agreed = base.clone();
+    for name in names(document, base, &plan.service) {
+        let row = document.rows.get(&name);
+        if row != plan.service.get(&name).and_then(Service::row) {
+            continue;
+        }
+        match row {
+            Some(row) => drop(agreed.rows.insert(name, base::digest(row))),
+            None => drop(agreed.rows.remove(&name)),
+        }
+    }
+    agreed
+}
+
+/// Returns the rules that the result would break and that the service's rows do not break already.
+fn findings(plan: &Plan, document: &Document) -> Vec<Finding> {
+    let mut rows: BTreeMap<&Name, &Row> = plan
+        .service
+        .iter()
+        .filter_map(|(name, service)| service.row().map(|row| (name, row)))
+        .collect();
+    let before = breaches(&rows);
+    for difference in &plan.differences {
+        match document.rows.get(&difference.name) {
+            Some(row) => drop(rows.insert(&difference.name, row)),
+            None => drop(rows.remove(&difference.name)),
+        }
+    }
+    let after = breaches(&rows);
+    after.difference(&before).map(finding).collect()
+}
+
+type Broken = (Name, String, String, String);
+
+fn breaches(rows: &BTreeMap<&Name, &Row>) -> BTreeSet<Broken> {
+    let mut lists = Lists::default();
+    for row in rows.values() {
+        lists.insert((*row).clone());
+    }
+    let broken = rows.iter().flat_map(|(name, row)| {
+        let breaches = check::together(row, &lists).into_iter();
+        breaches.map(|it| ((*name).clone(), it.field, it.reason, it.mend))
+    });
+    broken.collect()
+}
+
+fn finding((name, field, reason, mend): &Broken) -> Finding {
+    let kind = check::singular(name.kind);
+    Finding {
+        document: "lists".to_owned(),
+        place: None,
+        field: format!("{kind} `{}`: {field}", name.name),
+        reason: reason.clone(),
+        mend: mend.clone(),
+    }
+}
+
+pub(super) fn conflict(name: &Name, row: Option<&Row>, service: Option<&Service>) -> Conflict {
+    let stored = service.and_then(|service| service.stored.as_ref());
+    Conflict {
+        name: name.clone(),
+        document: row.map(Row::render),
+        service: stored.map(|stored| stored.row.render()),
+        by: stored.and_then(|stored| stored.edit.clone()),
+        revision: service.map_or(0, |service| service.revision),
+    }
+}
+
+fn service_row(entry: &Entry) -> Option<(Name, Service)> {
+    let name = Name::parse(&entry.key).filter(|name| Kind::EDITED.contains(&name.kind))?;
+    let service = service_of(name.kind, entry);
+    Some((name, service))
+}
+
+pub(super) fn service_of(kind: Kind, entry: &Entry) -> Service {
+    Service {
+        revision: entry.revision,
+        stored: Stored::parse(kind, &entry.value).ok(),
+    }
+}
+
+impl Service {
+    pub(super) fn row(&self) -> Option<&Row> {
+        self.stored.as_ref().map(|stored| &stored.row)
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_lists/src/fields.rs
@@ -0,0 +1,180 @@
+//! Fields of the two lists: one table that checking and the editors' schemas follow.
+
+use pistachiolug_settings::{
+    fields::{Field, Kind, Need, Unit},
+    schema,
+};
+
+/// Largest number that JSON readers hold exactly.
+const EXACT: u64 = 1 << 53;
+
+/// Fields of the customers list.
+pub const CUSTOMERS_LIST: &[Field] = &[
+    optional("$schema", Kind::Text, "Schema for editors."),
+    required(
+        "customers",
+        Kind::Array(&Kind::Object(CUSTOMER)),
+        "Customers, in any order.",
+    ),
+];
+
+/// Fields of the plans list.
+pub const PLANS_LIST: &[Field] = &[
+    optional("$schema", Kind::Text, "Schema for editors."),
+    required(
+        "plans",
+        Kind::Array(&Kind::Object(PLAN)),
+        "Plans, in any order.",
+    ),
+    required(
+        "models",
+        Kind::Array(&Kind::Object(MODEL)),
+        "Models with their wanted versions, in any order.",
+    ),
+    required(
+        "services",
+        Kind::Array(&Kind::Object(SERVICE)),
+        "Plain services, in any order.",
+    ),
+];
+
+const CUSTOMER: &[Field] = &[
+    required("name", Kind::Text, "Unique name."),
+    required("plan", Kind::Text, "Name of the plan."),
+    required(
+        "keys",
+        Kind::Array(&Kind::Digest),
+        "BLAKE3 digests of the customer's bearer keys.",
+    ),
+    optional(
+        "tokens_per_minute",
+        number(EXACT),
+        "Limit in tokens a minute; 0 leaves the plan's.",
+    ),
+];
+
+const PLAN: &[Field] = &[
+    required("name", Kind::Text, "Unique name."),
+    required(
+        "share",
+        number(1_000_000),
+        "Share of each backend server, relative to the other plans'.",
+    ),
+    optional(
+        "priority",
+        number(255),
+        "Priority at the engine; larger runs earlier.",
+    ),
+    optional(
+        "models",
+        Kind::Array(&Kind::Text),
+        "Models that may be used.",
+    ),
+    optional(
+        "services",
+        Kind::Array(&Kind::Text),
+        "Plain services that may be used.",
+    ),
+    optional(
+        "tokens_per_minute",
+        number(EXACT),
+        "Limit of each customer in tokens a minute; 0 means none.",
+    ),
+    optional(
+        "trial",
+        Kind::Flag,
+        "Whether this is a free trial, which uses what the other plans leave.",
+    ),
+];
+
+const MODEL: &[Field] = &[
+    required("name", Kind::Text, "Unique name, as callers give it."),
+    required(
+        "service",
+        Kind::Text,
+        "Service whose backend servers run the model.",
+    ),
+    required("version", Kind::Text, "Wanted version."),
+    required(
+        "manifest",
+        Kind::Digest,
+        "Digest of the version's manifest.",
+    ),
+    required(
+        "replicas",
+        Kind::Object(REPLICAS),
+        "Number of backend servers.",
+    ),
+    optional(
+        "adapters",
+        Kind::Array(&Kind::Object(ADAPTER)),
+        "Adapters loaded beside the model.",
+    ),
+];
+
+const REPLICAS: &[Field] = &[
+    required("least", number(100_000), "Number at any load."),
+    required(
+        "most",
+        number(100_000),
+        "Number in bursts; at least `least`.",
+    ),
+];
+
+const ADAPTER: &[Field] = &[
+    required("name", Kind::Text, "Name, as callers give it."),
+    required("version", Kind::Text, "Wanted version."),
+    required(
+        "manifest",
+        Kind::Digest,
+        "Digest of the version's manifest.",
+    ),
+];
+
+const SERVICE: &[Field] = &[
+    required("name", Kind::Text, "Unique name, as callers give it."),
+    optional(
+        "idempotent",
+        Kind::Array(&Kind::Text),
+        "Path prefixes whose calls are idempotent whatever their method; other paths are for GET and HEAD only.",
+    ),
+];
+
+/// Renders the schema of the customers list.
+pub fn customers_schema() -> String {
+    schema::render("Customers of a pistachiolug deployment", CUSTOMERS_LIST)
+}
+
+/// Renders the schema of the plans list.
+pub fn plans_schema() -> String {
+    schema::render(
+        "Plans, models and services of a pistachiolug deployment",
+        PLANS_LIST,
+    )
+}
+
+const fn required(name: &'static str, kind: Kind, about: &'static str) -> Field {
+    Field {
+        name,
+        kind,
+        need: Need::Required,
+        about,
+    }
+}
+
+const fn optional(name: &'static str, kind: Kind, about: &'static str) -> Field {
+    Field {
+        name,
+        kind,
+        need: Need::Optional,
+        about,
+    }
+}
+
+const fn number(most: u64) -> Kind {
+    Kind::Whole {
+        unit: Unit::Count,
+        least: 0,
+        most,
+    }
+}
--- a/crates/pistachiolug_lists/src/lib.rs
+++ b/crates/pistachiolug_lists/src/lib.rs
@@ -1,10 +1,17 @@
 //! The two lists that operators edit, and the state that is in force.
 
+pub mod apply;
+pub mod base;
 pub mod check;
 pub mod customer;
+pub mod difference;
+pub mod document;
+pub mod fields;
 pub mod force;
+pub mod history;
 pub mod key;
 pub mod lists;
+pub mod merge;
 pub mod plan;
 pub mod reader;
 pub mod row;
--- a/crates/pistachiolug_lists/src/lists.rs
+++ b/crates/pistachiolug_lists/src/lists.rs
@@ -25,7 +25,7 @@
     suspects: FxHashMap<Digest, Arc<Suspect>>,
     /// Rows that are not in force as they were written, with the reasons.
     problems: Vec<Problem>,
-    /// Owner of each key digest; has exactly the digests of `customers`.
+    /// Owner of each key digest, the first customer that brought it; has exactly the digests of `customers`.
     keys: FxHashMap<Digest, Arc<Customer>>,
 }
 
@@ -138,7 +138,8 @@
         self.remove_customer(&customer.name);
         let customer = Arc::new(customer);
         for key in &customer.keys {
-            self.keys.insert(*key, Arc::clone(&customer));
+            let owner = self.keys.entry(*key);
+            owner.or_insert_with(|| Arc::clone(&customer));
         }
         self.customers.insert(customer.name.clone(), customer);
     }
@@ -146,7 +147,9 @@
     fn remove_customer(&mut self, name: &str) {
         if let Some(customer) = self.customers.remove(name) {
             for key in &customer.keys {
-                self.keys.remove(key);
+                if self.keys.get(key).is_some_and(|owner| owner.name == name) {
+                    self.keys.remove(key);
+                }
             }
         }
     }
--- a/crates/pistachiolug_lists/tests/table.rs
+++ b/crates/pistachiolug_lists/tests/table.rs
@@ -1,10 +1,10 @@
 //! Table of rows: the same writes give the same lists by whatever way they come, and bad rows stay out.
 
+mod support;
+
 use pistachiolug_lists::{
-    customer::Customer,
     key,
     lists::Lists,
-    plan::Plan,
     row::{Kind, Name, Row, Stored},
     suspect::{self, Crash},
     table::{Change, Table},
@@ -14,26 +14,7 @@
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
-fn plan(name: &str, share: u32) -> Row {
-    Row::Plan(Plan {
-        name: name.to_owned(),
-        share,
-        priority: 0,
-        models: Vec::new(),
-        services: Vec::new(),
-        tokens_per_minute: 0,
-        trial: false,
-    })
-}
-
-fn customer(name: &str, plan: &str, bearer: &str) -> Row {
-    Row::Customer(Customer {
-        name: name.to_owned(),
-        plan: plan.to_owned(),
-        keys: vec![key::digest(bearer)],
-        tokens_per_minute: 0,
-    })
-}
+use support::{customer, plan};
 
 fn put(row: &Row, revision: u64) -> Change {
     let stored = Stored {
--- a/crates/pistachiolug_settings/src/check.rs
+++ b/crates/pistachiolug_settings/src/check.rs
@@ -112,9 +112,18 @@
     }
 
     fn property(&mut self, field: &Field, property: &ObjectProp<'a>, at: &str) {
-        match (field.kind, &property.value) {
+        self.value(field.kind, &property.value, at);
+    }
+
+    fn value(&mut self, kind: Kind, value: &Value<'a>, at: &str) {
+        match (kind, value) {
             (Kind::Object(fields), Value::Object(object)) => self.fields(object, fields, at),
-            (kind @ Kind::Object(_), value) => {
+            (Kind::Array(kind), Value::Array(array)) => {
+                for (index, element) in array.elements.iter().enumerate() {
+                    self.value(*kind, element, &format!("{at}[{index}]"));
+                }
+            }
+            (kind @ (Kind::Object(_) | Kind::Array(_)), value) => {
                 self.wrong(value.range().start, at, value::wrong_type(kind, value));
             }
             (kind, value) => {
--- a/crates/pistachiolug_settings/src/fields.rs
+++ b/crates/pistachiolug_settings/src/fields.rs
@@ -44,8 +44,14 @@
     },
     /// One of some texts.
     Choice(&'static [&'static str]),
+    /// `true` or `false`.
+    Flag,
+    /// Content digest: 64 hexadecimal digits.
+    Digest,
     /// Object.
     Object(&'static [Field]),
+    /// Array whose elements are all of one kind.
+    Array(&'static Kind),
 }
 
 /// Unit of a whole number.
--- a/crates/pistachiolug_settings/src/load.rs
+++ b/crates/pistachiolug_settings/src/load.rs
@@ -1,6 +1,11 @@
 //! Reading of settings files.
 
-use jsonc_parser::ast::Object;
+use jsonc_parser::{
+    CollectOptions,
+    ast::{Object, Value},
+    common::Ranged,
+    parse_to_ast,
+};
 use serde::de::DeserializeOwned;
 
 use crate::{
@@ -30,6 +35,46 @@
     read(document, text, OPERATOR, |_, _| {})
 }
 
+/// Reads another document of JSON with comments by the table of its fields.
+///
+/// # Errors
+/// Returns all findings in the order of the document.
+pub fn document<T: DeserializeOwned>(
+    document: &str,
+    text: &str,
+    fields: &[Field],
+) -> Result<T, Vec<Finding>> {
+    read(document, text, fields, |_, _| {})
+}
+
+/// Finds the places of fields by their paths, such as `plans[2].share`; a missing part gives the place of its holder.
+pub fn places(text: &str, paths: &[String]) -> Vec<Option<Place>> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &check::options());
+    let root = parsed.ok().and_then(|parsed| parsed.value);
+    let offset = |path: &String| root.as_ref().map(|root| offset(root, path));
+    let offsets = paths.iter().map(offset);
+    offsets.map(|at| at.map(|at| Place::of(text, at))).collect()
+}
+
+fn offset(root: &Value<'_>, path: &str) -> usize {
+    let mut value = root;
+    for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
+        let found = match (value, step.strip_suffix(']')) {
+            (Value::Array(array), Some(index)) => {
+                let index = index.parse::<usize>().ok();
+                index.and_then(|index| array.elements.get(index))
+            }
+            (Value::Object(object), None) => object.get(step).map(|it| &it.value),
+            _ => None,
+        };
+        match found {
+            Some(found) => value = found,
+            None => break,
+        }
+    }
+    value.range().start
+}
+
 fn read<T: DeserializeOwned>(
     document: &str,
     text: &str,
--- a/crates/pistachiolug_settings/src/schema.rs
+++ b/crates/pistachiolug_settings/src/schema.rs
@@ -14,7 +14,8 @@
     render("Settings of the pistachiolug command line", OPERATOR)
 }
 
-fn render(title: &str, fields: &[Field]) -> String {
+/// Renders the schema of a document with these fields.
+pub fn render(title: &str, fields: &[Field]) -> String {
     let mut schema = object(fields);
     schema["$schema"] = json!("http://json-schema.org/draft-07/schema#");
     schema["title"] = json!(title);
@@ -40,7 +41,13 @@
 }
 
 fn property(field: &Field) -> Value {
-    let mut schema = match field.kind {
+    let mut schema = kind(field.kind);
+    schema["description"] = json!(about(field));
+    schema
+}
+
+fn kind(of: Kind) -> Value {
+    match of {
         Kind::Text | Kind::Path => json!({ "type": "string", "minLength": 1 }),
         Kind::Name => json!({ "type": "string", "pattern": "^[a-z0-9-]+$" }),
         Kind::Address => json!({ "type": "string", "pattern": ":[0-9]+$" }),
@@ -52,10 +59,11 @@
             json!({ "type": "number", "minimum": least, "maximum": most })
         }
         Kind::Choice(choices) => json!({ "enum": choices }),
+        Kind::Flag => json!({ "type": "boolean" }),
+        Kind::Digest => json!({ "type": "string", "pattern": "^[0-9a-fA-F]{64}$" }),
         Kind::Object(fields) => object(fields),
-    };
-    schema["description"] = json!(about(field));
-    schema
+        Kind::Array(element) => json!({ "type": "array", "items": kind(*element) }),
+    }
 }
 
 /// Returns a field's text with its unit.
--- a/crates/pistachiolug_settings/src/value.rs
+++ b/crates/pistachiolug_settings/src/value.rs
@@ -9,6 +9,9 @@
     nearest,
 };
 
+/// Hexadecimal digits of a digest.
+const DIGEST_DIGITS: usize = 64;
+
 /// What is wrong with a value and how to mend it.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Wrong {
@@ -24,6 +27,8 @@
         (Kind::Address, Value::StringLit(text)) => address(&text.value),
         (Kind::Url, Value::StringLit(text)) => url(&text.value),
         (Kind::Choice(choices), Value::StringLit(text)) => choice(choices, &text.value),
+        (Kind::Flag, Value::BooleanLit(_)) => Ok(()),
+        (Kind::Digest, Value::StringLit(text)) => digest(&text.value),
         (Kind::Whole { unit, least, most }, Value::NumberLit(number)) => {
             whole(unit, least, most, number.value)
         }
@@ -47,7 +52,10 @@
         Kind::Url => "an address such as \"http://10.0.0.1:7000\"".to_owned(),
         Kind::Whole { unit, .. } => format!("a {}", unit.as_str()),
         Kind::Real { .. } => "a number".to_owned(),
+        Kind::Flag => "true or false".to_owned(),
+        Kind::Digest => "a digest".to_owned(),
         Kind::Object(_) => "an object".to_owned(),
+        Kind::Array(_) => "an array".to_owned(),
     }
 }
 
@@ -88,6 +96,16 @@
     ))
 }
 
+fn digest(text: &str) -> Result<(), Wrong> {
+    if text.len() == DIGEST_DIGITS && text.chars().all(|sign| sign.is_ascii_hexdigit()) {
+        return Ok(());
+    }
+    Err(wrong(
+        format!("`{text}` is no digest"),
+        format!("write {DIGEST_DIGITS} hexadecimal digits"),
+    ))
+}
+
 fn address(text: &str) -> Result<(), Wrong> {
     let mend = "write an IP number and a port from 1 to 65535, such as \"10.0.0.1:7000\"";
     match text.parse::<SocketAddr>() {
