Balance subsets and choose by estimated calls

Cause: plain rendezvous subsets left agents in 3 to 27 of 13.2 subsets, and reports that fade to nothing made full agents look idle. Change: each agent has a cap on its subsets; an old report fades into the mean of the fresh ones; the calmest agent of the subset is taken instead of the better of two. Conclusion: two random choices are not kept; knowing one's own calls exactly makes the whole subset worth reading.

--- a/crates/pistachiolug_routing/examples/choice.rs
+++ b/crates/pistachiolug_routing/examples/choice.rs
@@ -34,6 +34,7 @@
             Policy::Random,
             Policy::LeastOutstanding,
             Policy::TwoChoices,
+            Policy::Estimate,
             Policy::Affinity,
         ] {
             let seen = fleet::run(&SIZE, policy, utilization, ARRIVALS, SEED);
--- a/crates/pistachiolug_routing/examples/fleet/mod.rs
+++ b/crates/pistachiolug_routing/examples/fleet/mod.rs
@@ -17,62 +17,64 @@
 /// Prefixes that one engine's cache holds.
 const CACHED_PREFIXES: usize = 64;
 
-/// Conversations that callers take part in.
-const CONVERSATIONS: u32 = 60_000;
+/// Distinct prefixes; the n-th is asked for about 1/n as often as the first.
+const PREFIXES: f64 = 5_000.0;
 
 /// Mean duration of a call in seconds.
 const MEAN_SECONDS: f64 = 0.5;
 
 /// How an entry chooses among its subset.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
+pub(crate) enum Policy {
     /// Any agent.
     Random,
     /// Fewest calls of this entry.
     LeastOutstanding,
-    /// The product's choice without prefix affinity.
+    /// The better of two random agents by the product's estimate (Mitzenmacher, 2001).
     TwoChoices,
+    /// The product's choice without prefix affinity.
+    Estimate,
     /// The product's choice.
     Affinity,
 }
 
 /// Sizes of a deployment.
 #[derive(Debug, Clone, Copy)]
-pub struct Size {
+pub(crate) struct Size {
     /// Entries, spread evenly over five zones.
-    pub entries: usize,
+    pub(crate) entries: usize,
     /// Agents in each of the five zones.
-    pub agents: [usize; 5],
+    pub(crate) agents: [usize; 5],
     /// Agents in an entry's subset.
-    pub subset: usize,
+    pub(crate) subset: usize,
 }
 
 /// What a run showed.
 #[derive(Debug, Clone, Copy)]
-pub struct Outcome {
+pub(crate) struct Outcome {
     /// Largest mean number of calls at an agent over the mean of all agents.
-    pub evenness: f64,
+    pub(crate) evenness: f64,
     /// Queueing time that 95 in 100 calls stay under, in milliseconds.
-    pub p95_ms: f64,
+    pub(crate) p95_ms: f64,
     /// Queueing time that 99 in 100 calls stay under, in milliseconds.
-    pub p99_ms: f64,
+    pub(crate) p99_ms: f64,
     /// Share of calls whose prefix was cached.
-    pub hits: f64,
+    pub(crate) hits: f64,
     /// Share of calls that stayed in the entry's zone.
-    pub home: f64,
+    pub(crate) home: f64,
 }
 
 /// Places and names of a deployment.
-pub struct Fleet {
+pub(crate) struct Fleet {
     /// Entries.
-    pub entries: Vec<(String, Place)>,
+    pub(crate) entries: Vec<(String, Place)>,
     /// Agents.
-    pub agents: Vec<(String, Place)>,
+    pub(crate) agents: Vec<(String, Place)>,
 }
 
 impl Fleet {
     /// Lays out a deployment.
-    pub fn new(size: &Size) -> Self {
+    pub(crate) fn new(size: &Size) -> Self {
         let entries = (0..size.entries).map(|index| (format!("entry-{index}"), zone(index % 5)));
         let agents = size.agents.iter().enumerate().flat_map(|(at, count)| {
             (0..*count).map(move |index| (format!("agent-{at}-{index}"), zone(at)))
@@ -84,17 +86,17 @@
     }
 
     /// Chooses every entry's subset.
-    pub fn subsets(&self, size: usize) -> Vec<Vec<usize>> {
-        let members: Vec<_> = self.agents.iter().map(member).collect();
-        let entries = self.entries.iter();
-        entries
-            .map(|(name, place)| subset::choose(name, place, &members, size))
+    pub(crate) fn subsets(&self, size: usize) -> Vec<Vec<usize>> {
+        let agents: Vec<_> = self.agents.iter().map(member).collect();
+        let entries: Vec<_> = self.entries.iter().map(member).collect();
+        let each = entries.iter();
+        each.map(|entry| subset::choose(*entry, &entries, &agents, size))
             .collect()
     }
 }
 
 /// Returns one of five zones in two regions.
-pub fn zone(index: usize) -> Place {
+pub(crate) fn zone(index: usize) -> Place {
     Place {
         region: if index < 3 { "gauteng" } else { "cape" }.to_owned(),
         zone: format!("zone-{index}"),
@@ -127,7 +129,13 @@
 }
 
 /// Runs `arrivals` calls at a share of the deployment's capacity.
-pub fn run(size: &Size, policy: Policy, utilization: f64, arrivals: u64, seed: u64) -> Outcome {
+pub(crate) fn run(
+    size: &Size,
+    policy: Policy,
+    utilization: f64,
+    arrivals: u64,
+    seed: u64,
+) -> Outcome {
     let fleet = Fleet::new(size);
     let mut run = Run::new(fleet.subsets(size.subset), &fleet, seed);
     let capacity = (fleet.agents.len() * SLOTS) as f64 / MEAN_SECONDS;
@@ -137,11 +145,11 @@
     for _ in 0..arrivals {
         now += exponential(&mut arrival_random, 1e6 / rate);
         let entry = arrival_random.random_range(0..fleet.entries.len());
-        let conversation = arrival_random.random_range(0..CONVERSATIONS);
+        let prefix = prefix(&mut arrival_random);
         let micros = exponential(&mut arrival_random, 1e6 * MEAN_SECONDS);
         run.finish_until(now);
-        let slot = run.choose(policy, entry, conversation, now);
-        run.start(&fleet, entry, slot, conversation, now, micros);
+        let slot = run.choose(policy, entry, prefix, now);
+        run.start(&fleet, entry, slot, prefix, now, micros);
     }
     run.outcome(arrivals)
 }
@@ -150,7 +158,7 @@
     subsets: Vec<Vec<usize>>,
     homes: Vec<Vec<bool>>,
     gauges: Vec<Vec<Gauge>>,
-    names: Vec<String>,
+    names: Vec<u64>,
     servers: Vec<Server>,
     ends: BinaryHeap<Reverse<(u64, u64)>>,
     running: rustc_hash::FxHashMap<u64, Call>,
@@ -177,7 +185,11 @@
                 .map(|subset| vec![Gauge::default(); subset.len()])
                 .collect(),
             subsets,
-            names: fleet.agents.iter().map(|(name, _)| name.clone()).collect(),
+            names: fleet
+                .agents
+                .iter()
+                .map(|(name, _)| subset::hash(name.as_bytes()))
+                .collect(),
             servers: fleet.agents.iter().map(|_| Server::default()).collect(),
             ends: BinaryHeap::new(),
             running: rustc_hash::FxHashMap::default(),
@@ -189,7 +201,7 @@
         }
     }
 
-    fn choose(&mut self, policy: Policy, entry: usize, conversation: u32, now: u64) -> usize {
+    fn choose(&mut self, policy: Policy, entry: usize, prefix: u32, now: u64) -> usize {
         let gauges = &self.gauges[entry];
         let time = Duration::from_micros(now);
         match policy {
@@ -200,21 +212,29 @@
                 let calm: Vec<usize> = calm.collect();
                 calm.choose(&mut self.random).copied().unwrap_or(0)
             }
-            Policy::TwoChoices | Policy::Affinity => {
-                let candidates: Vec<Candidate> = gauges
-                    .iter()
+            Policy::TwoChoices => {
+                let calls = choice::estimate(gauges, time);
+                let first = self.random.random_range(0..calls.len());
+                let second = self.random.random_range(0..calls.len());
+                if calls[second] < calls[first] {
+                    second
+                } else {
+                    first
+                }
+            }
+            Policy::Estimate | Policy::Affinity => {
+                let estimates = choice::estimate(gauges, time).into_iter();
+                let candidates: Vec<Candidate> = estimates
                     .zip(&self.homes[entry])
-                    .map(|(gauge, home)| Candidate {
-                        calls: gauge.calls(time),
+                    .map(|(calls, home)| Candidate {
+                        calls,
                         home: *home,
                         lacking: false,
                     })
                     .collect();
-                let names = self.subsets[entry]
-                    .iter()
-                    .map(|agent| self.names[*agent].as_str());
+                let names = self.subsets[entry].iter().map(|agent| self.names[*agent]);
                 let preferred = (policy == Policy::Affinity)
-                    .then(|| affinity::prefer(&conversation.to_le_bytes(), names))
+                    .then(|| affinity::prefer(&prefix.to_le_bytes(), names))
                     .flatten();
                 choice::choose(&candidates, preferred, &mut self.random).unwrap_or(0)
             }
@@ -316,3 +336,9 @@
     let uniform: f64 = random.random_range(f64::EPSILON..1.0);
     (-uniform.ln() * mean) as u64
 }
+
+/// Draws a prefix with a frequency of about one over its rank.
+fn prefix(random: &mut ChaCha8Rng) -> u32 {
+    let uniform: f64 = random.random_range(0.0..1.0);
+    PREFIXES.powf(uniform) as u32
+}
--- a/crates/pistachiolug_routing/src/affinity.rs
+++ b/crates/pistachiolug_routing/src/affinity.rs
@@ -3,7 +3,7 @@
 //! The preferred instance follows from the prompt's beginning by rendezvous hashing (Thaler and Ravishankar, 1998).
 //! Nothing is remembered, so a lost cache event or a restarted engine leaves no false belief behind.
 
-use crate::subset::weight;
+use crate::subset::{hash, weight};
 
 /// Bytes of a prompt that decide its affinity; about 256 tokens.
 pub const PREFIX_BYTES: usize = 1024;
@@ -14,8 +14,13 @@
 }
 
 /// Returns the index of the instance that prompts with this prefix prefer.
-pub fn prefer<'a>(prefix: &[u8], names: impl Iterator<Item = &'a str>) -> Option<usize> {
-    let weighed = names.enumerate();
-    let best = weighed.max_by_key(|(_, name)| weight(prefix, name.as_bytes()));
+///
+/// # Arguments
+/// `names` are the hashes of the instances' names.
+pub fn prefer(prefix: &[u8], names: impl Iterator<Item = u64>) -> Option<usize> {
+    let prefix = hash(prefix);
+    let best = names
+        .enumerate()
+        .max_by_key(|(_, name)| weight(prefix, *name));
     best.map(|(index, _)| index)
 }
--- a/crates/pistachiolug_routing/src/choice.rs
+++ b/crates/pistachiolug_routing/src/choice.rs
@@ -1,7 +1,7 @@
 //! Choice of the agent for one call.
 //!
-//! The better of two random agents (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001), by
-//! the entry's own outstanding calls plus what other entries add according to the agent's lagging report.
+//! The agent of the subset with the fewest estimated calls: the entry's own outstanding calls, which it knows exactly,
+//! plus those of other entries according to the agent's lagging reports.
 
 use std::time::Duration;
 
@@ -53,17 +53,32 @@
         });
     }
 
-    /// Estimates the calls at the agent now; the report's part fades with its age.
-    pub fn calls(&self, now: Duration) -> f64 {
-        let others = self.report.map_or(0.0, |report| {
-            let age = now.saturating_sub(report.at).as_secs_f64();
-            let weight = 1.0 - age / REPORT_AGE.as_secs_f64();
-            f64::from(report.others) * weight.max(0.0)
-        });
-        f64::from(self.own) + others
+    /// Returns the calls of other entries, if the report is fresh enough to tell, and the report's weight in 0..1.
+    fn others(&self, now: Duration) -> Option<(f64, f64)> {
+        let report = self.report?;
+        let age = now.saturating_sub(report.at).as_secs_f64();
+        let weight = 1.0 - age / REPORT_AGE.as_secs_f64();
+        (weight > 0.0).then_some((f64::from(report.others), weight))
     }
 }
 
+/// Estimates the calls at each agent now.
+///
+/// An old report fades into the mean of the fresh ones: an agent that was full and is not asked any more must not look
+/// idle for want of news.
+pub fn estimate(gauges: &[Gauge], now: Duration) -> Vec<f64> {
+    let reports = gauges.iter().filter_map(|gauge| gauge.others(now));
+    let (sum, weights) = reports.fold((0.0, 0.0), |(sum, weights), (others, weight)| {
+        (sum + others * weight, weights + weight)
+    });
+    let usual = if weights > 0.0 { sum / weights } else { 0.0 };
+    let estimates = gauges.iter().map(|gauge| {
+        let (others, weight) = gauge.others(now).unwrap_or((usual, 0.0));
+        f64::from(gauge.own) + others * weight + usual * (1.0 - weight)
+    });
+    estimates.collect()
+}
+
 /// Chooses an agent and returns its index, or `None` if there is no candidate.
 ///
 /// # Arguments
@@ -74,15 +89,15 @@
     random: &mut impl Rng,
 ) -> Option<usize> {
     let serving = |home| move |candidate: &Candidate| !candidate.lacking && candidate.home == home;
-    let near = better_of_two(candidates, serving(true), random);
-    let far = better_of_two(candidates, serving(false), random);
+    let near = calmest(candidates, serving(true), random);
+    let far = calmest(candidates, serving(false), random);
     let best = match (near, far) {
         (Some(near), Some(far)) => {
             let spills = candidates[near].calls > candidates[far].calls + HOME_SLACK;
             if spills { far } else { near }
         }
         (Some(only), None) | (None, Some(only)) => only,
-        (None, None) => return better_of_two(candidates, |_| true, random),
+        (None, None) => return calmest(candidates, |_| true, random),
     };
     let affine = preferred.filter(|index| {
         let candidate = &candidates[*index];
@@ -91,25 +106,15 @@
     Some(affine.unwrap_or(best))
 }
 
-fn better_of_two(
+/// Returns an eligible candidate with the fewest calls; equals are taken with equal chance.
+fn calmest(
     candidates: &[Candidate],
     eligible: impl Fn(&Candidate) -> bool,
     random: &mut impl Rng,
 ) -> Option<usize> {
-    let count = candidates
-        .iter()
-        .filter(|&candidate| eligible(candidate))
-        .count();
-    if count == 0 {
-        return None;
-    }
-    let first = random.random_range(0..count);
-    let second = random.random_range(0..count);
-    let nth = |wanted: usize| {
-        let mut indices = (0..candidates.len()).filter(|index| eligible(&candidates[*index]));
-        indices.nth(wanted)
-    };
-    let (first, second) = (nth(first)?, nth(second)?);
-    let calmer = candidates[second].calls < candidates[first].calls;
-    Some(if calmer { second } else { first })
+    let turn = random.random_range(0..candidates.len().max(1));
+    let turned = (turn..candidates.len()).chain(0..turn);
+    turned
+        .filter(|index| eligible(&candidates[*index]))
+        .min_by(|left, right| candidates[*left].calls.total_cmp(&candidates[*right].calls))
 }
