Hand the timer service to membership

Cause: two merges met: the timer now has one driver per process. Before: did not compile. After: all tests pass. Conclusion: followers take the process's timer.

--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -9,6 +9,7 @@
     phase::{Control, Phase},
     signal,
     supervisor::Supervisor,
+    timer::Timer,
 };
 use pistachiolug_lists::{force::Force, reader};
 use pistachiolug_membership::{follow, view::View};
@@ -89,7 +90,9 @@
     .context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
     supervisor.spawn("lists", reader::run(store, force));
-    supervisor.spawn("membership", follow::run(directory, view));
+    let timer = Timer::default();
+    supervisor.spawn("timer", timer.clone().run());
+    supervisor.spawn("membership", follow::run(directory, view, timer));
     control.advance(Phase::Running);
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     tokio::select! {
