Count control traffic and measure its cost per process

Change: the HTTP crate counts bytes of control paths per process, shown in the state dump; `pistachiolug-bench capacity` measures processor time, memory and control traffic without calls. Before: no figures.

--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -31,6 +31,19 @@
             /// Folder of the results; `out` unless named.
             optional --out out: PathBuf
         }
+        /// Measures what control costs each process without calls, and prints a row for each role.
+        cmd capacity {
+            /// Number of agents.
+            required --agents agents: usize
+            /// Number of entries.
+            required --entries entries: usize
+            /// Rows of the customers list.
+            optional --customers customers: usize
+            /// List changes a second.
+            optional --changes changes: f64
+            /// Length of the measurement in seconds; 20 unless set.
+            optional --seconds seconds: u64
+        }
         /// Prints the figures of a second result against a first as ratios.
         cmd compare {
             /// First result, the base of the ratios.
--- /dev/null
+++ b/crates/pistachiolug_bench/src/capacity/measure.rs
@@ -0,0 +1,193 @@
+//! One measurement: a deployment without calls, with or without list changes.
+
+use std::{io, time::Duration};
+
+use pistachiolug_lists::{customer::Customer, row::Kind};
+use pistachiolug_wire::digest::Digest;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+
+use super::traffic::{self, Traffic};
+use crate::{
+    experiment::usage::Usage,
+    rig::deployment::{Daemon, Deployment, Size},
+};
+
+/// Time that a deployment gets to settle, so that its start is not measured.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Length of the weights in bytes; control does not depend on it.
+const WEIGHTS_BYTES: usize = 256 << 10;
+
+/// What is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Case {
+    /// Agents, all of one service.
+    pub agents: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Rows of the customers list.
+    pub customers: usize,
+    /// List changes a second.
+    pub changes_per_s: f64,
+    /// Length of the measurement in seconds.
+    pub seconds: u64,
+}
+
+/// Mean and largest cost of the processes of one role.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cost {
+    /// Mean share of a core, in percent.
+    pub core_percent: f64,
+    /// Largest share of a core, in percent.
+    pub core_percent_most: f64,
+    /// Mean resident memory in MiB.
+    pub resident_mib: f64,
+    /// Largest resident memory in MiB.
+    pub resident_mib_most: f64,
+    /// Mean control traffic, both ways, in KB a second.
+    pub kb_per_s: f64,
+    /// Largest control traffic, both ways, in KB a second.
+    pub kb_per_s_most: f64,
+    /// Mean control messages a second.
+    pub messages_per_s: f64,
+}
+
+/// Costs of one case.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Case.
+    pub case: Case,
+    /// Cost of an agent.
+    pub agent: Cost,
+    /// Cost of an entry.
+    pub entry: Cost,
+}
+
+/// State of one process at a moment.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    usage: Usage,
+    traffic: Traffic,
+}
+
+/// Measures one case.
+///
+/// # Errors
+/// Returns the first error of the rig.
+pub async fn run(case: Case) -> io::Result<Row> {
+    let deployment = Deployment::start(&size(case)).await?;
+    deployment.prepare("v1").await?;
+    for index in 0..case.customers {
+        write_customer(&deployment, index, 0).await?;
+    }
+    sleep(SETTLE).await;
+    let agents = read_all(&deployment, &deployment.agents).await;
+    let entries = read_all(&deployment, &deployment.entries).await;
+    let start = Instant::now();
+    change(&deployment, case, start).await?;
+    let elapsed = start.elapsed().as_secs_f64();
+    let agents_after = read_all(&deployment, &deployment.agents).await;
+    let entries_after = read_all(&deployment, &deployment.entries).await;
+    Ok(Row {
+        case,
+        agent: cost(&agents, &agents_after, elapsed),
+        entry: cost(&entries, &entries_after, elapsed),
+    })
+}
+
+fn size(case: Case) -> Size {
+    Size {
+        models: case.agents,
+        plains: 0,
+        entries: case.entries,
+        engine_args: Vec::new(),
+        origin_rate: 0,
+        weights_bytes: WEIGHTS_BYTES,
+    }
+}
+
+/// Changes rows at the case's rate until its time is over.
+async fn change(deployment: &Deployment, case: Case, start: Instant) -> io::Result<()> {
+    let length = Duration::from_secs(case.seconds);
+    if case.changes_per_s <= 0.0 {
+        sleep(length).await;
+        return Ok(());
+    }
+    let period = Duration::from_secs_f64(1.0 / case.changes_per_s);
+    let mut number = 0;
+    while start.elapsed() < length {
+        number += 1;
+        write_customer(deployment, number % case.customers.max(1), number as u64).await?;
+        sleep(period).await;
+    }
+    Ok(())
+}
+
+async fn write_customer(deployment: &Deployment, index: usize, limit: u64) -> io::Result<()> {
+    let name = format!("customer-{index:05}");
+    let customer = Customer {
+        keys: vec![Digest::of(name.as_bytes())],
+        name: name.clone(),
+        plan: "paid".to_owned(),
+        tokens_per_minute: limit,
+    };
+    deployment
+        .write_row(Kind::Customers, &name, &customer)
+        .await
+}
+
+async fn read_all(deployment: &Deployment, daemons: &[Daemon]) -> Vec<Reading> {
+    let mut readings = Vec::with_capacity(daemons.len());
+    for daemon in daemons {
+        let traffic = traffic::read(&deployment.http, daemon.internal).await;
+        readings.push(Reading {
+            usage: Usage::of(daemon.process.id()).unwrap_or_default(),
+            traffic: traffic.unwrap_or_default(),
+        });
+    }
+    readings
+}
+
+fn cost(before: &[Reading], after: &[Reading], elapsed: f64) -> Cost {
+    let pairs = || before.iter().zip(after);
+    let core = pairs().map(|(before, after)| {
+        (after.usage.processor_s - before.usage.processor_s) / elapsed * 100.0
+    });
+    let bytes = pairs().map(|(before, after)| {
+        let sent = after.traffic.sent.saturating_sub(before.traffic.sent);
+        let received = after
+            .traffic
+            .received
+            .saturating_sub(before.traffic.received);
+        (sent + received) as f64 / elapsed / 1_000.0
+    });
+    let messages = pairs().map(|(before, after)| {
+        after
+            .traffic
+            .messages
+            .saturating_sub(before.traffic.messages) as f64
+            / elapsed
+    });
+    let resident = after
+        .iter()
+        .map(|reading| reading.usage.resident_bytes as f64 / f64::from(1 << 20));
+    let (core_percent, core_percent_most) = mean_and_most(core);
+    let (resident_mib, resident_mib_most) = mean_and_most(resident);
+    let (kb_per_s, kb_per_s_most) = mean_and_most(bytes);
+    Cost {
+        core_percent,
+        core_percent_most,
+        resident_mib,
+        resident_mib_most,
+        kb_per_s,
+        kb_per_s_most,
+        messages_per_s: mean_and_most(messages).0,
+    }
+}
+
+fn mean_and_most(values: impl Iterator<Item = f64>) -> (f64, f64) {
+    let values: Vec<f64> = values.collect();
+    let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+    (mean, values.iter().copied().fold(0.0, f64::max))
+}
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -9,6 +9,7 @@
 };
 
 use pistachiolug_bench::{
+    capacity::{measure, table},
     experiment::{document::Document, run},
     report::{compare, files, markdown},
     standin,
@@ -22,6 +23,9 @@
 /// Exit code of a command that could not be carried out.
 const EXIT_ERROR: u8 = 2;
 
+/// Length of a capacity measurement in seconds unless another is named.
+const CAPACITY_SECONDS: u64 = 20;
+
 /// Folder of results unless another is named.
 const FOLDER: &str = "out";
 
@@ -52,6 +56,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Measures the cost of control.
+pub(crate) fn capacity(flags: &args::Capacity) -> io::Result<ExitCode> {
+    let case = measure::Case {
+        agents: flags.agents,
+        entries: flags.entries,
+        customers: flags.customers.unwrap_or(0),
+        changes_per_s: flags.changes.unwrap_or(0.0),
+        seconds: flags.seconds.unwrap_or(CAPACITY_SECONDS),
+    };
+    let row = tokio::runtime::Runtime::new()?.block_on(measure::run(case))?;
+    println!("{}", table::render(&[row]));
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Compares two results.
 pub(crate) fn compare(flags: &args::Compare) -> io::Result<ExitCode> {
     let first = files::read(&flags.first)?;
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -418,7 +418,11 @@
         sent.await.map(drop).map_err(io::Error::other)
     }
 
-    async fn write_row<T: Serialize>(&self, kind: Kind, name: &str, row: &T) -> io::Result<()> {
+    /// Writes a row of the lists, as a client of the key-value service would.
+    ///
+    /// # Errors
+    /// Returns the error of the service.
+    pub async fn write_row<T: Serialize>(&self, kind: Kind, name: &str, row: &T) -> io::Result<()> {
         let store = Etcd::new(
             pistachiolug_http::client::Client::new(1),
             &format!("http://{}", self.kv),
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -5,7 +5,7 @@
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
     admin::Admin,
-    dump::Dump,
+    dump::{self, Dump},
     phase::{Control, Phase},
     signal,
     supervisor::Supervisor,
@@ -112,6 +112,7 @@
 fn add_parts(dump: &Dump, settings: &Daemon, force: &Force, view: &View) {
     let instance = settings.instance.clone();
     dump.add("instance", move || json!(instance));
+    dump.add("traffic", dump::traffic);
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
     let view = view.clone();
--- a/crates/pistachiolug_http/src/client.rs
+++ b/crates/pistachiolug_http/src/client.rs
@@ -13,6 +13,8 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
+use crate::traffic;
+
 /// Longest time a TCP connection may take to open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -86,9 +88,17 @@
         request: Request<Bytes>,
         within: Duration,
     ) -> Result<Response<Incoming>, Error> {
+        let control = traffic::is_control(request.uri().path());
+        let sent = traffic::head_bytes(Some(request.uri()), request.headers());
+        let sent = sent + request.body().len() as u64;
         let request = request.map(Full::new);
         match timeout(within, self.inner.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                if control {
+                    traffic::count(sent, traffic::head_bytes(None, response.headers()));
+                }
+                Ok(response)
+            }
             Ok(Err(source)) if source.is_connect() => Err(Error::Connect { source }),
             Ok(Err(source)) => Err(Error::Exchange { source }),
             Err(_) => Err(Error::Timeout { after: within }),
@@ -105,6 +115,7 @@
         most: usize,
         within: Duration,
     ) -> Result<Response<Bytes>, Error> {
+        let control = traffic::is_control(request.uri().path());
         let exchange = async {
             let response = self.send(request, within).await?;
             let (parts, body) = response.into_parts();
@@ -113,6 +124,9 @@
                 .await
                 .context(BodySnafu)?
                 .to_bytes();
+            if control {
+                traffic::count_received(whole.len());
+            }
             Ok(Response::from_parts(parts, whole))
         };
         timeout(within, exchange)
--- a/crates/pistachiolug_http/src/lib.rs
+++ b/crates/pistachiolug_http/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod limit;
 pub mod secret;
 pub mod server;
+pub mod traffic;
--- a/crates/pistachiolug_http/src/server.rs
+++ b/crates/pistachiolug_http/src/server.rs
@@ -25,7 +25,7 @@
     service::fn_service,
 };
 
-use crate::{body::Body, limit::Limit};
+use crate::{body::Body, limit::Limit, traffic};
 
 /// Whole request as a handler sees it.
 pub type Request = http::Request<Bytes>;
@@ -166,13 +166,28 @@
         handler.refuse(StatusCode::SERVICE_UNAVAILABLE)
     } else {
         match read(request, limit).await {
-            Ok(request) => handler.handle(request).await,
+            Ok(request) => answer(request, &handler).await,
             Err(status) => handler.refuse(status),
         }
     };
     Ok(render(reply, active))
 }
 
+async fn answer<H: Handler>(request: Request, handler: &H) -> Reply {
+    let control = traffic::is_control(request.uri().path());
+    let received = traffic::head_bytes(Some(request.uri()), request.headers());
+    let received = received + request.body().len() as u64;
+    let reply = handler.handle(request).await;
+    if control {
+        let body = match reply.body() {
+            Body::Full(bytes) => bytes.len() as u64,
+            Body::Stream(_) => 0,
+        };
+        traffic::count(traffic::head_bytes(None, reply.headers()) + body, received);
+    }
+    reply
+}
+
 async fn read(request: WebRequest<RequestBody>, limit: Limit) -> Result<Request, StatusCode> {
     let (parts, extension) = request.into_parts();
     let (_, body) = extension.replace_body(());
--- a/crates/pistachiolug_kernel/src/dump.rs
+++ b/crates/pistachiolug_kernel/src/dump.rs
@@ -2,7 +2,8 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use serde_json::{Map, Value};
+use pistachiolug_http::traffic;
+use serde_json::{Map, Value, json};
 
 type Part = Box<dyn Fn() -> Value + Send + Sync>;
 
@@ -38,3 +39,9 @@
         Value::Object(fields)
     }
 }
+
+/// Renders the process's control traffic, for a part of the dump.
+pub fn traffic() -> Value {
+    let total = traffic::total();
+    json!({ "sent": total.sent, "received": total.received, "messages": total.messages })
+}
--- a/crates/pistachiolug_platform/src/kv/etcd.rs
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -6,7 +6,10 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use pistachiolug_http::client::{self, Client};
+use pistachiolug_http::{
+    client::{self, Client},
+    traffic,
+};
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout_at};
 
@@ -124,6 +127,7 @@
                 Err(_) => return Ok(Vec::new()),
             };
             if let Ok(data) = frame.into_data() {
+                traffic::count_received(data.len());
                 buffer.extend_from_slice(&data);
             }
             let events = take_events(&mut buffer)?;
