--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -5,10 +5,11 @@
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
     admin::Admin,
-    dump::Dump,
+    dump::{self, Dump},
     phase::{Control, Phase},
     signal,
     supervisor::Supervisor,
+    timer::Timer,
 };
 use pistachiolug_lists::{force::Force, reader};
 use pistachiolug_membership::{follow, view::View};
@@ -89,7 +90,9 @@
     .context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
     supervisor.spawn("lists", reader::run(store, force));
-    supervisor.spawn("membership", follow::run(directory, view));
+    let timer = Timer::default();
+    supervisor.spawn("timer", timer.clone().run());
+    supervisor.spawn("membership", follow::run(directory, view, timer));
     control.advance(Phase::Running);
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     tokio::select! {
@@ -109,6 +112,7 @@
 fn add_parts(dump: &Dump, settings: &Daemon, force: &Force, view: &View) {
     let instance = settings.instance.clone();
     dump.add("instance", move || json!(instance));
+    dump.add("traffic", dump::traffic);
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
     let view = view.clone();
