--- a/crates/pistachiolug_lists/src/lib.rs
+++ b/crates/pistachiolug_lists/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod lists;
 pub mod merge;
 pub mod plan;
-pub mod reader;
 pub mod row;
+pub mod spread;
 pub mod suspect;
 pub mod table;
--- /dev/null
+++ b/crates/pistachiolug_lists/src/spread.rs
@@ -0,0 +1,84 @@
+//! Spread of the lists: a few watchers per availability zone, and digests and deltas between peers.
+//!
+//! Every place keeps the same [`Table`](crate::table::Table). Watchers read changes from the key-value service. A place
+//! that takes a change pushes it to a few peers of its zone, and every place regularly asks a random peer for what it
+//! lacks. Each answer tells how long ago its content was confirmed by the service, so a place notices silent watchers
+//! and reads by itself.
+
+pub mod choice;
+pub mod cold;
+pub mod door;
+pub mod exchange;
+pub mod message;
+pub mod peers;
+pub mod place;
+pub mod watcher;
+
+use std::{future::Future, sync::Arc};
+
+use pistachiolug_http::{client::Client, secret::Secret};
+use pistachiolug_platform::{directory::Snapshot, kv::Store};
+use pistachiolug_wire::instance;
+use tokio::sync::watch;
+
+use self::{exchange::Exchange, peers::Peers, place::Place};
+use crate::force::Force;
+
+/// Who this process is and how it reaches its peers.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: String,
+    /// Region and availability zone.
+    pub place: instance::Place,
+    /// Secret shared by the deployment.
+    pub secret: Secret,
+}
+
+/// Spread service of one process; clones share it.
+#[derive(Debug, Clone)]
+pub struct Spread {
+    settings: Arc<Settings>,
+    place: Place,
+    exchange: Exchange,
+    peers: Peers,
+}
+
+impl Spread {
+    /// Creates the service; `peers` follows the instance list.
+    pub fn new(
+        settings: Settings,
+        client: Client,
+        force: Force,
+        peers: watch::Receiver<Arc<Snapshot>>,
+    ) -> Self {
+        let settings = Arc::new(settings);
+        let peers = Peers::new(Arc::clone(&settings), peers);
+        let place = Place::new(force);
+        let exchange = Exchange::new(client, Arc::clone(&settings), place.clone());
+        Self {
+            settings,
+            place,
+            exchange,
+            peers,
+        }
+    }
+
+    /// Returns the state of the lists at this process.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Keeps the lists in line until the process stops.
+    pub fn run<S: Store>(&self, store: S) -> impl Future<Output = ()> + Send + 'static {
+        let spread = self.clone();
+        async move {
+            cold::start(&spread, &store).await;
+            tokio::join!(
+                watcher::run(&spread, &store),
+                spread.exchange.run_pushes(spread.peers.clone()),
+                spread.exchange.run_pulls(spread.peers.clone()),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_lists/src/spread/door.rs
@@ -0,0 +1,71 @@
+//! Paths of the lists on the internal port.
+
+use http::{Method, Response, StatusCode};
+use pistachiolug_http::{
+    body::Body,
+    server::{Reply, Request},
+};
+use tokio::time::Instant;
+
+use super::{
+    Spread,
+    message::{self, Ask, Delta},
+};
+
+/// Path where a peer asks for what it lacks.
+pub const ASK: &str = "/internal/lists/ask";
+
+/// Path where a peer pushes changes.
+pub const PUSH: &str = "/internal/lists/push";
+
+/// Path that tells the revision in force.
+pub const REVISION: &str = "/internal/lists/revision";
+
+impl Spread {
+    /// Answers a request to the lists' paths, or returns `None` for any other path.
+    ///
+    /// The caller has checked the shared secret.
+    pub fn serve(&self, request: &Request) -> Option<Reply> {
+        let reply = match (request.method(), request.uri().path()) {
+            (&Method::POST, ASK) => self.serve_ask(request.body()),
+            (&Method::POST, PUSH) => self.serve_push(request.body()),
+            (&Method::GET, REVISION) => self.serve_revision(),
+            _ => return None,
+        };
+        Some(reply)
+    }
+
+    fn serve_ask(&self, body: &[u8]) -> Reply {
+        let Ok(ask) = message::open::<Ask>(&self.settings.secret, body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if ask.after > self.place.revision() && ask.digest != self.place.ask().digest {
+            self.place.wake_pull();
+        }
+        match self.place.answer(&ask, &self.settings.instance) {
+            Some(delta) => Response::new(message::seal(&self.settings.secret, &delta).into()),
+            None => status(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    fn serve_push(&self, body: &[u8]) -> Reply {
+        let Ok(delta) = message::open::<Delta>(&self.settings.secret, body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if !self.place.take_delta(delta, Instant::now()) {
+            self.place.wake_pull();
+        }
+        status(StatusCode::OK)
+    }
+
+    fn serve_revision(&self) -> Reply {
+        let report = serde_json::to_vec(&self.place.report()).unwrap_or_default();
+        Response::new(Body::from(report))
+    }
+}
+
+fn status(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Body::from(""));
+    *reply.status_mut() = status;
+    reply
+}
--- a/crates/pistachiolug_lists/src/table.rs
+++ b/crates/pistachiolug_lists/src/table.rs
@@ -163,9 +163,9 @@
         true
     }
 
-    /// Returns the changes after a revision, or all rows and `true` if they are no longer remembered.
+    /// Returns the changes after a revision, or all rows and `true` for revision 0 or if they are no longer remembered.
     pub fn changes_after(&self, revision: u64) -> (Vec<Change>, bool) {
-        if revision < self.log_floor {
+        if revision == 0 || revision < self.log_floor {
             let rows = self.rows.iter();
             return (rows.map(|(name, held)| held.change(name)).collect(), true);
         }
