Add operator commands; run entry and agent from the kernel

Cause: an operator could see nothing but by curl; the daemons ignored their drain deadline and ended with 0 after a service had failed. Figures: 14 rows of exit codes; at log level trace the log, dumps and metrics of 4 processes show neither secret, key nor prompt (tests/product_operator.rs).

--- a/crates/pistachiolug/src/args.rs
+++ b/crates/pistachiolug/src/args.rs
@@ -1,21 +1,84 @@
 //! Arguments of the command line.
 
-#![allow(missing_docs, unreachable_pub)]
+#![allow(missing_docs)]
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
-    /// Weight distribution and call routing for bursts.
+    /// Serves models and plain services to customers and spreads model weights.
+    ///
+    /// Exit codes: 0 done, 1 findings, 2 usage, 3 unavailable, 4 failed, 5 conflict, 6 timed out, 7 demo broken.
+    ///
+    /// Example: pistachiolug demo
     cmd pistachiolug {
         /// Runs an entry, which takes calls from callers.
+        ///
+        /// Example: pistachiolug entry examples/karoo/settings/entry.jsonc
         cmd entry {
             /// Settings file, JSON with comments.
             required settings: PathBuf
         }
         /// Runs an agent beside a backend server.
+        ///
+        /// Example: pistachiolug agent examples/karoo/settings/agent-assistant.jsonc
         cmd agent {
             /// Settings file, JSON with comments.
             required settings: PathBuf
         }
+        /// Checks settings and lists; prints every finding with its place, reason and mend.
+        ///
+        /// Example: pistachiolug check entry.jsonc customers.jsonc plans.jsonc
+        cmd check {
+            /// Settings or list files; customers and plans are checked against each other.
+            repeated files: PathBuf
+            /// Also tries to bind the addresses that the settings name.
+            optional --live
+            /// Prints the findings as JSON.
+            optional --json
+        }
+        /// Shows which revision of the lists is in force, per place.
+        ///
+        /// Example: pistachiolug lists --wait 8
+        cmd lists {
+            /// Operator's settings file; operator.jsonc by default.
+            optional --settings settings: PathBuf
+            /// Waits up to this many seconds until the accepted lists are in force everywhere.
+            optional --wait wait: u64
+            /// Revision to look for; by default that of the newest row in the key-value service.
+            optional --revision revision: u64
+            /// Prints JSON.
+            optional --json
+        }
+        /// Shows instances, versions, transfers and queues.
+        ///
+        /// Example: pistachiolug status --follow 600
+        cmd status {
+            /// Operator's settings file; operator.jsonc by default.
+            optional --settings settings: PathBuf
+            /// Follows roll-outs up to this many seconds until every instance serves its versions.
+            optional --follow follow: u64
+            /// Prints JSON.
+            optional --json
+        }
+        /// Prints a process's whole state as JSON.
+        ///
+        /// Example: pistachiolug dump 10.1.0.11:7100
+        cmd dump {
+            /// Internal address of the process.
+            required address: SocketAddr
+            /// Operator's settings file; operator.jsonc by default.
+            optional --settings settings: PathBuf
+        }
+        /// Reads a bearer key from standard input and prints its digest for the customers list.
+        ///
+        /// Example: pistachiolug digest < key.txt
+        cmd digest {}
+        /// Starts a whole deployment on loopback, spreads a model, makes calls and prints what held.
+        ///
+        /// Example: pistachiolug demo --stay
+        cmd demo {
+            /// Leaves the deployment running and prints requests to try.
+            optional --stay
+        }
     }
 }
--- /dev/null
+++ b/crates/pistachiolug/src/command.rs
@@ -0,0 +1,40 @@
+//! One module per operator command.
+
+use std::{future::Future, path::Path};
+
+use crate::{
+    exit::Exit,
+    operator::{Error, Operator},
+    output,
+};
+
+pub mod check;
+pub mod demo;
+pub mod digest;
+pub mod dump;
+pub mod lists;
+pub mod status;
+
+/// Settings that are read when none are named.
+const DEFAULT_SETTINGS: &str = "operator.jsonc";
+
+/// Opens the operator's settings and runs a command on them.
+fn with_operator<F, R>(settings: Option<&Path>, run: F) -> Exit
+where
+    F: FnOnce(Operator) -> R,
+    R: Future<Output = Exit>,
+{
+    let path = settings.unwrap_or(Path::new(DEFAULT_SETTINGS));
+    let operator = match Operator::open(path) {
+        Ok(operator) => operator,
+        Err(Error::Settings { findings }) => return output::report(&findings),
+        Err(error) => return output::fail(Exit::Unavailable, &error.to_string()),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run(operator)),
+        Err(error) => output::fail(Exit::Unavailable, &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug/src/lib.rs
@@ -0,0 +1,9 @@
+//! Commands of the `pistachiolug` program: the daemons and what operators do.
+
+pub mod args;
+pub mod command;
+pub mod daemon;
+pub mod exit;
+pub mod fleet;
+pub mod operator;
+pub mod output;
--- a/crates/pistachiolug/src/main.rs
+++ b/crates/pistachiolug/src/main.rs
@@ -1,14 +1,22 @@
 //! Command line and daemons of pistachiolug.
 
-mod args;
-mod daemon;
-
 use std::process::ExitCode;
 
+use pistachiolug::{
+    args::{Pistachiolug, PistachiolugCmd},
+    command, daemon,
+};
+
 fn main() -> ExitCode {
-    let flags = args::Pistachiolug::from_env_or_exit();
+    let flags = Pistachiolug::from_env_or_exit();
     match flags.subcommand {
-        args::PistachiolugCmd::Entry(entry) => daemon::entry(&entry.settings),
-        args::PistachiolugCmd::Agent(agent) => daemon::agent(&agent.settings),
+        PistachiolugCmd::Entry(entry) => daemon::entry(&entry.settings).into(),
+        PistachiolugCmd::Agent(agent) => daemon::agent(&agent.settings).into(),
+        PistachiolugCmd::Check(check) => command::check::run(&check).into(),
+        PistachiolugCmd::Lists(lists) => command::lists::run(&lists).into(),
+        PistachiolugCmd::Status(status) => command::status::run(&status).into(),
+        PistachiolugCmd::Dump(dump) => command::dump::run(&dump).into(),
+        PistachiolugCmd::Digest(_) => command::digest::run().into(),
+        PistachiolugCmd::Demo(demo) => command::demo::run(&demo),
     }
 }
--- /dev/null
+++ b/crates/pistachiolug/tests/product_cli.rs
@@ -0,0 +1,169 @@
+//! Command line: exit codes, findings and help, without a deployment.
+
+use std::{
+    fs,
+    io::Write,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+};
+
+use pistachiolug_lists::key;
+use serde_json::Value;
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pistachiolug"));
+    command
+        .current_dir(root())
+        .env_remove("PISTACHIOLUG_SECRET");
+    command
+}
+
+fn run(args: &[&str]) -> Output {
+    program().args(args).output().expect("program runs")
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().expect("program ends by itself")
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Writes a settings file that is removed with its folder.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("pistachiolug-cli-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("folder can be made");
+        let path = folder.join(name);
+        fs::write(&path, text).expect("file can be written");
+        Self(path)
+    }
+
+    fn as_str(&self) -> &str {
+        self.0.to_str().expect("paths are UTF-8")
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+fn sample(deployment: &str, name: &str) -> String {
+    format!("examples/{deployment}/settings/{name}.jsonc")
+}
+
+#[test]
+fn samples_pass_the_check() {
+    for deployment in ["karoo", "authority"] {
+        let entry = sample(deployment, "entry");
+        let operator = sample(deployment, "operator");
+
+        let output = run(&["check", &entry, &operator]);
+
+        assert_eq!(code(&output), 0, "{}", errors(&output));
+    }
+}
+
+#[test]
+fn findings_name_file_line_column_reason_and_mend() {
+    let text = fs::read_to_string(root().join(sample("karoo", "entry"))).expect("sample is there");
+    let text = text
+        .replace("\"zone\"", "\"zome\"")
+        .replace("60000,", "\"60s\",");
+    let file = File::new("bad-entry.jsonc", &text);
+
+    let output = run(&["check", file.as_str(), &sample("karoo", "operator")]);
+    let json = run(&["check", "--json", file.as_str()]);
+
+    assert_eq!(code(&output), 1);
+    let expected = format!(
+        "{0}:5:3: zome: is no known field (did you mean `zone`?)\n\
+         {0}:16:20: calls.deadline_ms: expects a whole number of milliseconds, has the text `60s` (write 60000)\n",
+        file.as_str()
+    );
+    assert_eq!(errors(&output), expected);
+    assert_eq!(code(&json), 1);
+    let findings: Value = serde_json::from_slice(&json.stdout).expect("findings are JSON");
+    assert_eq!(findings[0]["place"]["line"], 5);
+    assert_eq!(findings[1]["field"], "calls.deadline_ms");
+}
+
+#[test]
+fn exit_codes_are_stable() {
+    let entry = sample("karoo", "entry");
+    let operator = sample("karoo", "operator");
+    let unreachable = File::new(
+        "unreachable.jsonc",
+        r#"{ "key_value": "http://127.0.0.1:1", "instances": "http://127.0.0.1:1", "secret_file": "/dev/null" }"#,
+    );
+    let cases: &[(&[&str], i32)] = &[
+        (&["--help"], 0),
+        (&["lists", "--help"], 0),
+        (&["check", &entry], 0),
+        (&["check", "--live", &entry], 1),
+        (&["entry", &entry], 1),
+        (&["agent", &entry], 1),
+        (&["dump", "127.0.0.1:1", "--settings", &entry], 1),
+        (&[], 2),
+        (&["frobnicate"], 2),
+        (&["dump", "nowhere"], 2),
+        (&["check", "missing.jsonc"], 3),
+        (&["entry", "missing.jsonc"], 3),
+        (&["status", "--settings", &operator], 3),
+        (&["status", "--settings", unreachable.as_str()], 3),
+    ];
+    for (args, expected) in cases {
+        let output = run(args);
+
+        assert_eq!(code(&output), *expected, "{args:?}: {}", errors(&output));
+    }
+}
+
+#[test]
+fn every_command_has_an_example() {
+    let output = run(&["--help"]);
+
+    let help = String::from_utf8_lossy(&output.stdout).into_owned();
+    let sections: Vec<&str> = help.split("\npistachiolug ").skip(1).collect();
+    assert!(sections.len() >= 8, "{help}");
+    for section in sections {
+        let name = section.split_whitespace().next().unwrap_or_default();
+        let example = format!("Example: pistachiolug {name}");
+        assert!(section.contains(&example), "`{name}` has no example");
+    }
+}
+
+#[test]
+fn secrets_are_no_arguments() {
+    let output = run(&["--help"]);
+
+    let help = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(!help.contains("--secret") && !help.contains("--key"));
+}
+
+#[test]
+fn digests_come_from_standard_input() {
+    let mut child = program()
+        .arg("digest")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("program runs");
+    let mut input = child.stdin.take().expect("input is piped");
+    input.write_all(b"sample-key\n").expect("input is open");
+    drop(input);
+
+    let output = child.wait_with_output().expect("program ends");
+
+    let digest = String::from_utf8_lossy(&output.stdout).trim().to_owned();
+    assert_eq!(digest, key::digest("sample-key").to_string());
+}
--- /dev/null
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -0,0 +1,222 @@
+//! Operator commands against a running deployment, and what they and the logs never show.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    time::Duration,
+};
+
+use http::{Method, StatusCode};
+use pistachiolug_bench::rig::{
+    deployment::{Deployment, PAID_KEY, SECRET, Size},
+    port,
+    process::{Process, program},
+};
+use serde_json::{Value, json};
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Text of a caller that must stay between the caller and the engine.
+const PROMPT: &str = "forty kilos of ravioli";
+
+async fn deployment() -> Deployment {
+    let size = Size {
+        models: 2,
+        plains: 1,
+        entries: 1,
+        engine_args: Vec::new(),
+        origin_rate: 0,
+    };
+    let deployment = Deployment::start(&size).await.expect("deployment starts");
+    let weights = vec![7; 200_000];
+    let manifest = deployment.upload("pasta", "v1", &weights, 65_536).await;
+    let manifest = manifest.expect("weights are uploaded");
+    let written = deployment.write_sample("v1", manifest).await;
+    written.expect("lists are written");
+    deployment.wait_serving("v1").await.expect("version serves");
+    deployment
+}
+
+/// Folder that is removed in the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        fs::create_dir_all(&path).expect("folder can be made");
+        Self(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        fs::write(&path, text).expect("file can be written");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn operator_settings(folder: &Folder, deployment: &Deployment) -> PathBuf {
+    let secret = folder.write("secret", &format!("{SECRET}\n"));
+    let text = json!({
+        "key_value": format!("http://{}", deployment.kv),
+        "instances": format!("http://{}", deployment.directory),
+        "secret_file": secret,
+    });
+    folder.write("operator.jsonc", &text.to_string())
+}
+
+fn run(settings: &Path, args: &[&str]) -> Output {
+    Command::new(program("pistachiolug").expect("program is built"))
+        .args(args)
+        .arg("--settings")
+        .arg(settings)
+        .env_remove("PISTACHIOLUG_SECRET")
+        .output()
+        .expect("program runs")
+}
+
+fn succeed(settings: &Path, args: &[&str]) -> String {
+    let output = run(settings, args);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{args:?}: {errors}");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn succeed_json(settings: &Path, args: &[&str]) -> Value {
+    serde_json::from_str(&succeed(settings, args)).expect("output is JSON")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_lists_instances_and_states() {
+    let deployment = deployment().await;
+    let folder = Folder::new("pistachiolug-operator");
+    let settings = operator_settings(&folder, &deployment);
+
+    let lists = succeed_json(&settings, &["lists", "--wait", "60", "--json"]);
+    assert_eq!(lists["in_force"], true, "{lists}");
+    assert_eq!(lists["places"][0]["instances"], 4, "{lists}");
+    let text = succeed(&settings, &["lists"]);
+    assert!(text.starts_with("accepted revision"), "{text}");
+
+    let members = succeed_json(&settings, &["status", "--json"]);
+    let members = members.as_array().expect("members are a list");
+    assert_eq!(members.len(), 4);
+    let phases = members.iter().map(|member| &member["state"]["phase"]);
+    assert!(
+        phases.into_iter().all(|phase| phase == "running"),
+        "{members:?}"
+    );
+    let text = succeed(&settings, &["status"]);
+    assert!(
+        text.contains("entry-0") && text.contains("booking-0"),
+        "{text}"
+    );
+
+    let address = deployment.agents[0].internal.to_string();
+    let dump = succeed_json(&settings, &["dump", &address]);
+    assert_eq!(dump["instance"], "assistant-0");
+
+    let refused = run(
+        &settings,
+        &["lists", "--revision", "4000000000", "--wait", "0"],
+    );
+    assert_eq!(
+        refused.status.code(),
+        Some(6),
+        "a revision that never comes"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wrong_secret_is_refused() {
+    let deployment = deployment().await;
+    let folder = Folder::new("pistachiolug-wrong-secret");
+    let settings = operator_settings(&folder, &deployment);
+    folder.write("secret", "another");
+
+    let address = deployment.agents[0].internal.to_string();
+    let output = run(&settings, &["dump", &address]);
+
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("401"));
+}
+
+/// Starts one more entry that logs everything.
+fn talkative_entry(folder: &Folder, deployment: &Deployment) -> (Process, SocketAddr, SocketAddr) {
+    let internal = port::free().expect("a port is free");
+    let callers = port::free().expect("a port is free");
+    let settings = json!({
+        "instance": "entry-talkative", "region": "gauteng", "zone": "midrand",
+        "internal": internal, "callers": callers, "log_level": "trace",
+        "platform": {
+            "key_value": format!("http://{}", deployment.kv),
+            "instances": format!("http://{}", deployment.directory),
+            "origin": format!("http://{}", deployment.origin),
+        },
+    });
+    let path = folder.write("entry.jsonc", &settings.to_string());
+    let args = ["entry".to_owned(), path.display().to_string()];
+    let log = folder.0.join("entry.log");
+    let program = program("pistachiolug").expect("program is built");
+    let process = Process::start(&program, &args, &log, SECRET).expect("entry starts");
+    (process, internal, callers)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dumps_metrics_and_logs_show_no_secret_key_or_content() {
+    let deployment = deployment().await;
+    let folder = Folder::new("pistachiolug-secrets");
+    let (entry, internal, callers) = talkative_entry(&folder, &deployment);
+    let body = json!({
+        "model": "pasta", "max_tokens": 4,
+        "messages": [{ "role": "user", "content": PROMPT }],
+    });
+    let call = async |key| {
+        let path = "/v1/chat/completions";
+        let sent = deployment
+            .http
+            .send(Method::POST, callers, path, Some(key), body.to_string());
+        sent.await
+            .map_or(StatusCode::SERVICE_UNAVAILABLE, |reply| reply.status())
+    };
+    tokio::time::timeout(PATIENCE, async {
+        while call(PAID_KEY).await != StatusCode::OK {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await
+    .expect("a call is answered in the end");
+    assert_eq!(call("stranger-key").await, StatusCode::UNAUTHORIZED);
+
+    let mut shown = fs::read_to_string(folder.0.join("entry.log")).expect("log can be read");
+    let agents = deployment.agents.iter().map(|agent| agent.internal);
+    for address in agents.chain([internal]) {
+        for path in ["/debug/state", "/metrics"] {
+            let sent = deployment
+                .http
+                .send(Method::GET, address, path, None, "")
+                .await;
+            let reply = sent.expect("process answers");
+            assert_eq!(reply.status(), StatusCode::OK, "{path}");
+            shown.push_str(&String::from_utf8_lossy(reply.body()));
+        }
+    }
+    drop(entry);
+
+    assert!(shown.contains("entry runs"), "the log was read");
+    for hidden in [SECRET, PAID_KEY, "stranger-key", PROMPT] {
+        assert!(!shown.contains(hidden), "`{hidden}` is shown");
+    }
+    let lines = fs::read_to_string(folder.0.join("entry.log")).expect("log can be read");
+    for line in lines.lines() {
+        serde_json::from_str::<Value>(line).unwrap_or_else(|error| panic!("{error}: {line}"));
+    }
+}
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -4,11 +4,9 @@
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
-    admin::Admin,
     dump::Dump,
-    phase::{Control, Phase},
-    signal,
-    supervisor::Supervisor,
+    kernel::{self, Kernel},
+    registry,
 };
 use pistachiolug_lists::{force::Force, reader};
 use pistachiolug_platform::{engine, kv::etcd::Etcd, plain, source};
@@ -24,21 +22,30 @@
 /// Worker threads of the internal port.
 const THREADS: usize = 1;
 
-/// Interval at which a draining process looks whether its calls have ended.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Reports an agent that could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The settings name no backend server.
     #[snafu(display("settings lack `backend`"))]
     NoBackend,
-    /// The port could not be bound, or signals not handled.
+    /// The port could not be bound.
     #[snafu(display("{source}"))]
     Io {
         /// Cause.
         source: io::Error,
     },
+    /// A service is missing or registered twice.
+    #[snafu(display("{source}"))]
+    Registry {
+        /// Cause.
+        source: registry::Error,
+    },
+    /// The process ran and failed.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// Cause.
+        source: kernel::Error,
+    },
 }
 
 /// Runs an agent until it is told to stop and its calls have ended.
@@ -47,27 +54,23 @@
 /// Returns what kept the agent from starting.
 pub async fn run(settings: Daemon, secret: Secret) -> Result<(), Error> {
     let backend = settings.backend.clone().context(NoBackendSnafu)?;
-    let control = Control::default();
-    let supervisor = Supervisor::new(control.clone());
-    let dump = Dump::default();
-    let force = Force::default();
+    let kernel = Kernel::start(&settings.instance);
+    let force = kernel.register("lists", Force::default());
+    let force = force.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
     let engine = engine::http::Http::new(client.clone(), &backend.address);
     let service = plain::Http::new(Client::new(0), &backend.address);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
     let origin = source::Http::new(client.clone(), &settings.platform.origin);
-    add_parts(&dump, &settings, &force);
+    add_parts(&kernel.dump, &force);
     let door = Door {
-        admin: Admin {
-            control: control.clone(),
-            dump,
-            metrics: prometheus::Registry::new(),
-        },
+        admin: kernel.admin(),
         secret,
         calls: Calls::new(engine.clone(), service),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
+    let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store, force.clone()));
     if backend.kind == Kind::Model {
         supervisor.spawn(
@@ -75,24 +78,14 @@
             weights::run(backend.service.clone(), force, engine, origin),
         );
     }
-    control.advance(Phase::Running);
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
-    tokio::select! {
-        stopped = signal::stop() => stopped.context(IoSnafu)?,
-        () = control.reached(Phase::Draining) => {}
-    }
-    control.advance(Phase::Draining);
-    while server.active() > 0 {
-        tokio::time::sleep(DRAIN_INTERVAL).await;
-    }
-    control.advance(Phase::Stopped);
+    let drain = Duration::from_millis(settings.calls.drain_ms.into());
+    let ended = kernel.run(drain, || server.active() == 0).await;
     server.stop();
-    Ok(())
+    ended.context(KernelSnafu)
 }
 
-fn add_parts(dump: &Dump, settings: &Daemon, force: &Force) {
-    let instance = settings.instance.clone();
-    dump.add("instance", move || json!(instance));
+fn add_parts(dump: &Dump, force: &Force) {
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
 }
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -4,11 +4,9 @@
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
-    admin::Admin,
     dump::Dump,
-    phase::{Control, Phase},
-    signal,
-    supervisor::Supervisor,
+    kernel::{self, Kernel},
+    registry,
 };
 use pistachiolug_lists::{force::Force, reader};
 use pistachiolug_membership::{follow, view::View};
@@ -28,21 +26,30 @@
 /// Worker threads of the internal port.
 const INTERNAL_THREADS: usize = 1;
 
-/// Interval at which a draining process looks whether its calls have ended.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Reports an entry that could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The settings name no address for callers.
     #[snafu(display("settings lack `callers`"))]
     NoCallers,
-    /// A port could not be bound, or signals not handled.
+    /// A port could not be bound.
     #[snafu(display("{source}"))]
     Io {
         /// Cause.
         source: io::Error,
     },
+    /// A service is missing or registered twice.
+    #[snafu(display("{source}"))]
+    Registry {
+        /// Cause.
+        source: registry::Error,
+    },
+    /// The process ran and failed.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// Cause.
+        source: kernel::Error,
+    },
 }
 
 /// Runs an entry until it is told to stop and its calls have ended.
@@ -51,21 +58,17 @@
 /// Returns what kept the entry from starting.
 pub async fn run(settings: Daemon, secret: Secret) -> Result<(), Error> {
     let callers = settings.callers.context(NoCallersSnafu)?;
-    let control = Control::default();
-    let supervisor = Supervisor::new(control.clone());
-    let dump = Dump::default();
-    let force = Force::default();
-    let view = View::default();
+    let kernel = Kernel::start(&settings.instance);
+    let force = kernel.register("lists", Force::default());
+    let force = force.context(RegistrySnafu)?;
+    let view = kernel.register("membership", View::default());
+    let view = view.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
     let directory = directory::Http::new(client.clone(), &settings.platform.instances);
-    add_parts(&dump, &settings, &force, &view);
+    add_parts(&kernel.dump, &force, &view);
     let internal = Internal {
-        admin: Admin {
-            control: control.clone(),
-            dump,
-            metrics: prometheus::Registry::new(),
-        },
+        admin: kernel.admin(),
         secret: secret.clone(),
     };
     let door = Door {
@@ -88,27 +91,18 @@
     )
     .context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
+    let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store, force));
     supervisor.spawn("membership", follow::run(directory, view));
-    control.advance(Phase::Running);
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
-    tokio::select! {
-        stopped = signal::stop() => stopped.context(IoSnafu)?,
-        () = control.reached(Phase::Draining) => {}
-    }
-    control.advance(Phase::Draining);
-    while server.active() > 0 {
-        tokio::time::sleep(DRAIN_INTERVAL).await;
-    }
-    control.advance(Phase::Stopped);
+    let drain = Duration::from_millis(settings.calls.drain_ms.into());
+    let ended = kernel.run(drain, || server.active() == 0).await;
     server.stop();
     internal.stop();
-    Ok(())
+    ended.context(KernelSnafu)
 }
 
-fn add_parts(dump: &Dump, settings: &Daemon, force: &Force, view: &View) {
-    let instance = settings.instance.clone();
-    dump.add("instance", move || json!(instance));
+fn add_parts(dump: &Dump, force: &Force, view: &View) {
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
     let view = view.clone();
--- a/crates/pistachiolug_kernel/src/kernel.rs
+++ b/crates/pistachiolug_kernel/src/kernel.rs
@@ -1,6 +1,6 @@
 //! Micro-kernel of one process: what every daemon starts from.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, time::Duration};
 
 use prometheus::Registry as Metrics;
 use serde_json::json;
@@ -77,25 +77,26 @@
         }
     }
 
-    /// Registers a service under a name and returns its handle.
+    /// Registers a service's handle under a name and returns it.
     ///
     /// # Errors
     /// [`registry::Error::Taken`].
-    pub fn register<T: Send + Sync + 'static>(
-        &self,
-        name: &'static str,
-        service: T,
-    ) -> Result<Arc<T>, registry::Error> {
-        let service = Arc::new(service);
-        self.services.register(name, Arc::clone(&service))?;
-        Ok(service)
+    pub fn register<T>(&self, name: &'static str, handle: T) -> Result<T, registry::Error>
+    where
+        T: Clone + Send + Sync + 'static,
+    {
+        self.services.register(name, handle.clone())?;
+        Ok(handle)
     }
 
     /// Finds a service by name; call it at start and keep the handle.
     ///
     /// # Errors
     /// [`registry::Error::Missing`] and [`registry::Error::WrongType`].
-    pub fn find<T: Send + Sync + 'static>(&self, name: &str) -> Result<Arc<T>, registry::Error> {
+    pub fn find<T>(&self, name: &str) -> Result<T, registry::Error>
+    where
+        T: Clone + Send + Sync + 'static,
+    {
         self.services.find(name)
     }
 
--- a/crates/pistachiolug_kernel/src/registry.rs
+++ b/crates/pistachiolug_kernel/src/registry.rs
@@ -37,22 +37,21 @@
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     /// Each name is registered once and never replaced.
-    services: Arc<Mutex<BTreeMap<&'static str, Arc<dyn Any + Send + Sync>>>>,
+    services: Arc<Mutex<BTreeMap<&'static str, Box<dyn Any + Send + Sync>>>>,
 }
 
 impl Registry {
-    /// Registers a service under a name.
+    /// Registers a service's handle under a name; a handle is cheap to clone and shares the service.
     ///
     /// # Errors
     /// [`Error::Taken`].
-    pub fn register<T: Send + Sync + 'static>(
-        &self,
-        name: &'static str,
-        service: Arc<T>,
-    ) -> Result<(), Error> {
+    pub fn register<T>(&self, name: &'static str, handle: T) -> Result<(), Error>
+    where
+        T: Clone + Send + Sync + 'static,
+    {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         ensure!(!services.contains_key(name), TakenSnafu { name });
-        services.insert(name, service);
+        services.insert(name, Box::new(handle));
         Ok(())
     }
 
@@ -60,10 +59,13 @@
     ///
     /// # Errors
     /// [`Error::Missing`] and [`Error::WrongType`].
-    pub fn find<T: Send + Sync + 'static>(&self, name: &str) -> Result<Arc<T>, Error> {
+    pub fn find<T>(&self, name: &str) -> Result<T, Error>
+    where
+        T: Clone + Send + Sync + 'static,
+    {
         let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let service = services.get(name).context(MissingSnafu { name })?;
-        Arc::clone(service).downcast().ok().context(WrongTypeSnafu {
+        service.downcast_ref().cloned().context(WrongTypeSnafu {
             name,
             wanted: type_name::<T>(),
         })
--- a/crates/pistachiolug_kernel/tests/shutdown.rs
+++ b/crates/pistachiolug_kernel/tests/shutdown.rs
@@ -16,7 +16,7 @@
 
 const DRAIN: Duration = Duration::from_secs(60);
 
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Lists(u32);
 
 fn readiness(kernel: &Kernel) -> u16 {
@@ -29,7 +29,7 @@
     let kernel = Kernel::default();
     kernel.register("lists", Lists(7)).expect("name is free");
 
-    assert_eq!(*kernel.find::<Lists>("lists").unwrap(), Lists(7));
+    assert_eq!(kernel.find::<Lists>("lists"), Ok(Lists(7)));
     let taken = kernel.register("lists", Lists(8)).unwrap_err();
     assert!(matches!(taken, registry::Error::Taken { .. }));
     let missing = kernel.find::<Lists>("weights").unwrap_err();
--- a/crates/pistachiolug_settings/src/load.rs
+++ b/crates/pistachiolug_settings/src/load.rs
@@ -56,3 +56,9 @@
         }]
     })
 }
+
+/// Tells whether a document is an object with a field of this name, which tells kinds of documents apart.
+pub fn has_field(text: &str, name: &str) -> bool {
+    let object = Check::new("", text).object();
+    object.is_some_and(|object| object.get(name).is_some())
+}
