--- a/crates/pistachiolug/src/fleet.rs
+++ b/crates/pistachiolug/src/fleet.rs
@@ -88,7 +88,8 @@
 
     /// Returns the revision of the lists in force at the instance.
     pub fn revision(&self) -> Option<u64> {
-        self.number("/lists_revision")
+        self.number("/lists/revision")
+            .or_else(|| self.number("/lists_revision"))
     }
 
     /// Returns the instance's transfers, finished ones included.
--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -29,14 +29,10 @@
         entries: 1,
         engine_args: Vec::new(),
         origin_rate: 0,
+        weights_bytes: 200_000,
     };
     let deployment = Deployment::start(&size).await.expect("deployment starts");
-    let weights = vec![7; 200_000];
-    let manifest = deployment.upload("pasta", "v1", &weights, 65_536).await;
-    let manifest = manifest.expect("weights are uploaded");
-    let written = deployment.write_sample("v1", manifest).await;
-    written.expect("lists are written");
-    deployment.wait_serving("v1").await.expect("version serves");
+    deployment.prepare("v1").await.expect("version serves");
     deployment
 }
 
--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -31,6 +31,11 @@
             /// Folder of the results; `out` unless named.
             optional --out out: PathBuf
         }
+        /// Starts a whole deployment on loopback, spreads a model, makes calls and prints what held.
+        cmd demo {
+            /// Leaves the deployment running and prints requests to try.
+            optional --stay
+        }
         /// Prints the figures of a second result against a first as ratios.
         cmd compare {
             /// First result, the base of the ratios.
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -9,6 +9,7 @@
 };
 
 use pistachiolug_bench::{
+    demo,
     experiment::{document::Document, run},
     report::{compare, files, markdown},
     standin,
@@ -19,6 +20,9 @@
 /// Exit code of a run that broke a promise.
 const EXIT_BREACH: u8 = 1;
 
+/// Exit code of a demonstration that broke a promise.
+const EXIT_DEMO: u8 = 7;
+
 /// Exit code of a command that could not be carried out.
 const EXIT_ERROR: u8 = 2;
 
@@ -52,6 +56,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs the demonstration.
+pub(crate) fn demo(flags: &args::Demo) -> io::Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    if runtime.block_on(demo::run(flags.stay))? {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::from(EXIT_DEMO))
+}
+
 /// Compares two results.
 pub(crate) fn compare(flags: &args::Compare) -> io::Result<ExitCode> {
     let first = files::read(&flags.first)?;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/demo.rs
@@ -0,0 +1,69 @@
+//! Demonstration: a whole deployment on loopback, a model spread to it, a burst of calls, and what held.
+
+pub mod calls;
+pub mod promise;
+pub mod report;
+pub mod spread;
+pub mod stay;
+
+use std::io;
+
+use crate::{
+    experiment::record,
+    rig::deployment::{self, Deployment, Size},
+};
+
+/// Version that the demonstration spreads.
+const VERSION: &str = "v1";
+
+/// Length of the model's weights in bytes.
+const WEIGHTS_BYTES: usize = 32 << 20;
+
+/// Bytes a second of the origin's link.
+const ORIGIN_RATE: u64 = 64 << 20;
+
+/// Time to an engine's first token and between its tokens, in milliseconds.
+const ENGINE_SPEED: [&str; 4] = ["--first-ms", "20", "--gap-ms", "10"];
+
+/// Runs the demonstration and tells whether all that it promises held.
+///
+/// # Errors
+/// Returns the error of a process or request that the demonstration can't go on without.
+pub async fn run(stay: bool) -> io::Result<bool> {
+    let size = size();
+    say("starting stand-ins, agents and entries");
+    let deployment = Deployment::start(&size).await?;
+    say("applying the sample lists and spreading the model");
+    let weights = deployment::weights(VERSION, WEIGHTS_BYTES);
+    let spread = spread::run(&deployment, VERSION, &weights).await?;
+    say("sending a burst of paid and trial calls, and bookings twice");
+    let samples = calls::run(&deployment, VERSION, &weights).await?;
+    let record = record::read(&deployment).await?;
+    let promises = promise::check(&spread, &samples, &record);
+    print(&report::render(&spread, &samples, &record, &promises));
+    if stay {
+        stay::run(&deployment).await?;
+    }
+    Ok(promises.iter().all(|promise| promise.held))
+}
+
+fn size() -> Size {
+    Size {
+        models: 6,
+        plains: 2,
+        entries: 2,
+        engine_args: ENGINE_SPEED.map(str::to_owned).to_vec(),
+        origin_rate: ORIGIN_RATE,
+        weights_bytes: WEIGHTS_BYTES,
+    }
+}
+
+#[allow(clippy::print_stderr)]
+fn say(step: &str) {
+    eprintln!("demo: {step}");
+}
+
+#[allow(clippy::print_stdout)]
+fn print(text: &str) {
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/pistachiolug_bench/src/demo/stay.rs
@@ -0,0 +1,58 @@
+//! Requests to try while the demonstration stays up.
+
+use std::{fs, io, path::Path};
+
+use pistachiolug_kernel::signal;
+use serde_json::json;
+
+use super::{print, say};
+use crate::rig::deployment::{Deployment, PAID_KEY, SECRET, TRIAL_KEY};
+
+/// Prints requests and waits until it is told to stop.
+///
+/// # Errors
+/// Returns the error of a file or of the signals.
+pub async fn run(deployment: &Deployment) -> io::Result<()> {
+    let settings = write_settings(deployment)?;
+    print(&requests(deployment, &settings));
+    say("stays up until Ctrl-C");
+    signal::stop().await
+}
+
+fn write_settings(deployment: &Deployment) -> io::Result<String> {
+    let secret = deployment.folder().join("secret");
+    fs::write(&secret, SECRET)?;
+    let path = deployment.folder().join("operator.jsonc");
+    let settings = json!({
+        "key_value": format!("http://{}", deployment.kv),
+        "instances": format!("http://{}", deployment.directory),
+        "secret_file": secret,
+    });
+    fs::write(&path, format!("{settings:#}\n"))?;
+    Ok(Path::display(&path).to_string())
+}
+
+fn requests(deployment: &Deployment, settings: &str) -> String {
+    let entry = deployment.entries.iter().find_map(|entry| entry.callers);
+    let entry = entry.map_or_else(String::new, |entry| entry.to_string());
+    let agent = deployment.agents.first().map(|agent| agent.internal);
+    let agent = agent.map_or_else(String::new, |agent| agent.to_string());
+    let chat =
+        r#"{"model":"pasta","max_tokens":8,"messages":[{"role":"user","content":"ravioli?"}]"#;
+    let post = "-H 'Content-Type: application/json' -i";
+    [
+        String::new(),
+        "# an answer of the model, whole and as a stream".to_owned(),
+        format!("curl {post} -H 'Authorization: Bearer {PAID_KEY}' -d '{chat}}}' http://{entry}/v1/chat/completions"),
+        format!("curl {post} -N -H 'Authorization: Bearer {TRIAL_KEY}' -d '{chat},\"stream\":true}}' http://{entry}/v1/chat/completions"),
+        "# a booking; send it again and it is answered from the first run".to_owned(),
+        format!("curl {post} -H 'Authorization: Bearer {PAID_KEY}' -H 'Idempotency-Key: brunch-1' -d '{{\"kilos\":40}}' http://{entry}/services/booking/orders"),
+        "# a key that nobody holds".to_owned(),
+        format!("curl -i -H 'Authorization: Bearer nobody' http://{entry}/v1/models"),
+        "# what operators see".to_owned(),
+        format!("pistachiolug status --settings {settings}"),
+        format!("pistachiolug lists --settings {settings}"),
+        format!("pistachiolug dump {agent} --settings {settings}"),
+    ]
+    .join("\n")
+}
--- a/crates/pistachiolug_bench/src/lib.rs
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load tool and experiments: starts the real daemons and the stand-ins as processes on loopback.
 
+pub mod demo;
 pub mod experiment;
 pub mod load;
 pub mod report;
--- a/crates/pistachiolug_bench/src/main.rs
+++ b/crates/pistachiolug_bench/src/main.rs
@@ -10,6 +10,7 @@
     let ended = match flags.subcommand {
         args::BenchCmd::Standin(flags) => command::standin(&flags),
         args::BenchCmd::Run(flags) => command::run(&flags),
+        args::BenchCmd::Demo(flags) => command::demo(&flags),
         args::BenchCmd::Compare(flags) => command::compare(&flags),
     };
     match ended {
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -1,6 +1,11 @@
 //! A small deployment: stand-ins, agents and entries.
 
-use std::{env, fs, io, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    env, fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use http::Method;
 use pistachiolug_lists::{
@@ -146,6 +151,11 @@
         Ok(deployment)
     }
 
+    /// Returns the folder with the processes' settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Publishes all daemons as live instances.
     ///
     /// # Errors
