--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -93,7 +93,10 @@
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store, force));
-    supervisor.spawn("membership", follow::run(directory, view));
+    supervisor.spawn(
+        "membership",
+        follow::run(directory, view, kernel.timer.clone()),
+    );
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
     let ended = kernel.run(drain, || server.active() == 0).await;
