--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -10,6 +10,7 @@
 
 use pistachiolug_bench::{
     capacity::{measure, table},
+    demo,
     experiment::{document::Document, run},
     report::{compare, files, markdown},
     standin,
@@ -20,6 +21,9 @@
 /// Exit code of a run that broke a promise.
 const EXIT_BREACH: u8 = 1;
 
+/// Exit code of a demonstration that broke a promise.
+const EXIT_DEMO: u8 = 7;
+
 /// Exit code of a command that could not be carried out.
 const EXIT_ERROR: u8 = 2;
 
@@ -70,6 +74,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs the demonstration.
+pub(crate) fn demo(flags: &args::Demo) -> io::Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    if runtime.block_on(demo::run(flags.stay))? {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::from(EXIT_DEMO))
+}
+
 /// Compares two results.
 pub(crate) fn compare(flags: &args::Compare) -> io::Result<ExitCode> {
     let first = files::read(&flags.first)?;
--- a/crates/pistachiolug_bench/src/main.rs
+++ b/crates/pistachiolug_bench/src/main.rs
@@ -11,6 +11,7 @@
         args::BenchCmd::Standin(flags) => command::standin(&flags),
         args::BenchCmd::Run(flags) => command::run(&flags),
         args::BenchCmd::Capacity(flags) => command::capacity(&flags),
+        args::BenchCmd::Demo(flags) => command::demo(&flags),
         args::BenchCmd::Compare(flags) => command::compare(&flags),
     };
     match ended {
