--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -31,6 +31,15 @@
             /// Folder of the results; `out` unless named.
             optional --out out: PathBuf
         }
+        /// Runs random faults under load, writes the results, and exits 1 if a promise was broken.
+        cmd chaos {
+            /// Seed of the faults and of the load.
+            required --seed seed: u64
+            /// Length in minutes; 1 unless set.
+            optional --minutes minutes: f64
+            /// Folder of the results; `out` unless named.
+            optional --out out: PathBuf
+        }
         /// Measures what control costs each process without calls, and prints a row for each role.
         cmd capacity {
             /// Number of agents.
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -10,7 +10,7 @@
 
 use pistachiolug_bench::{
     capacity::{measure, table},
-    demo,
+    chaos, demo,
     experiment::{document::Document, run},
     report::{compare, files, markdown},
     standin,
@@ -30,6 +30,9 @@
 /// Length of a capacity measurement in seconds unless another is named.
 const CAPACITY_SECONDS: u64 = 20;
 
+/// Length of a chaos run in minutes unless another is named.
+const CHAOS_MINUTES: f64 = 1.0;
+
 /// Folder of results unless another is named.
 const FOLDER: &str = "out";
 
@@ -60,6 +63,21 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs random faults under load; the seed and the trace of faults are printed with what broke.
+pub(crate) fn chaos(flags: &args::Chaos) -> io::Result<ExitCode> {
+    let document = chaos::document(flags.seed, flags.minutes.unwrap_or(CHAOS_MINUTES));
+    let folder = flags.out.clone().unwrap_or_else(|| PathBuf::from(FOLDER));
+    let breaches = run_document(&document, &folder)?;
+    if breaches == 0 {
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("seed {}, faults:", flags.seed);
+    for fault in &document.faults {
+        println!("  {:6.2} s {:?}", fault.at_s, fault.action);
+    }
+    Ok(ExitCode::from(EXIT_BREACH))
+}
+
 /// Measures the cost of control.
 pub(crate) fn capacity(flags: &args::Capacity) -> io::Result<ExitCode> {
     let case = measure::Case {
@@ -98,9 +116,12 @@
 }
 
 fn run_one(path: &Path, folder: &Path) -> io::Result<usize> {
-    let document = Document::read(path)?;
+    run_document(&Document::read(path)?, folder)
+}
+
+fn run_document(document: &Document, folder: &Path) -> io::Result<usize> {
     let runtime = tokio::runtime::Runtime::new()?;
-    let run = runtime.block_on(run::run(&document))?;
+    let run = runtime.block_on(run::run(document))?;
     files::write(folder, &run)?;
     println!("{}", markdown::render(&run.outcome));
     Ok(run.outcome.breaches.len())
--- a/crates/pistachiolug_bench/src/lib.rs
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load tool and experiments: starts the real daemons and the stand-ins as processes on loopback.
 
 pub mod capacity;
+pub mod chaos;
 pub mod demo;
 pub mod experiment;
 pub mod load;
--- a/crates/pistachiolug_bench/src/main.rs
+++ b/crates/pistachiolug_bench/src/main.rs
@@ -10,6 +10,7 @@
     let ended = match flags.subcommand {
         args::BenchCmd::Standin(flags) => command::standin(&flags),
         args::BenchCmd::Run(flags) => command::run(&flags),
+        args::BenchCmd::Chaos(flags) => command::chaos(&flags),
         args::BenchCmd::Capacity(flags) => command::capacity(&flags),
         args::BenchCmd::Demo(flags) => command::demo(&flags),
         args::BenchCmd::Compare(flags) => command::compare(&flags),
--- a/crates/pistachiolug_bench/tests/load.rs
+++ b/crates/pistachiolug_bench/tests/load.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use pistachiolug_bench::load::{
-    plan::{self, Kind, Stream},
-    sample::{End, Sample},
-    sse::{Event, Parser},
-    summary,
+use pistachiolug_bench::{
+    chaos,
+    load::{
+        plan::{self, Kind, Stream},
+        sample::{End, Sample},
+        sse::{Event, Parser},
+        summary,
+    },
 };
 
 fn stream(rate: f64) -> Stream {
@@ -119,3 +122,14 @@
     assert_eq!(paid.refusal_us.count, 1);
     assert_eq!(paid.ends["cut"], 1);
 }
+
+#[test]
+fn a_seed_decides_every_fault_of_a_chaos_run() {
+    let first = chaos::document(11, 2.0);
+    let second = chaos::document(11, 2.0);
+    let other = chaos::document(12, 2.0);
+
+    assert_eq!(first, second);
+    assert_ne!(first.faults, other.faults);
+    assert!(first.faults.is_sorted_by(|a, b| a.at_s <= b.at_s));
+}
