Spread the lists by watchers, pushes and questions between peers

Cause: every process watched the service and read 1 MB for each change after a gap; a process that started in an outage had no lists and said nothing. Change: two watchers per zone by rendezvous rank, pushes down a heap of ranks, relays that ask the watchers and leaves that ask the relays, take-over by rank when the content's age shows that watchers are silent; messages carry a keyed code and a digest of all rows; a cold process takes the newest of the service's and three peers' answers and is not ready before. Daemons become ready after their lists; agents follow the instance list.

--- a/crates/pistachiolug_agent/src/door.rs
+++ b/crates/pistachiolug_agent/src/door.rs
@@ -7,6 +7,7 @@
     server::{Handler, Reply, Request},
 };
 use pistachiolug_kernel::admin::Admin;
+use pistachiolug_lists::spread::Spread;
 use pistachiolug_platform::{engine::Engine, plain::Service};
 
 use crate::calls::Calls;
@@ -18,6 +19,8 @@
     pub admin: Admin,
     /// Secret that peers must show.
     pub secret: Secret,
+    /// Lists, which peers ask for.
+    pub lists: Spread,
     /// Calls.
     pub calls: Calls<E, S>,
 }
@@ -31,6 +34,9 @@
         if !self.secret.admits(request.headers()) {
             return refuse(StatusCode::UNAUTHORIZED);
         }
+        if let Some(reply) = self.lists.serve(&request) {
+            return reply;
+        }
         match (request.method(), path) {
             (&Method::POST, "/internal/call") => self.calls.open(request.body()),
             (_, path) => self.admin.serve(path).unwrap_or_else(not_found),
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -8,8 +8,12 @@
     kernel::{self, Kernel},
     registry,
 };
-use pistachiolug_lists::{force::Force, reader};
-use pistachiolug_platform::{engine, kv::etcd::Etcd, plain, source};
+use pistachiolug_lists::{
+    force::Force,
+    spread::{self, Spread},
+};
+use pistachiolug_membership::{follow, view::View};
+use pistachiolug_platform::{directory, engine, kv::etcd::Etcd, plain, source};
 use pistachiolug_settings::daemon::{Daemon, Kind};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -62,16 +66,27 @@
     let service = plain::Http::new(Client::new(0), &backend.address);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
     let origin = source::Http::new(client.clone(), &settings.platform.origin);
-    add_parts(&kernel.dump, &force);
+    let view = kernel.register("membership", View::default());
+    let view = view.context(RegistrySnafu)?;
+    let directory = directory::Http::new(client.clone(), &settings.platform.instances);
+    let here = spread::Settings::new(&settings, &secret);
+    let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
+    add_parts(&kernel.dump, &force, &lists);
     let door = Door {
         admin: kernel.admin(),
         secret,
+        lists: lists.clone(),
         calls: Calls::new(engine.clone(), service),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
     let supervisor = &kernel.supervisor;
-    supervisor.spawn("lists", reader::run(store, force.clone()));
+    supervisor.spawn("lists", lists.run(store));
+    supervisor.spawn(
+        "membership",
+        follow::run(directory, view, kernel.timer.clone()),
+    );
+    let ready = force.clone();
     if backend.kind == Kind::Model {
         supervisor.spawn(
             "weights",
@@ -80,12 +95,16 @@
     }
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
-    let ended = kernel.run(drain, || server.active() == 0).await;
+    let ended = kernel
+        .run_after(ready.ready(), drain, || server.active() == 0)
+        .await;
     server.stop();
     ended.context(KernelSnafu)
 }
 
-fn add_parts(dump: &Dump, force: &Force) {
+fn add_parts(dump: &Dump, force: &Force, lists: &Spread) {
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
+    let lists = lists.clone();
+    dump.add("lists", move || json!(lists.place().report()));
 }
--- a/crates/pistachiolug_entry/src/internal.rs
+++ b/crates/pistachiolug_entry/src/internal.rs
@@ -7,6 +7,7 @@
     server::{Handler, Reply, Request},
 };
 use pistachiolug_kernel::admin::Admin;
+use pistachiolug_lists::spread::Spread;
 
 /// Routes requests on the internal port.
 #[derive(Debug, Clone)]
@@ -15,6 +16,8 @@
     pub admin: Admin,
     /// Secret that peers must show.
     pub secret: Secret,
+    /// Lists, which peers ask for.
+    pub lists: Spread,
 }
 
 impl Handler for Internal {
@@ -24,6 +27,9 @@
         if !open && !self.secret.admits(request.headers()) {
             return refuse(StatusCode::UNAUTHORIZED);
         }
+        if let Some(reply) = self.lists.serve(&request) {
+            return reply;
+        }
         let served = self.admin.serve(path);
         served.unwrap_or_else(|| refuse(StatusCode::NOT_FOUND))
     }
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -8,7 +8,10 @@
     kernel::{self, Kernel},
     registry,
 };
-use pistachiolug_lists::{force::Force, reader};
+use pistachiolug_lists::{
+    force::Force,
+    spread::{self, Spread},
+};
 use pistachiolug_membership::{follow, view::View};
 use pistachiolug_platform::{directory, kv::etcd::Etcd};
 use pistachiolug_settings::daemon::Daemon;
@@ -66,10 +69,13 @@
     let client = Client::new(IDLE_CONNECTIONS);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
     let directory = directory::Http::new(client.clone(), &settings.platform.instances);
-    add_parts(&kernel.dump, &force, &view);
+    let here = spread::Settings::new(&settings, &secret);
+    let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
+    add_parts(&kernel.dump, &force, &view, &lists);
     let internal = Internal {
         admin: kernel.admin(),
         secret: secret.clone(),
+        lists: lists.clone(),
     };
     let door = Door {
         force: force.clone(),
@@ -92,22 +98,26 @@
     .context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
     let supervisor = &kernel.supervisor;
-    supervisor.spawn("lists", reader::run(store, force));
+    supervisor.spawn("lists", lists.run(store));
     supervisor.spawn(
         "membership",
         follow::run(directory, view, kernel.timer.clone()),
     );
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
-    let ended = kernel.run(drain, || server.active() == 0).await;
+    let ended = kernel
+        .run_after(force.ready(), drain, || server.active() == 0)
+        .await;
     server.stop();
     internal.stop();
     ended.context(KernelSnafu)
 }
 
-fn add_parts(dump: &Dump, force: &Force, view: &View) {
+fn add_parts(dump: &Dump, force: &Force, view: &View, lists: &Spread) {
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
+    let lists = lists.clone();
+    dump.add("lists", move || json!(lists.place().report()));
     let view = view.clone();
     dump.add("instances", move || json!(view.now().instances.len()));
 }
--- a/crates/pistachiolug_kernel/src/kernel.rs
+++ b/crates/pistachiolug_kernel/src/kernel.rs
@@ -105,11 +105,30 @@
     /// # Errors
     /// [`Error::Failed`] after a failure, once the process has drained.
     pub async fn run(&self, drain: Duration, idle: impl Fn() -> bool) -> Result<(), Error> {
+        self.run_after(std::future::ready(()), drain, idle).await
+    }
+
+    /// Runs the process as [`Kernel::run`] does, but not ready before `ready` ends.
+    ///
+    /// # Errors
+    /// [`Error::Failed`] after a failure, once the process has drained.
+    pub async fn run_after(
+        &self,
+        ready: impl Future<Output = ()>,
+        drain: Duration,
+        idle: impl Fn() -> bool,
+    ) -> Result<(), Error> {
         let control = self.control();
-        control.advance(Phase::Running);
+        let serve = async {
+            ready.await;
+            control.advance(Phase::Running);
+            log::info!("ready");
+            std::future::pending::<()>().await;
+        };
         let stopped = tokio::select! {
             stopped = signal::stop() => stopped,
             () = control.reached(Phase::Draining) => Ok(()),
+            () = serve => Ok(()),
         };
         control.advance(Phase::Draining);
         log::info!("draining");
--- a/crates/pistachiolug_lists/src/spread.rs
+++ b/crates/pistachiolug_lists/src/spread.rs
@@ -18,6 +18,7 @@
 
 use pistachiolug_http::{client::Client, secret::Secret};
 use pistachiolug_platform::{directory::Snapshot, kv::Store};
+use pistachiolug_settings::daemon::Daemon;
 use pistachiolug_wire::instance;
 use tokio::sync::watch;
 
@@ -35,6 +36,20 @@
     pub secret: Secret,
 }
 
+impl Settings {
+    /// Takes them from a daemon's settings.
+    pub fn new(settings: &Daemon, secret: &Secret) -> Self {
+        Self {
+            instance: settings.instance.clone(),
+            place: instance::Place {
+                region: settings.region.clone(),
+                zone: settings.zone.clone(),
+            },
+            secret: secret.clone(),
+        }
+    }
+}
+
 /// Spread service of one process; clones share it.
 #[derive(Debug, Clone)]
 pub struct Spread {
--- /dev/null
+++ b/crates/pistachiolug_lists/tests/support/fleet.rs
@@ -0,0 +1,156 @@
+//! Places in one process, each with its own port and line to the service.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::StatusCode;
+use pistachiolug_http::{
+    body::Body,
+    client::Client,
+    limit::Limit,
+    secret::Secret,
+    server::{Handler, Reply, Request, Server},
+};
+use pistachiolug_lists::{
+    force::Force,
+    spread::{Settings, Spread},
+};
+use pistachiolug_platform::{directory::Snapshot, kv::memory::Memory};
+use pistachiolug_wire::instance::{Instance, Place, Role, State};
+use tokio::{sync::watch, task::JoinHandle, time::sleep};
+
+use super::line::{Line, Mode};
+
+/// Port of one place.
+#[derive(Debug, Clone)]
+struct Port(Spread);
+
+impl Handler for Port {
+    async fn handle(&self, request: Request) -> Reply {
+        self.0.serve(&request).unwrap_or_else(|| {
+            let mut reply = Reply::new(Body::from(""));
+            *reply.status_mut() = StatusCode::NOT_FOUND;
+            reply
+        })
+    }
+}
+
+/// One place.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) line: Line,
+    pub(crate) spread: Spread,
+    pub(crate) force: Force,
+    address: SocketAddr,
+    server: Server,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.server.stop();
+    }
+}
+
+/// Places of one availability zone.
+pub(crate) struct Fleet {
+    pub(crate) store: Memory,
+    pub(crate) nodes: Vec<Node>,
+    list: watch::Sender<Arc<Snapshot>>,
+}
+
+impl Fleet {
+    /// Starts places whose lines are in `mode`.
+    pub(crate) fn start(places: usize, store: Memory) -> Self {
+        let mut fleet = Self {
+            store,
+            nodes: Vec::new(),
+            list: watch::Sender::new(Arc::default()),
+        };
+        for number in 0..places {
+            fleet.add(&format!("place-{number}"), Mode::Up);
+        }
+        fleet
+    }
+
+    /// Starts one more place and lists it.
+    pub(crate) fn add(&mut self, name: &str, mode: Mode) -> usize {
+        let force = Force::default();
+        let settings = Settings {
+            instance: name.to_owned(),
+            place: here(),
+            secret: Secret::new("secret"),
+        };
+        let spread = Spread::new(
+            settings,
+            Client::new(8),
+            force.clone(),
+            self.list.subscribe(),
+        );
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, 1, Limit::default(), Port(spread.clone()));
+        let server = server.expect("port is free");
+        let line = Line::new(&self.store);
+        line.set(mode);
+        self.nodes.push(Node {
+            name: name.to_owned(),
+            line: line.clone(),
+            task: tokio::spawn(spread.run(line)),
+            spread,
+            force,
+            address: server.address(),
+            server,
+        });
+        self.publish();
+        self.nodes.len() - 1
+    }
+
+    /// Ends a place and starts it anew under the same name, without its state.
+    pub(crate) fn restart(&mut self, at: usize, mode: Mode) -> usize {
+        let old = self.nodes.remove(at);
+        let name = old.name.clone();
+        drop(old);
+        self.add(&name, mode)
+    }
+
+    /// Returns the places that watch.
+    pub(crate) fn watchers(&self) -> Vec<usize> {
+        let watches = |at: &usize| self.nodes[*at].spread.place().report().watcher;
+        (0..self.nodes.len()).filter(watches).collect()
+    }
+
+    fn publish(&self) {
+        let instance = |node: &Node| Instance {
+            name: node.name.clone(),
+            role: Role::Agent,
+            service: "assistant".to_owned(),
+            address: node.address,
+            place: here(),
+            state: State::Live,
+        };
+        let mut snapshot = Snapshot {
+            version: self.list.borrow().version + 1,
+            ..Snapshot::default()
+        };
+        snapshot.instances = self.nodes.iter().map(instance).collect();
+        self.list.send_replace(Arc::new(snapshot));
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..3000 {
+        if holds() {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what} never came");
+}
+
+fn here() -> Place {
+    Place {
+        region: "kymenlaakso".to_owned(),
+        zone: "kotka".to_owned(),
+    }
+}
--- a/crates/pistachiolug_lists/tests/support/mod.rs
+++ b/crates/pistachiolug_lists/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod fleet;
+pub(crate) mod line;
+
 use pistachiolug_lists::{customer::Customer, key, plan::Plan, row::Row};
 
 /// Plan with a share and no more.
