--- a/crates/pistachiolug_entry/src/call.rs
+++ b/crates/pistachiolug_entry/src/call.rs
@@ -1,32 +1,55 @@
-//! Life of a call at an entry: choose an agent, open, relay.
+//! Life of a call at an entry: choose an agent, open, relay, and recover what is lost on the way.
 
-use std::{net::SocketAddr, time::Duration};
+mod recover;
 
-use pistachiolug_membership::view::{self, View};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use pistachiolug_routing::retry::Budget;
 use pistachiolug_wire::{
-    call::{Body, Open, Tokens},
+    call::{Body, Finish, Open, Response, Work},
     fault::{Code, Fault},
+    outcome::Outcome,
 };
-use rand::seq::IndexedRandom;
+use tokio::time::{Instant, timeout_at};
 
-use crate::remote::{Error, Events, Remote};
+use crate::{
+    metrics::Metrics,
+    progress::Progress,
+    remote::{self, Connection, Events, Remote},
+    router::{Need, Router, Ticket},
+};
 
 /// Time after which a caller may come back when no agent is reached.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Runs calls; clones share the view and connections.
+/// Time by which an agent's own word on a deadline is waited for.
+const DEADLINE_GRACE: Duration = Duration::from_millis(250);
+
+/// Runs calls; clones share the view, connections and budget.
 #[derive(Debug, Clone)]
 pub struct Runner {
-    /// Instances.
-    pub view: View,
+    /// Choice of agents.
+    pub router: Router,
     /// Connections to agents.
     pub remote: Remote,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Internal address of this entry, for notices of leaving agents.
+    pub address: Option<SocketAddr>,
+    budget: Arc<Mutex<Budget>>,
 }
 
-/// Call that an agent has taken up.
-#[derive(Debug)]
-pub struct Running {
-    events: Events,
+/// How far a deadline reaches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Until the call starts; a streamed answer then takes what it takes.
+    Start,
+    /// Until the answer is whole.
+    Whole,
 }
 
 /// Part of an answer, in the order of the answer.
@@ -37,60 +60,277 @@
     /// Generated text.
     Text(Vec<String>),
     /// Whole answer of a plain service.
-    Response(pistachiolug_wire::call::Response),
+    Response(Response),
     /// The answer is complete.
-    Finished(pistachiolug_wire::call::Finish),
+    Finished(Finish),
+}
+
+/// Call that an agent has taken up; dropping it before its end tells the agent that the caller is gone.
+#[derive(Debug)]
+pub struct Running {
+    runner: Runner,
+    /// Message that opens the call at the next agent.
+    open: Open,
+    patience: Patience,
+    deadline: Instant,
+    progress: Progress,
+    /// Where the call runs; `None` between two agents and after the end.
+    place: Option<Place>,
+    /// Agents that have had this call's id.
+    tried: Vec<String>,
+    /// Instances or backend servers lost while they may have been running the call.
+    losses: u8,
+    /// Joins since the last token.
+    joins: u8,
+}
+
+/// Agent that has a call.
+#[derive(Debug)]
+struct Place {
+    ticket: Ticket,
+    events: Events,
+    /// Time at which the call was first sent there.
+    since: Instant,
 }
 
 impl Runner {
+    /// Creates a runner.
+    pub fn new(
+        router: Router,
+        remote: Remote,
+        metrics: Metrics,
+        address: Option<SocketAddr>,
+    ) -> Self {
+        Self {
+            router,
+            remote,
+            metrics,
+            address,
+            budget: Arc::default(),
+        }
+    }
+
     /// Opens a call at an agent of its service.
     ///
     /// # Errors
     /// Returns the final answer when no agent takes the call.
-    pub async fn open(&self, open: &Open) -> Result<Running, Fault> {
-        let agent = self.choose(&open.service)?;
-        let events = self.remote.open(agent, open).await.map_err(lost)?;
-        Ok(Running { events })
+    pub async fn open(&self, open: Open, patience: Patience) -> Result<Running, Fault> {
+        let within = Duration::from_millis(open.deadline_ms.into());
+        self.budget().earn();
+        self.metrics.open.inc();
+        let mut running = Running {
+            runner: self.clone(),
+            open,
+            patience,
+            deadline: Instant::now() + within,
+            progress: Progress::default(),
+            place: None,
+            tried: Vec::new(),
+            losses: 0,
+            joins: 0,
+        };
+        running.open.entry = self.address;
+        match running.connect().await {
+            Ok(()) => Ok(running),
+            Err(fault) => Err(self.count(running.truthful(fault))),
+        }
+    }
+
+    /// Returns the calls that retries may still be made for.
+    pub fn saved_retries(&self) -> f64 {
+        self.budget().saved()
+    }
+
+    fn budget(&self) -> std::sync::MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn choose(&self, service: &str) -> Result<SocketAddr, Fault> {
-        let snapshot = self.view.now();
-        let agents: Vec<_> = view::agents(&snapshot, service).collect();
-        let agent = agents.choose(&mut rand::rng());
-        agent.map(|agent| agent.address).ok_or_else(|| {
-            let message = "no instance of the service is live";
-            Fault::not_run(Code::Unavailable, RETRY_AFTER, message)
-        })
+    fn count(&self, fault: Fault) -> Fault {
+        self.metrics.failed(&fault);
+        fault
     }
 }
 
 impl Running {
-    /// Waits for the next part of the answer.
+    /// Waits for the next part of the answer; after an error the call has ended.
     ///
     /// # Errors
     /// Returns the final answer of a call that fails.
     pub async fn next(&mut self) -> Result<Part, Fault> {
         loop {
-            match self.events.next().await.map_err(lost)? {
-                Body::Heartbeat(_) => {}
-                Body::Started { version } => return Ok(Part::Started(version)),
-                Body::Tokens(Tokens { texts, .. }) => return Ok(Part::Text(texts)),
-                Body::Response(response) => return Ok(Part::Response(response)),
-                Body::Finished(finish) => return Ok(Part::Finished(finish)),
-                Body::Failed(fault) => return Err(fault),
-                Body::Elsewhere(_) => {
-                    let message = "an earlier call with the key runs at another instance";
-                    return Err(Fault::unknown(Code::BackendFailed, message));
+            match self.step().await {
+                Ok(Some(part)) => return Ok(part),
+                Ok(None) => {}
+                Err(fault) => {
+                    self.place = None;
+                    return Err(self.runner.count(self.truthful(fault)));
+                }
+            }
+        }
+    }
+
+    /// Waits for the start and returns the version that answers.
+    ///
+    /// # Errors
+    /// Returns the final answer of a call that fails.
+    pub async fn started(&mut self) -> Result<String, Fault> {
+        match self.next().await? {
+            Part::Started(version) => Ok(version),
+            _ => Err(Fault::unknown(Code::BackendFailed, "answer without start")),
+        }
+    }
+
+    async fn step(&mut self) -> Result<Option<Part>, Fault> {
+        let deadline = self.deadline + DEADLINE_GRACE;
+        let bounded = self.patience == Patience::Whole || self.progress.version().is_none();
+        let Some(place) = &mut self.place else {
+            return Err(Fault::unknown(Code::BackendFailed, "the call has ended"));
+        };
+        let event = if bounded {
+            match timeout_at(deadline, place.events.next()).await {
+                Ok(event) => event,
+                Err(_) => return Err(self.give_up().await),
+            }
+        } else {
+            place.events.next().await
+        };
+        match event {
+            Ok(body) => self.take(body).await,
+            Err(error) => self.recover(&error.to_string()).await.map(|()| None),
+        }
+    }
+
+    async fn take(&mut self, body: Body) -> Result<Option<Part>, Fault> {
+        match body {
+            Body::Heartbeat(load) => {
+                if let Some(place) = &self.place {
+                    self.runner.router.report(&place.ticket.name, &load);
+                }
+                Ok(None)
+            }
+            Body::Started { version } => self.start(version),
+            Body::Tokens(tokens) => match self.progress.take(tokens) {
+                Ok(texts) if texts.is_empty() => Ok(None),
+                Ok(texts) => {
+                    self.joins = 0;
+                    self.runner.metrics.tokens.inc_by(texts.len() as u64);
+                    Ok(Some(Part::Text(texts)))
+                }
+                Err(error) => self.recover(&error.to_string()).await.map(|()| None),
+            },
+            Body::Response(response) => {
+                self.end();
+                Ok(Some(Part::Response(response)))
+            }
+            Body::Finished(finish) => match self.progress.finish(&finish) {
+                Ok(()) => {
+                    if let Some(place) = &self.place {
+                        self.runner.router.report(&place.ticket.name, &finish.load);
+                    }
+                    self.end();
+                    Ok(Some(Part::Finished(finish)))
+                }
+                Err(error) => self.recover(&error.to_string()).await.map(|()| None),
+            },
+            Body::Failed(fault) => self.refused(fault).await.map(|()| None),
+            Body::Elsewhere(elsewhere) => self.follow(&elsewhere).await.map(|()| None),
+        }
+    }
+
+    fn start(&mut self, version: String) -> Result<Option<Part>, Fault> {
+        match self.progress.start(&version) {
+            Ok(true) => {
+                if let Work::Model(generation) = &mut self.open.work {
+                    generation.version.clone_from(&version);
                 }
+                Ok(Some(Part::Started(version)))
             }
+            Ok(false) => Ok(None),
+            Err(error) => Err(Fault::unknown(Code::BackendFailed, &error.to_string())),
+        }
+    }
+
+    fn end(&mut self) {
+        self.place = None;
+        self.runner.metrics.answered();
+    }
+
+    /// Corrects the word of the last agent by what happened at earlier ones.
+    fn truthful(&self, mut fault: Fault) -> Fault {
+        let may_have_run = self.progress.reached() > 0 || self.losses > 0;
+        if may_have_run && fault.outcome == Outcome::NotRun {
+            fault.outcome = Outcome::Unknown;
+        }
+        fault
+    }
+
+    fn idempotent(&self) -> bool {
+        match &self.open.work {
+            Work::Model(_) => true,
+            Work::Plain(plain) => plain.idempotent,
+        }
+    }
+
+    fn need(&self) -> Need<'_> {
+        let (model, prompt) = match &self.open.work {
+            Work::Model(generation) => (generation.model.as_str(), &generation.body[..]),
+            Work::Plain(_) => ("", &[][..]),
+        };
+        Need {
+            service: &self.open.service,
+            model,
+            prompt,
+        }
+    }
+
+    /// Returns the message that opens or joins the call now, with the time left and the tokens reached.
+    fn message(&mut self, join: bool) -> &Open {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let started = self.progress.version().is_some();
+        // A streamed answer that has started has no deadline any more; its resume only has to be admitted.
+        if !(started && self.patience == Patience::Start) {
+            self.open.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        }
+        self.open.join = join;
+        if let Work::Model(generation) = &mut self.open.work {
+            generation.reached = self.progress.reached();
+            generation.prefix = self.progress.text().to_owned();
+        }
+        &self.open
+    }
+
+    fn connection(&self) -> Connection {
+        if self.idempotent() {
+            Connection::Pooled
+        } else {
+            Connection::Fresh
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.runner.metrics.open.dec();
+        let Some(place) = self.place.take() else {
+            return;
+        };
+        let remote = self.runner.remote.clone();
+        let call = self.open.id;
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            // Best effort: an agent that can't be told runs the call to its end.
+            runtime.spawn(async move { remote.cancel(place.ticket.address, call).await });
         }
     }
 }
 
-fn lost(error: Error) -> Fault {
-    let message = error.to_string();
-    match error {
-        Error::Unsent { .. } => Fault::not_run(Code::Unavailable, RETRY_AFTER, &message),
-        _ => Fault::unknown(Code::BackendFailed, &message),
+impl From<remote::Error> for Fault {
+    fn from(error: remote::Error) -> Self {
+        let message = error.to_string();
+        match error {
+            remote::Error::Unsent { .. } => {
+                Self::not_run(Code::Unavailable, RETRY_AFTER, &message)
+            }
+            _ => Self::unknown(Code::BackendFailed, &message),
+        }
     }
 }
--- a/crates/pistachiolug_entry/src/remote.rs
+++ b/crates/pistachiolug_entry/src/remote.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use http::Request;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -12,6 +13,7 @@
 use pistachiolug_wire::{
     call::{Body, Event, Id, Open},
     codec::{self, Decoder},
+    revoke::{Cancel, Revoke, Verdict},
 };
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time::timeout;
@@ -22,6 +24,12 @@
 /// Longest silence inside an agent's answer; heartbeats come more often.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a verdict.
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest verdict in bytes.
+const VERDICT_BYTES: usize = 1024;
+
 /// Reports a broken exchange with an agent.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -48,10 +56,20 @@
     },
 }
 
+/// Which connection carries a request to an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connection {
+    /// An idle one, if there is one; it may have died in silence.
+    Pooled,
+    /// One that is opened for this request.
+    Fresh,
+}
+
 /// Opens calls at agents; clones share connections.
 #[derive(Debug, Clone)]
 pub struct Remote {
-    client: Client,
+    pooled: Client,
+    fresh: Client,
     secret: Secret,
 }
 
@@ -65,21 +83,30 @@
 
 impl Remote {
     /// Creates the service.
-    pub fn new(client: Client, secret: Secret) -> Self {
-        Self { client, secret }
+    pub fn new(pooled: Client, secret: Secret) -> Self {
+        Self {
+            pooled,
+            fresh: Client::new(0),
+            secret,
+        }
     }
 
-    /// Opens a call.
+    /// Opens or joins a call.
     ///
     /// # Errors
     /// [`Error::Unsent`] and [`Error::Broken`].
-    pub async fn open(&self, agent: SocketAddr, open: &Open) -> Result<Events, Error> {
-        let request = Request::post(format!("http://{agent}/internal/call"))
-            .header(secret::HEADER, self.secret.expose())
-            .body(codec::encode(open))
-            .map_err(broken)?;
-        let response = self.client.send(request, HEAD_TIMEOUT).await;
-        let response = response.map_err(lost)?;
+    pub async fn open(
+        &self,
+        agent: SocketAddr,
+        open: &Open,
+        connection: Connection,
+    ) -> Result<Events, Error> {
+        let request = self.request(agent, "/internal/call", codec::encode(open))?;
+        let client = match connection {
+            Connection::Pooled => &self.pooled,
+            Connection::Fresh => &self.fresh,
+        };
+        let response = client.send(request, HEAD_TIMEOUT).await.map_err(lost)?;
         if !response.status().is_success() {
             return Err(broken(response.status()));
         }
@@ -89,6 +116,49 @@
             decoder: Decoder::default(),
         })
     }
+
+    /// Asks an agent over a new connection never to start a call.
+    ///
+    /// # Errors
+    /// All but [`Error::Crossed`]; nothing is then known of the call.
+    pub async fn revoke(&self, agent: SocketAddr, revoke: &Revoke) -> Result<Verdict, Error> {
+        self.decide(agent, "/internal/revoke", codec::encode(revoke))
+            .await
+    }
+
+    /// Tells an agent over a new connection that the caller is gone.
+    ///
+    /// # Errors
+    /// As [`Remote::revoke`].
+    pub async fn cancel(&self, agent: SocketAddr, call: Id) -> Result<Verdict, Error> {
+        let cancel = codec::encode(&Cancel { call });
+        self.decide(agent, "/internal/cancel", cancel).await
+    }
+
+    async fn decide(&self, agent: SocketAddr, path: &str, body: Bytes) -> Result<Verdict, Error> {
+        let request = self.request(agent, path, body)?;
+        let answer = self
+            .fresh
+            .fetch(request, VERDICT_BYTES, VERDICT_TIMEOUT)
+            .await
+            .map_err(lost)?;
+        if !answer.status().is_success() {
+            return Err(broken(answer.status()));
+        }
+        codec::decode(answer.body()).context(MalformedSnafu)
+    }
+
+    fn request(
+        &self,
+        agent: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Bytes>, Error> {
+        Request::post(format!("http://{agent}{path}"))
+            .header(secret::HEADER, self.secret.expose())
+            .body(body)
+            .map_err(broken)
+    }
 }
 
 impl Events {
