--- a/crates/pistachiolug_entry/src/call.rs
+++ b/crates/pistachiolug_entry/src/call.rs
@@ -294,7 +294,7 @@
         self.open.join = join;
         if let Work::Model(generation) = &mut self.open.work {
             generation.reached = self.progress.reached();
-            generation.prefix = self.progress.text().to_owned();
+            self.progress.text().clone_into(&mut generation.prefix);
         }
         &self.open
     }
@@ -327,9 +327,7 @@
     fn from(error: remote::Error) -> Self {
         let message = error.to_string();
         match error {
-            remote::Error::Unsent { .. } => {
-                Self::not_run(Code::Unavailable, RETRY_AFTER, &message)
-            }
+            remote::Error::Unsent { .. } => Self::not_run(Code::Unavailable, RETRY_AFTER, &message),
             _ => Self::unknown(Code::BackendFailed, &message),
         }
     }
--- a/crates/pistachiolug_entry/src/call/recover.rs
+++ b/crates/pistachiolug_entry/src/call/recover.rs
@@ -87,9 +87,9 @@
         let Some(place) = self.place.take() else {
             return Err(fault);
         };
-        let name = &place.ticket.name;
-        let router = &self.runner.router;
         self.point_to_cache(None);
+        let name = &place.ticket.name;
+        let router = self.runner.router.clone();
         let moved = match (fault.outcome, fault.code) {
             (Outcome::NotRun, Code::Leaving) => {
                 router.view.record(name, Cause::Left);
@@ -120,7 +120,8 @@
     pub(super) async fn follow(&mut self, elsewhere: &Elsewhere) -> Result<(), Fault> {
         self.place = None;
         let unknown = || {
-            let message = "an earlier call with the key may be running at an instance that is out of reach";
+            let message =
+                "an earlier call with the key may be running at an instance that is out of reach";
             Fault::unknown(Code::BackendFailed, message)
         };
         if self.tried.contains(&elsewhere.instance) && self.open.id == elsewhere.call {
@@ -159,7 +160,12 @@
     }
 
     /// Learns what became of a lost call; `true` if it was joined, `false` if it may be opened elsewhere.
-    async fn settle(&mut self, ticket: Ticket, since: Instant, reason: &str) -> Result<bool, Fault> {
+    async fn settle(
+        &mut self,
+        ticket: Ticket,
+        since: Instant,
+        reason: &str,
+    ) -> Result<bool, Fault> {
         let attempts = if self.idempotent() { 1 } else { VERDICTS };
         match self.verdict(ticket.address, since, attempts).await {
             Some(Verdict::Withdrawn) => {
--- a/crates/pistachiolug_entry/src/error.rs
+++ b/crates/pistachiolug_entry/src/error.rs
@@ -7,7 +7,7 @@
 use pistachiolug_wire::{
     call,
     fault::{Code, Fault},
-    outcome,
+    outcome::{self, Outcome},
 };
 use serde_json::{Value, json};
 
@@ -22,14 +22,52 @@
         builder = builder.header(outcome::CALL_HEADER, id.to_string());
     }
     if fault.retry_after_ms > 0 {
-        let wait = Duration::from_millis(fault.retry_after_ms.into());
-        builder = builder.header(header::RETRY_AFTER, wait.as_secs().max(1));
+        let seconds = fault.retry_after_ms.div_ceil(1000);
+        builder = builder.header(header::RETRY_AFTER, seconds);
     }
     builder
         .body(Body::from(body))
         .unwrap_or_else(|_| Response::new(Body::from("")))
 }
 
+/// Renders a whole answer.
+pub fn answered(id: call::Id, version: &str, content_type: &str, body: Body) -> Reply {
+    let builder = Response::builder()
+        .header(header::CONTENT_TYPE, content_type)
+        .header(outcome::HEADER, Outcome::Answered.as_str())
+        .header(outcome::CALL_HEADER, id.to_string());
+    let builder = if version.is_empty() {
+        builder
+    } else {
+        builder.header(outcome::VERSION_HEADER, version)
+    };
+    builder
+        .body(body)
+        .unwrap_or_else(|_| Response::new(Body::from("")))
+}
+
+/// Sets the outcome header of a reply.
+pub fn set_outcome(reply: &mut Reply, outcome: &'static str) {
+    let value = header::HeaderValue::from_static(outcome);
+    reply.headers_mut().insert(outcome::HEADER, value);
+}
+
+/// Renders the refusal of a method, with those that the path has.
+pub fn method_not_allowed(id: call::Id, methods: &'static str) -> Reply {
+    let message = format!("the path takes {methods} only");
+    let fault = Fault::not_run(Code::InvalidRequest, Duration::ZERO, &message);
+    let mut reply = reply(&fault, Some(id));
+    *reply.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+    let methods = header::HeaderValue::from_static(methods);
+    reply.headers_mut().insert(header::ALLOW, methods);
+    reply
+}
+
+/// Renders the event that ends a streamed answer which is not whole.
+pub fn event(fault: &Fault) -> String {
+    format!("event: error\ndata: {}\n\n", body(fault))
+}
+
 /// Renders a fault's error body.
 pub fn body(fault: &Fault) -> Value {
     json!({ "error": {
--- a/crates/pistachiolug_entry/src/internal.rs
+++ b/crates/pistachiolug_entry/src/internal.rs
@@ -1,12 +1,14 @@
 //! Internal port of an entry.
 
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use pistachiolug_http::{
     body::Body,
     secret::Secret,
     server::{Handler, Reply, Request},
 };
 use pistachiolug_kernel::admin::Admin;
+use pistachiolug_membership::{sign::Cause, view::View};
+use pistachiolug_wire::{codec, notice::Leaving};
 
 /// Routes requests on the internal port.
 #[derive(Debug, Clone)]
@@ -15,6 +17,8 @@
     pub admin: Admin,
     /// Secret that peers must show.
     pub secret: Secret,
+    /// Instances, which direct notices change.
+    pub view: View,
 }
 
 impl Handler for Internal {
@@ -22,15 +26,36 @@
         let path = request.uri().path();
         let open = matches!(path, "/healthz" | "/readyz");
         if !open && !self.secret.admits(request.headers()) {
-            return refuse(StatusCode::UNAUTHORIZED);
+            return bare(StatusCode::UNAUTHORIZED);
+        }
+        if request.method() == Method::POST && path == "/internal/leaving" {
+            return self.leaving(&request);
         }
         let served = self.admin.serve(path);
-        served.unwrap_or_else(|| refuse(StatusCode::NOT_FOUND))
+        served.unwrap_or_else(|| bare(StatusCode::NOT_FOUND))
+    }
+}
+
+impl Internal {
+    /// Takes the notice of an agent that leaves.
+    fn leaving(&self, request: &Request) -> Reply {
+        match codec::decode::<Leaving>(request.body()) {
+            Ok(notice) => {
+                self.view.record(&notice.instance, Cause::Left);
+                bare(StatusCode::NO_CONTENT)
+            }
+            Err(_) => bare(StatusCode::BAD_REQUEST),
+        }
     }
 }
 
-fn refuse(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Body::from(status.as_str().to_owned()));
+fn bare(status: StatusCode) -> Reply {
+    let text = if status == StatusCode::NO_CONTENT {
+        String::new()
+    } else {
+        status.as_str().to_owned()
+    };
+    let mut reply = Response::new(Body::from(text));
     *reply.status_mut() = status;
     reply
 }
--- a/crates/pistachiolug_entry/src/metrics.rs
+++ b/crates/pistachiolug_entry/src/metrics.rs
@@ -1,10 +1,12 @@
 //! Counters of an entry; no label depends on a caller.
 
+use pistachiolug_kernel::metric::{self, Counters};
 use pistachiolug_wire::{
     fault::{Code, Fault},
     outcome::Outcome,
 };
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntGauge, Registry, core::Collector};
+use snafu::ResultExt;
 
 /// Reason for which a call went on at another agent or connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,8 +38,9 @@
 /// Counters; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    calls: IntCounterVec,
-    moves: IntCounterVec,
+    outcomes: Counters,
+    faults: Counters,
+    moves: Counters,
     budget_refusals: IntCounter,
     /// Calls that are open now.
     pub open: IntGauge,
@@ -50,42 +53,64 @@
     ///
     /// # Errors
     /// Returns the error of a name that is taken.
-    pub fn new(registry: &Registry) -> prometheus::Result<Self> {
-        let calls = Opts::new("pistachiolug_entry_calls_total", "Calls by outcome and cause");
-        let moves = Opts::new("pistachiolug_entry_moves_total", "Moved calls by reason");
+    pub fn new(registry: &Registry) -> Result<Self, metric::Error> {
+        let counters = |name, help, label, values: &[&'static str]| {
+            Counters::register(registry, name, help, label, values)
+        };
         let metrics = Self {
-            calls: IntCounterVec::new(calls, &["outcome", "code"])?,
-            moves: IntCounterVec::new(moves, &["reason"])?,
+            outcomes: counters(
+                "pistachiolug_entry_calls_total",
+                "Calls by outcome",
+                "outcome",
+                &OUTCOMES.map(Outcome::as_str),
+            )?,
+            faults: counters(
+                "pistachiolug_entry_faults_total",
+                "Calls without an answer by cause",
+                "code",
+                &CODES.map(code),
+            )?,
+            moves: counters(
+                "pistachiolug_entry_moves_total",
+                "Calls that went on at another agent or connection, by reason",
+                "reason",
+                &MOVES.map(Move::as_str),
+            )?,
             budget_refusals: IntCounter::new(
                 "pistachiolug_entry_retry_refusals_total",
                 "Retries that the budget did not allow",
-            )?,
-            open: IntGauge::new("pistachiolug_entry_open_calls", "Calls that are open now")?,
-            tokens: IntCounter::new("pistachiolug_entry_tokens_total", "Tokens sent to callers")?,
+            )
+            .context(metric::LibrarySnafu)?,
+            open: IntGauge::new("pistachiolug_entry_open_calls", "Calls that are open now")
+                .context(metric::LibrarySnafu)?,
+            tokens: IntCounter::new("pistachiolug_entry_tokens_total", "Tokens sent to callers")
+                .context(metric::LibrarySnafu)?,
         };
-        registry.register(Box::new(metrics.calls.clone()))?;
-        registry.register(Box::new(metrics.moves.clone()))?;
-        registry.register(Box::new(metrics.budget_refusals.clone()))?;
-        registry.register(Box::new(metrics.open.clone()))?;
-        registry.register(Box::new(metrics.tokens.clone()))?;
+        let alone: [Box<dyn Collector>; 3] = [
+            Box::new(metrics.budget_refusals.clone()),
+            Box::new(metrics.open.clone()),
+            Box::new(metrics.tokens.clone()),
+        ];
+        for collector in alone {
+            registry.register(collector).context(metric::LibrarySnafu)?;
+        }
         Ok(metrics)
     }
 
     /// Counts a whole answer.
     pub fn answered(&self) {
-        let labels = [Outcome::Answered.as_str(), "none"];
-        self.calls.with_label_values(&labels).inc();
+        self.outcomes.of(Outcome::Answered.as_str()).inc();
     }
 
     /// Counts a call that ends without an answer.
     pub fn failed(&self, fault: &Fault) {
-        let labels = [fault.outcome.as_str(), code(fault.code)];
-        self.calls.with_label_values(&labels).inc();
+        self.outcomes.of(fault.outcome.as_str()).inc();
+        self.faults.of(code(fault.code)).inc();
     }
 
     /// Counts a call that went on elsewhere.
     pub fn moved(&self, reason: Move) {
-        self.moves.with_label_values(&[reason.as_str()]).inc();
+        self.moves.of(reason.as_str()).inc();
     }
 
     /// Counts a retry that was not made for want of budget.
@@ -94,7 +119,34 @@
     }
 }
 
-fn code(code: Code) -> &'static str {
+const OUTCOMES: [Outcome; 3] = [Outcome::Answered, Outcome::NotRun, Outcome::Unknown];
+
+const MOVES: [Move; 5] = [
+    Move::Unsent,
+    Move::Refused,
+    Move::Withdrawn,
+    Move::Joined,
+    Move::Resumed,
+];
+
+const CODES: [Code; 14] = [
+    Code::InvalidRequest,
+    Code::InvalidKey,
+    Code::NotInPlan,
+    Code::NotFound,
+    Code::RateLimited,
+    Code::Overloaded,
+    Code::Leaving,
+    Code::Unavailable,
+    Code::CrashSuspect,
+    Code::DeadlineExceeded,
+    Code::KeyReused,
+    Code::BackendFailed,
+    Code::Revoked,
+    Code::ClaimUnavailable,
+];
+
+const fn code(code: Code) -> &'static str {
     match code {
         Code::InvalidRequest => "invalid_request",
         Code::InvalidKey => "invalid_key",
--- a/crates/pistachiolug_entry/src/openai.rs
+++ b/crates/pistachiolug_entry/src/openai.rs
@@ -1,6 +1,9 @@
 //! Requests and answers of the OpenAI-shaped API.
 
-use pistachiolug_wire::call::{self, Finish};
+use pistachiolug_wire::{
+    call::{self, Finish},
+    outcome::Outcome,
+};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -98,6 +101,7 @@
             "version": version,
             "choices": [self.api.choice(true, "", Some(&finish.reason))],
             "usage": usage(finish),
+            "outcome": Outcome::Answered,
         });
         format!("data: {event}\n\ndata: [DONE]\n\n")
     }
@@ -116,6 +120,27 @@
     }
 }
 
+/// Longest answer that may be asked for, in tokens.
+const MOST_TOKENS: u32 = 1 << 20;
+
+/// Parses a request's body.
+///
+/// # Errors
+/// Returns what is wrong with it, for the caller.
+pub fn parse(body: &[u8]) -> Result<Request, String> {
+    let request: Request = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    if request.model.is_empty() {
+        return Err("`model` is empty".to_owned());
+    }
+    match request.max_tokens {
+        Some(0) => Err("`max_tokens` must be above 0".to_owned()),
+        Some(tokens) if tokens > MOST_TOKENS => {
+            Err(format!("`max_tokens` must be at most {MOST_TOKENS}"))
+        }
+        _ => Ok(request),
+    }
+}
+
 /// Estimates a request's cost in tokens: its prompt and its longest answer.
 pub fn estimate(request: &Request, body_bytes: usize) -> u32 {
     let prompt = u32::try_from(body_bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -1,23 +1,27 @@
 //! Start and stop of an entry.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
-    admin::Admin,
-    dump::Dump,
-    phase::{Control, Phase},
-    signal,
-    supervisor::Supervisor,
+    kernel::{self, Kernel},
+    metric,
 };
 use pistachiolug_lists::{force::Force, reader};
-use pistachiolug_membership::{follow, view::View};
+use pistachiolug_membership::{follow, probe, view::View};
 use pistachiolug_platform::{directory, kv::etcd::Etcd};
 use pistachiolug_settings::daemon::Daemon;
+use pistachiolug_wire::instance::Place;
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::{call::Runner, door::Door, internal::Internal, remote::Remote};
+use crate::{
+    call::Runner, door::Door, internal::Internal, metrics::Metrics, remote::Remote, router::Router,
+};
 
 /// Idle connections kept per agent.
 const IDLE_CONNECTIONS: usize = 64;
@@ -28,8 +32,8 @@
 /// Worker threads of the internal port.
 const INTERNAL_THREADS: usize = 1;
 
-/// Interval at which a draining process looks whether its calls have ended.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a leaving entry still takes calls, so that the balancer sees that it is not ready.
+const BALANCER_GRACE: Duration = Duration::from_secs(3);
 
 /// Reports an entry that could not start.
 #[derive(Debug, Snafu)]
@@ -37,80 +41,105 @@
     /// The settings name no address for callers.
     #[snafu(display("settings lack `callers`"))]
     NoCallers,
-    /// A port could not be bound, or signals not handled.
+    /// A port could not be bound.
     #[snafu(display("{source}"))]
     Io {
         /// Cause.
         source: io::Error,
     },
+    /// A metric could not be registered.
+    #[snafu(display("{source}"))]
+    Metric {
+        /// Cause.
+        source: metric::Error,
+    },
+    /// The process ended after a failure.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// Cause.
+        source: kernel::Error,
+    },
 }
 
 /// Runs an entry until it is told to stop and its calls have ended.
 ///
 /// # Errors
-/// Returns what kept the entry from starting.
+/// Returns what kept the entry from starting, or what failed while it ran.
 pub async fn run(settings: Daemon, secret: Secret) -> Result<(), Error> {
     let callers = settings.callers.context(NoCallersSnafu)?;
-    let control = Control::default();
-    let supervisor = Supervisor::new(control.clone());
-    let dump = Dump::default();
+    let kernel = Kernel::start(&settings.instance);
     let force = Force::default();
     let view = View::default();
     let client = Client::new(IDLE_CONNECTIONS);
-    let store = Etcd::new(client.clone(), &settings.platform.key_value);
-    let directory = directory::Http::new(client.clone(), &settings.platform.instances);
-    add_parts(&dump, &settings, &force, &view);
+    let place = Place {
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+    };
+    let router = Router::new(view.clone(), &settings.instance, place);
+    let metrics = Metrics::new(&kernel.metrics).context(MetricSnafu)?;
+    let remote = Remote::new(client.clone(), secret.clone());
+    let runner = Runner::new(router, remote, metrics, Some(settings.internal));
+    add_parts(&kernel, &force, &view, &runner);
     let internal = Internal {
-        admin: Admin {
-            control: control.clone(),
-            dump,
-            metrics: prometheus::Registry::new(),
-        },
-        secret: secret.clone(),
+        admin: kernel.admin(),
+        secret,
+        view: view.clone(),
     };
     let door = Door {
         force: force.clone(),
-        runner: Runner {
-            view: view.clone(),
-            remote: Remote::new(client, secret),
-        },
+        runner,
+        control: kernel.control().clone(),
         deadline_ms: settings.calls.deadline_ms,
     };
     let limit = Limit {
         body_bytes: settings.calls.body_bytes,
         ..Limit::default()
     };
-    let internal = Server::bind(
-        settings.internal,
-        INTERNAL_THREADS,
-        Limit::default(),
-        internal,
-    )
-    .context(IoSnafu)?;
+    let bare = Limit::default();
+    let internal =
+        Server::bind(settings.internal, INTERNAL_THREADS, bare, internal).context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
+    let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let directory = directory::Http::new(client, &settings.platform.instances);
+    let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store, force));
-    supervisor.spawn("membership", follow::run(directory, view));
-    control.advance(Phase::Running);
+    supervisor.spawn(
+        "membership",
+        follow::run(directory, view.clone(), kernel.timer.clone()),
+    );
+    supervisor.spawn("probes", probe::run(view, kernel.timer.clone()));
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
-    tokio::select! {
-        stopped = signal::stop() => stopped.context(IoSnafu)?,
-        () = control.reached(Phase::Draining) => {}
-    }
-    control.advance(Phase::Draining);
-    while server.active() > 0 {
-        tokio::time::sleep(DRAIN_INTERVAL).await;
-    }
-    control.advance(Phase::Stopped);
-    server.stop();
+    let drain = Duration::from_millis(settings.calls.drain_ms.into());
+    let began = OnceLock::new();
+    let idle = || {
+        let began: &Instant = began.get_or_init(Instant::now);
+        began.elapsed() >= BALANCER_GRACE && server.active() == 0
+    };
+    let ended = kernel.run(drain, idle).await;
+    server.finish().await;
     internal.stop();
-    Ok(())
+    ended.context(KernelSnafu)
 }
 
-fn add_parts(dump: &Dump, settings: &Daemon, force: &Force, view: &View) {
-    let instance = settings.instance.clone();
-    dump.add("instance", move || json!(instance));
+fn add_parts(kernel: &Kernel, force: &Force, view: &View, runner: &Runner) {
+    let dump = &kernel.dump;
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
     let view = view.clone();
-    dump.add("instances", move || json!(view.now().instances.len()));
+    dump.add("instances", move || {
+        let list = view.now();
+        json!({
+            "version": list.version,
+            "rows": list.instances.len(),
+            "barred": view.barred(),
+        })
+    });
+    let runner = runner.clone();
+    dump.add("calls", move || {
+        json!({
+            "open": runner.metrics.open.get(),
+            "saved_retries": runner.saved_retries(),
+            "router": runner.router.dump(),
+        })
+    });
 }
--- a/crates/pistachiolug_entry/src/remote.rs
+++ b/crates/pistachiolug_entry/src/remote.rs
@@ -148,12 +148,7 @@
         codec::decode(answer.body()).context(MalformedSnafu)
     }
 
-    fn request(
-        &self,
-        agent: SocketAddr,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Request<Bytes>, Error> {
+    fn request(&self, agent: SocketAddr, path: &str, body: Bytes) -> Result<Request<Bytes>, Error> {
         Request::post(format!("http://{agent}{path}"))
             .header(secret::HEADER, self.secret.expose())
             .body(body)
--- /dev/null
+++ b/crates/pistachiolug_entry/tests/fake/mod.rs
@@ -0,0 +1,287 @@
+//! Scripted agents and a runner that knows them.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use pistachiolug_entry::{call::Runner, metrics::Metrics, remote::Remote, router::Router};
+use pistachiolug_http::{
+    body::Body as Stream,
+    client::Client,
+    limit::Limit,
+    secret::Secret,
+    server::{Handler, Reply, Request, Server},
+};
+use pistachiolug_membership::view::View;
+use pistachiolug_platform::directory::Snapshot;
+use pistachiolug_wire::{
+    call::{Body, Event, Finish, Generation, Id, Open, Plain, Response as Answer, Tokens, Work},
+    codec,
+    digest::Digest,
+    fault::{Code, Fault},
+    instance::{Instance, Place, Role, State},
+    load::Load,
+    revoke::{Cancel, Revoke, Verdict},
+};
+use tokio::sync::mpsc;
+
+/// One step of a scripted answer.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Sends an event.
+    Send(Body),
+    /// Sends an event of another call.
+    Cross,
+    /// Keeps the connection open and sends nothing more.
+    Silence,
+    /// Sends heartbeats and nothing else.
+    Wait,
+}
+
+/// What an agent was asked.
+#[derive(Debug, Default)]
+pub struct Record {
+    scripts: VecDeque<Vec<Step>>,
+    verdicts: VecDeque<Verdict>,
+    /// Calls opened or joined.
+    pub opens: Vec<Open>,
+    /// Calls revoked.
+    pub revokes: Vec<Revoke>,
+    /// Calls cancelled.
+    pub cancels: Vec<Cancel>,
+}
+
+/// Scripted agent; a script ends by closing the stream.
+#[derive(Debug, Clone, Default)]
+pub struct Agent {
+    record: Arc<Mutex<Record>>,
+}
+
+impl Agent {
+    /// Creates an agent that plays one script per open or join, and gives one verdict per revoke, then none.
+    pub fn new(scripts: &[Vec<Step>], verdicts: &[Verdict]) -> Self {
+        let record = Record {
+            scripts: scripts.iter().cloned().collect(),
+            verdicts: verdicts.iter().copied().collect(),
+            ..Record::default()
+        };
+        Self {
+            record: Arc::new(Mutex::new(record)),
+        }
+    }
+
+    /// Starts a server for the agent.
+    pub fn serve(&self) -> Server {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Server::bind(address, 1, Limit::default(), self.clone()).expect("port is free")
+    }
+
+    /// Returns what the agent was asked.
+    pub fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().unwrap()
+    }
+
+    fn open(&self, body: &[u8]) -> Reply {
+        let open: Open = codec::decode(body).expect("calls are well formed");
+        let mut record = self.record();
+        let script = record.scripts.pop_front();
+        let call = open.id;
+        record.opens.push(open);
+        let Some(script) = script else {
+            return status(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        let (sender, stream) = Stream::channel();
+        tokio::spawn(async move { play(script, call, sender).await });
+        Response::new(stream)
+    }
+
+    fn revoke(&self, body: &[u8]) -> Reply {
+        let mut record = self.record();
+        let revoke = codec::decode(body).expect("revokes are well formed");
+        record.revokes.push(revoke);
+        match record.verdicts.pop_front() {
+            Some(verdict) => Response::new(codec::encode(&verdict).into()),
+            None => status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+}
+
+impl Handler for Agent {
+    async fn handle(&self, request: Request) -> Reply {
+        match request.uri().path() {
+            "/internal/call" => self.open(request.body()),
+            "/internal/revoke" => self.revoke(request.body()),
+            "/internal/cancel" => {
+                let cancel = codec::decode(request.body()).expect("cancels are well formed");
+                self.record().cancels.push(cancel);
+                Response::new(codec::encode(&Verdict::Started).into())
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+async fn play(script: Vec<Step>, call: Id, sender: mpsc::Sender<Bytes>) {
+    for step in script {
+        let event = match step {
+            Step::Send(body) => Event { call, body },
+            Step::Cross => Event {
+                call: Id(call.0 ^ 1),
+                body: tokens(0, &["stray"]),
+            },
+            Step::Silence => {
+                sender.closed().await;
+                return;
+            }
+            Step::Wait => loop {
+                let body = Body::Heartbeat(Load::default());
+                if sender.send(codec::frame(&Event { call, body })).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            },
+        };
+        if sender.send(codec::frame(&event)).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Stream::from(""));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Returns a runner whose first choice is `near` and second `far`.
+pub fn runner(near: SocketAddr, far: SocketAddr) -> Runner {
+    let rows = [("near", "midrand", near), ("far", "pinetown", far)];
+    let instances = rows.map(|(name, zone, address)| Instance {
+        name: name.to_owned(),
+        role: Role::Agent,
+        service: "assistant".to_owned(),
+        address,
+        place: place(zone),
+        state: State::Live,
+    });
+    let view = View::default();
+    view.replace(Snapshot {
+        version: 1,
+        instances: instances.to_vec(),
+    });
+    let router = Router::new(view, "entry-0", place("midrand"));
+    let metrics = Metrics::new(&prometheus::Registry::new()).expect("names are free");
+    let remote = Remote::new(Client::new(4), Secret::new("secret"));
+    Runner::new(router, remote, metrics, None)
+}
+
+fn place(zone: &str) -> Place {
+    Place {
+        region: "gauteng".to_owned(),
+        zone: zone.to_owned(),
+    }
+}
+
+/// Returns an address at which nobody listens.
+pub fn nobody() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("port is free");
+    listener.local_addr().expect("listener has an address")
+}
+
+/// Returns the message that opens a call.
+pub fn open(work: Work) -> Open {
+    Open {
+        id: Id(rand::random()),
+        service: "assistant".to_owned(),
+        customer: "paid".to_owned(),
+        plan: "paid".to_owned(),
+        lists_revision: 1,
+        deadline_ms: 20_000,
+        content: Digest::of(b""),
+        work,
+        join: false,
+        crashes: 0,
+        entry: None,
+    }
+}
+
+/// Returns a generation.
+pub fn generation() -> Work {
+    Work::Model(Generation {
+        model: "pasta".to_owned(),
+        version: String::new(),
+        path: "/v1/completions".to_owned(),
+        body: Bytes::from_static(b"{}"),
+        reached: 0,
+        prefix: String::new(),
+        estimate: 10,
+        cache: None,
+    })
+}
+
+/// Returns a call to a plain service.
+pub fn plain(idempotent: bool) -> Work {
+    Work::Plain(Plain {
+        method: "POST".to_owned(),
+        path: "/orders".to_owned(),
+        content_type: String::new(),
+        body: Bytes::from_static(b"{}"),
+        key: None,
+        idempotent,
+    })
+}
+
+/// Returns a start.
+pub fn started(version: &str) -> Step {
+    Step::Send(Body::Started {
+        version: version.to_owned(),
+    })
+}
+
+/// Returns tokens as an event.
+pub fn tokens(at: u32, texts: &[&str]) -> Body {
+    Body::Tokens(Tokens {
+        at,
+        texts: texts.iter().map(|text| (*text).to_owned()).collect(),
+    })
+}
+
+/// Returns tokens as a step.
+pub fn text(at: u32, texts: &[&str]) -> Step {
+    Step::Send(tokens(at, texts))
+}
+
+/// Returns the end of an answer.
+pub fn finished(tokens: u32) -> Step {
+    Step::Send(Body::Finished(Finish {
+        tokens,
+        prompt_tokens: 1,
+        reason: "stop".to_owned(),
+        load: Load::default(),
+    }))
+}
+
+/// Returns the whole answer of a plain service.
+pub fn response(body: &'static str) -> Step {
+    Step::Send(Body::Response(Answer {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: Bytes::from_static(body.as_bytes()),
+        replayed: false,
+    }))
+}
+
+/// Returns a refusal that ran nothing.
+pub fn not_run(code: Code) -> Step {
+    Step::Send(Body::Failed(Fault::not_run(code, Duration::from_secs(3), "refused")))
+}
+
+/// Returns a failure after a start.
+pub fn unknown(code: Code) -> Step {
+    Step::Send(Body::Failed(Fault::unknown(code, "failed")))
+}
--- a/crates/pistachiolug_http/src/server.rs
+++ b/crates/pistachiolug_http/src/server.rs
@@ -12,12 +12,16 @@
     },
     task::{Context, Poll},
     thread,
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use socket2::SockRef;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::{mpsc, watch},
+    time::timeout,
+};
 use xitca_web::{
     HttpServer,
     body::{Body as _, Frame, RequestBody, ResponseBody},
@@ -27,6 +31,9 @@
 
 use crate::{body::Body, limit::Limit};
 
+/// Longest wait for open connections when a server finishes.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Whole request as a handler sees it.
 pub type Request = http::Request<Bytes>;
 
@@ -55,9 +62,12 @@
     address: SocketAddr,
     active: Arc<AtomicUsize>,
     handle: ServerStop,
+    /// Becomes true when the last worker has ended.
+    ended: watch::Receiver<bool>,
 }
 
-struct ServerStop(Box<dyn Fn() + Send + Sync>);
+/// Stops the workers; the argument tells whether open connections may end by themselves.
+struct ServerStop(Box<dyn Fn(bool) + Send + Sync>);
 
 impl std::fmt::Debug for ServerStop {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -93,13 +103,18 @@
             .listen(listener)?
             .run();
         let stop = running.handle()?;
-        thread::Builder::new()
-            .name("http".into())
-            .spawn(move || running.wait())?;
+        let (sender, ended) = watch::channel(false);
+        thread::Builder::new().name("http".into()).spawn(move || {
+            let ended = running.wait();
+            // Nobody may be waiting any more.
+            let _ = sender.send(true);
+            ended
+        })?;
         Ok(Self {
             address,
             active,
-            handle: ServerStop(Box::new(move || stop.stop(false))),
+            handle: ServerStop(Box::new(move |graceful| stop.stop(graceful))),
+            ended,
         })
     }
 
@@ -115,7 +130,16 @@
 
     /// Closes the port and every connection; drain first.
     pub fn stop(&self) {
-        (self.handle.0)();
+        (self.handle.0)(false);
+    }
+
+    /// Closes the port and waits until open connections have sent what they hold; idle ones end by their timeout.
+    pub async fn finish(&self) {
+        (self.handle.0)(true);
+        let mut ended = self.ended.clone();
+        // An error means that the thread is gone, which is what is waited for.
+        let _ = timeout(FINISH_TIMEOUT, ended.wait_for(|ended| *ended)).await;
+        self.stop();
     }
 }
 
--- a/crates/pistachiolug_kernel/src/metric.rs
+++ b/crates/pistachiolug_kernel/src/metric.rs
@@ -13,6 +13,7 @@
 
 /// Reports a metric that can't be made.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
 pub enum Error {
     /// The metric would have too many series.
     #[snafu(display("metric `{name}` would have {series} series, more than {MOST_SERIES}"))]
--- a/crates/pistachiolug_membership/src/follow.rs
+++ b/crates/pistachiolug_membership/src/follow.rs
@@ -18,8 +18,8 @@
 const LIST_BYTES_PER_SECOND: u64 = 6 * 1024;
 
 /// Keeps `view` in line with the list until the process stops; an outage leaves the last list in place.
-pub async fn run<D: Directory>(directory: D, view: View) {
-    let mut ticks = Timer.subscribe(POLL_INTERVAL, POLL_INTERVAL / 4);
+pub async fn run<D: Directory>(directory: D, view: View, timer: Timer) {
+    let mut ticks = timer.subscribe(POLL_INTERVAL, POLL_INTERVAL / 4);
     loop {
         match directory.read(view.now().version).await {
             Ok(Some(snapshot)) => {
--- a/crates/pistachiolug_wire/src/call.rs
+++ b/crates/pistachiolug_wire/src/call.rs
@@ -185,7 +185,7 @@
 }
 
 /// End of a generated answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finish {
     /// Number of tokens in the whole answer.
     pub tokens: u32,
