--- a/crates/pistachiolug_entry/tests/fake/mod.rs
+++ b/crates/pistachiolug_entry/tests/fake/mod.rs
@@ -140,7 +140,11 @@
             }
             Step::Wait => loop {
                 let body = Body::Heartbeat(Load::default());
-                if sender.send(codec::frame(&Event { call, body })).await.is_err() {
+                if sender
+                    .send(codec::frame(&Event { call, body }))
+                    .await
+                    .is_err()
+                {
                     return;
                 }
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -278,7 +282,11 @@
 
 /// Returns a refusal that ran nothing.
 pub fn not_run(code: Code) -> Step {
-    Step::Send(Body::Failed(Fault::not_run(code, Duration::from_secs(3), "refused")))
+    Step::Send(Body::Failed(Fault::not_run(
+        code,
+        Duration::from_secs(3),
+        "refused",
+    )))
 }
 
 /// Returns a failure after a start.
--- a/crates/pistachiolug_entry/tests/progress.rs
+++ b/crates/pistachiolug_entry/tests/progress.rs
@@ -36,7 +36,9 @@
             }
         }
 
-        let expected: Vec<String> = (0..progress.reached()).map(|index| format!("{index} ")).collect();
+        let expected: Vec<String> = (0..progress.reached())
+            .map(|index| format!("{index} "))
+            .collect();
         assert_eq!(given, expected, "seed {seed}");
         assert_eq!(progress.text(), expected.concat(), "seed {seed}");
     }
