--- a/crates/pistachiolug_entry/src/generate.rs
+++ b/crates/pistachiolug_entry/src/generate.rs
@@ -52,7 +52,7 @@
         }
         let generation = Generation {
             model: model.name.clone(),
-            version: String::new(),
+            version: model.version.clone(),
             path: request.uri().path().to_owned(),
             body: body.clone(),
             reached: 0,
--- a/crates/pistachiolug_entry/tests/fake/mod.rs
+++ b/crates/pistachiolug_entry/tests/fake/mod.rs
@@ -32,7 +32,7 @@
 
 /// One step of a scripted answer.
 #[derive(Debug, Clone)]
-pub enum Step {
+pub(crate) enum Step {
     /// Sends an event.
     Send(Body),
     /// Sends an event of another call.
@@ -45,26 +45,26 @@
 
 /// What an agent was asked.
 #[derive(Debug, Default)]
-pub struct Record {
+pub(crate) struct Record {
     scripts: VecDeque<Vec<Step>>,
     verdicts: VecDeque<Verdict>,
     /// Calls opened or joined.
-    pub opens: Vec<Open>,
+    pub(crate) opens: Vec<Open>,
     /// Calls revoked.
-    pub revokes: Vec<Revoke>,
+    pub(crate) revokes: Vec<Revoke>,
     /// Calls cancelled.
-    pub cancels: Vec<Cancel>,
+    pub(crate) cancels: Vec<Cancel>,
 }
 
 /// Scripted agent; a script ends by closing the stream.
 #[derive(Debug, Clone, Default)]
-pub struct Agent {
+pub(crate) struct Agent {
     record: Arc<Mutex<Record>>,
 }
 
 impl Agent {
     /// Creates an agent that plays one script per open or join, and gives one verdict per revoke, then none.
-    pub fn new(scripts: &[Vec<Step>], verdicts: &[Verdict]) -> Self {
+    pub(crate) fn new(scripts: &[Vec<Step>], verdicts: &[Verdict]) -> Self {
         let record = Record {
             scripts: scripts.iter().cloned().collect(),
             verdicts: verdicts.iter().copied().collect(),
@@ -76,14 +76,14 @@
     }
 
     /// Starts a server for the agent.
-    pub fn serve(&self) -> Server {
+    pub(crate) fn serve(&self) -> Server {
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         Server::bind(address, 1, Limit::default(), self.clone()).expect("port is free")
     }
 
     /// Returns what the agent was asked.
-    pub fn record(&self) -> MutexGuard<'_, Record> {
-        self.record.lock().unwrap()
+    pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().expect("no scripted agent panics")
     }
 
     fn open(&self, body: &[u8]) -> Reply {
@@ -163,7 +163,7 @@
 }
 
 /// Returns a runner whose first choice is `near` and second `far`.
-pub fn runner(near: SocketAddr, far: SocketAddr) -> Runner {
+pub(crate) fn runner(near: SocketAddr, far: SocketAddr) -> Runner {
     let rows = [("near", "midrand", near), ("far", "pinetown", far)];
     let instances = rows.map(|(name, zone, address)| Instance {
         name: name.to_owned(),
@@ -192,13 +192,13 @@
 }
 
 /// Returns an address at which nobody listens.
-pub fn nobody() -> SocketAddr {
+pub(crate) fn nobody() -> SocketAddr {
     let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("port is free");
     listener.local_addr().expect("listener has an address")
 }
 
 /// Returns the message that opens a call.
-pub fn open(work: Work) -> Open {
+pub(crate) fn open(work: Work) -> Open {
     Open {
         id: Id(rand::random()),
         service: "assistant".to_owned(),
@@ -215,7 +215,7 @@
 }
 
 /// Returns a generation.
-pub fn generation() -> Work {
+pub(crate) fn generation() -> Work {
     Work::Model(Generation {
         model: "pasta".to_owned(),
         version: String::new(),
@@ -229,7 +229,7 @@
 }
 
 /// Returns a call to a plain service.
-pub fn plain(idempotent: bool) -> Work {
+pub(crate) fn plain(idempotent: bool) -> Work {
     Work::Plain(Plain {
         method: "POST".to_owned(),
         path: "/orders".to_owned(),
@@ -241,14 +241,14 @@
 }
 
 /// Returns a start.
-pub fn started(version: &str) -> Step {
+pub(crate) fn started(version: &str) -> Step {
     Step::Send(Body::Started {
         version: version.to_owned(),
     })
 }
 
 /// Returns tokens as an event.
-pub fn tokens(at: u32, texts: &[&str]) -> Body {
+pub(crate) fn tokens(at: u32, texts: &[&str]) -> Body {
     Body::Tokens(Tokens {
         at,
         texts: texts.iter().map(|text| (*text).to_owned()).collect(),
@@ -256,12 +256,12 @@
 }
 
 /// Returns tokens as a step.
-pub fn text(at: u32, texts: &[&str]) -> Step {
+pub(crate) fn text(at: u32, texts: &[&str]) -> Step {
     Step::Send(tokens(at, texts))
 }
 
 /// Returns the end of an answer.
-pub fn finished(tokens: u32) -> Step {
+pub(crate) fn finished(tokens: u32) -> Step {
     Step::Send(Body::Finished(Finish {
         tokens,
         prompt_tokens: 1,
@@ -271,7 +271,7 @@
 }
 
 /// Returns the whole answer of a plain service.
-pub fn response(body: &'static str) -> Step {
+pub(crate) fn response(body: &'static str) -> Step {
     Step::Send(Body::Response(Answer {
         status: 200,
         content_type: "text/plain".to_owned(),
@@ -281,7 +281,7 @@
 }
 
 /// Returns a refusal that ran nothing.
-pub fn not_run(code: Code) -> Step {
+pub(crate) fn not_run(code: Code) -> Step {
     Step::Send(Body::Failed(Fault::not_run(
         code,
         Duration::from_secs(3),
@@ -290,6 +290,6 @@
 }
 
 /// Returns a failure after a start.
-pub fn unknown(code: Code) -> Step {
+pub(crate) fn unknown(code: Code) -> Step {
     Step::Send(Body::Failed(Fault::unknown(code, "failed")))
 }
--- a/crates/pistachiolug_entry/tests/recovery.rs
+++ b/crates/pistachiolug_entry/tests/recovery.rs
@@ -18,7 +18,6 @@
 /// One fault: what the nearer agent does, what it says when asked, what the other does, what the caller sees.
 struct Row {
     name: &'static str,
-    work: Work,
     near: Vec<Vec<Step>>,
     verdicts: Vec<Verdict>,
     far: Vec<Vec<Step>>,
@@ -27,294 +26,180 @@
     opens: (usize, usize),
 }
 
+fn row(name: &'static str, near: Vec<Vec<Step>>, verdicts: &[Verdict]) -> Row {
+    Row {
+        name,
+        near,
+        verdicts: verdicts.to_vec(),
+        far: Vec::new(),
+        expected: Ok("abc"),
+        opens: (1, 1),
+    }
+}
+
+impl Row {
+    fn far(mut self, script: Vec<Step>) -> Self {
+        self.far.push(script);
+        self
+    }
+
+    fn ends(mut self, expected: Result<&'static str, (Code, Outcome)>) -> Self {
+        self.expected = expected;
+        self
+    }
+
+    fn opens(mut self, near: usize, far: usize) -> Self {
+        self.opens = (near, far);
+        self
+    }
+}
+
 fn whole() -> Vec<Step> {
-    vec![started("v1"), text(0, &["a", "b", "c"]), finished(3)]
+    rest(0, &["a", "b", "c"])
+}
+
+/// Starts an answer, and breaks off unless more steps follow.
+fn begun(texts: &[&str], more: &[Step]) -> Vec<Step> {
+    [&[started("v1"), text(0, texts)], more].concat()
+}
+
+fn rest(at: u32, texts: &[&str]) -> Vec<Step> {
+    vec![started("v1"), text(at, texts), finished(3)]
 }
 
 fn booked() -> Vec<Step> {
     vec![started(""), response("booked")]
 }
 
-fn generations() -> Vec<Row> {
-    let row = |name, near, verdicts: &[Verdict], far, expected, opens| Row {
-        name,
-        work: generation(),
-        near,
-        verdicts: verdicts.to_vec(),
-        far,
-        expected,
-        opens,
-    };
+fn refused_generations() -> Vec<Row> {
+    let overloaded = || vec![not_run(Code::Overloaded)];
+    let leaving = || vec![not_run(Code::Leaving)];
+    let leaving_later = begun(&["a"], &leaving());
+    let suspect = || vec![started("v1"), unknown(Code::CrashSuspect)];
     vec![
-        row("whole", vec![whole()], &[], vec![], Ok("abc"), (1, 0)),
+        row("whole", vec![whole()], &[]).opens(1, 0),
+        row("overloaded", vec![overloaded()], &[]).far(whole()),
+        row("leaving", vec![leaving()], &[]).far(whole()),
+        row("both overloaded", vec![overloaded()], &[])
+            .far(overloaded())
+            .ends(Err((Code::Overloaded, NotRun))),
         row(
-            "overloaded",
-            vec![vec![not_run(Code::Overloaded)]],
-            &[],
-            vec![whole()],
-            Ok("abc"),
-            (1, 1),
-        ),
-        row(
-            "leaving",
-            vec![vec![not_run(Code::Leaving)]],
+            "leaves with a stream open",
+            vec![leaving_later.clone()],
             &[],
-            vec![whole()],
-            Ok("abc"),
-            (1, 1),
-        ),
+        )
+        .far(rest(1, &["b", "c"])),
+        row("nothing left after tokens", vec![leaving_later], &[])
+            .far(overloaded())
+            .ends(Err((Code::Overloaded, Unknown))),
+        row("two engines die", vec![suspect(), whole()], &[])
+            .far(suspect())
+            .ends(Err((Code::CrashSuspect, Unknown))),
         row(
-            "both overloaded",
-            vec![vec![not_run(Code::Overloaded)]],
+            "suspect refused",
+            vec![vec![not_run(Code::CrashSuspect)]],
             &[],
-            vec![vec![not_run(Code::Overloaded)]],
-            Err((Code::Overloaded, NotRun)),
-            (1, 1),
-        ),
-        row(
-            "lost before its start",
-            vec![vec![]],
-            &[Verdict::Withdrawn],
-            vec![whole()],
-            Ok("abc"),
-            (1, 1),
-        ),
-        row(
+        )
+        .ends(Err((Code::CrashSuspect, NotRun)))
+        .opens(1, 0),
+    ]
+}
+
+fn broken_generations() -> Vec<Row> {
+    let cut = || begun(&["a", "b"], &[]);
+    let joined = |broken, verdict, join| row("", vec![broken, join], &[verdict]).opens(2, 0);
+    let named = |name, row: Row| Row { name, ..row };
+    let gap = begun(&["a"], &[text(2, &["c"]), finished(3)]);
+    let early = begun(&["a"], &[finished(3)]);
+    let crossed = begun(&["a"], &[Step::Cross]);
+    let late = || vec![text(1, &["b", "c"]), finished(3)];
+    vec![
+        row("lost before its start", vec![vec![]], &[Verdict::Withdrawn]).far(whole()),
+        named(
             "cut and joined",
-            vec![
-                vec![started("v1"), text(0, &["a", "b"])],
-                vec![started("v1"), text(2, &["c"]), finished(3)],
-            ],
-            &[Verdict::Started],
-            vec![],
-            Ok("abc"),
-            (2, 0),
+            joined(cut(), Verdict::Started, rest(2, &["c"])),
         ),
-        row(
+        named(
             "join repeats tokens",
-            vec![
-                vec![started("v1"), text(0, &["a", "b"])],
-                vec![text(1, &["b", "c"]), finished(3)],
-            ],
-            &[Verdict::Finished],
-            vec![],
-            Ok("abc"),
-            (2, 0),
+            joined(cut(), Verdict::Finished, late()),
         ),
-        row(
-            "cut and nobody answers",
-            vec![vec![started("v1"), text(0, &["a", "b"])]],
-            &[],
-            vec![vec![started("v1"), text(2, &["c"]), finished(3)]],
-            Ok("abc"),
-            (1, 1),
+        named("tokens missing", joined(gap, Verdict::Started, late())),
+        named(
+            "end before the last token",
+            joined(early, Verdict::Finished, late()),
         ),
+        named("crossed", joined(crossed, Verdict::Started, late())),
+        row("cut and nobody answers", vec![cut()], &[]).far(rest(2, &["c"])),
         row(
             "silent and nobody answers",
-            vec![vec![started("v1"), text(0, &["a"]), Step::Silence]],
+            vec![begun(&["a"], &[Step::Silence])],
             &[],
-            vec![vec![started("v1"), text(1, &["b", "c"]), finished(3)]],
-            Ok("abc"),
-            (1, 1),
-        ),
-        row(
-            "tokens missing",
-            vec![
-                vec![started("v1"), text(0, &["a"]), text(2, &["c"]), finished(3)],
-                vec![text(1, &["b", "c"]), finished(3)],
-            ],
-            &[Verdict::Started],
-            vec![],
-            Ok("abc"),
-            (2, 0),
-        ),
-        row(
-            "end before the last token",
-            vec![
-                vec![started("v1"), text(0, &["a"]), finished(3)],
-                vec![text(1, &["b", "c"]), finished(3)],
-            ],
-            &[Verdict::Finished],
-            vec![],
-            Ok("abc"),
-            (2, 0),
-        ),
-        row(
-            "crossed",
-            vec![
-                vec![started("v1"), text(0, &["a"]), Step::Cross],
-                vec![text(1, &["b", "c"]), finished(3)],
-            ],
-            &[Verdict::Started],
-            vec![],
-            Ok("abc"),
-            (2, 0),
-        ),
+        )
+        .far(rest(1, &["b", "c"])),
         row(
             "engine dies",
-            vec![vec![
-                started("v1"),
-                text(0, &["a"]),
-                unknown(Code::BackendFailed),
-            ]],
-            &[],
-            vec![vec![started("v1"), text(1, &["b", "c"]), finished(3)]],
-            Ok("abc"),
-            (1, 1),
-        ),
-        row(
-            "two engines die",
-            vec![vec![started("v1"), unknown(Code::CrashSuspect)], whole()],
+            vec![begun(&["a"], &[unknown(Code::BackendFailed)])],
             &[],
-            vec![vec![started("v1"), unknown(Code::CrashSuspect)]],
-            Err((Code::CrashSuspect, Unknown)),
-            (1, 1),
-        ),
-        row(
-            "leaves with a stream open",
-            vec![vec![started("v1"), text(0, &["a"]), not_run(Code::Leaving)]],
-            &[],
-            vec![vec![started("v1"), text(1, &["b", "c"]), finished(3)]],
-            Ok("abc"),
-            (1, 1),
-        ),
-        row(
-            "only another version left",
-            vec![vec![started("v1"), text(0, &["a"])]],
-            &[],
-            vec![vec![started("v2"), text(1, &["b", "c"]), finished(3)]],
-            Err((Code::BackendFailed, Unknown)),
-            (1, 1),
-        ),
-        row(
-            "nothing left after tokens",
-            vec![vec![started("v1"), text(0, &["a"]), not_run(Code::Leaving)]],
-            &[],
-            vec![vec![not_run(Code::Overloaded)]],
-            Err((Code::Overloaded, Unknown)),
-            (1, 1),
-        ),
-        row(
-            "suspect refused",
-            vec![vec![not_run(Code::CrashSuspect)]],
-            &[],
-            vec![],
-            Err((Code::CrashSuspect, NotRun)),
-            (1, 0),
-        ),
+        )
+        .far(rest(1, &["b", "c"])),
+        row("only another version left", vec![cut()], &[])
+            .far(vec![started("v2"), text(2, &["c"]), finished(3)])
+            .ends(Err((Code::BackendFailed, Unknown))),
     ]
 }
 
-fn plain_calls() -> Vec<Row> {
-    let row = |name, idempotent, near, verdicts: &[Verdict], far, expected, opens| Row {
-        name,
-        work: plain(idempotent),
-        near,
-        verdicts: verdicts.to_vec(),
-        far,
-        expected,
-        opens,
-    };
+fn broken_bookings() -> Vec<Row> {
+    let lost = Err((Code::BackendFailed, Unknown));
+    let cut = || vec![started("")];
+    let failed = || vec![started(""), unknown(Code::BackendFailed)];
     vec![
-        row(
-            "whole",
-            false,
-            vec![booked()],
-            &[],
-            vec![],
-            Ok("booked"),
-            (1, 0),
-        ),
-        row(
-            "cut, not started",
-            false,
-            vec![vec![]],
-            &[Verdict::Withdrawn],
-            vec![booked()],
-            Ok("booked"),
-            (1, 1),
-        ),
+        row("whole", vec![booked()], &[])
+            .ends(Ok("booked"))
+            .opens(1, 0),
+        row("cut, not started", vec![vec![]], &[Verdict::Withdrawn])
+            .far(booked())
+            .ends(Ok("booked")),
         row(
             "silent, not started",
-            false,
             vec![vec![Step::Silence]],
             &[Verdict::Withdrawn],
-            vec![booked()],
-            Ok("booked"),
-            (1, 1),
-        ),
-        row(
-            "cut, started",
-            false,
-            vec![vec![started("")], booked()],
-            &[Verdict::Started],
-            vec![],
-            Ok("booked"),
-            (2, 0),
-        ),
-        row(
-            "cut, nobody answers",
-            false,
-            vec![vec![started("")]],
-            &[],
-            vec![booked()],
-            Err((Code::BackendFailed, Unknown)),
-            (1, 0),
-        ),
-        row(
-            "cut, agent restarted",
-            false,
-            vec![vec![started("")]],
-            &[Verdict::Unknown],
-            vec![booked()],
-            Err((Code::BackendFailed, Unknown)),
-            (1, 0),
-        ),
+        )
+        .far(booked())
+        .ends(Ok("booked")),
+        row("cut, started", vec![cut(), booked()], &[Verdict::Started])
+            .ends(Ok("booked"))
+            .opens(2, 0),
+        row("cut, nobody answers", vec![cut()], &[])
+            .far(booked())
+            .ends(lost)
+            .opens(1, 0),
+        row("cut, agent restarted", vec![cut()], &[Verdict::Unknown])
+            .far(booked())
+            .ends(lost)
+            .opens(1, 0),
         row(
             "joins keep breaking",
-            false,
-            vec![vec![], vec![], vec![], vec![]],
+            vec![vec![]; 4],
             &[Verdict::Started; 4],
-            vec![booked()],
-            Err((Code::BackendFailed, Unknown)),
-            (4, 0),
-        ),
-        row(
-            "service dies",
-            false,
-            vec![vec![started(""), unknown(Code::BackendFailed)]],
-            &[],
-            vec![booked()],
-            Err((Code::BackendFailed, Unknown)),
-            (1, 0),
-        ),
-        row(
-            "refused",
-            false,
-            vec![vec![not_run(Code::Overloaded)]],
-            &[],
-            vec![booked()],
-            Ok("booked"),
-            (1, 1),
-        ),
+        )
+        .far(booked())
+        .ends(lost)
+        .opens(4, 0),
+        row("service dies", vec![failed()], &[])
+            .far(booked())
+            .ends(lost)
+            .opens(1, 0),
+        row("refused", vec![vec![not_run(Code::Overloaded)]], &[])
+            .far(booked())
+            .ends(Ok("booked")),
         row(
             "claim unavailable",
-            false,
             vec![vec![not_run(Code::ClaimUnavailable)]],
             &[],
-            vec![booked()],
-            Err((Code::ClaimUnavailable, NotRun)),
-            (1, 0),
-        ),
-        row(
-            "idempotent, cut, nobody answers",
-            true,
-            vec![vec![started("")]],
-            &[],
-            vec![booked()],
-            Ok("booked"),
-            (1, 1),
-        ),
+        )
+        .far(booked())
+        .ends(Err((Code::ClaimUnavailable, NotRun)))
+        .opens(1, 0),
     ]
 }
 
@@ -332,7 +217,7 @@
     }
 }
 
-async fn check(row: Row) {
+async fn check(row: Row, work: Work) {
     let (near, far) = (
         Agent::new(&row.near, &row.verdicts),
         Agent::new(&row.far, &[]),
@@ -340,7 +225,7 @@
     let servers = (near.serve(), far.serve());
     let runner = runner(servers.0.address(), servers.1.address());
 
-    let answer = match runner.open(open(row.work), Patience::Whole).await {
+    let answer = match runner.open(open(work), Patience::Whole).await {
         Ok(mut running) => read(&mut running).await,
         Err(fault) => Err(fault),
     };
@@ -354,19 +239,35 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn generations_are_whole_or_say_that_they_are_not() {
-    for row in generations() {
-        check(row).await;
+async fn refused_generations_go_elsewhere_or_say_that_they_do_not() {
+    for row in refused_generations() {
+        check(row, generation()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_generations_end_whole_or_say_that_they_do_not() {
+    for row in broken_generations() {
+        check(row, generation()).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_that_may_not_be_repeated_run_at_most_once() {
-    for row in plain_calls() {
-        check(row).await;
+    for row in broken_bookings() {
+        check(row, plain(false)).await;
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_plain_call_goes_elsewhere_when_nobody_answers() {
+    let row = row("cut", vec![vec![started("")]], &[])
+        .far(booked())
+        .ends(Ok("booked"));
+
+    check(row, plain(true)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unreachable_agent_is_barred_and_another_answers() {
     let far = Agent::new(&[whole()], &[]);
