--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -8,6 +8,7 @@
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
+    dump,
     kernel::{self, Kernel},
     metric,
 };
@@ -122,11 +123,12 @@
 }
 
 fn add_parts(kernel: &Kernel, force: &Force, view: &View, runner: &Runner) {
-    let dump = &kernel.dump;
+    let parts = &kernel.dump;
+    parts.add("traffic", dump::traffic);
     let force = force.clone();
-    dump.add("lists_revision", move || json!(force.now().revision()));
+    parts.add("lists_revision", move || json!(force.now().revision()));
     let view = view.clone();
-    dump.add("instances", move || {
+    parts.add("instances", move || {
         let list = view.now();
         json!({
             "version": list.version,
@@ -135,7 +137,7 @@
         })
     });
     let runner = runner.clone();
-    dump.add("calls", move || {
+    parts.add("calls", move || {
         json!({
             "open": runner.metrics.open.get(),
             "saved_retries": runner.saved_retries(),
