--- a/crates/pistachiolug_entry/src/error.rs
+++ b/crates/pistachiolug_entry/src/error.rs
@@ -63,6 +63,15 @@
     reply
 }
 
+/// Renders the refusal of a body whose end can't be told from a cut.
+pub fn length_required(id: call::Id) -> Reply {
+    let message = "state the body's length, or send a JSON object or array";
+    let fault = Fault::not_run(Code::InvalidRequest, Duration::ZERO, message);
+    let mut reply = reply(&fault, Some(id));
+    *reply.status_mut() = StatusCode::LENGTH_REQUIRED;
+    reply
+}
+
 /// Renders the event that ends a streamed answer which is not whole.
 pub fn event(fault: &Fault) -> String {
     format!("event: error\ndata: {}\n\n", body(fault))
--- a/crates/pistachiolug_entry/src/plain.rs
+++ b/crates/pistachiolug_entry/src/plain.rs
@@ -11,6 +11,8 @@
     fault::{Code, Fault},
 };
 
+use serde::de::IgnoredAny;
+
 use crate::{
     call::{Part, Patience},
     caller::Caller,
@@ -44,6 +46,9 @@
         if !caller.plan.services.contains(&service.name) {
             return Err(refused(Code::NotInPlan, "plan lacks the service"));
         }
+        if !is_whole(request) {
+            return Ok(error::length_required(id));
+        }
         let path = path_below(request, name);
         let safe = matches!(*request.method(), Method::GET | Method::HEAD);
         let mut listed = service.idempotent.iter();
@@ -66,6 +71,19 @@
     }
 }
 
+/// Tells whether a body surely arrived whole.
+///
+/// The server library ends a chunked body that is cut short as if it were whole, and a work order that lacks its end
+/// must not run. A JSON object or array shows its own end.
+fn is_whole(request: &Request) -> bool {
+    if !request.headers().contains_key(header::TRANSFER_ENCODING) {
+        return true;
+    }
+    let body = request.body().trim_ascii_start();
+    let delimited = matches!(body.first(), Some(b'{' | b'['));
+    delimited && serde_json::from_slice::<IgnoredAny>(body).is_ok()
+}
+
 /// Returns the path and query below a service's root.
 fn path_below(request: &Request, name: &str) -> String {
     let whole = request
--- a/crates/pistachiolug_http/src/server.rs
+++ b/crates/pistachiolug_http/src/server.rs
@@ -16,7 +16,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, header};
 use socket2::SockRef;
 use tokio::{
     sync::{mpsc, watch},
@@ -222,10 +222,19 @@
     let bytes = timeout(limit.body_timeout, collect(body, limit.body_bytes))
         .await
         .map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+    if stated_length(whole.headers()).is_some_and(|stated| stated != bytes.len() as u64) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
     *whole.body_mut() = bytes;
     Ok(whole)
 }
 
+/// Returns the body's length by its header; the server library ends a body that is cut short without an error.
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 async fn collect(body: RequestBody, most: usize) -> Result<Bytes, StatusCode> {
     let mut body = std::pin::pin!(body);
     let mut whole = BytesMut::new();
