Add the relay stand-in; shorten the contract table

Cause: no stand-in could stop forwarding without closing. Change: a TCP relay that silences, cuts, delays or refuses; table rows carry only what differs.

--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -7,7 +7,7 @@
 xflags::xflags! {
     /// Load tool and stand-ins of pistachiolug.
     cmd bench {
-        /// Runs one stand-in: kv, directory, origin, engine or plain.
+        /// Runs one stand-in: kv, directory, origin, engine, plain or relay.
         cmd standin {
             /// Role.
             required role: String
@@ -23,6 +23,10 @@
             optional --gap-ms gap_ms: u64
             /// Makes an engine refuse old fencing numbers.
             optional --checks-fence
+            /// Address that a relay forwards to.
+            optional --target target: SocketAddr
+            /// Address on which a relay takes orders.
+            optional --control control: SocketAddr
         }
         /// Runs experiments, writes their results, and exits 1 if a promise was broken.
         cmd run {
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -38,6 +38,8 @@
         first_ms: flags.first_ms.unwrap_or(20),
         gap_ms: flags.gap_ms.unwrap_or(5),
         checks_fence: flags.checks_fence,
+        target: flags.target,
+        control: flags.control,
     };
     standin::run(&flags.role, options)?;
     Ok(ExitCode::SUCCESS)
--- a/crates/pistachiolug_bench/src/standin.rs
+++ b/crates/pistachiolug_bench/src/standin.rs
@@ -13,6 +13,7 @@
     kv::gateway::Gateway,
     origin::Origin,
     plain::Plain,
+    relay::Relay,
 };
 
 /// Largest body a stand-in takes, in bytes.
@@ -33,6 +34,10 @@
     pub gap_ms: u64,
     /// Whether an engine refuses old fencing numbers.
     pub checks_fence: bool,
+    /// Address that a relay forwards to.
+    pub target: Option<SocketAddr>,
+    /// Address on which a relay takes orders.
+    pub control: Option<SocketAddr>,
 }
 
 /// Runs a stand-in until it is told to stop.
@@ -65,6 +70,17 @@
             let speed = Speed { first, gap };
             wait(options, Face::new(speed, options.checks_fence)).await
         }
+        "relay" => match (options.target, options.control) {
+            (Some(target), Some(control)) => {
+                let relay = Relay::start(options.listen, target).await?;
+                let listen = control;
+                wait(Options { listen, ..options }, relay).await
+            }
+            _ => Err(io::Error::new(
+                io::ErrorKind::InvalidInput,
+                "a relay needs --target and --control",
+            )),
+        },
         "plain" => wait(options, Plain::new(first)).await,
         _ => Err(io::Error::new(
             io::ErrorKind::InvalidInput,
--- a/crates/pistachiolug_entry/tests/door.rs
+++ b/crates/pistachiolug_entry/tests/door.rs
@@ -164,271 +164,161 @@
     serde_json::from_str::<Value>(body).map_or(Value::Null, |body| body["error"].clone())
 }
 
-/// Requests that the entry answers itself: name, bytes, status, error code.
-fn wrong_requests() -> Vec<(&'static str, String, u16, &'static str)> {
-    const CHAT: &str = "POST /v1/chat/completions";
-    const BOOK: &str = "POST /services/booking/orders";
-    let chat = |body: &str| request(CHAT, "", body);
-    let key =
-        |headers: &str| request(CHAT, "", "{}").replace("authorization: Bearer good\r\n", headers);
-    let good = r#"{"model":"pasta"}"#;
-    let long = "k".repeat(256);
-    let large = "x".repeat(BODY_BYTES + 1);
-    vec![
-        ("no key", key(""), 401, "invalid_key"),
-        (
-            "unknown key",
-            key("authorization: Bearer bad\r\n"),
-            401,
-            "invalid_key",
-        ),
-        (
-            "other scheme",
-            key("authorization: Basic good\r\n"),
-            401,
-            "invalid_key",
-        ),
-        ("no JSON", chat("{"), 400, "invalid_request"),
-        ("empty body", chat(""), 400, "invalid_request"),
-        ("no object", chat("[]"), 400, "invalid_request"),
-        (
-            "no model",
-            chat(r#"{"messages":[]}"#),
-            400,
-            "invalid_request",
-        ),
-        (
-            "empty model",
-            chat(r#"{"model":""}"#),
-            400,
-            "invalid_request",
-        ),
-        (
-            "no tokens",
-            chat(r#"{"model":"pasta","max_tokens":0}"#),
-            400,
-            "invalid_request",
-        ),
+const CHAT: &str = "POST /v1/chat/completions";
+const BOOK: &str = "POST /services/booking/orders";
+const GOOD: &str = r#"{"model":"pasta"}"#;
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+/// Wrong request: name, bytes, status.
+type Row = (&'static str, String, u16);
+
+fn wrong_bodies() -> Vec<Row> {
+    let rows = [
+        ("no JSON", "{", 400),
+        ("empty body", "", 400),
+        ("no object", "[]", 400),
+        ("no model", r#"{"messages":[]}"#, 400),
+        ("empty model", r#"{"model":""}"#, 400),
+        ("no tokens", r#"{"model":"pasta","max_tokens":0}"#, 400),
         (
             "negative tokens",
-            chat(r#"{"model":"pasta","max_tokens":-1}"#),
+            r#"{"model":"pasta","max_tokens":-1}"#,
             400,
-            "invalid_request",
         ),
         (
             "tokens as text",
-            chat(r#"{"model":"pasta","max_tokens":"9"}"#),
+            r#"{"model":"pasta","max_tokens":"9"}"#,
             400,
-            "invalid_request",
         ),
         (
             "too many tokens",
-            chat(r#"{"model":"pasta","max_tokens":4000000}"#),
+            r#"{"model":"pasta","max_tokens":4000000}"#,
             400,
-            "invalid_request",
-        ),
-        (
-            "invalid UTF-8 escape",
-            chat("{\"model\":\"\\ud800\"}"),
-            400,
-            "invalid_request",
-        ),
-        (
-            "unknown model",
-            chat(r#"{"model":"soup"}"#),
-            404,
-            "not_found",
-        ),
-        (
-            "model of another plan",
-            chat(r#"{"model":"secret"}"#),
-            403,
-            "not_in_plan",
         ),
+        ("half a surrogate", r#"{"model":"\ud800"}"#, 400),
+        ("unknown model", r#"{"model":"soup"}"#, 404),
+        ("model of another plan", r#"{"model":"secret"}"#, 403),
+    ];
+    let rows = rows.into_iter();
+    rows.map(|(name, body, status)| (name, request(CHAT, "", body), status))
+        .collect()
+}
+
+fn wrong_heads() -> Vec<Row> {
+    let keyed = |value: &str| request(BOOK, &format!("idempotency-key: {value}\r\n"), "");
+    let late = |value: &str| {
+        request(
+            CHAT,
+            &format!("x-pistachiolug-deadline-ms: {value}\r\n"),
+            GOOD,
+        )
+    };
+    let known = |value: &str| request(CHAT, "", GOOD).replace("Bearer good", value);
+    let two = "idempotency-key: a\r\nidempotency-key: b\r\n";
+    vec![
         (
-            "unknown path",
-            request("POST /v2/chat", "", good),
-            404,
-            "not_found",
+            "no key",
+            request(CHAT, "", GOOD).replace("authorization", "x-other"),
+            401,
         ),
+        ("unknown key", known("Bearer bad"), 401),
+        ("other scheme", known("Basic good"), 401),
+        ("unknown path", request("POST /v2/chat", "", GOOD), 404),
         (
             "wrong method",
             request("GET /v1/chat/completions", "", ""),
             405,
-            "invalid_request",
         ),
         (
             "wrong method for models",
-            request("POST /v1/models", "", good),
+            request("POST /v1/models", "", GOOD),
             405,
-            "invalid_request",
         ),
         (
             "unknown service",
             request("POST /services/soup/x", "", ""),
             404,
-            "not_found",
-        ),
-        (
-            "no service",
-            request("POST /services/", "", ""),
-            404,
-            "not_found",
         ),
+        ("no service", request("POST /services/", "", ""), 404),
         (
             "service of another plan",
             request("POST /services/billing/x", "", ""),
             403,
-            "not_in_plan",
-        ),
-        (
-            "key with a space",
-            request(BOOK, "idempotency-key: a b\r\n", ""),
-            400,
-            "invalid_request",
-        ),
-        (
-            "empty key",
-            request(BOOK, "idempotency-key:\r\n", ""),
-            400,
-            "invalid_request",
-        ),
-        (
-            "long key",
-            request(BOOK, &format!("idempotency-key: {long}\r\n"), ""),
-            400,
-            "invalid_request",
-        ),
-        (
-            "two keys",
-            request(BOOK, "idempotency-key: a\r\nidempotency-key: b\r\n", ""),
-            400,
-            "invalid_request",
-        ),
-        (
-            "no deadline",
-            request(CHAT, "x-pistachiolug-deadline-ms: 0\r\n", good),
-            400,
-            "invalid_request",
-        ),
-        (
-            "deadline as text",
-            request(CHAT, "x-pistachiolug-deadline-ms: soon\r\n", good),
-            400,
-            "invalid_request",
-        ),
-        ("large body", chat(&large), 413, "invalid_request"),
-        (
-            "large chunked body",
-            raw(
-                CHAT,
-                "transfer-encoding: chunked\r\n",
-                &format!("1001\r\n{large}\r\n0\r\n\r\n"),
-            ),
-            413,
-            "invalid_request",
         ),
+        ("key with a space", keyed("a b"), 400),
+        ("empty key", keyed(""), 400),
+        ("long key", keyed(&"k".repeat(256)), 400),
+        ("two keys", request(BOOK, two, ""), 400),
+        ("no deadline", late("0"), 400),
+        ("deadline as text", late("soon"), 400),
+    ]
+}
+
+fn wrong_uploads() -> Vec<Row> {
+    let large = "x".repeat(BODY_BYTES + 1);
+    let chunks = format!("1001\r\n{large}\r\n0\r\n\r\n");
+    vec![
+        ("large body", request(CHAT, "", &large), 413),
+        ("large chunked body", raw(CHAT, CHUNKED, &chunks), 413),
+        ("slow body", raw(CHAT, "content-length: 50\r\n", "{"), 408),
+        ("slow chunk", raw(CHAT, CHUNKED, "5\r\nab"), 408),
         (
             "chunked text for a service",
-            raw(
-                BOOK,
-                "transfer-encoding: chunked\r\n",
-                "3\r\nabc\r\n0\r\n\r\n",
-            ),
+            raw(BOOK, CHUNKED, "3\r\nabc\r\n0\r\n\r\n"),
             411,
-            "invalid_request",
-        ),
-        (
-            "slow body",
-            raw(CHAT, "content-length: 50\r\n", "{"),
-            408,
-            "invalid_request",
-        ),
-        (
-            "slow chunk",
-            raw(CHAT, "transfer-encoding: chunked\r\n", "5\r\nab"),
-            408,
-            "invalid_request",
         ),
     ]
 }
 
 /// Bytes that break the protocol: each gets a 4xx or a closed connection.
 fn broken_requests() -> Vec<(&'static str, String)> {
-    const CHAT: &str = "POST /v1/chat/completions";
-    let good = r#"{"model":"pasta"}"#;
-    let wide = "x".repeat(1 << 21);
+    let sized = |headers: &str| raw(CHAT, headers, GOOD);
+    let chunked = |chunks: &str| raw(CHAT, CHUNKED, chunks);
+    let both = format!("content-length: 5\r\n{CHUNKED}");
+    let wide = format!("content-length: 17\r\nx-wide: {}\r\n", "x".repeat(1 << 21));
     vec![
-        ("upload cut", raw(CHAT, "content-length: 50\r\n", good)),
+        ("upload cut", sized("content-length: 50\r\n")),
         (
-            "chunked upload cut",
-            raw(CHAT, "transfer-encoding: chunked\r\n", "11\r\n{\"model\""),
+            "two lengths",
+            sized("content-length: 17\r\ncontent-length: 5\r\n"),
         ),
+        ("length as text", sized("content-length: many\r\n")),
+        ("negative length", sized("content-length: -1\r\n")),
+        ("unknown coding", sized("transfer-encoding: zip\r\n")),
+        ("space in a header's name", sized("content-length : 17\r\n")),
+        ("large head", sized(&wide)),
+        ("chunked upload cut", chunked("11\r\n{\"model\"")),
         (
             "chunked order cut",
-            raw(
-                "POST /services/booking/orders",
-                "transfer-encoding: chunked\r\n",
-                "8\r\n{\"a\":[1,\r\n",
-            ),
+            raw(BOOK, CHUNKED, "8\r\n{\"a\":[1,\r\n"),
         ),
         (
             "bad chunk size",
-            raw(
-                CHAT,
-                "transfer-encoding: chunked\r\n",
-                &format!("zz\r\n{good}\r\n0\r\n\r\n"),
-            ),
+            chunked(&format!("zz\r\n{GOOD}\r\n0\r\n\r\n")),
         ),
         (
             "huge chunk size",
-            raw(
-                CHAT,
-                "transfer-encoding: chunked\r\n",
-                &format!("fffffffffffffffff\r\n{good}"),
-            ),
-        ),
-        (
-            "two lengths",
-            raw(CHAT, "content-length: 17\r\ncontent-length: 5\r\n", good),
+            chunked(&format!("fffffffffffffffff\r\n{GOOD}")),
         ),
-        (
-            "length as text",
-            raw(CHAT, "content-length: many\r\n", good),
-        ),
-        ("negative length", raw(CHAT, "content-length: -1\r\n", good)),
         (
             "length and chunks",
-            raw(
-                CHAT,
-                "content-length: 5\r\ntransfer-encoding: chunked\r\n",
-                &format!("11\r\n{good}\r\n0\r\n\r\n"),
-            ),
-        ),
-        (
-            "unknown coding",
-            raw(CHAT, "transfer-encoding: zip\r\n", good),
-        ),
-        (
-            "head cut",
-            "POST /v1/chat/completions HTTP/1.1\r\nhost".to_owned(),
+            raw(CHAT, &both, &format!("11\r\n{GOOD}\r\n0\r\n\r\n")),
         ),
+        ("head cut", format!("{CHAT} HTTP/1.1\r\nhost")),
         ("no HTTP", "\u{16}\u{3}\u{1} hello\r\n\r\n".to_owned()),
-        (
-            "space in a header's name",
-            raw(CHAT, "content-length : 17\r\n", good),
-        ),
-        (
-            "large head",
-            raw(
-                CHAT,
-                &format!("content-length: 17\r\nx-wide: {wide}\r\n"),
-                good,
-            ),
-        ),
     ]
 }
 
+/// Returns the error code that belongs to a status.
+fn code(status: u16) -> &'static str {
+    match status {
+        401 => "invalid_key",
+        403 => "not_in_plan",
+        404 => "not_found",
+        _ => "invalid_request",
+    }
+}
+
 async fn assert_healthy(rig: &Rig, after: &str) {
     let good = request("POST /v1/chat/completions", "", r#"{"model":"pasta"}"#);
     let opens = rig.agent.record().opens.len();
@@ -446,7 +336,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_requests_get_their_error_and_run_nothing() {
     let rig = rig();
-    for (name, bytes, status, code) in wrong_requests() {
+    let rows = [wrong_bodies(), wrong_heads(), wrong_uploads()].concat();
+    for (name, bytes, status) in rows {
         let (seen, answer) = exchange(rig.door.address(), &bytes, false).await;
 
         assert_eq!(seen, status, "{name}: {answer}");
@@ -455,7 +346,7 @@
             "{name}: {answer}"
         );
         let error = error_of(&answer);
-        assert_eq!(error["code"], code, "{name}: {answer}");
+        assert_eq!(error["code"], code(status), "{name}: {answer}");
         assert_eq!(error["outcome"], "not-run", "{name}: {answer}");
         assert!(
             error["message"].is_string() && error["type"].is_string(),
--- a/crates/pistachiolug_standin/src/lib.rs
+++ b/crates/pistachiolug_standin/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod kv;
 pub mod origin;
 pub mod plain;
+pub mod relay;
 pub mod reply;
