--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -48,6 +48,11 @@
             /// Length of the measurement in seconds; 20 unless set.
             optional --seconds seconds: u64
         }
+        /// Starts a whole deployment on loopback, spreads a model, makes calls and prints what held.
+        cmd demo {
+            /// Leaves the deployment running and prints requests to try.
+            optional --stay
+        }
         /// Prints the figures of a second result against a first as ratios.
         cmd compare {
             /// First result, the base of the ratios.
--- a/crates/pistachiolug_entry/src/door.rs
+++ b/crates/pistachiolug_entry/src/door.rs
@@ -6,6 +6,7 @@
 use pistachiolug_http::server::{Handler, Reply, Request};
 use pistachiolug_kernel::phase::{Control, Phase};
 use pistachiolug_lists::{force::Force, lists::Lists};
+use pistachiolug_routing::suspect::{self, Decision};
 use pistachiolug_wire::{
     call::{Id, Open, Work},
     fault::{Code, Fault},
@@ -92,7 +93,7 @@
         Err(refused(Code::NotFound, "no such path"))
     }
 
-    /// Builds the message that opens a call.
+    /// Builds the message that opens a call, unless its content crashed too many backend servers.
     pub(crate) fn message(
         &self,
         lists: &Lists,
@@ -100,20 +101,27 @@
         caller: &Caller,
         service: &str,
         work: Work,
-    ) -> Open {
-        Open {
+    ) -> Result<Open, Fault> {
+        let content = work.content(service);
+        let crashes = lists.suspect(&content).map_or(0, |row| row.count());
+        let crashes = u8::try_from(crashes).unwrap_or(u8::MAX);
+        if suspect::decide(crashes) == Decision::Refuse {
+            let message = "the request crashed the backend servers that ran it";
+            return Err(refused(Code::CrashSuspect, message));
+        }
+        Ok(Open {
             id,
             service: service.to_owned(),
             customer: caller.customer.name.clone(),
             plan: caller.plan.name.clone(),
             lists_revision: lists.revision(),
             deadline_ms: self.deadline_ms,
-            content: work.content(service),
+            content,
             work,
             join: false,
-            crashes: 0,
+            crashes,
             entry: None,
-        }
+        })
     }
 
     /// Returns the time the caller waits at most: its own deadline, but no more than the settings'.
--- a/crates/pistachiolug_entry/src/generate.rs
+++ b/crates/pistachiolug_entry/src/generate.rs
@@ -60,7 +60,8 @@
             estimate: openai::estimate(&parsed, body.len()),
             cache: None,
         };
-        let mut open = self.message(lists, id, caller, &model.service, Work::Model(generation));
+        let work = Work::Model(generation);
+        let mut open = self.message(lists, id, caller, &model.service, work)?;
         open.deadline_ms = self.deadline(request)?;
         let patience = if parsed.stream {
             Patience::Start
--- a/crates/pistachiolug_entry/src/plain.rs
+++ b/crates/pistachiolug_entry/src/plain.rs
@@ -60,7 +60,7 @@
             body: request.body().clone(),
             key: idempotency_key(request.headers())?,
         };
-        let mut open = self.message(lists, id, caller, name, Work::Plain(plain));
+        let mut open = self.message(lists, id, caller, name, Work::Plain(plain))?;
         open.deadline_ms = self.deadline(request)?;
         let mut running = self.runner.open(open, Patience::Whole).await?;
         running.started().await?;
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -8,9 +8,8 @@
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
-    dump,
     kernel::{self, Kernel},
-    metric,
+    metric, registry,
 };
 use pistachiolug_lists::{force::Force, reader};
 use pistachiolug_membership::{follow, probe, view::View};
@@ -48,6 +47,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// A service is registered twice.
+    #[snafu(display("{source}"))]
+    Registry {
+        /// Cause.
+        source: registry::Error,
+    },
     /// A metric could not be registered.
     #[snafu(display("{source}"))]
     Metric {
@@ -69,8 +74,10 @@
 pub async fn run(settings: Daemon, secret: Secret) -> Result<(), Error> {
     let callers = settings.callers.context(NoCallersSnafu)?;
     let kernel = Kernel::start(&settings.instance);
-    let force = Force::default();
-    let view = View::default();
+    let force = kernel.register("lists", Force::default());
+    let force = force.context(RegistrySnafu)?;
+    let view = kernel.register("membership", View::default());
+    let view = view.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
     let place = Place {
         region: settings.region.clone(),
@@ -124,7 +131,6 @@
 
 fn add_parts(kernel: &Kernel, force: &Force, view: &View, runner: &Runner) {
     let parts = &kernel.dump;
-    parts.add("traffic", dump::traffic);
     let force = force.clone();
     parts.add("lists_revision", move || json!(force.now().revision()));
     let view = view.clone();
--- a/crates/pistachiolug_entry/tests/door.rs
+++ b/crates/pistachiolug_entry/tests/door.rs
@@ -170,9 +170,9 @@
 const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 
 /// Wrong request: name, bytes, status.
-type Row = (&'static str, String, u16);
+type Wrong = (&'static str, String, u16);
 
-fn wrong_bodies() -> Vec<Row> {
+fn wrong_bodies() -> Vec<Wrong> {
     let rows = [
         ("no JSON", "{", 400),
         ("empty body", "", 400),
@@ -204,7 +204,7 @@
         .collect()
 }
 
-fn wrong_heads() -> Vec<Row> {
+fn wrong_heads() -> Vec<Wrong> {
     let keyed = |value: &str| request(BOOK, &format!("idempotency-key: {value}\r\n"), "");
     let late = |value: &str| {
         request(
@@ -254,7 +254,7 @@
     ]
 }
 
-fn wrong_uploads() -> Vec<Row> {
+fn wrong_uploads() -> Vec<Wrong> {
     let large = "x".repeat(BODY_BYTES + 1);
     let chunks = format!("1001\r\n{large}\r\n0\r\n\r\n");
     vec![
