--- a/crates/pistachiolug_entry/src/internal.rs
+++ b/crates/pistachiolug_entry/src/internal.rs
@@ -1,6 +1,6 @@
 //! Internal port of an entry.
 
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use pistachiolug_http::{
     body::Body,
     secret::Secret,
@@ -8,6 +8,8 @@
 };
 use pistachiolug_kernel::admin::Admin;
 use pistachiolug_lists::spread::Spread;
+use pistachiolug_membership::{sign::Cause, view::View};
+use pistachiolug_wire::{codec, notice::Leaving};
 
 /// Routes requests on the internal port.
 #[derive(Debug, Clone)]
@@ -18,6 +20,8 @@
     pub secret: Secret,
     /// Lists, which peers ask for.
     pub lists: Spread,
+    /// Instances, which direct notices change.
+    pub view: View,
 }
 
 impl Handler for Internal {
@@ -25,18 +29,39 @@
         let path = request.uri().path();
         let open = matches!(path, "/healthz" | "/readyz");
         if !open && !self.secret.admits(request.headers()) {
-            return refuse(StatusCode::UNAUTHORIZED);
+            return bare(StatusCode::UNAUTHORIZED);
+        }
+        if request.method() == Method::POST && path == "/internal/leaving" {
+            return self.leaving(&request);
         }
         if let Some(reply) = self.lists.serve(&request) {
             return reply;
         }
         let served = self.admin.serve(path);
-        served.unwrap_or_else(|| refuse(StatusCode::NOT_FOUND))
+        served.unwrap_or_else(|| bare(StatusCode::NOT_FOUND))
+    }
+}
+
+impl Internal {
+    /// Takes the notice of an agent that leaves.
+    fn leaving(&self, request: &Request) -> Reply {
+        match codec::decode::<Leaving>(request.body()) {
+            Ok(notice) => {
+                self.view.record(&notice.instance, Cause::Left);
+                bare(StatusCode::NO_CONTENT)
+            }
+            Err(_) => bare(StatusCode::BAD_REQUEST),
+        }
     }
 }
 
-fn refuse(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Body::from(status.as_str().to_owned()));
+fn bare(status: StatusCode) -> Reply {
+    let text = if status == StatusCode::NO_CONTENT {
+        String::new()
+    } else {
+        status.as_str().to_owned()
+    };
+    let mut reply = Response::new(Body::from(text));
     *reply.status_mut() = status;
     reply
 }
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -1,24 +1,30 @@
 //! Start and stop of an entry.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
-    dump::Dump,
     kernel::{self, Kernel},
-    registry,
+    metric, registry,
 };
 use pistachiolug_lists::{
     force::Force,
     spread::{self, Spread},
 };
-use pistachiolug_membership::{follow, view::View};
+use pistachiolug_membership::{follow, probe, view::View};
 use pistachiolug_platform::{directory, kv::etcd::Etcd};
 use pistachiolug_settings::daemon::Daemon;
+use pistachiolug_wire::instance::Place;
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::{call::Runner, door::Door, internal::Internal, remote::Remote};
+use crate::{
+    call::Runner, door::Door, internal::Internal, metrics::Metrics, remote::Remote, router::Router,
+};
 
 /// Idle connections kept per agent.
 const IDLE_CONNECTIONS: usize = 64;
@@ -29,6 +35,9 @@
 /// Worker threads of the internal port.
 const INTERNAL_THREADS: usize = 1;
 
+/// Time for which a leaving entry still takes calls, so that the balancer sees that it is not ready.
+const BALANCER_GRACE: Duration = Duration::from_secs(3);
+
 /// Reports an entry that could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -41,13 +50,19 @@
         /// Cause.
         source: io::Error,
     },
-    /// A service is missing or registered twice.
+    /// A service is registered twice.
     #[snafu(display("{source}"))]
     Registry {
         /// Cause.
         source: registry::Error,
     },
-    /// The process ran and failed.
+    /// A metric could not be registered.
+    #[snafu(display("{source}"))]
+    Metric {
+        /// Cause.
+        source: metric::Error,
+    },
+    /// The process ended after a failure.
     #[snafu(display("{source}"))]
     Kernel {
         /// Cause.
@@ -58,7 +73,7 @@
 /// Runs an entry until it is told to stop and its calls have ended.
 ///
 /// # Errors
-/// Returns what kept the entry from starting.
+/// Returns what kept the entry from starting, or what failed while it ran.
 pub async fn run(settings: Daemon, secret: Secret) -> Result<(), Error> {
     let callers = settings.callers.context(NoCallersSnafu)?;
     let kernel = Kernel::start(&settings.instance);
@@ -67,57 +82,80 @@
     let view = kernel.register("membership", View::default());
     let view = view.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
-    let store = Etcd::new(client.clone(), &settings.platform.key_value);
-    let directory = directory::Http::new(client.clone(), &settings.platform.instances);
+    let place = Place {
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+    };
+    let router = Router::new(view.clone(), &settings.instance, place);
+    let metrics = Metrics::new(&kernel.metrics).context(MetricSnafu)?;
+    let remote = Remote::new(client.clone(), secret.clone());
+    let runner = Runner::new(router, remote, metrics, Some(settings.internal));
     let here = spread::Settings::new(&settings, &secret);
     let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
-    add_parts(&kernel.dump, &force, &view, &lists);
+    add_parts(&kernel, &force, &view, &runner, &lists);
     let internal = Internal {
         admin: kernel.admin(),
-        secret: secret.clone(),
+        secret,
         lists: lists.clone(),
+        view: view.clone(),
     };
     let door = Door {
         force: force.clone(),
-        runner: Runner {
-            view: view.clone(),
-            remote: Remote::new(client, secret),
-        },
+        runner,
+        control: kernel.control().clone(),
         deadline_ms: settings.calls.deadline_ms,
     };
     let limit = Limit {
         body_bytes: settings.calls.body_bytes,
         ..Limit::default()
     };
-    let internal = Server::bind(
-        settings.internal,
-        INTERNAL_THREADS,
-        Limit::default(),
-        internal,
-    )
-    .context(IoSnafu)?;
+    let bare = Limit::default();
+    let internal =
+        Server::bind(settings.internal, INTERNAL_THREADS, bare, internal).context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
+    let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let directory = directory::Http::new(client, &settings.platform.instances);
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", lists.run(store));
     supervisor.spawn(
         "membership",
-        follow::run(directory, view, kernel.timer.clone()),
+        follow::run(directory, view.clone(), kernel.timer.clone()),
     );
+    supervisor.spawn("probes", probe::run(view, kernel.timer.clone()));
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
-    let ended = kernel
-        .run_after(force.ready(), drain, || server.active() == 0)
-        .await;
-    server.stop();
+    let began = OnceLock::new();
+    let idle = || {
+        let began: &Instant = began.get_or_init(Instant::now);
+        began.elapsed() >= BALANCER_GRACE && server.active() == 0
+    };
+    let ended = kernel.run_after(force.ready(), drain, idle).await;
+    server.finish().await;
     internal.stop();
     ended.context(KernelSnafu)
 }
 
-fn add_parts(dump: &Dump, force: &Force, view: &View, lists: &Spread) {
+fn add_parts(kernel: &Kernel, force: &Force, view: &View, runner: &Runner, lists: &Spread) {
+    let parts = &kernel.dump;
     let force = force.clone();
-    dump.add("lists_revision", move || json!(force.now().revision()));
+    parts.add("lists_revision", move || json!(force.now().revision()));
     let lists = lists.clone();
-    dump.add("lists", move || json!(lists.place().report()));
+    parts.add("lists", move || json!(lists.place().report()));
     let view = view.clone();
-    dump.add("instances", move || json!(view.now().instances.len()));
+    parts.add("instances", move || {
+        let list = view.now();
+        json!({
+            "version": list.version,
+            "rows": list.instances.len(),
+            "barred": view.barred(),
+        })
+    });
+    let runner = runner.clone();
+    parts.add("calls", move || {
+        json!({
+            "open": runner.metrics.open.get(),
+            "saved_retries": runner.saved_retries(),
+            "router": runner.router.dump(),
+        })
+    });
 }
