Keep key-value calls within a budget, and give the stand-in faults and limits

Cause: a herd of restarting processes or a failing service must not be met with a flood, and every user of the service needs to know what is certain after a lost answer. Change: a budget around the store (rates, timeouts, jittered backoff, refusal with when to come back), leases that end early on the holder's clock and are checked at the write, a watch that counts only after the service has confirmed it, and faults, limits and counters of the stand-in under /control/. Conclusion: the first try of a process is spread over 2 s.

--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -13,7 +13,11 @@
     spread::{self, Spread},
 };
 use pistachiolug_membership::{follow, view::View};
-use pistachiolug_platform::{directory, engine, kv::etcd::Etcd, plain, source};
+use pistachiolug_platform::{
+    directory, engine,
+    kv::{budget::Budget, etcd::Etcd, pace},
+    plain, source,
+};
 use pistachiolug_settings::daemon::{Daemon, Kind};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -65,6 +69,7 @@
     let engine = engine::http::Http::new(client.clone(), &backend.address);
     let service = plain::Http::new(Client::new(0), &backend.address);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let store = Budget::new(store, pace::Settings::default());
     let origin = source::Http::new(client.clone(), &settings.platform.origin);
     let view = kernel.register("membership", View::default());
     let view = view.context(RegistrySnafu)?;
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -14,7 +14,7 @@
     plan::{Model, Plan, Replicas, Service},
     row::{Kind, Name},
 };
-use pistachiolug_platform::kv::{Expect, Store, etcd::Etcd};
+use pistachiolug_platform::kv::{self, Expect, Store, etcd::Etcd};
 use pistachiolug_weights::manifest::{self, Manifest};
 use pistachiolug_wire::{
     digest::Digest,
@@ -442,11 +442,15 @@
             name: name.to_owned(),
         };
         let key = name.key();
-        let current = store.get(&key).await.map_err(io::Error::other)?;
-        let expect = current.map_or(Expect::Absent, |entry| Expect::Revision(entry.revision));
         let value = serde_json::to_vec(row)?;
-        let swapped = store.swap(&key, expect, Some(&value), None).await;
-        swapped.map(drop).map_err(io::Error::other)
+        loop {
+            let current = store.get(&key).await.map_err(io::Error::other)?;
+            let expect = current.map_or(Expect::Absent, |entry| Expect::Revision(entry.revision));
+            match store.swap(&key, expect, Some(&value), None).await {
+                Err(kv::Error::Throttled { after }) => sleep(after).await,
+                swapped => return swapped.map(drop).map_err(io::Error::other),
+            }
+        }
     }
 }
 
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -16,7 +16,10 @@
     spread::{self, Spread},
 };
 use pistachiolug_membership::{follow, probe, view::View};
-use pistachiolug_platform::{directory, kv::etcd::Etcd};
+use pistachiolug_platform::{
+    directory,
+    kv::{budget::Budget, etcd::Etcd, pace},
+};
 use pistachiolug_settings::daemon::Daemon;
 use pistachiolug_wire::instance::Place;
 use serde_json::json;
@@ -114,6 +117,7 @@
         Server::bind(settings.internal, INTERNAL_THREADS, bare, internal).context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let store = Budget::new(store, pace::Settings::default());
     let directory = directory::Http::new(client, &settings.platform.instances);
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", lists.run(store));
--- a/crates/pistachiolug_ledger/src/incarnation.rs
+++ b/crates/pistachiolug_ledger/src/incarnation.rs
@@ -9,11 +9,14 @@
 /// Number of keys over which all instances spread, so that a restart of many rarely meets on one key.
 ///
 /// Instances share keys, so nothing accumulates as instances are replaced.
-pub const KEYS: u32 = 1024;
+pub const KEYS: u32 = 4096;
 
 /// Prefix of the keys.
 const PREFIX: &str = "pistachiolug/incarnations/";
 
+/// Time over which the first tries of processes that start together are spread.
+const START_SPREAD: Duration = Duration::from_secs(2);
+
 /// First wait after a call without an answer.
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 
@@ -32,6 +35,7 @@
 /// The number is the revision of a conditional write. A write whose answer was lost counts if the key still holds this
 /// call's token; a number that was drawn and not recognised is never used, which is harmless.
 pub async fn acquire<S: Store>(store: &S, instance: &str) -> u64 {
+    sleep(START_SPREAD.mul_f64(rand::random())).await;
     let mut wait = FIRST_WAIT;
     loop {
         match try_acquire(store, instance).await {
--- a/crates/pistachiolug_ledger/src/log.rs
+++ b/crates/pistachiolug_ledger/src/log.rs
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Self {
             shards: 4,
-            interval: Duration::from_millis(100),
+            interval: Duration::from_millis(250),
             patience: Duration::from_secs(2),
             linger: Duration::from_millis(400),
         }
--- a/crates/pistachiolug_ledger/src/shard.rs
+++ b/crates/pistachiolug_ledger/src/shard.rs
@@ -313,6 +313,7 @@
     /// Answers a batch whose effect is not certain; its claims are given back with the next write.
     fn fail(&mut self, batch: Vec<Operation>, error: &Error) {
         self.known = false;
+        self.contend();
         for operation in batch {
             if matches!(operation.work, Work::Claim) {
                 self.remember(operation.claim);
--- a/crates/pistachiolug_ledger/tests/ledger.rs
+++ b/crates/pistachiolug_ledger/tests/ledger.rs
@@ -48,6 +48,7 @@
         lost_answer: 0.2,
         lost_request: 0.1,
         yields: 4,
+        ..Faults::default()
     }
 }
 
--- a/crates/pistachiolug_lists/tests/apply.rs
+++ b/crates/pistachiolug_lists/tests/apply.rs
@@ -288,6 +288,7 @@
         lost_answer: 0.15,
         lost_request: 0.05,
         yields: 3,
+        ..Faults::default()
     });
     let operators: Vec<_> = (0..3)
         .map(|author| tokio::spawn(edit(store.clone(), author, seed)))
--- a/crates/pistachiolug_platform/src/kv.rs
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -1,7 +1,10 @@
 //! Key-value service with compare-and-swap, leases and watches.
 
+pub mod budget;
 pub mod etcd;
+pub mod hold;
 pub mod memory;
+pub mod pace;
 pub mod state;
 
 use std::{future::Future, time::Duration};
--- a/crates/pistachiolug_platform/src/kv/etcd.rs
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -105,6 +105,7 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Vec<Event>, Error> {
         let deadline = Instant::now() + wait;
+        let confirm = Instant::now() + TIMEOUT;
         let body = json!({ "create_request": {
             "key": encode(prefix),
             "range_end": encode_end(prefix),
@@ -120,19 +121,23 @@
         }
         let mut body = response.into_body();
         let mut buffer = BytesMut::new();
+        let mut created = false;
         loop {
-            let frame = match timeout_at(deadline, body.frame()).await {
+            let until = if created { deadline } else { confirm };
+            let frame = match timeout_at(until, body.frame()).await {
                 Ok(Some(frame)) => frame.map_err(unavailable)?,
                 Ok(None) => return Err(unavailable("watch ended")),
-                Err(_) => return Ok(Vec::new()),
+                Err(_) if created => return Ok(Vec::new()),
+                Err(_) => return Err(unavailable("watch gave no sign")),
             };
             if let Ok(data) = frame.into_data() {
                 traffic::count_received(data.len());
                 buffer.extend_from_slice(&data);
             }
-            let events = take_events(&mut buffer)?;
-            if !events.is_empty() {
-                return Ok(events);
+            let message = take_messages(&mut buffer)?;
+            created |= message.created;
+            if !message.events.is_empty() {
+                return Ok(message.events);
             }
         }
     }
@@ -176,8 +181,16 @@
     })
 }
 
-fn take_events(buffer: &mut BytesMut) -> Result<Vec<Event>, Error> {
-    let mut events = Vec::new();
+/// What a watch has reported.
+#[derive(Debug, Default)]
+struct Report {
+    /// Whether the service has confirmed the watch, without which silence means nothing.
+    created: bool,
+    events: Vec<Event>,
+}
+
+fn take_messages(buffer: &mut BytesMut) -> Result<Report, Error> {
+    let mut report = Report::default();
     while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
         let line = buffer.split_to(end + 1);
         let message: Value = serde_json::from_slice(&line).map_err(malformed)?;
@@ -186,11 +199,12 @@
         if oldest > 0 {
             return Err(Error::Compacted { oldest });
         }
+        report.created |= result["created"].as_bool() == Some(true);
         for event in result["events"].as_array().into_iter().flatten() {
-            events.push(read_event(event)?);
+            report.events.push(read_event(event)?);
         }
     }
-    Ok(events)
+    Ok(report)
 }
 
 fn read_event(event: &Value) -> Result<Event, Error> {
@@ -257,6 +271,8 @@
         (StatusCode::TOO_MANY_REQUESTS, _) => Error::Throttled {
             after: THROTTLE_WAIT,
         },
+        (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE, _) => Error::Malformed { reason },
+        (StatusCode::NOT_FOUND, Effect::Write) => Error::LeaseEnded,
         (StatusCode::SERVICE_UNAVAILABLE, _) | (_, Effect::Read) => Error::Unavailable { reason },
         (_, Effect::Write) => Error::Unknown { reason },
     }
--- a/crates/pistachiolug_platform/src/kv/memory.rs
+++ b/crates/pistachiolug_platform/src/kv/memory.rs
@@ -6,7 +6,11 @@
 };
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use tokio::{sync::watch, task::yield_now, time::timeout};
+use tokio::{
+    sync::watch,
+    task::yield_now,
+    time::{sleep, timeout},
+};
 
 use super::{Entry, Error, Event, Expect, Lease, Range, Store, Swap, state::State};
 
@@ -21,6 +25,8 @@
     pub lost_request: f64,
     /// Most times a call gives way to other tasks before it takes effect, and as often before it answers.
     pub yields: u32,
+    /// Time that each call other than a watch takes, half of it before its effect.
+    pub latency: Duration,
 }
 
 /// Number of calls by kind.
@@ -143,6 +149,10 @@
         for _ in 0..times {
             yield_now().await;
         }
+        let latency = self.inner().faults.latency;
+        if !latency.is_zero() {
+            sleep(latency / 2).await;
+        }
     }
 
     fn draw(&self) -> Fate {
--- a/crates/pistachiolug_platform/src/kv/state.rs
+++ b/crates/pistachiolug_platform/src/kv/state.rs
@@ -123,6 +123,11 @@
         self.leases.contains_key(&lease.0)
     }
 
+    /// Ends all leases; the next expiry deletes their keys.
+    pub fn end_leases(&mut self) {
+        self.leases.clear();
+    }
+
     /// Ends leases whose time is over and deletes their keys.
     pub fn expire(&mut self, now: Instant) -> bool {
         self.leases.retain(|_, term| term.ends > now);
--- a/crates/pistachiolug_standin/src/kv.rs
+++ b/crates/pistachiolug_standin/src/kv.rs
@@ -1,3 +1,4 @@
 //! Key-value service behind the etcd v3 JSON gateway's paths.
 
+pub mod fault;
 pub mod gateway;
--- a/crates/pistachiolug_standin/src/kv/gateway.rs
+++ b/crates/pistachiolug_standin/src/kv/gateway.rs
@@ -16,8 +16,12 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
+use super::fault::{Delivery, Faults, Kind, Limits, Record};
 use crate::reply;
 
+/// Largest value in bytes.
+const VALUE_BYTES: usize = 1 << 20;
+
 /// Interval at which leases are checked.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -25,14 +29,27 @@
 #[derive(Debug, Clone)]
 pub struct Gateway {
     state: Arc<Mutex<State>>,
-    /// Revision of the last write, which wakes watches.
+    control: Arc<Mutex<Control>>,
+    /// Revision of the last write, which wakes watches; orders wake them too.
     written: watch::Sender<u64>,
 }
 
+#[derive(Debug)]
+struct Control {
+    faults: Faults,
+    limits: Limits,
+    record: Record,
+}
+
 impl Default for Gateway {
     fn default() -> Self {
         Self {
             state: Arc::default(),
+            control: Arc::new(Mutex::new(Control {
+                faults: Faults::default(),
+                limits: Limits::new(Instant::now()),
+                record: Record::default(),
+            })),
             written: watch::Sender::new(0),
         }
     }
@@ -54,10 +71,78 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn control(&self) -> MutexGuard<'_, Control> {
+        self.control.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn order(&self, name: &str, query: Option<&str>) -> Reply {
+        match name {
+            "record" => return reply::json(StatusCode::OK, &self.control().record),
+            "compact" => self.state().compact(),
+            "lapse" => {
+                self.state().end_leases();
+                self.state().expire(Instant::now());
+            }
+            "limit" => self.control().limits.order(query, Instant::now()),
+            _ if self.control().faults.order(name, query) => {}
+            _ => return reply::status(StatusCode::NOT_FOUND),
+        }
+        let revision = self.state().revision();
+        self.written.send_replace(revision);
+        reply::status(StatusCode::NO_CONTENT)
+    }
+
+    /// Counts a call and decides whether it is served.
+    fn admit(&self, path: &str, bytes: usize) -> Result<Faults, StatusCode> {
+        let mut control = self.control();
+        control.record.received_bytes += bytes as u64;
+        if control.faults.down {
+            control.record.refused += 1;
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let kind = match path {
+            "/v3/kv/txn" | "/v3/lease/grant" | "/v3/lease/keepalive" => Kind::Write,
+            _ => Kind::Read,
+        };
+        if !control.limits.take(kind, Instant::now()) {
+            control.record.limited += 1;
+            return Err(StatusCode::TOO_MANY_REQUESTS);
+        }
+        let record = &mut control.record;
+        match path {
+            "/v3/kv/txn" => record.writes += 1,
+            "/v3/watch" => record.watches += 1,
+            "/v3/kv/range" => record.reads += 1,
+            _ => record.leases += 1,
+        }
+        Ok(control.faults)
+    }
+
+    async fn serve(&self, path: &str, body: &[u8]) -> Reply {
+        let Ok(value) = serde_json::from_slice(body) else {
+            return reply::status(StatusCode::BAD_REQUEST);
+        };
+        let faults = match self.admit(path, body.len()) {
+            Ok(faults) => faults,
+            Err(status) => return reply::status(status),
+        };
+        let reply = self.answer(path, &value);
+        let lost = path == "/v3/kv/txn" && self.control().faults.take_lost_answer();
+        tokio::time::sleep(faults.slow).await;
+        if lost {
+            // As if a proxy in between had given up on the answer.
+            return reply::status(StatusCode::GATEWAY_TIMEOUT);
+        }
+        if let Body::Full(bytes) = reply.body() {
+            self.control().record.sent_bytes += bytes.len() as u64;
+        }
+        reply
+    }
+
     fn answer(&self, path: &str, body: &Value) -> Reply {
         match path {
             "/v3/kv/range" => reply::json(StatusCode::OK, &self.range(body)),
-            "/v3/kv/txn" => reply::json(StatusCode::OK, &self.transaction(body)),
+            "/v3/kv/txn" => self.transaction(body),
             "/v3/kv/compaction" => {
                 self.state().compact();
                 reply::json(StatusCode::OK, &json!({}))
@@ -85,7 +170,7 @@
         })
     }
 
-    fn transaction(&self, body: &Value) -> Value {
+    fn transaction(&self, body: &Value) -> Reply {
         let compare = &body["compare"][0];
         let key = text(&compare["key"]);
         let expect = match number(&compare["mod_revision"]) {
@@ -97,17 +182,27 @@
         let lease = Some(number(&put["lease"]).cast_signed())
             .filter(|lease| *lease != 0)
             .map(Lease);
+        if value
+            .as_ref()
+            .is_some_and(|value| value.len() > VALUE_BYTES)
+        {
+            return reply::status(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         let mut state = self.state();
+        if lease.is_some_and(|lease| !state.has_lease(lease)) {
+            return reply::status(StatusCode::NOT_FOUND);
+        }
         let swap = state.swap(&key, expect, value, lease);
         self.written.send_replace(state.revision());
         let header = json!({ "revision": state.revision().to_string() });
-        match swap {
+        let answer = match swap {
             Swap::Done { .. } => json!({ "header": header, "succeeded": true, "responses": [{}] }),
             Swap::Lost { current } => {
                 let rows: Vec<Value> = current.iter().map(render_entry).collect();
                 json!({ "header": header, "responses": [{ "response_range": { "kvs": rows } }] })
             }
-        }
+        };
+        reply::json(StatusCode::OK, &answer)
     }
 
     fn grant(&self, body: &Value) -> Value {
@@ -136,21 +231,21 @@
 
     async fn feed(&self, sender: mpsc::Sender<Bytes>, start: &str, end: &str, mut after: u64) {
         let mut written = self.written.subscribe();
-        let created = json!({ "result": { "created": true } });
-        if send(&sender, &created).await.is_err() {
+        let opened = self.control().faults;
+        let header = json!({ "revision": self.state().revision().to_string() });
+        let created = json!({ "result": { "header": header, "created": true } });
+        if !opened.deaf && self.send(&sender, &created).await.is_err() {
             return;
         }
         loop {
-            let events = self.state().events_after(after, start, end);
-            let message = match &events {
-                Ok(events) => render_events(events),
-                Err(oldest) => json!({ "result": { "compact_revision": oldest.to_string() } }),
-            };
-            if let Some(last) = events.iter().flatten().last() {
-                after = last.revision();
-            }
-            let quiet = events.as_ref().is_ok_and(Vec::is_empty);
-            if !quiet && send(&sender, &message).await.is_err() {
+            let faults = self.control().faults;
+            let silent = opened.deaf || faults.down || faults.silenced > opened.silenced;
+            if !silent
+                && self
+                    .send_events(&sender, start, end, &mut after, faults)
+                    .await
+                    .is_err()
+            {
                 return;
             }
             tokio::select! {
@@ -159,20 +254,52 @@
             }
         }
     }
-}
 
-impl Handler for Gateway {
-    async fn handle(&self, request: Request) -> Reply {
-        let Ok(body) = serde_json::from_slice(request.body()) else {
-            return reply::status(StatusCode::BAD_REQUEST);
+    async fn send_events(
+        &self,
+        sender: &mpsc::Sender<Bytes>,
+        start: &str,
+        end: &str,
+        after: &mut u64,
+        faults: Faults,
+    ) -> Result<(), ()> {
+        let events = self.state().events_after(*after, start, end);
+        let mut events = match events {
+            Ok(events) => events,
+            Err(oldest) => {
+                let compacted = json!({ "compact_revision": oldest.to_string() });
+                return self.send(sender, &json!({ "result": compacted })).await;
+            }
+        };
+        let Some(last) = events.last() else {
+            return Ok(());
         };
-        self.answer(request.uri().path(), &body)
+        *after = last.revision();
+        if faults.delivery == Delivery::Reversed {
+            events.reverse();
+        }
+        let message = render_events(&events);
+        if faults.delivery == Delivery::Repeated {
+            self.send(sender, &message).await?;
+        }
+        self.send(sender, &message).await
+    }
+
+    async fn send(&self, sender: &mpsc::Sender<Bytes>, message: &Value) -> Result<(), ()> {
+        let line = format!("{message}\n");
+        self.control().record.sent_bytes += line.len() as u64;
+        sender.send(line.into()).await.map_err(drop)
     }
 }
 
-async fn send(sender: &mpsc::Sender<Bytes>, message: &Value) -> Result<(), ()> {
-    let line = format!("{message}\n");
-    sender.send(line.into()).await.map_err(drop)
+impl Handler for Gateway {
+    async fn handle(&self, request: Request) -> Reply {
+        let path = request.uri().path();
+        if let Some(name) = path.strip_prefix("/control/") {
+            return self.order(name, request.uri().query());
+        }
+        self.serve(path, request.body()).await
+    }
 }
 
 fn render_events(events: &[Event]) -> Value {
