Give the engine and plain stand-ins slots, faults and records

Cause: the stand-in ran every generation at once, could not be cancelled by id, frozen or crashed, and kept no account of what it ran, so no failure test could judge the agent. Change: slots by priority, cancel, resume, role, cache export and import, late and gappy cache events, lagging load, crash on a marker, freeze on order, a record of every run; the plain stand-in loses answers or exits on order.

--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -23,6 +23,8 @@
             optional --gap-ms gap_ms: u64
             /// Makes an engine refuse old fencing numbers.
             optional --checks-fence
+            /// Generations that an engine runs at once.
+            optional --slots slots: u32
         }
         /// Runs experiments, writes their results, and exits 1 if a promise was broken.
         cmd run {
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -34,6 +34,7 @@
         first_ms: flags.first_ms.unwrap_or(20),
         gap_ms: flags.gap_ms.unwrap_or(5),
         checks_fence: flags.checks_fence,
+        slots: flags.slots.unwrap_or(64),
     };
     standin::run(&flags.role, options)?;
     Ok(ExitCode::SUCCESS)
--- a/crates/pistachiolug_bench/src/standin.rs
+++ b/crates/pistachiolug_bench/src/standin.rs
@@ -9,7 +9,10 @@
 use pistachiolug_kernel::signal;
 use pistachiolug_standin::{
     directory::Directory,
-    engine::face::{Face, Speed},
+    engine::{
+        control::Crash,
+        face::{Face, Speed},
+    },
     kv::gateway::Gateway,
     origin::Origin,
     plain::Plain,
@@ -33,6 +36,8 @@
     pub gap_ms: u64,
     /// Whether an engine refuses old fencing numbers.
     pub checks_fence: bool,
+    /// Generations that an engine runs at once.
+    pub slots: u32,
 }
 
 /// Runs a stand-in until it is told to stop.
@@ -63,7 +68,10 @@
         "engine" => {
             let gap = Duration::from_millis(options.gap_ms);
             let speed = Speed { first, gap };
-            wait(options, Face::new(speed, options.checks_fence)).await
+            let face = Face::new(speed, options.checks_fence)
+                .with_slots(options.slots)
+                .with_crash(Crash::Exit);
+            wait(options, face).await
         }
         "plain" => wait(options, Plain::new(first)).await,
         _ => Err(io::Error::new(
--- a/crates/pistachiolug_standin/src/engine/face.rs
+++ b/crates/pistachiolug_standin/src/engine/face.rs
@@ -2,26 +2,30 @@
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 use pistachiolug_http::{
     body::Body,
     server::{Handler, Reply, Request},
 };
-use pistachiolug_platform::engine::Order;
-use pistachiolug_wire::digest::Digest;
+use pistachiolug_platform::engine::{Order, Role};
+use serde::Deserialize;
 use serde_json::json;
-use tokio::{sync::mpsc, time::sleep};
+use tokio::sync::oneshot;
 
 use super::{
-    answer,
+    control::{Control, Crash},
+    slots::Slots,
     state::{Refusal, State},
+    stream::{self, Job},
 };
 use crate::reply;
 
+/// Generations that run at once unless set otherwise.
+const SLOTS: u32 = 64;
+
 /// Speed of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct Speed {
@@ -34,17 +38,17 @@
 /// Engine stand-in; clones share one state.
 #[derive(Debug, Clone)]
 pub struct Face {
-    speed: Speed,
+    pub(super) speed: Speed,
+    pub(super) slots: Slots,
+    pub(super) control: Control,
+    crash: Crash,
     state: Arc<Mutex<State>>,
 }
 
-/// One generation to run.
-struct Job {
-    weights: Digest,
-    prompt: Digest,
-    version: String,
-    from: u32,
-    to: u32,
+#[derive(Debug, Deserialize)]
+struct RoleOrder {
+    fence: u64,
+    role: Role,
 }
 
 impl Face {
@@ -53,64 +57,120 @@
         let state = State::new(rand::random(), checks_fence);
         Self {
             speed,
+            slots: Slots::new(SLOTS),
+            control: Control::default(),
+            crash: Crash::Restart,
             state: Arc::new(Mutex::new(state)),
         }
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    /// Sets how many generations run at once.
+    #[must_use]
+    pub fn with_slots(mut self, count: u32) -> Self {
+        self.slots = Slots::new(count);
+        self
+    }
+
+    /// Sets what a crash does.
+    #[must_use]
+    pub fn with_crash(mut self, crash: Crash) -> Self {
+        self.crash = crash;
+        self
+    }
+
+    /// Locks the engine's state, for checks and for its own work.
+    pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Freezes or thaws the engine.
+    pub fn freeze(&self, frozen: bool) {
+        self.control.freeze(frozen);
+    }
+
+    /// Crashes the engine now.
+    pub fn crash(&self) {
+        if self.crash == Crash::Exit {
+            std::process::exit(101);
+        }
+        self.state().restart(rand::random());
+        self.control.crash();
+    }
+
     fn generate(&self, request: &Request) -> Reply {
-        let version = header_text(request.headers(), "x-model-version").to_owned();
-        let Some(weights) = self.state().weights(&version) else {
+        let headers = request.headers();
+        let version = header_text(headers, "x-model-version").to_owned();
+        let mut state = self.state();
+        let Some(weights) = state.weights(&version) else {
             return refuse(StatusCode::CONFLICT, "version is not loaded");
         };
-        let from = header_text(request.headers(), "x-resume-at").parse();
+        let id = header_text(headers, "x-request-id").to_owned();
         let job = Job {
             weights,
-            prompt: Digest::of(request.body()),
+            prompt: request.body().clone(),
             version,
-            from: from.unwrap_or(0),
-            to: answer::length(request.body()),
+            priority: header_text(headers, "x-priority").parse().unwrap_or(0),
+            from: header_text(headers, "x-resume-at").parse().unwrap_or(0),
+            cached: state.take_import(&id),
+            id,
         };
         let (sender, stream) = Body::channel();
-        let face = self.clone();
-        tokio::spawn(async move {
-            face.state().running += 1;
-            face.stream(&job, &sender).await;
-            face.state().running -= 1;
-        });
+        let (cancel, cancelled) = oneshot::channel();
+        state.enter(&job.id, cancel);
+        drop(state);
+        tokio::spawn(stream::run(self.clone(), job, sender, cancelled));
         Response::new(stream)
     }
 
-    /// Sends tokens until the answer ends or the reader goes away.
-    async fn stream(&self, job: &Job, sender: &mpsc::Sender<Bytes>) {
-        sleep(self.speed.first).await;
-        for index in job.from..job.to {
-            let text = answer::token(&job.weights, &job.prompt, index);
-            let event = json!({
-                "version": job.version,
-                "choices": [{ "index": 0, "delta": { "content": text } }],
-            });
-            if sender
-                .send(format!("data: {event}\n\n").into())
-                .await
-                .is_err()
-            {
-                return;
+    fn cancel(&self, id: &str) -> Reply {
+        if self.state().cancel(id) {
+            return reply::json(StatusCode::OK, &json!({}));
+        }
+        refuse(StatusCode::NOT_FOUND, "no such generation")
+    }
+
+    fn export_cache(&self, id: &str) -> Reply {
+        if self.state().has_run(id) {
+            return reply::json(StatusCode::OK, &json!({ "id": id }));
+        }
+        refuse(StatusCode::NOT_FOUND, "no such generation")
+    }
+
+    fn import_cache(&self, id: &str) -> Reply {
+        self.state().import(id);
+        reply::json(StatusCode::OK, &json!({}))
+    }
+
+    async fn cache_events(&self, request: &Request) -> Reply {
+        let query = request.uri().query();
+        let after = reply::query_number(query, "after");
+        let wait = Duration::from_millis(reply::query_number(query, "wait_ms"));
+        let until = Instant::now() + wait;
+        loop {
+            let now = Instant::now();
+            let events = self.state().cache.events_after(after, now);
+            if !events.is_empty() || now >= until {
+                return reply::json(StatusCode::OK, &events);
             }
-            sleep(self.speed.gap).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn set_role(&self, request: &Request) -> Reply {
+        let Ok(order) = serde_json::from_slice::<RoleOrder>(request.body()) else {
+            return reply::status(StatusCode::BAD_REQUEST);
+        };
+        conclude(self.state().set_role(order.fence, order.role))
+    }
+
+    fn obey(&self, order: &str) -> Reply {
+        match order {
+            "freeze" => self.freeze(true),
+            "thaw" => self.freeze(false),
+            "crash" => self.crash(),
+            _ => return reply::status(StatusCode::NOT_FOUND),
         }
-        let last = json!({
-            "version": job.version,
-            "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
-            "usage": { "prompt_tokens": 1 },
-        });
-        // The reader may be gone by now.
-        let _ = sender
-            .send(format!("data: {last}\n\ndata: [DONE]\n\n").into())
-            .await;
+        reply::json(StatusCode::OK, &json!({}))
     }
 
     fn stage(&self, request: &Request) -> Reply {
@@ -146,14 +206,39 @@
 impl Handler for Face {
     async fn handle(&self, request: Request) -> Reply {
         let path = request.uri().path();
+        if let Some(order) = path.strip_prefix("/control/") {
+            if order == "record" {
+                return reply::json(StatusCode::OK, &self.state().record);
+            }
+            return self.obey(order);
+        }
+        self.control.thawed().await;
         match (request.method().clone(), path) {
             (Method::POST, "/v1/chat/completions" | "/v1/completions") => self.generate(&request),
             (Method::GET, "/v1/engine/state") => {
-                reply::json(StatusCode::OK, &self.state().report())
+                let waiting = self.slots.waiting();
+                reply::json(StatusCode::OK, &self.state().report(waiting))
             }
-            (Method::GET, "/control/record") => reply::json(StatusCode::OK, &self.state().orders),
+            (Method::GET, "/v1/engine/cache-events") => self.cache_events(&request).await,
+            (Method::POST, "/v1/engine/role") => self.set_role(&request),
             (Method::POST, "/v1/engine/load" | "/v1/engine/unload") => self.order(&request),
-            (Method::PUT, path) if path.starts_with("/v1/engine/parts/") => self.stage(&request),
+            (method, path) => self.serve_named(&method, path, &request),
+        }
+    }
+}
+
+impl Face {
+    /// Serves the paths that end with a name.
+    fn serve_named(&self, method: &Method, path: &str, request: &Request) -> Reply {
+        if path.starts_with("/v1/engine/parts/") && *method == Method::PUT {
+            return self.stage(request);
+        }
+        if let Some(id) = path.strip_prefix("/v1/engine/requests/") {
+            return self.cancel(id);
+        }
+        match (path.strip_prefix("/v1/engine/cache/"), method) {
+            (Some(id), &Method::GET) => self.export_cache(id),
+            (Some(id), &Method::PUT) => self.import_cache(id),
             _ => reply::status(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/pistachiolug_standin/src/engine/state.rs
+++ b/crates/pistachiolug_standin/src/engine/state.rs
@@ -1,9 +1,21 @@
 //! Weights and calls that an engine holds.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
-use pistachiolug_platform::engine::{self, Loaded, Order};
+use pistachiolug_platform::engine::{self, Loaded, Order, Role};
 use pistachiolug_wire::digest::Digest;
+use tokio::sync::oneshot;
+
+use super::{
+    cache::Cache,
+    record::{End, Record, Run},
+};
+
+/// Age up to which load figures are reported again.
+const LOAD_LAG: Duration = Duration::from_millis(500);
 
 /// State of one engine.
 #[derive(Debug)]
@@ -16,10 +28,19 @@
     /// Bytes handed over, by model and version.
     staged: BTreeMap<(String, String), Vec<u8>>,
     loaded: Vec<Loaded>,
+    role: Role,
+    /// Everything done, for checks.
+    pub record: Record,
+    /// Prefix cache.
+    pub cache: Cache,
+    /// Waiting and running generations, by call id.
+    cancels: BTreeMap<String, oneshot::Sender<()>>,
     /// Running generations.
-    pub running: u32,
-    /// Every order that took effect, for checks.
-    pub orders: Vec<String>,
+    running: u32,
+    /// Load figures as reported, with the time they were taken.
+    reported: (Instant, u32, u32),
+    /// Calls whose cache was imported.
+    imported: BTreeSet<String>,
 }
 
 /// Refusal of an order.
@@ -40,22 +61,99 @@
             fence: 0,
             staged: BTreeMap::new(),
             loaded: Vec::new(),
+            role: Role::default(),
+            record: Record::default(),
+            cache: Cache::default(),
+            cancels: BTreeMap::new(),
             running: 0,
-            orders: Vec::new(),
+            reported: (Instant::now(), 0, 0),
+            imported: BTreeSet::new(),
         }
     }
 
-    /// Renders the engine's account of itself.
-    pub fn report(&self) -> engine::State {
+    /// Renders the engine's account of itself; load figures lag.
+    pub fn report(&mut self, waiting: u32) -> engine::State {
+        if self.reported.0.elapsed() >= LOAD_LAG {
+            self.reported = (Instant::now(), self.running, waiting);
+        }
         engine::State {
             incarnation: self.incarnation,
             loaded: self.loaded.clone(),
+            role: self.role,
             fence: self.fence,
-            running: self.running,
-            ..engine::State::default()
+            running: self.reported.1,
+            queued: self.reported.2,
+        }
+    }
+
+    /// Loses everything that a restart loses; the record stays.
+    pub fn restart(&mut self, incarnation: u64) {
+        let record = std::mem::take(&mut self.record);
+        *self = Self {
+            record,
+            ..Self::new(incarnation, self.checks_fence)
+        };
+    }
+
+    /// Enters a waiting generation by the way to cancel it.
+    pub fn enter(&mut self, id: &str, cancel: oneshot::Sender<()>) {
+        self.cancels.insert(id.to_owned(), cancel);
+    }
+
+    /// Cancels a generation; `false` if none has the id.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let cancel = self.cancels.remove(id);
+        cancel.is_some_and(|cancel| cancel.send(()).is_ok())
+    }
+
+    /// Forgets an ended generation's way to cancel it.
+    pub fn forget(&mut self, id: &str) {
+        if self.cancels.get(id).is_some_and(oneshot::Sender::is_closed) {
+            self.cancels.remove(id);
         }
     }
 
+    /// Records a generation that got its slot and returns its place in the record.
+    pub fn begin(&mut self, run: Run) -> usize {
+        self.running += 1;
+        self.record.runs.push(run);
+        self.record.runs.len() - 1
+    }
+
+    /// Records a sent token.
+    pub fn sent(&mut self, index: usize) {
+        self.record.runs[index].sent += 1;
+    }
+
+    /// Records the end of a generation.
+    pub fn end(&mut self, index: usize, end: End) {
+        self.running = self.running.saturating_sub(1);
+        self.record.runs[index].end = end;
+    }
+
+    /// Notes an imported cache.
+    pub fn import(&mut self, id: &str) {
+        self.imported.insert(id.to_owned());
+    }
+
+    /// Uses up a call's imported cache; `false` if there is none.
+    pub fn take_import(&mut self, id: &str) -> bool {
+        self.imported.remove(id)
+    }
+
+    /// Tells whether a generation has run here.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.record.runs.iter().any(|run| run.id == id)
+    }
+
+    /// Changes the role.
+    pub fn set_role(&mut self, fence: u64, role: Role) -> Result<(), Refusal> {
+        self.check_fence(fence)?;
+        self.role = role;
+        self.record.orders.push(format!("role {role:?}"));
+        Ok(())
+    }
+
     /// Finds the weights of a version.
     pub fn weights(&self, version: &str) -> Option<Digest> {
         let loaded = self.loaded.iter().find(|loaded| loaded.version == version);
@@ -94,7 +192,8 @@
             version: order.version.clone(),
             digest: order.digest,
         });
-        self.orders
+        self.record
+            .orders
             .push(format!("load {} {}", order.model, order.version));
         Ok(())
     }
@@ -104,7 +203,8 @@
         self.check_fence(order.fence)?;
         self.loaded
             .retain(|loaded| loaded.version != order.version || loaded.model != order.model);
-        self.orders
+        self.record
+            .orders
             .push(format!("unload {} {}", order.model, order.version));
         Ok(())
     }
--- a/crates/pistachiolug_standin/src/plain.rs
+++ b/crates/pistachiolug_standin/src/plain.rs
@@ -1,7 +1,8 @@
 //! Plain service that records every run.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    future::pending,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -24,23 +25,77 @@
     pub key: Option<String>,
 }
 
+/// What happens to the next calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The call runs and its answer never comes.
+    LoseAnswer,
+    /// The call runs and the process ends before it answers.
+    Exit,
+}
+
 /// Plain service stand-in; clones share one record.
 #[derive(Debug, Clone)]
 pub struct Plain {
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug)]
+struct Shared {
     delay: Duration,
-    runs: Arc<Mutex<Vec<Run>>>,
+    runs: Vec<Run>,
+    /// Fault of the next calls and how many it hits.
+    fault: Option<(Fault, u64)>,
 }
 
 impl Plain {
     /// Creates a service whose calls take `delay`.
     pub fn new(delay: Duration) -> Self {
-        Self {
+        let shared = Shared {
             delay,
-            runs: Arc::default(),
+            runs: Vec::new(),
+            fault: None,
+        };
+        Self {
+            shared: Arc::new(Mutex::new(shared)),
+        }
+    }
+
+    /// Lets a fault happen to the next `calls` calls.
+    pub fn fail_next(&self, fault: Fault, calls: u64) {
+        self.shared().fault = Some((fault, calls));
+    }
+
+    /// Sets the time that calls take.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared().delay = delay;
+    }
+
+    /// Returns all runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared().runs.clone()
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves `/control/…`: `record`, and the orders `delay?ms=`, `lose?calls=` and `exit?calls=`.
+    fn obey(&self, order: &str, query: Option<&str>) -> Reply {
+        let calls = reply::query_number(query, "calls").max(1);
+        match order {
+            "record" => return reply::json(StatusCode::OK, &self.shared().runs),
+            "delay" => self.set_delay(Duration::from_millis(reply::query_number(query, "ms"))),
+            "lose" => self.fail_next(Fault::LoseAnswer, calls),
+            "exit" => self.fail_next(Fault::Exit, calls),
+            _ => return reply::status(StatusCode::NOT_FOUND),
         }
+        reply::json(StatusCode::OK, &json!({}))
     }
+}
 
-    fn record(&self, request: &Request) -> usize {
+impl Shared {
+    fn record(&mut self, request: &Request) -> usize {
         let run = Run {
             method: request.method().to_string(),
             path: request.uri().to_string(),
@@ -50,20 +105,34 @@
                 .and_then(|key| key.to_str().ok())
                 .map(str::to_owned),
         };
-        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.push(run);
-        runs.len()
+        self.runs.push(run);
+        self.runs.len()
+    }
+
+    fn take_fault(&mut self) -> Option<Fault> {
+        let (fault, calls) = self.fault.take()?;
+        if calls > 1 {
+            self.fault = Some((fault, calls - 1));
+        }
+        Some(fault)
     }
 }
 
 impl Handler for Plain {
     async fn handle(&self, request: Request) -> Reply {
-        if request.uri().path() == "/control/record" {
-            let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-            return reply::json(StatusCode::OK, &*runs);
+        if let Some(order) = request.uri().path().strip_prefix("/control/") {
+            return self.obey(order, request.uri().query());
+        }
+        let (number, fault, delay) = {
+            let mut shared = self.shared();
+            (shared.record(&request), shared.take_fault(), shared.delay)
+        };
+        sleep(delay).await;
+        match fault {
+            Some(Fault::LoseAnswer) => pending().await,
+            Some(Fault::Exit) => std::process::exit(101),
+            None => {}
         }
-        let number = self.record(&request);
-        sleep(self.delay).await;
         let echo = String::from_utf8_lossy(request.body()).into_owned();
         reply::json(
             StatusCode::OK,
