Admit, start, join, withdraw and drain calls at the agent

Cause: the agent ran whatever arrived, at once, and kept nothing: a lost connection lost the answer, a late arrival ran after its refusal, and a leaving agent cut or accepted calls. Change: runs keep their answer so that an entry joins at the token it has reached; revoke and cancel; access, limits, shares and predicted waits before the queue; claims before calls that may not be repeated; pauses of trial runs; crash suspects; heartbeats; leaving with notices, hand-back and moves with the engine's cache; metrics and a dump.

--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -1,45 +1,147 @@
-//! Calls that run at the backend server.
+//! Calls at the backend server: admission, shares, start, answer, withdrawal.
 
-use std::time::Duration;
+mod access;
+mod admit;
+mod claim;
+mod desk;
+mod leave;
+mod limits;
+mod model;
+mod plain;
+mod reader;
+pub mod run;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use pistachiolug_http::{body::Body as Stream, server::Reply};
-use pistachiolug_platform::{
-    engine::{self, Chunk, Engine, Generate, Generation as _},
-    plain::{self, Service},
+use pistachiolug_kernel::clock::{Clock, System};
+use pistachiolug_ledger::claim::Claims;
+use pistachiolug_lists::force::Force;
+use pistachiolug_platform::{engine::Engine, plain::Service};
+use pistachiolug_routing::{
+    schedule::{Action, Capacity},
+    table::Stage,
 };
 use pistachiolug_wire::{
-    call::{Body, Event, Finish, Generation, Open, Plain, Response as Answer, Tokens, Work},
+    call::{Body, Id, Open, Work},
     codec,
     fault::{Code, Fault},
     load::Load,
+    revoke::{Cancel, Revoke, Verdict},
 };
-use tokio::sync::mpsc;
+use serde_json::{Value, json};
+use tokio::{sync::mpsc, time::sleep};
 
-/// Runs calls; clones share the backend server.
+use crate::{metrics::Metrics, peers::Peers, serving::Serving};
+use desk::Desk;
+use reader::Reader;
+use run::{Order, Run};
+
+/// Time for which a run that nobody reads waits for its entry to come back.
+const REJOIN_TIME: Duration = Duration::from_secs(4);
+
+/// Interval at which waiting calls are judged again and old rows are forgotten.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Drift between two machines' clocks that is allowed for when ages are compared, as a part of the age.
+const AGE_MARGIN_PART: u32 = 100;
+
+/// Least margin when ages are compared.
+const AGE_MARGIN: Duration = Duration::from_millis(200);
+
+/// What an agent knows of itself.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of the instance.
+    pub instance: String,
+    /// Fencing number of this incarnation.
+    pub incarnation: u64,
+    /// Service of the backend server.
+    pub service: String,
+    /// Whether the backend server is a model engine.
+    pub model: bool,
+    /// Size of the backend server and the queue.
+    pub capacity: Capacity,
+    /// Heartbeat interval inside open streams.
+    pub heartbeat: Duration,
+}
+
+/// Services that calls use.
 #[derive(Debug, Clone)]
-pub struct Calls<E, S> {
-    engine: E,
-    service: S,
+pub struct Parts<E, S, C> {
+    /// Model engine.
+    pub engine: E,
+    /// View of the engine.
+    pub serving: Serving<E>,
+    /// Plain service.
+    pub service: S,
+    /// Ledger of claims.
+    pub claims: C,
+    /// Lists in force.
+    pub force: Force,
+    /// Way to other processes.
+    pub peers: Peers,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+/// Runs calls; clones share the backend server.
+#[derive(Debug)]
+pub struct Calls<E, S, C> {
+    inner: Arc<Inner<E, S, C>>,
+}
+
+impl<E, S, C> Clone for Calls<E, S, C> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
 }
 
-impl<E: Engine, S: Service> Calls<E, S> {
+#[derive(Debug)]
+struct Inner<E, S, C> {
+    options: Options,
+    parts: Parts<E, S, C>,
+    clock: System,
+    desk: Mutex<Desk>,
+}
+
+/// How a driver stops.
+enum Stop {
+    /// The answer has ended.
+    Ended(Body),
+    /// The run gave its slot back and waits to be resumed.
+    Paused,
+}
+
+impl<E: Engine, S: Service, C: Claims> Calls<E, S, C> {
     /// Creates the service for one backend server.
-    pub fn new(engine: E, service: S) -> Self {
-        Self { engine, service }
+    pub fn new(options: Options, parts: Parts<E, S, C>) -> Self {
+        let desk = Mutex::new(Desk::new(options.capacity));
+        let inner = Inner {
+            options,
+            parts,
+            clock: System::default(),
+            desk,
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
     }
 
-    /// Opens a call and answers with its stream of events.
+    /// Opens or joins a call and answers with its stream of events.
     pub fn open(&self, body: &[u8]) -> Reply {
         let Ok(open) = codec::decode::<Open>(body) else {
-            let mut reply = Response::new(Stream::from("malformed call"));
-            *reply.status_mut() = StatusCode::BAD_REQUEST;
-            return reply;
+            return refuse(StatusCode::BAD_REQUEST);
         };
         let (sender, stream) = Stream::channel();
         let calls = self.clone();
-        tokio::spawn(async move { calls.run(open, sender).await });
+        tokio::spawn(async move { calls.serve(open, sender).await });
         let mut reply = Response::new(stream);
         reply.headers_mut().insert(
             header::CONTENT_TYPE,
@@ -48,124 +150,301 @@
         reply
     }
 
-    async fn run(&self, open: Open, sender: mpsc::Sender<Bytes>) {
-        let writer = Writer {
+    /// Withdraws a call unless it has started.
+    pub fn revoke(&self, body: &[u8]) -> Reply {
+        let Ok(revoke) = codec::decode::<Revoke>(body) else {
+            return refuse(StatusCode::BAD_REQUEST);
+        };
+        let known = self.desk().table.find(revoke.call).is_some();
+        let verdict = match self.withdraw(revoke.call) {
+            Verdict::Withdrawn if !known && !self.witnessed(revoke.age_ms) => Verdict::Unknown,
+            verdict => verdict,
+        };
+        Response::new(codec::encode(&verdict).into())
+    }
+
+    /// Ends a call whose caller is gone.
+    pub fn cancel(&self, body: &[u8]) -> Reply {
+        let Ok(cancel) = codec::decode::<Cancel>(body) else {
+            return refuse(StatusCode::BAD_REQUEST);
+        };
+        let verdict = self.abandon(cancel.call);
+        Response::new(codec::encode(&verdict).into())
+    }
+
+    /// Judges waiting calls and forgets old rows until the process stops.
+    pub async fn run(self) {
+        loop {
+            sleep(TICK).await;
+            self.tick();
+        }
+    }
+
+    /// Returns the load as entries are told it.
+    pub fn load(&self) -> Load {
+        self.desk().load()
+    }
+
+    /// Renders the state for the dump; it holds no caller's content.
+    pub fn dump(&self) -> Value {
+        let now = self.now();
+        let desk = self.desk();
+        json!({
+            "leaving": desk.leaving,
+            "load": desk.load(),
+            "rate": desk.schedule.rate(),
+            "queued": desk.table.count(Stage::Queued),
+            "started": desk.table.count(Stage::Started),
+            "finished": desk.table.count(Stage::Finished),
+            "withdrawn": desk.table.count(Stage::Withdrawn),
+            "answer_bytes": desk.table.bytes(),
+            "claims_open": desk.claims,
+            "limited_customers": desk.limits.len(),
+            "suspects": desk.suspects(now),
+        })
+    }
+
+    fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.inner
+            .desk
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Duration {
+        self.inner.clock.now()
+    }
+
+    /// Serves one connection of an entry.
+    async fn serve(&self, open: Open, sender: mpsc::Sender<bytes::Bytes>) {
+        let reader = Reader {
             call: open.id,
+            next: reached(&open),
+            started: false,
             sender,
         };
-        let ended = match &open.work {
-            Work::Model(generation) => self.generate(&open, generation, &writer).await,
-            Work::Plain(plain) => self.call_plain(&open, plain, &writer).await,
-        };
-        if let Err(fault) = ended {
-            writer.send(Body::Failed(fault)).await;
-        }
-    }
-
-    async fn generate(
-        &self,
-        open: &Open,
-        generation: &Generation,
-        writer: &Writer,
-    ) -> Result<(), Fault> {
-        let call = Generate {
-            id: open.id,
-            path: generation.path.clone(),
-            body: generation.body.clone(),
-            version: generation.version.clone(),
-            priority: 0,
-            reached: generation.reached,
-            prefix: generation.prefix.clone(),
+        match self.arrive(open).await {
+            Ok(run) => self.follow(reader, run).await,
+            Err(fault) => reader.end(Body::Failed(fault)).await,
+        }
+    }
+
+    async fn follow(&self, reader: Reader, run: Arc<Run>) {
+        run.enter();
+        let heartbeat = self.inner.options.heartbeat;
+        reader
+            .follow(Arc::clone(&run), heartbeat, || self.load())
+            .await;
+        if !run.leave() || run.ended() {
+            return;
+        }
+        sleep(REJOIN_TIME).await;
+        if run.unread() && !run.ended() {
+            self.abandon(run.open.id);
+        }
+    }
+
+    /// Tells whether this process was already there when a call of that age was first sent.
+    fn witnessed(&self, age_ms: u64) -> bool {
+        let age = Duration::from_millis(age_ms);
+        self.now() > age + age / AGE_MARGIN_PART + AGE_MARGIN
+    }
+
+    fn withdraw(&self, id: Id) -> Verdict {
+        let fault = Fault::not_run(Code::Revoked, Duration::ZERO, "call was withdrawn");
+        match self.drop_queued(id, fault) {
+            Stage::Withdrawn | Stage::Queued => Verdict::Withdrawn,
+            Stage::Started => Verdict::Started,
+            Stage::Finished => Verdict::Finished,
+        }
+    }
+
+    /// Ends a call that has not started; returns the stage it has then.
+    fn drop_queued(&self, id: Id, fault: Fault) -> Stage {
+        let now = self.now();
+        let mut desk = self.desk();
+        let withdrawal = desk.table.withdraw(id, now);
+        let Some(run) = withdrawal.dropped else {
+            return withdrawal.stage;
         };
-        let mut stream = self.engine.generate(&call).await.map_err(refusal)?;
-        let version = generation.version.clone();
-        writer.send(Body::Started { version }).await;
+        if desk.schedule.end(id, now) {
+            desk.limits.settle(&run.open.customer, run.cost, 0);
+        }
+        drop(desk);
+        self.conclude(&run, Body::Failed(fault));
+        self.pump();
+        withdrawal.stage
+    }
+
+    /// Withdraws a waiting call and stops a started one that may be repeated.
+    fn abandon(&self, id: Id) -> Verdict {
+        let verdict = self.withdraw(id);
+        if verdict == Verdict::Started
+            && let Some(run) = self.known_run(id).filter(|run| run.is_repeatable())
+        {
+            run.order(Order::Cancel);
+            self.end_if_paused(&run);
+        }
+        verdict
+    }
+
+    fn known_run(&self, id: Id) -> Option<Arc<Run>> {
+        let desk = self.desk();
+        let (_, run) = desk.table.find(id)?;
+        run.cloned()
+    }
+
+    /// Ends a run that has no driver now and so can't see its order.
+    fn end_if_paused(&self, run: &Arc<Run>) {
+        let paused = self.desk().schedule.is_waiting(run.open.id);
+        if paused {
+            let order = *run.orders().borrow();
+            self.end(run, stopped(order));
+        }
+    }
+
+    /// Does all that the schedule wants done now.
+    fn pump(&self) {
         loop {
-            match stream.next().await.map_err(refusal)? {
-                Chunk::Tokens { at, texts, version } if version == generation.version => {
-                    writer.send(Body::Tokens(Tokens { at, texts })).await;
-                }
-                Chunk::Tokens { .. } => {
-                    return Err(Fault::unknown(
-                        Code::BackendFailed,
-                        "engine changed its version",
-                    ));
-                }
-                Chunk::Done {
-                    reason,
-                    prompt_tokens,
-                    tokens,
-                } => {
-                    let finish = Finish {
-                        tokens,
-                        prompt_tokens,
-                        reason,
-                        load: Load::default(),
-                    };
-                    writer.send(Body::Finished(finish)).await;
-                    return Ok(());
+            let now = self.now();
+            let mut desk = self.desk();
+            let Some(action) = desk.schedule.next(now) else {
+                return;
+            };
+            let (Action::Start(id) | Action::Pause(id)) = action;
+            let Some((_, Some(run))) = desk.table.find(id) else {
+                desk.schedule.end(id, now);
+                continue;
+            };
+            let run = Arc::clone(run);
+            drop(desk);
+            match action {
+                Action::Start(_) => self.drive(run),
+                Action::Pause(_) => {
+                    self.inner.parts.metrics.pause();
+                    run.order(Order::Pause);
                 }
             }
         }
     }
 
-    async fn call_plain(&self, open: &Open, plain: &Plain, writer: &Writer) -> Result<(), Fault> {
-        let within = Duration::from_millis(open.deadline_ms.into());
-        let version = String::new();
-        writer.send(Body::Started { version }).await;
-        let response = self
-            .service
-            .call(plain, within)
-            .await
-            .map_err(plain_fault)?;
-        let content_type = response.headers().get(header::CONTENT_TYPE);
-        let answer = Answer {
-            status: response.status().as_u16(),
-            content_type: content_type
-                .and_then(|value| value.to_str().ok())
-                .unwrap_or_default()
-                .to_owned(),
-            body: response.into_body(),
-            replayed: false,
-        };
-        writer.send(Body::Response(answer)).await;
-        Ok(())
+    fn drive(&self, run: Arc<Run>) {
+        run.order(Order::Go);
+        let calls = self.clone();
+        tokio::spawn(async move {
+            let stop = match &run.open.work {
+                Work::Model(generation) => calls.generate(&run, generation).await,
+                Work::Plain(plain) => Stop::Ended(calls.call_plain(&run, plain).await),
+            };
+            match stop {
+                Stop::Ended(end) => calls.end(&run, end),
+                Stop::Paused => calls.rest(&run),
+            }
+        });
     }
-}
 
-/// Writes the events of one call.
-struct Writer {
-    call: pistachiolug_wire::call::Id,
-    sender: mpsc::Sender<Bytes>,
-}
+    /// Puts a paused run back into its lane, unless it was told to stop meanwhile.
+    fn rest(&self, run: &Arc<Run>) {
+        let now = self.now();
+        self.desk().schedule.pause(run.open.id, now);
+        if *run.orders().borrow() > Order::Pause {
+            self.end_if_paused(run);
+        }
+        self.pump();
+    }
 
-impl Writer {
-    async fn send(&self, body: Body) {
-        let event = Event {
-            call: self.call,
-            body,
-        };
-        // A closed channel means that the entry is gone.
-        let _ = self.sender.send(codec::frame(&event)).await;
+    /// Claims the right to start a call's work; `false` means that it must not run.
+    fn begin(&self, run: &Run) -> bool {
+        let mut desk = self.desk();
+        let id = run.open.id;
+        match desk.table.find(id) {
+            Some((Stage::Queued, _)) => desk.table.start(id),
+            Some((Stage::Started, _)) => true,
+            _ => false,
+        }
     }
-}
 
-fn refusal(error: engine::Error) -> Fault {
-    let message = error.to_string();
-    match error {
-        engine::Error::Unreachable { .. } | engine::Error::Refused { .. } => {
-            Fault::not_run(Code::Unavailable, Duration::from_secs(1), &message)
+    /// Ends a call with its last event.
+    fn end(&self, run: &Arc<Run>, end: Body) {
+        if self.conclude(run, end) {
+            let now = self.now();
+            let id = run.open.id;
+            let bytes = run.read(run::Log::bytes);
+            let real = Self::real_cost(run);
+            let mut desk = self.desk();
+            desk.table.finish(id, bytes, now);
+            desk.schedule.end(id, now);
+            desk.limits.settle(&run.open.customer, run.cost, real);
         }
-        _ => Fault::unknown(Code::BackendFailed, &message),
+        self.pump();
     }
-}
 
-fn plain_fault(error: plain::Error) -> Fault {
-    let message = error.to_string();
-    match error {
-        plain::Error::Unreachable { .. } => {
-            Fault::not_run(Code::Unavailable, Duration::from_secs(1), &message)
+    /// Gives the readers their last event and counts the call; `false` if it has ended before.
+    fn conclude(&self, run: &Run, end: Body) -> bool {
+        let tokens = run.read(|log| log.reached() - log.base());
+        let first = run.finish(end.clone());
+        if first {
+            let lists = self.inner.parts.force.now();
+            let plan = lists
+                .plan(&run.open.plan)
+                .map_or("other", |plan| &plan.name);
+            self.inner.parts.metrics.end(plan, &end, tokens);
         }
-        plain::Error::Unknown { .. } => Fault::unknown(Code::BackendFailed, &message),
+        first
+    }
+
+    /// Tokens that a run has cost, prompt included; units for plain calls.
+    fn real_cost(run: &Run) -> u32 {
+        run.read(|log| match (&log.end, &run.open.work) {
+            (Some(Body::Finished(finish)), _) => {
+                finish.prompt_tokens + (log.reached() - log.base())
+            }
+            (_, Work::Model(_)) => log.reached() - log.base(),
+            (Some(Body::Response(_)), Work::Plain(_)) => run.cost,
+            (_, Work::Plain(_)) => 0,
+        })
     }
+
+    fn tick(&self) {
+        let now = self.now();
+        let given_up = {
+            let mut desk = self.desk();
+            desk.table.trim(now);
+            desk.limits.trim(now);
+            desk.trim_entries(now);
+            self.inner.parts.metrics.load(&desk.load());
+            desk.schedule.given_up(now)
+        };
+        for (id, refusal) in given_up {
+            self.drop_queued(id, admit::overloaded(&refusal, rand::random()));
+        }
+        self.pump();
+    }
+}
+
+/// Index of the first token that the entry wants.
+fn reached(open: &Open) -> u32 {
+    match &open.work {
+        Work::Model(generation) => generation.reached,
+        Work::Plain(_) => 0,
+    }
+}
+
+/// Last event of a run that was told to stop.
+fn stopped(order: Order) -> Body {
+    let fault = match order {
+        Order::Move => Fault::not_run(
+            Code::Leaving,
+            Duration::from_secs(1),
+            "instance leaves, resume the rest elsewhere",
+        ),
+        _ => Fault::unknown(Code::Revoked, "caller is gone"),
+    };
+    Body::Failed(fault)
+}
+
+fn refuse(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Stream::from(status.as_str().to_owned()));
+    *reply.status_mut() = status;
+    reply
 }
--- /dev/null
+++ b/crates/pistachiolug_agent/src/calls/leave.rs
@@ -0,0 +1,145 @@
+//! Leaving: no new calls, waiting ones handed back, started ones to their end, long ones moved at the deadline.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{Response, StatusCode};
+use pistachiolug_http::server::Reply;
+use pistachiolug_ledger::claim::Claims;
+use pistachiolug_platform::{engine::Engine, plain::Service};
+use pistachiolug_routing::table::Stage;
+use pistachiolug_wire::{
+    call::{Generation, Id, Work},
+    fault::{Code, Fault},
+    notice::Leaving,
+};
+use tokio::time::{sleep, timeout};
+
+use super::{
+    Calls, refuse,
+    run::{Order, Run},
+};
+
+/// Time before the drain deadline at which long streams are moved to other instances.
+const MOVE_TIME: Duration = Duration::from_secs(10);
+
+/// Interval at which a draining agent looks whether its calls have ended.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Longest time the export of an engine's cache may take.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for which a drained agent keeps exported caches for the instances that resume.
+const CACHE_TIME: Duration = Duration::from_secs(2);
+
+/// Time after which a handed back call may come back; another instance takes it at once.
+const LEAVING_RETRY: Duration = Duration::from_secs(1);
+
+impl<E: Engine, S: Service, C: Claims> Calls<E, S, C> {
+    /// Refuses new calls from now on, hands waiting ones back and tells the entries.
+    pub fn leave(&self) {
+        let (entries, waiting) = {
+            let mut desk = self.desk();
+            if std::mem::replace(&mut desk.leaving, true) {
+                return;
+            }
+            let entries: Vec<SocketAddr> = desk.entries.keys().copied().collect();
+            let runs = desk.table.runs();
+            let waiting: Vec<(Stage, Arc<Run>)> = runs
+                .filter(|(id, _, _)| desk.schedule.is_waiting(*id))
+                .map(|(_, stage, run)| (stage, Arc::clone(run)))
+                .collect();
+            (entries, waiting)
+        };
+        for (stage, run) in waiting {
+            if stage == Stage::Started {
+                run.order(Order::Move);
+                self.end_if_paused(&run);
+                continue;
+            }
+            let message = "instance is leaving";
+            let fault = Fault::not_run(Code::Leaving, LEAVING_RETRY, message);
+            self.drop_queued(run.open.id, fault);
+        }
+        self.notify(entries);
+    }
+
+    /// Waits until all calls have ended; near the deadline long generations move elsewhere.
+    ///
+    /// Plain calls are bounded by their callers' deadlines and always run to their end.
+    pub async fn drain(&self, within: Duration) {
+        let started = self.now();
+        let mut moved = false;
+        while !self.is_idle() {
+            let elapsed = self.now().saturating_sub(started);
+            if !moved && elapsed + MOVE_TIME.min(within / 2) >= within {
+                moved = true;
+                self.move_all();
+            }
+            sleep(DRAIN_INTERVAL).await;
+        }
+        if !self.desk().caches.is_empty() {
+            sleep(CACHE_TIME).await;
+        }
+    }
+
+    /// Serves the engine's cache of a moved call, once.
+    pub fn take_cache(&self, id: &str) -> Reply {
+        let cache = id.parse::<Id>().ok();
+        let cache = cache.and_then(|id| self.desk().caches.remove(&id));
+        cache.map_or_else(
+            || refuse(StatusCode::NOT_FOUND),
+            |cache| Response::new(cache.into()),
+        )
+    }
+
+    /// Keeps the engine's cache of a call that is being moved.
+    pub(super) async fn keep_cache(&self, run: &Run) {
+        let export = self.inner.parts.engine.export_cache(run.open.id);
+        if let Ok(Ok(cache)) = timeout(EXPORT_TIMEOUT, export).await {
+            self.desk().caches.insert(run.open.id, cache);
+        }
+    }
+
+    /// Hands the engine the cache of a call that another agent moved here; without it the engine reads the tokens again.
+    pub(super) async fn import_cache(&self, run: &Run, generation: &Generation) {
+        let Some(agent) = generation.cache else {
+            return;
+        };
+        let parts = &self.inner.parts;
+        if let Some(cache) = parts.peers.read_cache(agent, run.open.id).await {
+            let imported = parts.engine.import_cache(run.open.id, cache).await;
+            log::info!(call:% = run.open.id, imported = imported.is_ok(); "engine cache moved here");
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let desk = self.desk();
+        desk.table.open() == 0 && desk.claims == 0
+    }
+
+    fn move_all(&self) {
+        let runs: Vec<Arc<Run>> = {
+            let desk = self.desk();
+            let runs = desk.table.runs();
+            runs.map(|(_, _, run)| Arc::clone(run)).collect()
+        };
+        for run in runs {
+            if matches!(run.open.work, Work::Model(_)) {
+                run.order(Order::Move);
+            }
+        }
+    }
+
+    fn notify(&self, entries: Vec<SocketAddr>) {
+        let options = &self.inner.options;
+        let notice = Leaving {
+            instance: options.instance.clone(),
+            incarnation: options.incarnation,
+        };
+        for entry in entries {
+            let peers = self.inner.parts.peers.clone();
+            let notice = notice.clone();
+            tokio::spawn(async move { peers.notify(entry, &notice).await });
+        }
+    }
+}
--- a/crates/pistachiolug_agent/src/door.rs
+++ b/crates/pistachiolug_agent/src/door.rs
@@ -7,22 +7,26 @@
     server::{Handler, Reply, Request},
 };
 use pistachiolug_kernel::admin::Admin;
+use pistachiolug_ledger::claim::Claims;
 use pistachiolug_platform::{engine::Engine, plain::Service};
 
 use crate::calls::Calls;
 
+/// Path below which the engine caches of moved calls are served.
+const CACHE_PATH: &str = "/internal/cache/";
+
 /// Routes requests on the internal port.
 #[derive(Debug, Clone)]
-pub struct Door<E, S> {
+pub struct Door<E, S, C> {
     /// Paths of every process.
     pub admin: Admin,
     /// Secret that peers must show.
     pub secret: Secret,
     /// Calls.
-    pub calls: Calls<E, S>,
+    pub calls: Calls<E, S, C>,
 }
 
-impl<E: Engine, S: Service> Handler for Door<E, S> {
+impl<E: Engine, S: Service, C: Claims> Handler for Door<E, S, C> {
     async fn handle(&self, request: Request) -> Reply {
         let path = request.uri().path();
         if matches!(path, "/healthz" | "/readyz") {
@@ -33,6 +37,11 @@
         }
         match (request.method(), path) {
             (&Method::POST, "/internal/call") => self.calls.open(request.body()),
+            (&Method::POST, "/internal/revoke") => self.calls.revoke(request.body()),
+            (&Method::POST, "/internal/cancel") => self.calls.cancel(request.body()),
+            (&Method::GET, path) if path.starts_with(CACHE_PATH) => {
+                self.calls.take_cache(&path[CACHE_PATH.len()..])
+            }
             (_, path) => self.admin.serve(path).unwrap_or_else(not_found),
         }
     }
--- a/crates/pistachiolug_agent/src/lib.rs
+++ b/crates/pistachiolug_agent/src/lib.rs
@@ -2,5 +2,8 @@
 
 pub mod calls;
 pub mod door;
+pub mod metrics;
+pub mod peers;
 pub mod process;
+pub mod serving;
 pub mod weights;
--- /dev/null
+++ b/crates/pistachiolug_agent/src/peers.rs
@@ -0,0 +1,70 @@
+//! Requests of an agent to other processes of the deployment.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use pistachiolug_http::{
+    client::Client,
+    secret::{self, Secret},
+};
+use pistachiolug_wire::{call::Id, codec, notice::Leaving};
+
+/// Longest time a notice may take.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Attempts to bring a notice to one entry.
+const NOTICE_ATTEMPTS: u32 = 3;
+
+/// Longest time the read of an engine's cache may take; a resume without it is slower, not wrong.
+const CACHE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest accepted engine cache of one call, in bytes.
+const CACHE_BYTES: usize = 4 << 20;
+
+/// Largest accepted answer to a notice, in bytes.
+const ANSWER_BYTES: usize = 4096;
+
+/// Sends to other processes; clones share connections.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    client: Client,
+    secret: Secret,
+}
+
+impl Peers {
+    /// Creates the service.
+    pub fn new(client: Client, secret: Secret) -> Self {
+        Self { client, secret }
+    }
+
+    /// Tells an entry that this instance leaves; the instance list tells those that can't be reached.
+    pub async fn notify(&self, entry: SocketAddr, notice: &Leaving) {
+        let body = codec::encode(notice);
+        for _ in 0..NOTICE_ATTEMPTS {
+            let request = Request::post(format!("http://{entry}/internal/leaving"))
+                .header(secret::HEADER, self.secret.expose())
+                .body(body.clone());
+            let Ok(request) = request else {
+                return;
+            };
+            let sent = self.client.fetch(request, ANSWER_BYTES, NOTICE_TIMEOUT);
+            match sent.await {
+                Ok(_) => return,
+                Err(error) => log::info!(entry:%, error:%; "leaving notice not delivered"),
+            }
+        }
+    }
+
+    /// Reads the engine's cache of a call that another agent gave up; `None` if it can't be had.
+    pub async fn read_cache(&self, agent: SocketAddr, call: Id) -> Option<Bytes> {
+        let request = Request::get(format!("http://{agent}/internal/cache/{call}"))
+            .header(secret::HEADER, self.secret.expose())
+            .body(Bytes::new())
+            .ok()?;
+        let response = self.client.fetch(request, CACHE_BYTES, CACHE_TIMEOUT);
+        let response = response.await.ok()?;
+        let found = response.status() == StatusCode::OK;
+        found.then(|| response.into_body())
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_agent/src/serving.rs
@@ -0,0 +1,113 @@
+//! What the engine says it serves, and whether it died or froze.
+
+use std::time::Duration;
+
+use pistachiolug_platform::engine::{Engine, Error, State};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// Interval between two looks at the engine.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time one look may take before the engine counts as frozen.
+const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What was last seen of an engine.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// Its own account; the last one while it does not answer.
+    pub state: State,
+    /// Whether it answered the last look.
+    pub answers: bool,
+}
+
+/// Result of a closer look after a connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// The same engine process answers.
+    Same,
+    /// The engine process died; carries its incarnation.
+    Died(u64),
+    /// The engine does not answer but may live.
+    Frozen,
+}
+
+/// View of one engine; clones share it.
+#[derive(Debug, Clone)]
+pub struct Serving<E> {
+    engine: E,
+    seen: watch::Sender<Seen>,
+}
+
+impl<E: Engine> Serving<E> {
+    /// Creates a view that has seen nothing.
+    pub fn new(engine: E) -> Self {
+        Self {
+            engine,
+            seen: watch::Sender::new(Seen::default()),
+        }
+    }
+
+    /// Looks at the engine until the process stops.
+    pub async fn run(self) {
+        loop {
+            self.look().await;
+            sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Returns what was last seen.
+    pub fn now(&self) -> Seen {
+        self.seen.borrow().clone()
+    }
+
+    /// Chooses the version that answers: the pinned one, else the wanted one, else one still served.
+    pub fn choose(&self, model: &str, pinned: &str, wanted: Option<&str>) -> Option<String> {
+        let seen = self.seen.borrow();
+        if !seen.answers {
+            return None;
+        }
+        let loaded = seen.state.loaded.iter();
+        let versions: Vec<&str> = loaded
+            .filter(|loaded| loaded.model == model)
+            .map(|loaded| loaded.version.as_str())
+            .collect();
+        let preferred = if pinned.is_empty() {
+            wanted
+        } else {
+            Some(pinned)
+        };
+        let exact = versions.iter().find(|version| Some(**version) == preferred);
+        let earlier = versions.last().filter(|_| pinned.is_empty());
+        exact.or(earlier).map(|version| (*version).to_owned())
+    }
+
+    /// Looks at the engine once.
+    pub async fn look(&self) -> Result<State, Error> {
+        let looked = timeout(LOOK_TIMEOUT, self.engine.state()).await;
+        let looked = looked.unwrap_or_else(|_| {
+            Err(Error::Broken {
+                reason: "no answer in time".to_owned(),
+            })
+        });
+        self.seen.send_modify(|seen| match &looked {
+            Ok(state) => {
+                seen.state = state.clone();
+                seen.answers = true;
+            }
+            Err(_) => seen.answers = false,
+        });
+        looked
+    }
+
+    /// Finds out why a connection broke, given the incarnation that ran the call.
+    pub async fn examine(&self, incarnation: u64) -> Health {
+        match self.look().await {
+            Ok(state) if state.incarnation == incarnation => Health::Same,
+            Ok(_) | Err(Error::Unreachable { .. }) => Health::Died(incarnation),
+            Err(_) => Health::Frozen,
+        }
+    }
+}
--- a/crates/pistachiolug_lists/src/lists.rs
+++ b/crates/pistachiolug_lists/src/lists.rs
@@ -35,6 +35,11 @@
         self.keys.get(key)
     }
 
+    /// Finds a customer by name.
+    pub fn customer(&self, name: &str) -> Option<&Arc<Customer>> {
+        self.customers.get(name)
+    }
+
     /// Finds a plan.
     pub fn plan(&self, name: &str) -> Option<&Arc<Plan>> {
         self.plans.get(name)
--- a/crates/pistachiolug_platform/src/plain.rs
+++ b/crates/pistachiolug_platform/src/plain.rs
@@ -20,7 +20,13 @@
         /// Cause.
         reason: String,
     },
-    /// The call may have run.
+    /// The connection ended before the answer; the call may have run, and the service may have died of it.
+    #[snafu(display("connection broke, effect unknown: {reason}"))]
+    Broken {
+        /// Cause.
+        reason: String,
+    },
+    /// No answer came in time; the call may have run.
     #[snafu(display("effect unknown: {reason}"))]
     Unknown {
         /// Cause.
@@ -86,5 +92,8 @@
     if error.unsent() {
         return Error::Unreachable { reason };
     }
-    Error::Unknown { reason }
+    match error {
+        client::Error::Timeout { .. } => Error::Unknown { reason },
+        _ => Error::Broken { reason },
+    }
 }
--- a/crates/pistachiolug_routing/src/schedule.rs
+++ b/crates/pistachiolug_routing/src/schedule.rs
@@ -192,21 +192,22 @@
         self.pace.add(units.into());
     }
 
-    /// Ends a call, wherever it is; its lane is charged for what it really cost.
-    pub fn end(&mut self, id: Id, now: Duration) {
+    /// Ends a call, wherever it is; its lane is charged for what it really cost. `false` if it is not here.
+    pub fn end(&mut self, id: Id, now: Duration) -> bool {
         let Some(entry) = self.calls.remove(&id) else {
-            return;
+            return false;
         };
         self.bytes -= entry.call.bytes;
         if entry.state == State::Waiting {
             let lane = self.lane(entry.call.alone);
             lane.remove(&entry.call.plan, &id);
-            return;
+            return true;
         }
         self.leave_slot(&entry, now);
         let lane = self.lane(entry.call.alone);
         lane.settle(&entry.call.plan, entry.charged, entry.done);
         lane.trim();
+        true
     }
 
     /// Puts a paused run back at the front of its lane.
@@ -249,6 +250,12 @@
         judged.collect()
     }
 
+    /// Tells whether a call waits, for its first start or to be resumed.
+    pub fn is_waiting(&self, id: Id) -> bool {
+        let entry = self.calls.get(&id);
+        entry.is_some_and(|entry| entry.state == State::Waiting)
+    }
+
     /// Returns the load as entries are told it.
     pub fn load(&self) -> Load {
         Load {
