--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -18,7 +18,10 @@
 
 use http::{Response, StatusCode, header};
 use pistachiolug_http::{body::Body as Stream, server::Reply};
-use pistachiolug_kernel::clock::{Clock, System};
+use pistachiolug_kernel::{
+    clock::{Clock, System},
+    timer::Timer,
+};
 use pistachiolug_ledger::claim::Claims;
 use pistachiolug_lists::force::Force;
 use pistachiolug_platform::{engine::Engine, plain::Service};
@@ -173,9 +176,10 @@
     }
 
     /// Judges waiting calls and forgets old rows until the process stops.
-    pub async fn run(self) {
+    pub async fn run(self, timer: Timer) {
+        let mut ticks = timer.subscribe(TICK, Duration::ZERO);
         loop {
-            sleep(TICK).await;
+            ticks.next().await;
             self.tick();
         }
     }
--- a/crates/pistachiolug_agent/src/calls/claim.rs
+++ b/crates/pistachiolug_agent/src/calls/claim.rs
@@ -4,8 +4,9 @@
 
 use pistachiolug_ledger::claim::{Claim, Claims, Key, Verdict};
 use pistachiolug_platform::{engine::Engine, plain::Service};
+use pistachiolug_routing::table::Stage;
 use pistachiolug_wire::{
-    call::{Body, Elsewhere, Plain, Response as Answer},
+    call::{Body, Elsewhere, Id, Plain, Response as Answer},
     fault::{Code, Fault},
 };
 use tokio::time::{sleep, timeout};
@@ -119,6 +120,9 @@
                 call: held.call,
             });
         }
+        if self.is_withdrawn(held.call) {
+            return not_claimed("an earlier send was withdrawn and its claim is being given back");
+        }
         let earlier = self.known_run(held.call);
         let Some(earlier) = earlier.filter(|earlier| earlier.is_same(&run.open)) else {
             return spent();
@@ -140,6 +144,12 @@
         }
     }
 
+    fn is_withdrawn(&self, call: Id) -> bool {
+        let desk = self.desk();
+        let known = desk.table.find(call);
+        known.is_some_and(|(stage, _)| stage == Stage::Withdrawn)
+    }
+
     /// Gives up a call whose claim may or may not have been written.
     ///
     /// It never starts, so the claim is given back as soon as the ledger answers; until then a resend is told where the
@@ -165,13 +175,14 @@
         let claims = &self.inner.parts.claims;
         for _ in 0..WRITE_ATTEMPTS {
             let written = match write {
-                Write::Finish(answer) => claims.finish(claim, answer).await,
-                Write::Release => claims.release(claim).await,
+                Write::Finish(answer) => timeout(CLAIM_TIMEOUT, claims.finish(claim, answer)).await,
+                Write::Release => timeout(CLAIM_TIMEOUT, claims.release(claim)).await,
             };
-            let Err(error) = written else {
-                return;
-            };
-            log::warn!(call:% = claim.call, error:%; "ledger not written");
+            match written {
+                Ok(Ok(())) => return,
+                Ok(Err(error)) => log::warn!(call:% = claim.call, error:%; "ledger not written"),
+                Err(_) => log::warn!(call:% = claim.call; "ledger gave no answer in time"),
+            }
             sleep(WRITE_RETRY).await;
         }
     }
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -9,6 +9,7 @@
     phase::{Control, Phase},
     signal,
     supervisor::Supervisor,
+    timer::Timer,
 };
 use pistachiolug_ledger::memory::Memory;
 use pistachiolug_lists::{force::Force, reader};
@@ -107,9 +108,11 @@
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
     supervisor.spawn("lists", reader::run(store, force.clone()));
-    supervisor.spawn("calls", calls.clone().run());
+    let timer = Timer::default();
+    supervisor.spawn("timer", timer.clone().run());
+    supervisor.spawn("calls", calls.clone().run(timer.clone()));
     if backend.kind == Kind::Model {
-        supervisor.spawn("engine", serving.run());
+        supervisor.spawn("engine", serving.run(timer));
         supervisor.spawn(
             "weights",
             weights::run(backend.service.clone(), force, engine, origin),
--- a/crates/pistachiolug_agent/src/serving.rs
+++ b/crates/pistachiolug_agent/src/serving.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
+use pistachiolug_kernel::timer::Timer;
 use pistachiolug_platform::engine::{Engine, Error, State};
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
+use tokio::{sync::watch, time::timeout};
 
 /// Interval between two looks at the engine.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -51,10 +49,12 @@
     }
 
     /// Looks at the engine until the process stops.
-    pub async fn run(self) {
+    pub async fn run(self, timer: Timer) {
+        let mut ticks = timer.subscribe(LOOK_INTERVAL, LOOK_INTERVAL / 4);
         loop {
-            self.look().await;
-            sleep(LOOK_INTERVAL).await;
+            // What went wrong shows in what was seen.
+            let _ = self.look().await;
+            ticks.next().await;
         }
     }
 
--- /dev/null
+++ b/crates/pistachiolug_agent/tests/calls_model.rs
@@ -0,0 +1,493 @@
+//! Contract of the internal call interface for model generations, with its faults.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use pistachiolug_ledger::memory::Memory;
+use pistachiolug_lists::row::{Kind, Name, Row};
+use pistachiolug_standin::engine::record::End;
+use pistachiolug_wire::{
+    call::{Id, Open, Work},
+    fault::Code,
+    outcome::Outcome,
+    revoke::Verdict,
+};
+use support::{Agent, Size, customer, expected, generation, joined, lists, load, trial, until};
+
+async fn agent(size: Size) -> Agent<Memory> {
+    Agent::start("a", size, Memory::default()).await
+}
+
+/// Engine that is slow enough for a fault in the middle of an answer.
+fn slow() -> Size {
+    Size {
+        gap: Duration::from_millis(30),
+        ..Size::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_and_names_its_version() {
+    let agent = agent(Size::default()).await;
+    let open = generation(1, 40);
+
+    let answer = agent.run(&open).await;
+
+    answer.assert_contiguous(0);
+    assert_eq!(answer.version.as_deref(), Some("v1"));
+    assert_eq!(answer.text(), expected(&open));
+    assert_eq!(answer.finish().tokens, 40);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn heartbeats_come_while_the_engine_is_silent() {
+    let size = Size {
+        first: Duration::from_millis(600),
+        ..Size::default()
+    };
+    let agent = agent(size).await;
+
+    let answer = agent.run(&generation(1, 1)).await;
+
+    assert!(answer.heartbeats >= 3, "{}", answer.heartbeats);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_withdrawn_before_it_arrives_never_runs() {
+    let agent = agent(Size::default()).await;
+    let open = generation(1, 5);
+    tokio::time::sleep(Duration::from_millis(250)).await;
+
+    let verdict = agent.revoke(open.id, Duration::ZERO).await;
+    let late = agent.run(&open).await;
+
+    assert_eq!(verdict, Verdict::Withdrawn);
+    assert_eq!(late.fault().code, Code::Revoked);
+    assert_eq!(late.fault().outcome, Outcome::NotRun);
+    assert!(agent.runs_of(open.id).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_young_process_does_not_vouch_for_its_predecessor() {
+    let agent = agent(Size::default()).await;
+    let open = generation(1, 5);
+
+    let verdict = agent.revoke(open.id, Duration::from_secs(60)).await;
+    let late = agent.run(&open).await;
+
+    assert_eq!(verdict, Verdict::Unknown);
+    assert_eq!(late.fault().code, Code::Revoked);
+    assert!(agent.runs_of(open.id).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_call_is_withdrawn_and_its_connection_told() {
+    let agent = agent(Size { slots: 1, ..slow() }).await;
+    let mut first = agent.open(&generation(1, 200)).await;
+    first.tokens(1).await;
+    let waiting = generation(2, 5);
+    let events = agent.open(&waiting).await;
+    until("second call waits", || agent.calls.load().queued == 1).await;
+
+    let verdict = agent.revoke(waiting.id, Duration::ZERO).await;
+    let answer = events.rest().await;
+
+    assert_eq!(verdict, Verdict::Withdrawn);
+    assert_eq!(answer.fault().code, Code::Revoked);
+    assert!(agent.runs_of(waiting.id).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_started_call_is_joined_at_the_token_reached() {
+    let agent = agent(slow()).await;
+    let open = generation(1, 30);
+    let mut events = agent.open(&open).await;
+    let seen = events.tokens(5).await;
+    drop(events);
+
+    let verdict = agent.revoke(open.id, Duration::from_millis(1)).await;
+    let answer = agent.run(&joined(&open, seen.len() as u32)).await;
+
+    assert_eq!(verdict, Verdict::Started);
+    answer.assert_contiguous(seen.len() as u32);
+    let head: String = seen.into_iter().map(|(_, text)| text).collect();
+    assert_eq!(head + &answer.text(), expected(&open));
+    assert_eq!(agent.runs_of(open.id).len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_finished_call_is_joined_by_its_kept_answer() {
+    let agent = agent(Size::default()).await;
+    let open = generation(1, 30);
+    agent.run(&open).await;
+
+    let verdict = agent.revoke(open.id, Duration::from_millis(1)).await;
+    let answer = agent.run(&joined(&open, 12)).await;
+
+    assert_eq!(verdict, Verdict::Finished);
+    answer.assert_contiguous(12);
+    assert_eq!(answer.finish().tokens, 30);
+    assert_eq!(agent.runs_of(open.id).len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_opens_with_one_id_read_one_run() {
+    let agent = agent(slow()).await;
+    let open = generation(1, 20);
+
+    let (one, two) = tokio::join!(agent.run(&open), agent.run(&open));
+
+    assert_eq!(one.text(), expected(&open));
+    assert_eq!(two.text(), expected(&open));
+    assert_eq!(agent.runs_of(open.id).len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_never_shows_another_calls_answer() {
+    let agent = agent(Size::default()).await;
+    agent.run(&generation(1, 10)).await;
+    let mut other = generation(2, 10);
+    other.id = Id(1);
+
+    let opened = agent.run(&other).await;
+    let joined = agent.run(&joined(&other, 0)).await;
+
+    assert_eq!(opened.fault().code, Code::InvalidRequest);
+    assert_eq!(joined.fault().code, Code::InvalidRequest);
+    assert!(opened.tokens.is_empty() && joined.tokens.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_join_of_an_unknown_call_is_not_called_not_run() {
+    let agent = agent(Size::default()).await;
+
+    let answer = agent.run(&joined(&generation(1, 5), 3)).await;
+
+    assert_eq!(answer.fault().outcome, Outcome::Unknown);
+    assert!(agent.runs_of(Id(1)).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_call_frees_the_engine_at_once() {
+    let agent = agent(slow()).await;
+    let open = generation(1, 10_000);
+    let mut events = agent.open(&open).await;
+    events.tokens(2).await;
+
+    let verdict = agent.cancel(open.id).await;
+    let answer = events.rest().await;
+
+    assert_eq!(verdict, Verdict::Started);
+    assert_eq!(answer.fault().code, Code::Revoked);
+    until("engine cancels", || {
+        agent.runs_of(open.id)[0].end == End::Cancelled
+    })
+    .await;
+    assert_eq!(agent.calls.load().running, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_nobody_rejoins_is_cancelled() {
+    let agent = agent(slow()).await;
+    let open = generation(1, 10_000);
+    let mut events = agent.open(&open).await;
+    events.tokens(2).await;
+
+    drop(events);
+
+    until("engine cancels", || {
+        agent.runs_of(open.id)[0].end == End::Cancelled
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_run_pauses_for_a_paid_call_and_resumes_without_a_gap() {
+    let agent = agent(Size { slots: 1, ..slow() }).await;
+    let long = trial(generation(1, 40));
+    let mut events = agent.open(&long).await;
+    let head = events.tokens(3).await;
+    let paid = generation(2, 5);
+
+    let answer = agent.run(&paid).await;
+    let rest = events.rest().await;
+
+    assert_eq!(answer.text(), expected(&paid));
+    let head: String = head.into_iter().map(|(_, text)| text).collect();
+    assert_eq!(head + &rest.text(), expected(&long));
+    let runs = agent.runs_of(long.id);
+    assert_eq!(runs.len(), 2, "{runs:?}");
+    assert_eq!(runs[0].end, End::Cancelled);
+    assert!(runs[1].from > 0 && runs[1].version == "v1");
+    assert_eq!(
+        (runs[0].priority, agent.runs_of(paid.id)[0].priority),
+        (0, 1)
+    );
+}
+
+/// Change of the lists or the call, and the code it is refused with.
+type Refused = (&'static str, fn(&Agent<Memory>, &mut Open), Code);
+
+const REFUSED: [Refused; 7] = [
+    (
+        "customer is gone",
+        |agent, _| without(agent, Kind::Customers, "paid"),
+        Code::InvalidKey,
+    ),
+    (
+        "plan is gone",
+        |agent, _| without(agent, Kind::Plans, "paid"),
+        Code::NotInPlan,
+    ),
+    (
+        "plan changed",
+        |_, open| "trial".clone_into(&mut open.plan),
+        Code::NotInPlan,
+    ),
+    (
+        "version is not served",
+        |_, open| pin(open, "v9"),
+        Code::Unavailable,
+    ),
+    (
+        "model is not in the plan",
+        |_, open| model_of(open, "pizza"),
+        Code::NotInPlan,
+    ),
+    (
+        "no time is left",
+        |_, open| open.deadline_ms = 0,
+        Code::DeadlineExceeded,
+    ),
+    (
+        "crashed two servers",
+        |_, open| open.crashes = 2,
+        Code::CrashSuspect,
+    ),
+];
+
+fn without(agent: &Agent<Memory>, kind: Kind, name: &str) {
+    let mut lists = lists(2);
+    let name = name.to_owned();
+    lists.remove(&Name { kind, name });
+    agent.force.advance(Arc::new(lists));
+}
+
+fn pin(open: &mut Open, version: &str) {
+    if let Work::Model(generation) = &mut open.work {
+        version.clone_into(&mut generation.version);
+    }
+}
+
+fn model_of(open: &mut Open, model: &str) {
+    if let Work::Model(generation) = &mut open.work {
+        model.clone_into(&mut generation.model);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_calls_do_not_run() {
+    for (what, change, code) in REFUSED {
+        let agent = agent(Size::default()).await;
+        let mut open = generation(1, 5);
+        change(&agent, &mut open);
+
+        let answer = agent.run(&open).await;
+
+        assert_eq!(answer.fault().code, code, "{what}");
+        assert_eq!(answer.fault().outcome, Outcome::NotRun, "{what}");
+        assert!(agent.runs_of(open.id).is_empty(), "{what}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_customer_newer_than_the_agents_lists_is_served() {
+    let agent = agent(Size::default()).await;
+    let mut open = generation(1, 5);
+    "newcomer".clone_into(&mut open.customer);
+    open.lists_revision = 2;
+
+    let answer = agent.run(&open).await;
+
+    assert_eq!(answer.text(), expected(&open));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_used_up_limit_names_when_to_come_back() {
+    let agent = agent(Size::default()).await;
+    let mut limited = lists(2);
+    limited.insert(Row::Customer(customer("paid", 60)));
+    agent.force.advance(Arc::new(limited));
+
+    let first = agent.run(&generation(1, 30)).await;
+    let second = agent.run(&generation(2, 30)).await;
+
+    assert_eq!(first.finish().tokens, 30);
+    assert_eq!(second.fault().code, Code::RateLimited);
+    assert!(second.fault().retry_after_ms > 1_000);
+    assert!(agent.runs_of(Id(2)).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_can_not_start_in_time_is_refused_at_once() {
+    let agent = agent(Size { slots: 1, ..slow() }).await;
+    let mut first = agent.open(&generation(1, 5_000)).await;
+    first.tokens(1).await;
+    let mut hurried = generation(2, 5);
+    hurried.deadline_ms = 1_000;
+
+    let answer = agent.run(&hurried).await;
+
+    assert_eq!(answer.fault().code, Code::Overloaded);
+    assert_eq!(answer.fault().outcome, Outcome::NotRun);
+    assert!(answer.fault().retry_after_ms >= 1_000);
+    assert_eq!(answer.heartbeats, 0, "the answer is not held back");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_earlier_version_serves_until_the_wanted_one_does() {
+    let agent = agent(Size::default()).await;
+    let mut wanted = lists(2);
+    let mut model = (**wanted.model("pasta").expect("model is listed")).clone();
+    model.version = "v2".to_owned();
+    wanted.insert(Row::Model(model));
+    agent.force.advance(Arc::new(wanted));
+
+    let before = agent.run(&generation(1, 3)).await;
+    load(&agent.engine, "v2", b"weights of the second version");
+    let mut after = before.version.clone();
+    for id in 2..200 {
+        after = agent.run(&generation(id, 1)).await.version;
+        if after.as_deref() == Some("v2") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    assert_eq!(before.version.as_deref(), Some("v1"));
+    assert_eq!(after.as_deref(), Some("v2"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_dies_makes_its_calls_suspects() {
+    let agent = agent(slow()).await;
+    let open = generation(1, 1_000);
+    let mut events = agent.open(&open).await;
+    events.tokens(3).await;
+
+    agent.engine.crash();
+    let answer = events.rest().await;
+    load(&agent.engine, "v1", support::WEIGHTS);
+    let mut again = generation(2, 1_000);
+    again.content = open.content;
+    again.crashes = 2;
+    let refused = agent.run(&again).await;
+
+    assert_eq!(answer.fault().code, Code::CrashSuspect);
+    assert_eq!(answer.fault().outcome, Outcome::Unknown);
+    assert_eq!(refused.fault().code, Code::CrashSuspect);
+    assert_eq!(refused.fault().outcome, Outcome::NotRun);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspect_runs_alone_and_is_refused_after_the_second_crash() {
+    let agent = agent(slow()).await;
+    let mut neighbour = agent.open(&generation(1, 40)).await;
+    neighbour.tokens(1).await;
+    let mut killer = generation(2, 5);
+    if let Work::Model(generation) = &mut killer.work {
+        generation.body = b"{\"prompt\":\"crash-the-server\"}".to_vec().into();
+    }
+    killer.content = killer.work.content("assistant");
+    killer.crashes = 1;
+
+    let events = agent.open(&killer).await;
+    let neighbour = neighbour.rest().await;
+    let killed = events.rest().await;
+    load(&agent.engine, "v1", support::WEIGHTS);
+    killer.id = Id(3);
+    killer.crashes = 0;
+    let refused = agent.run(&killer).await;
+
+    assert_eq!(
+        neighbour.finish().tokens,
+        40,
+        "the neighbour got its answer"
+    );
+    assert_eq!(killed.fault().code, Code::CrashSuspect);
+    assert_eq!(killed.fault().outcome, Outcome::Unknown);
+    assert_eq!(refused.fault().outcome, Outcome::NotRun);
+    assert!(agent.runs_of(Id(3)).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_engine_ends_its_calls_without_a_false_claim() {
+    let agent = agent(Size {
+        silence: Duration::from_millis(400),
+        ..slow()
+    })
+    .await;
+    let mut events = agent.open(&generation(1, 1_000)).await;
+    events.tokens(3).await;
+
+    agent.engine.freeze(true);
+    let answer = events.rest().await;
+    agent.engine.freeze(false);
+
+    assert_eq!(answer.fault().code, Code::BackendFailed);
+    assert_eq!(answer.fault().outcome, Outcome::Unknown);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_agent_hands_back_what_waits_and_finishes_what_runs() {
+    let agent = agent(Size { slots: 1, ..slow() }).await;
+    let running = generation(1, 40);
+    let mut events = agent.open(&running).await;
+    let head = events.tokens(2).await;
+    let waiting = agent.open(&generation(2, 5)).await;
+    until("second call waits", || agent.calls.load().queued == 1).await;
+
+    agent.calls.leave();
+    let waiting = waiting.rest().await;
+    let refused = agent.run(&generation(3, 5)).await;
+    let rest = events.rest().await;
+    agent.calls.drain(Duration::from_secs(60)).await;
+
+    assert_eq!(waiting.fault().code, Code::Leaving);
+    assert_eq!(waiting.fault().outcome, Outcome::NotRun);
+    assert_eq!(refused.fault().code, Code::Leaving);
+    assert!(agent.runs_of(Id(2)).is_empty() && agent.runs_of(Id(3)).is_empty());
+    let head: String = head.into_iter().map(|(_, text)| text).collect();
+    assert_eq!(head + &rest.text(), expected(&running));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_stream_moves_with_its_cache_when_the_drain_deadline_nears() {
+    let old = agent(slow()).await;
+    let new = agent(slow()).await;
+    let open = generation(1, 60);
+    let mut events = old.open(&open).await;
+    let mut seen = events.tokens(3).await;
+
+    old.calls.leave();
+    let drained = old.calls.clone();
+    let drain = tokio::spawn(async move { drained.drain(Duration::from_millis(400)).await });
+    let moved = events.rest().await;
+    seen.extend(moved.tokens.iter().cloned());
+    let mut resumed = open.clone();
+    if let Work::Model(generation) = &mut resumed.work {
+        generation.reached = seen.len() as u32;
+        generation.version = "v1".to_owned();
+        generation.cache = Some(old.address);
+    }
+    let rest = new.run(&resumed).await;
+    drain.await.expect("drain ends");
+
+    assert_eq!(moved.fault().code, Code::Leaving);
+    assert_eq!(moved.fault().outcome, Outcome::NotRun);
+    rest.assert_contiguous(seen.len() as u32);
+    let head: String = seen.into_iter().map(|(_, text)| text).collect();
+    assert_eq!(head + &rest.text(), expected(&open));
+    assert!(new.runs_of(open.id)[0].cached);
+}
--- /dev/null
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -0,0 +1,486 @@
+//! One agent with its backend server in the test's process, and an entry's side of the calls.
+
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use pistachiolug_agent::{
+    calls::{Calls, Options, Parts},
+    door::Door,
+    metrics::Metrics,
+    peers::Peers,
+    serving::Serving,
+};
+use pistachiolug_http::{
+    client::Client,
+    limit::Limit,
+    secret::{self, Secret},
+    server::Server,
+};
+use pistachiolug_kernel::{admin::Admin, dump::Dump, phase::Control, timer::Timer};
+use pistachiolug_ledger::claim::Claims;
+use pistachiolug_lists::{
+    customer::Customer,
+    force::Force,
+    lists::Lists,
+    plan::{Model, Plan, Replicas, Service},
+    row::Row,
+};
+use pistachiolug_platform::{
+    engine::{self, Order},
+    plain,
+};
+use pistachiolug_routing::schedule::Capacity;
+use pistachiolug_standin::{
+    engine::{
+        answer,
+        face::{Face, Speed},
+        record::Run,
+    },
+    plain::Plain as PlainStandin,
+};
+use pistachiolug_wire::{
+    call::{Body, Event, Finish, Generation, Id, Open, Plain, Work},
+    codec::{self, Decoder},
+    digest::Digest,
+    fault::Fault,
+    revoke::{Cancel, Revoke, Verdict},
+};
+use tokio::time::{sleep, timeout};
+
+/// Secret of the test's processes.
+const SECRET: &str = "test-secret";
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Weights of the test's model.
+pub(crate) const WEIGHTS: &[u8] = b"weights of the first version";
+
+/// Sizes and speeds of one agent and its backend server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Size {
+    pub(crate) slots: u32,
+    pub(crate) engine_slots: u32,
+    pub(crate) first: Duration,
+    pub(crate) gap: Duration,
+    pub(crate) silence: Duration,
+    pub(crate) model: bool,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            slots: 4,
+            engine_slots: 64,
+            first: Duration::from_millis(10),
+            gap: Duration::from_millis(2),
+            silence: Duration::from_secs(20),
+            model: true,
+        }
+    }
+}
+
+/// Agent under test.
+pub(crate) struct Agent<C> {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) engine: Face,
+    pub(crate) plain: PlainStandin,
+    pub(crate) force: Force,
+    pub(crate) calls: Calls<engine::http::Http, plain::Http, C>,
+    client: Client,
+    servers: Vec<Server>,
+}
+
+impl<C: Claims> Agent<C> {
+    /// Starts an agent whose engine serves version `v1`.
+    pub(crate) async fn start(name: &str, size: Size, claims: C) -> Self {
+        let face = Face::new(
+            Speed {
+                first: size.first,
+                gap: size.gap,
+            },
+            false,
+        )
+        .with_slots(size.engine_slots);
+        load(&face, "v1", WEIGHTS);
+        let plain = PlainStandin::new(size.first);
+        let backend = if size.model {
+            serve(face.clone())
+        } else {
+            serve(plain.clone())
+        };
+        let base = format!("http://{}", backend.address());
+        let client = Client::new(16);
+        let http = engine::http::Http::new(client.clone(), &base).with_silence(size.silence);
+        let serving = Serving::new(http.clone());
+        let metrics = prometheus::Registry::new();
+        let force = Force::default();
+        force.advance(Arc::new(lists(1)));
+        let parts = Parts {
+            engine: http,
+            serving: serving.clone(),
+            service: plain::Http::new(Client::new(0), &base),
+            claims,
+            force: force.clone(),
+            peers: Peers::new(client.clone(), Secret::new(SECRET)),
+            metrics: Metrics::new(&metrics).expect("metrics have their own registry"),
+        };
+        let calls = Calls::new(options(name, size), parts);
+        let timer = Timer::default();
+        tokio::spawn(timer.clone().run());
+        tokio::spawn(calls.clone().run(timer.clone()));
+        if size.model {
+            serving.look().await.expect("engine answers");
+            tokio::spawn(serving.run(timer));
+        }
+        let door = Door {
+            admin: Admin {
+                control: Control::default(),
+                dump: Dump::default(),
+                metrics,
+            },
+            secret: Secret::new(SECRET),
+            calls: calls.clone(),
+        };
+        let server = serve(door);
+        Self {
+            name: name.to_owned(),
+            address: server.address(),
+            engine: face,
+            plain,
+            force,
+            calls,
+            client,
+            servers: vec![server, backend],
+        }
+    }
+
+    /// Opens a call.
+    pub(crate) async fn open(&self, open: &Open) -> Events {
+        let request = self.request("call", codec::encode(open));
+        let response = self.client.send(request, PATIENCE).await;
+        let response = response.expect("agent answers");
+        assert_eq!(response.status(), StatusCode::OK);
+        Events {
+            call: open.id,
+            body: response.into_body(),
+            decoder: Decoder::default(),
+        }
+    }
+
+    /// Opens a call and reads all of its answer.
+    pub(crate) async fn run(&self, open: &Open) -> Answer {
+        self.open(open).await.rest().await
+    }
+
+    /// Revokes a call first sent `age` ago.
+    pub(crate) async fn revoke(&self, call: Id, age: Duration) -> Verdict {
+        let age_ms = age.as_millis() as u64;
+        self.ask("revoke", codec::encode(&Revoke { call, age_ms }))
+            .await
+    }
+
+    /// Says that a call's caller is gone.
+    pub(crate) async fn cancel(&self, call: Id) -> Verdict {
+        self.ask("cancel", codec::encode(&Cancel { call })).await
+    }
+
+    /// Returns the engine's runs of a call.
+    pub(crate) fn runs_of(&self, call: Id) -> Vec<Run> {
+        let state = self.engine.state();
+        let runs = state.record.runs.iter();
+        runs.filter(|run| run.id == call.to_string())
+            .cloned()
+            .collect()
+    }
+
+    async fn ask(&self, path: &str, body: Bytes) -> Verdict {
+        let request = self.request(path, body);
+        let response = self.client.fetch(request, 1024, PATIENCE).await;
+        let response = response.expect("agent answers");
+        codec::decode(response.body()).expect("answer is a verdict")
+    }
+
+    fn request(&self, path: &str, body: Bytes) -> Request<Bytes> {
+        Request::post(format!("http://{}/internal/{path}", self.address))
+            .header(secret::HEADER, SECRET)
+            .body(body)
+            .expect("request is well formed")
+    }
+}
+
+impl<C> Drop for Agent<C> {
+    fn drop(&mut self) {
+        for server in &self.servers {
+            server.stop();
+        }
+    }
+}
+
+/// Events of one open call.
+pub(crate) struct Events {
+    call: Id,
+    body: Incoming,
+    decoder: Decoder,
+}
+
+/// Whole answer as the entry saw it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) version: Option<String>,
+    /// Tokens with their index.
+    pub(crate) tokens: Vec<(u32, String)>,
+    pub(crate) heartbeats: u32,
+    pub(crate) end: Body,
+}
+
+impl Answer {
+    /// Text of all tokens.
+    pub(crate) fn text(&self) -> String {
+        self.tokens.iter().map(|(_, text)| text.as_str()).collect()
+    }
+
+    /// Checks that no token is doubled or missing from `from` on.
+    pub(crate) fn assert_contiguous(&self, from: u32) {
+        let indices: Vec<u32> = self.tokens.iter().map(|(at, _)| *at).collect();
+        let expected: Vec<u32> = (from..from + indices.len() as u32).collect();
+        assert_eq!(indices, expected);
+    }
+
+    pub(crate) fn finish(&self) -> &Finish {
+        match &self.end {
+            Body::Finished(finish) => finish,
+            end => panic!("answer is not whole: {end:?}"),
+        }
+    }
+
+    pub(crate) fn fault(&self) -> &Fault {
+        match &self.end {
+            Body::Failed(fault) => fault,
+            end => panic!("no fault: {end:?}"),
+        }
+    }
+}
+
+impl Events {
+    /// Waits for the next event.
+    pub(crate) async fn next(&mut self) -> Body {
+        loop {
+            let event = self
+                .decoder
+                .take::<Event>()
+                .expect("events are well formed");
+            if let Some(event) = event {
+                assert_eq!(event.call, self.call, "event of another call");
+                return event.body;
+            }
+            let frame = timeout(PATIENCE, self.body.frame()).await;
+            let frame = frame.expect("events come in time");
+            let frame = frame.expect("events end with a last one");
+            if let Ok(data) = frame.expect("connection holds").into_data() {
+                self.decoder.push(&data);
+            }
+        }
+    }
+
+    /// Reads until the answer has at least `count` tokens.
+    pub(crate) async fn tokens(&mut self, count: usize) -> Vec<(u32, String)> {
+        let mut tokens = Vec::new();
+        while tokens.len() < count {
+            match self.next().await {
+                Body::Tokens(more) => tokens.extend((more.at..).zip(more.texts)),
+                Body::Heartbeat(_) | Body::Started { .. } => {}
+                end => panic!("ended early: {end:?}"),
+            }
+        }
+        tokens
+    }
+
+    /// Reads to the end.
+    pub(crate) async fn rest(mut self) -> Answer {
+        let mut version = None;
+        let mut tokens = Vec::new();
+        let mut heartbeats = 0;
+        loop {
+            match self.next().await {
+                Body::Heartbeat(_) => heartbeats += 1,
+                Body::Started { version: named } => version = Some(named),
+                Body::Tokens(more) => tokens.extend((more.at..).zip(more.texts)),
+                end => {
+                    return Answer {
+                        version,
+                        tokens,
+                        heartbeats,
+                        end,
+                    };
+                }
+            }
+        }
+    }
+}
+
+/// Polls until a condition holds.
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let waited = timeout(PATIENCE, async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "never: {what}");
+}
+
+/// Gives an engine a version's weights.
+pub(crate) fn load(face: &Face, version: &str, weights: &[u8]) {
+    let order = Order {
+        fence: 0,
+        model: "pasta".to_owned(),
+        version: version.to_owned(),
+        digest: Digest::of(weights),
+        length: weights.len() as u64,
+    };
+    let name = (order.model.clone(), order.version.clone());
+    let mut state = face.state();
+    state
+        .stage(0, name, order.length, 0, weights)
+        .expect("staged");
+    state.load(&order).expect("loaded");
+}
+
+/// Lists with a paid and a trial customer.
+pub(crate) fn lists(revision: u64) -> Lists {
+    let mut lists = Lists::default();
+    for (name, share, trial) in [("paid", 3, false), ("trial", 1, true)] {
+        lists.insert(Row::Plan(Plan {
+            name: name.to_owned(),
+            share,
+            priority: u8::from(!trial),
+            models: vec!["pasta".to_owned()],
+            services: vec!["booking".to_owned()],
+            tokens_per_minute: 0,
+            trial,
+        }));
+        lists.insert(Row::Customer(customer(name, 0)));
+    }
+    lists.insert(Row::Model(Model {
+        name: "pasta".to_owned(),
+        service: "assistant".to_owned(),
+        version: "v1".to_owned(),
+        manifest: Digest::of(b"manifest"),
+        replicas: Replicas { least: 1, most: 1 },
+        adapters: Vec::new(),
+    }));
+    lists.insert(Row::Service(Service {
+        name: "booking".to_owned(),
+        idempotent: vec!["/stock".to_owned()],
+    }));
+    lists.advance(revision);
+    lists
+}
+
+/// Customer of the plan that has its name.
+pub(crate) fn customer(name: &str, tokens_per_minute: u64) -> Customer {
+    Customer {
+        name: name.to_owned(),
+        plan: name.to_owned(),
+        keys: Vec::new(),
+        tokens_per_minute,
+    }
+}
+
+/// Call of a generation with `tokens` tokens.
+pub(crate) fn generation(id: u128, tokens: u32) -> Open {
+    let body = format!("{{\"model\":\"pasta\",\"max_tokens\":{tokens},\"call\":{id}}}");
+    let work = Work::Model(Generation {
+        model: "pasta".to_owned(),
+        version: String::new(),
+        path: "/v1/chat/completions".to_owned(),
+        body: body.into(),
+        reached: 0,
+        prefix: String::new(),
+        estimate: tokens,
+        cache: None,
+    });
+    open(id, "assistant", work)
+}
+
+/// Call of a plain service that may not be repeated.
+pub(crate) fn booking(id: u128, key: Option<&str>, body: &str) -> Open {
+    let work = Work::Plain(Plain {
+        method: "POST".to_owned(),
+        path: "/orders".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        key: key.map(str::to_owned),
+        idempotent: false,
+    });
+    open(id, "booking", work)
+}
+
+/// Same call, joined from a token on.
+pub(crate) fn joined(open: &Open, at: u32) -> Open {
+    let mut open = open.clone();
+    open.join = true;
+    if let Work::Model(generation) = &mut open.work {
+        generation.reached = at;
+    }
+    open
+}
+
+/// Same call by a trial customer.
+pub(crate) fn trial(mut open: Open) -> Open {
+    "trial".clone_into(&mut open.customer);
+    "trial".clone_into(&mut open.plan);
+    open
+}
+
+/// Answer that the engine gives to a call, whole.
+pub(crate) fn expected(open: &Open) -> String {
+    let Work::Model(generation) = &open.work else {
+        panic!("plain calls have no tokens");
+    };
+    answer::whole(&Digest::of(WEIGHTS), &generation.body)
+}
+
+fn open(id: u128, service: &str, work: Work) -> Open {
+    Open {
+        id: Id(id),
+        service: service.to_owned(),
+        customer: "paid".to_owned(),
+        plan: "paid".to_owned(),
+        lists_revision: 1,
+        deadline_ms: 20_000,
+        content: work.content(service),
+        work,
+        join: false,
+        crashes: 0,
+        entry: None,
+    }
+}
+
+fn options(name: &str, size: Size) -> Options {
+    Options {
+        instance: name.to_owned(),
+        incarnation: 7,
+        service: if size.model { "assistant" } else { "booking" }.to_owned(),
+        model: size.model,
+        capacity: Capacity {
+            slots: size.slots,
+            rate: 1_000.0,
+            calls: 100,
+            bytes: 1 << 20,
+            reserve: u32::from(!size.model),
+        },
+        heartbeat: Duration::from_millis(100),
+    }
+}
+
+fn serve<H: pistachiolug_http::server::Handler>(handler: H) -> Server {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    Server::bind(address, 1, Limit::default(), handler).expect("a port is free")
+}
--- a/crates/pistachiolug_platform/src/engine/http.rs
+++ b/crates/pistachiolug_platform/src/engine/http.rs
@@ -29,11 +29,8 @@
 /// Longest time an engine may take to load staged weights.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// Longest time an engine may take to accept a call; the wait for tokens comes after it.
-const ACCEPT_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Longest silence inside a stream; engines send comments at least this often.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest silence before an engine accepts a call and inside its stream; engines send tokens or comments more often.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Largest accepted answer to an order in bytes.
 const ANSWER_BYTES: usize = 64 << 20;
@@ -43,6 +40,7 @@
 pub struct Http {
     client: Client,
     base: String,
+    silence: Duration,
 }
 
 #[derive(Debug, Serialize)]
@@ -65,9 +63,17 @@
         Self {
             client,
             base: base.to_owned(),
+            silence: SILENCE_TIMEOUT,
         }
     }
 
+    /// Sets the longest silence after which a stream counts as broken.
+    #[must_use]
+    pub fn with_silence(mut self, silence: Duration) -> Self {
+        self.silence = silence;
+        self
+    }
+
     async fn order(
         &self,
         method: Method,
@@ -114,11 +120,15 @@
             .map_err(malformed)?;
         let response = self
             .client
-            .send(request, ACCEPT_TIMEOUT)
+            .send(request, self.silence)
             .await
             .map_err(failure)?;
         if response.status() == StatusCode::OK {
-            return Ok(Stream::new(response.into_body(), call.reached));
+            return Ok(Stream::new(
+                response.into_body(),
+                call.reached,
+                self.silence,
+            ));
         }
         let (parts, body) = response.into_parts();
         let body = timeout(ORDER_TIMEOUT, body.collect())
@@ -209,6 +219,8 @@
     at: u32,
     /// Version named by the last event.
     version: String,
+    /// Longest silence.
+    silence: Duration,
 }
 
 #[derive(Debug, Deserialize)]
@@ -240,13 +252,14 @@
 }
 
 impl Stream {
-    fn new(body: Incoming, at: u32) -> Self {
+    fn new(body: Incoming, at: u32, silence: Duration) -> Self {
         Self {
             body,
             buffer: BytesMut::new(),
             ready: VecDeque::new(),
             at,
             version: String::new(),
+            silence,
         }
     }
 
@@ -307,7 +320,7 @@
             if let Some(chunk) = self.ready.pop_front() {
                 return Ok(chunk);
             }
-            let frame = timeout(SILENCE_TIMEOUT, self.body.frame())
+            let frame = timeout(self.silence, self.body.frame())
                 .await
                 .map_err(broken)?;
             let Some(frame) = frame else {
