--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -39,7 +39,9 @@
 use serde_json::{Value, json};
 use tokio::{sync::mpsc, time::sleep};
 
-use crate::{metrics::Metrics, peers::Peers, serving::Serving};
+use crate::{
+    crash::Reporter, incarnation::Incarnation, metrics::Metrics, peers::Peers, serving::Serving,
+};
 use desk::Desk;
 use reader::Reader;
 use run::{Order, Run};
@@ -61,12 +63,8 @@
 pub struct Options {
     /// Name of the instance.
     pub instance: String,
-    /// Fencing number of this incarnation.
-    pub incarnation: u64,
     /// Service of the backend server.
     pub service: String,
-    /// Whether the backend server is a model engine.
-    pub model: bool,
     /// Size of the backend server and the queue.
     pub capacity: Capacity,
     /// Heartbeat interval inside open streams.
@@ -88,6 +86,10 @@
     pub force: Force,
     /// Way to other processes.
     pub peers: Peers,
+    /// Way to report crashes.
+    pub crashes: Reporter,
+    /// Fencing number of this process.
+    pub incarnation: Incarnation,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -194,6 +196,7 @@
         let now = self.now();
         let desk = self.desk();
         json!({
+            "incarnation": self.inner.parts.incarnation.get(),
             "leaving": desk.leaving,
             "load": desk.load(),
             "rate": desk.schedule.rate(),
--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -127,8 +127,11 @@
     }
 
     fn crashes(&self, open: &Open, now: Duration) -> u8 {
+        let lists = self.inner.parts.force.now();
+        let spread = lists.suspect(&open.content).map_or(0, |row| row.count());
+        let told = open.crashes.max(u8::try_from(spread).unwrap_or(u8::MAX));
         let mut desk = self.desk();
-        desk.suspects.learn(open.content, open.crashes, now);
+        desk.suspects.learn(open.content, told, now);
         desk.suspects.crashes(&open.content, now)
     }
 
--- a/crates/pistachiolug_agent/src/calls/claim.rs
+++ b/crates/pistachiolug_agent/src/calls/claim.rs
@@ -19,7 +19,7 @@
 };
 
 /// Longest wait for the ledger's verdict.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time from the start of a claim within which its call must start; a process that was paused for longer must not.
 const START_TIME: Duration = Duration::from_secs(4);
@@ -76,7 +76,7 @@
             },
             content: run.open.content,
             call: run.open.id,
-            holder: options.incarnation,
+            holder: self.inner.parts.incarnation.get().unwrap_or(0),
             instance: options.instance.clone(),
         }
     }
--- a/crates/pistachiolug_agent/src/calls/desk.rs
+++ b/crates/pistachiolug_agent/src/calls/desk.rs
@@ -32,6 +32,8 @@
     pub(super) limits: Limits,
     /// Whether new calls are refused.
     pub(super) leaving: bool,
+    /// Whether all calls have ended after [`Desk::leaving`].
+    pub(super) drained: bool,
     /// Entries that called lately, with the time of their last call.
     pub(super) entries: FxHashMap<SocketAddr, Duration>,
     /// Ledger writes that must end before the process may.
@@ -48,6 +50,7 @@
             suspects: Suspects::new(SUSPECT_TIME, SUSPECTS),
             limits: Limits::default(),
             leaving: false,
+            drained: false,
             entries: FxHashMap::default(),
             claims: 0,
             caches: FxHashMap::default(),
--- a/crates/pistachiolug_agent/src/calls/leave.rs
+++ b/crates/pistachiolug_agent/src/calls/leave.rs
@@ -5,11 +5,13 @@
 use http::{Response, StatusCode};
 use pistachiolug_http::server::Reply;
 use pistachiolug_ledger::claim::Claims;
-use pistachiolug_platform::{engine::Engine, plain::Service};
+use pistachiolug_membership::view::View;
+use pistachiolug_platform::{directory::Snapshot, engine::Engine, plain::Service};
 use pistachiolug_routing::table::Stage;
 use pistachiolug_wire::{
     call::{Generation, Id, Work},
     fault::{Code, Fault},
+    instance::State,
     notice::Leaving,
 };
 use tokio::time::{sleep, timeout};
@@ -80,6 +82,26 @@
         if !self.desk().caches.is_empty() {
             sleep(CACHE_TIME).await;
         }
+        self.desk().drained = true;
+    }
+
+    /// Tells whether [`Calls::drain`] has ended.
+    pub fn is_drained(&self) -> bool {
+        self.desk().drained
+    }
+
+    /// Leaves once the instance list shows this instance as leaving, whoever put that there.
+    pub async fn watch_row(self, view: View) {
+        let mut lists = view.subscribe();
+        let name = &self.inner.options.instance;
+        let leaves = |snapshot: &Arc<Snapshot>| {
+            let mut rows = snapshot.instances.iter();
+            rows.any(|row| row.name == *name && row.state == State::Leaving)
+        };
+        // The view outlives this task.
+        let _ = lists.wait_for(leaves).await;
+        self.leave();
+        std::future::pending::<()>().await;
     }
 
     /// Serves the engine's cache of a moved call, once.
@@ -134,7 +156,7 @@
         let options = &self.inner.options;
         let notice = Leaving {
             instance: options.instance.clone(),
-            incarnation: options.incarnation,
+            incarnation: self.inner.parts.incarnation.get().unwrap_or(0),
         };
         for entry in entries {
             let peers = self.inner.parts.peers.clone();
--- a/crates/pistachiolug_agent/src/calls/model.rs
+++ b/crates/pistachiolug_agent/src/calls/model.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use pistachiolug_ledger::claim::Claims;
+use pistachiolug_lists::suspect::Crash;
 use pistachiolug_platform::{
     engine::{self, Chunk, Engine, Generate, Generation as _},
     plain::Service,
@@ -198,18 +199,24 @@
                 Health::Died(_)
             );
         if died {
-            self.suspect(run, incarnation);
+            self.suspect(run, incarnation).await;
             return Body::Failed(Fault::unknown(Code::CrashSuspect, &message));
         }
         Body::Failed(Fault::unknown(Code::BackendFailed, &message))
     }
 
-    /// Remembers that a backend server died while it ran the call.
-    pub(super) fn suspect(&self, run: &Run, incarnation: u64) {
+    /// Remembers and reports that a backend server died while it ran the call.
+    pub(super) async fn suspect(&self, run: &Run, incarnation: u64) {
         let now = self.now();
         let content = run.open.content;
         let crashes = self.desk().suspects.crash(content, incarnation, now);
-        log::warn!(call:% = run.open.id, content:% = content, crashes; "backend server died running the call");
+        log::warn!(call:% = run.open.id, content:%, crashes; "backend server died running the call");
+        let crash = Crash {
+            instance: self.inner.options.instance.clone(),
+            // One death counts once, however many calls with the content it cut.
+            call: format!("backend server {incarnation:016x}"),
+        };
+        self.inner.parts.crashes.report(content, crash).await;
     }
 }
 
--- a/crates/pistachiolug_agent/src/calls/plain.rs
+++ b/crates/pistachiolug_agent/src/calls/plain.rs
@@ -58,7 +58,7 @@
         self.note_plain_start(run);
         match self.inner.parts.service.call(plain, left).await {
             Ok(response) => Ran::Answered(answer(response)),
-            Err(error) => self.plain_failed(run, plain, error),
+            Err(error) => self.plain_failed(run, plain, error).await,
         }
     }
 
@@ -72,7 +72,7 @@
         run.start("");
     }
 
-    fn plain_failed(&self, run: &Run, plain: &Plain, error: plain::Error) -> Ran {
+    async fn plain_failed(&self, run: &Run, plain: &Plain, error: plain::Error) -> Ran {
         let message = error.to_string();
         match error {
             plain::Error::Unreachable { .. } => {
@@ -80,7 +80,7 @@
             }
             plain::Error::Broken { .. } => {
                 // Runs of one process can't be told apart here, so each break counts.
-                self.suspect(run, rand::random());
+                self.suspect(run, rand::random()).await;
                 let code = if plain.idempotent {
                     Code::CrashSuspect
                 } else {
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -4,16 +4,15 @@
 
 use pistachiolug_http::{client::Client, limit::Limit, secret::Secret, server::Server};
 use pistachiolug_kernel::{
-    admin::Admin,
     dump::Dump,
-    phase::{Control, Phase},
-    signal,
-    supervisor::Supervisor,
-    timer::Timer,
+    kernel::{self, Kernel},
+    phase::Phase,
+    registry,
 };
-use pistachiolug_ledger::memory::Memory;
+use pistachiolug_ledger::log::{self as ledger, Ledger};
 use pistachiolug_lists::{force::Force, reader};
-use pistachiolug_platform::{engine, kv::etcd::Etcd, plain, source};
+use pistachiolug_membership::{follow, view::View};
+use pistachiolug_platform::{directory, engine, kv::etcd::Etcd, plain, source};
 use pistachiolug_routing::schedule::Capacity;
 use pistachiolug_settings::daemon::{Backend, Daemon, Kind};
 use serde_json::json;
@@ -21,7 +20,9 @@
 
 use crate::{
     calls::{Calls, Options, Parts},
+    crash::{self, Reporter},
     door::Door,
+    incarnation::Incarnation,
     metrics::Metrics,
     peers::Peers,
     serving::Serving,
@@ -34,9 +35,6 @@
 /// Worker threads of the internal port.
 const THREADS: usize = 1;
 
-/// Interval at which a draining process looks whether its calls have ended.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Largest number of waiting calls.
 const QUEUE_CALLS: usize = 4096;
 
@@ -46,23 +44,38 @@
 /// Calls that one slot of a plain service is taken to finish a second, until measured.
 const PLAIN_CALLS_PER_SECOND: f64 = 10.0;
 
+/// Time after the drain deadline in which plain calls still end; they are bounded by their callers' deadlines.
+const DRAIN_MARGIN: Duration = Duration::from_secs(90);
+
 /// Reports an agent that could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The settings name no backend server.
     #[snafu(display("settings lack `backend`"))]
     NoBackend,
+    /// The port could not be bound.
+    #[snafu(display("{source}"))]
+    Io {
+        /// Cause.
+        source: io::Error,
+    },
     /// The metrics could not be registered.
     #[snafu(display("{source}"))]
     Metrics {
         /// Cause.
         source: prometheus::Error,
     },
-    /// The port could not be bound, or signals not handled.
+    /// A service is missing or registered twice.
     #[snafu(display("{source}"))]
-    Io {
+    Registry {
         /// Cause.
-        source: io::Error,
+        source: registry::Error,
+    },
+    /// The process ran and failed.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// Cause.
+        source: kernel::Error,
     },
 }
 
@@ -72,45 +85,51 @@
 /// Returns what kept the agent from starting.
 pub async fn run(settings: Daemon, secret: Secret) -> Result<(), Error> {
     let backend = settings.backend.clone().context(NoBackendSnafu)?;
-    let control = Control::default();
-    let supervisor = Supervisor::new(control.clone());
-    let dump = Dump::default();
-    let force = Force::default();
+    let kernel = Kernel::start(&settings.instance);
+    let force = kernel.register("lists", Force::default());
+    let force = force.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
     let engine = engine::http::Http::new(client.clone(), &backend.address);
-    let service = plain::Http::new(Client::new(0), &backend.address);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let directory = directory::Http::new(client.clone(), &settings.platform.instances);
     let origin = source::Http::new(client.clone(), &settings.platform.origin);
-    add_parts(&dump, &settings, &force);
-    let metrics = prometheus::Registry::new();
+    let (crashes, reports) = Reporter::new();
+    let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
     let parts = Parts {
         engine: engine.clone(),
         serving: serving.clone(),
-        service,
-        claims: Memory::default(),
+        service: plain::Http::new(Client::new(0), &backend.address),
+        claims: Ledger::new(store.clone(), ledger::Settings::default()),
         force: force.clone(),
-        peers: Peers::new(client.clone(), secret.clone()),
-        metrics: Metrics::new(&metrics).context(MetricsSnafu)?,
+        peers: Peers::new(client, secret.clone()),
+        crashes,
+        incarnation: incarnation.clone(),
+        metrics: Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
     };
     let calls = Calls::new(options(&settings, &backend), parts);
+    add_parts(&kernel.dump, &force);
     let dumped = calls.clone();
-    dump.add("calls", move || dumped.dump());
+    kernel.dump.add("calls", move || dumped.dump());
     let door = Door {
-        admin: Admin {
-            control: control.clone(),
-            dump,
-            metrics,
-        },
+        admin: kernel.admin(),
         secret,
         calls: calls.clone(),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
-    supervisor.spawn("lists", reader::run(store, force.clone()));
-    let timer = Timer::default();
-    supervisor.spawn("timer", timer.clone().run());
+    let view = View::default();
+    let timer = kernel.timer.clone();
+    let supervisor = &kernel.supervisor;
+    supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
+    supervisor.spawn("crashes", crash::run(store.clone(), reports));
+    tokio::spawn(incarnation.draw(store, settings.instance.clone()));
     supervisor.spawn("calls", calls.clone().run(timer.clone()));
+    supervisor.spawn(
+        "membership",
+        follow::run(directory, view.clone(), timer.clone()),
+    );
+    supervisor.spawn("leaving", calls.clone().watch_row(view));
     if backend.kind == Kind::Model {
         supervisor.spawn("engine", serving.run(timer));
         supervisor.spawn(
@@ -118,22 +137,19 @@
             weights::run(backend.service.clone(), force, engine, origin),
         );
     }
-    control.advance(Phase::Running);
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
-    tokio::select! {
-        stopped = signal::stop() => stopped.context(IoSnafu)?,
-        () = control.reached(Phase::Draining) => {}
-    }
-    control.advance(Phase::Draining);
-    calls.leave();
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
-    calls.drain(drain).await;
-    while server.active() > 0 {
-        tokio::time::sleep(DRAIN_INTERVAL).await;
-    }
-    control.advance(Phase::Stopped);
+    let control = kernel.control().clone();
+    let drained = calls.clone();
+    tokio::spawn(async move {
+        control.reached(Phase::Draining).await;
+        drained.leave();
+        drained.drain(drain).await;
+    });
+    let idle = || calls.is_drained() && server.active() == 0;
+    let ended = kernel.run(drain + DRAIN_MARGIN, idle).await;
     server.stop();
-    Ok(())
+    ended.context(KernelSnafu)
 }
 
 fn options(settings: &Daemon, backend: &Backend) -> Options {
@@ -145,9 +161,7 @@
     };
     Options {
         instance: settings.instance.clone(),
-        incarnation: rand::random(),
         service: backend.service.clone(),
-        model,
         capacity: Capacity {
             slots: backend.slots.max(1),
             rate,
@@ -159,9 +173,7 @@
     }
 }
 
-fn add_parts(dump: &Dump, settings: &Daemon, force: &Force) {
-    let instance = settings.instance.clone();
-    dump.add("instance", move || json!(instance));
+fn add_parts(dump: &Dump, force: &Force) {
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
 }
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -1,6 +1,11 @@
 //! A small deployment: stand-ins, agents and entries.
 
-use std::{env, fs, io, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    env, fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use http::Method;
 use pistachiolug_lists::{
@@ -146,6 +151,11 @@
         Ok(deployment)
     }
 
+    /// Returns the folder with the processes' settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Publishes all daemons as live instances.
     ///
     /// # Errors
@@ -418,7 +428,11 @@
         sent.await.map(drop).map_err(io::Error::other)
     }
 
-    async fn write_row<T: Serialize>(&self, kind: Kind, name: &str, row: &T) -> io::Result<()> {
+    /// Writes a row of the lists, as a client of the key-value service would.
+    ///
+    /// # Errors
+    /// Returns the error of the service.
+    pub async fn write_row<T: Serialize>(&self, kind: Kind, name: &str, row: &T) -> io::Result<()> {
         let store = Etcd::new(
             pistachiolug_http::client::Client::new(1),
             &format!("http://{}", self.kv),
--- a/crates/pistachiolug_kernel/src/kernel.rs
+++ b/crates/pistachiolug_kernel/src/kernel.rs
@@ -1,6 +1,6 @@
 //! Micro-kernel of one process: what every daemon starts from.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, time::Duration};
 
 use prometheus::Registry as Metrics;
 use serde_json::json;
@@ -9,7 +9,7 @@
 
 use crate::{
     admin::Admin,
-    dump::Dump,
+    dump::{self, Dump},
     phase::{Control, Phase},
     registry::{self, Registry},
     signal,
@@ -77,25 +77,26 @@
         }
     }
 
-    /// Registers a service under a name and returns its handle.
+    /// Registers a service's handle under a name and returns it.
     ///
     /// # Errors
     /// [`registry::Error::Taken`].
-    pub fn register<T: Send + Sync + 'static>(
-        &self,
-        name: &'static str,
-        service: T,
-    ) -> Result<Arc<T>, registry::Error> {
-        let service = Arc::new(service);
-        self.services.register(name, Arc::clone(&service))?;
-        Ok(service)
+    pub fn register<T>(&self, name: &'static str, handle: T) -> Result<T, registry::Error>
+    where
+        T: Clone + Send + Sync + 'static,
+    {
+        self.services.register(name, handle.clone())?;
+        Ok(handle)
     }
 
     /// Finds a service by name; call it at start and keep the handle.
     ///
     /// # Errors
     /// [`registry::Error::Missing`] and [`registry::Error::WrongType`].
-    pub fn find<T: Send + Sync + 'static>(&self, name: &str) -> Result<Arc<T>, registry::Error> {
+    pub fn find<T>(&self, name: &str) -> Result<T, registry::Error>
+    where
+        T: Clone + Send + Sync + 'static,
+    {
         self.services.find(name)
     }
 
@@ -127,6 +128,7 @@
     fn add_parts(&self, instance: &str) {
         let instance = instance.to_owned();
         self.dump.add("instance", move || json!(instance));
+        self.dump.add("traffic", dump::traffic);
         self.dump
             .add("version", || json!(env!("CARGO_PKG_VERSION")));
         let control = self.control().clone();
