Explore races of sends, claims, withdrawals and deaths; close four gaps

Cause: found while reading the code against the races: a pause decided between the pop and the start order was undone; kept requests did not count against the answers' bound; a cancelled look-up kept its slot; calls sent to an agent of another service got a final answer. Change: the start order is given under the lock; request bytes count; look-ups stop on cancel; a wrong service is a refusal to try elsewhere.

--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -324,6 +324,10 @@
                 continue;
             };
             let run = Arc::clone(run);
+            if matches!(action, Action::Start(_)) {
+                // Under the lock, so that a pause decided later is not undone.
+                run.order(Order::Go);
+            }
             drop(desk);
             match action {
                 Action::Start(_) => self.drive(run),
@@ -336,7 +340,6 @@
     }
 
     fn drive(&self, run: Arc<Run>) {
-        run.order(Order::Go);
         let calls = self.clone();
         tokio::spawn(async move {
             let stop = match &run.open.work {
@@ -376,7 +379,7 @@
         if self.conclude(run, end) {
             let now = self.now();
             let id = run.open.id;
-            let bytes = run.read(run::Log::bytes);
+            let bytes = run.read(run::Log::bytes) + admit::bytes(&run.open.work);
             let real = Self::real_cost(run);
             let mut desk = self.desk();
             desk.table.finish(id, bytes, now);
--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -42,8 +42,7 @@
         if let Work::Model(generation) = &open.work
             && self.version(generation).is_none()
         {
-            // The view of the engine lags; one look makes sure.
-            let _ = self.inner.parts.serving.look().await;
+            self.inner.parts.serving.refresh().await;
         }
         let now = self.now();
         let cost = cost(&open.work);
@@ -107,7 +106,7 @@
         }
         if open.service != self.inner.options.service {
             let message = "instance does not run the service";
-            return Err(Fault::not_run(Code::NotFound, Duration::ZERO, message));
+            return Err(Fault::not_run(Code::Unavailable, VERSION_RETRY, message));
         }
         let access = access::check(&self.inner.parts.force.now(), open)
             .map_err(|code| Fault::not_run(code, Duration::ZERO, "not in the lists in force"))?;
@@ -196,7 +195,8 @@
     }
 }
 
-fn bytes(work: &Work) -> usize {
+/// Size of a call's request in bytes.
+pub(super) fn bytes(work: &Work) -> usize {
     match work {
         Work::Model(generation) => generation.body.len(),
         Work::Plain(plain) => plain.body.len(),
--- a/crates/pistachiolug_agent/src/calls/plain.rs
+++ b/crates/pistachiolug_agent/src/calls/plain.rs
@@ -13,7 +13,13 @@
     fault::{Code, Fault},
 };
 
-use super::{Calls, run::Order, run::Run, stopped};
+use tokio::sync::watch;
+
+use super::{
+    Calls,
+    run::{Order, Run},
+    stopped,
+};
 
 /// Time after which a call may come back that the service did not take.
 const UNREACHED_RETRY: Duration = Duration::from_secs(1);
@@ -56,7 +62,14 @@
             return Ran::NotRun(fault);
         }
         self.note_plain_start(run);
-        match self.inner.parts.service.call(plain, left).await {
+        let mut orders = run.orders();
+        let called = tokio::select! {
+            called = self.inner.parts.service.call(plain, left) => called,
+            () = cancelled(&mut orders), if plain.idempotent => {
+                return Ran::Unknown(Fault::unknown(Code::Revoked, "caller is gone"));
+            }
+        };
+        match called {
             Ok(response) => Ran::Answered(answer(response)),
             Err(error) => self.plain_failed(run, plain, error).await,
         }
@@ -95,6 +108,12 @@
     }
 }
 
+/// Waits until nobody wants the answer.
+async fn cancelled(orders: &mut watch::Receiver<Order>) {
+    // The run holds the sender for as long as it is driven.
+    let _ = orders.wait_for(|order| *order == Order::Cancel).await;
+}
+
 fn answer(response: http::Response<bytes::Bytes>) -> Answer {
     let content_type = response.headers().get(header::CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/crates/pistachiolug_agent/src/serving.rs
+++ b/crates/pistachiolug_agent/src/serving.rs
@@ -1,6 +1,6 @@
 //! What the engine says it serves, and whether it died or froze.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pistachiolug_kernel::timer::Timer;
 use pistachiolug_platform::engine::{Engine, Error, State};
@@ -9,6 +9,9 @@
 /// Interval between two looks at the engine.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Least time between two looks that calls ask for.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest time one look may take before the engine counts as frozen.
 const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -19,6 +22,8 @@
     pub state: State,
     /// Whether it answered the last look.
     pub answers: bool,
+    /// Time of the last look.
+    pub at: Option<Instant>,
 }
 
 /// Result of a closer look after a connection broke.
@@ -84,6 +89,15 @@
         exact.or(earlier).map(|version| (*version).to_owned())
     }
 
+    /// Looks at the engine unless that was done a moment ago; what was seen lags by the interval.
+    pub async fn refresh(&self) {
+        let fresh = self.seen.borrow().at;
+        if fresh.is_none_or(|at| at.elapsed() >= REFRESH_INTERVAL) {
+            // What went wrong shows in what was seen.
+            let _ = self.look().await;
+        }
+    }
+
     /// Looks at the engine once.
     pub async fn look(&self) -> Result<State, Error> {
         let looked = timeout(LOOK_TIMEOUT, self.engine.state()).await;
@@ -92,12 +106,12 @@
                 reason: "no answer in time".to_owned(),
             })
         });
-        self.seen.send_modify(|seen| match &looked {
-            Ok(state) => {
+        self.seen.send_modify(|seen| {
+            seen.at = Some(Instant::now());
+            seen.answers = looked.is_ok();
+            if let Ok(state) = &looked {
                 seen.state = state.clone();
-                seen.answers = true;
             }
-            Err(_) => seen.answers = false,
         });
         looked
     }
--- a/crates/pistachiolug_agent/tests/calls_plain.rs
+++ b/crates/pistachiolug_agent/tests/calls_plain.rs
@@ -23,6 +23,9 @@
 };
 use support::{Agent, Answer, Size, booking, joined, until};
 
+/// Pause that is longer than a claim may take to its start.
+const PAUSE: Duration = Duration::from_millis(4_500);
+
 fn size() -> Size {
     Size {
         model: false,
@@ -63,8 +66,10 @@
     down: Arc<AtomicBool>,
     /// Takes effect, but the answer is lost.
     deaf: Arc<AtomicBool>,
-    /// Never answers, as a claimant sees that was paused.
+    /// Never answers.
     stuck: Arc<AtomicBool>,
+    /// Stops the claimant's thread after the claim took effect, as a pause of the process does.
+    pause: Arc<AtomicBool>,
 }
 
 impl Shaky {
@@ -85,6 +90,9 @@
         self.fail(&self.down).await?;
         let verdict = self.memory.claim(claim).await?;
         self.fail(&self.deaf).await?;
+        if self.pause.swap(false, Ordering::AcqRel) {
+            std::thread::sleep(PAUSE);
+        }
         Ok(verdict)
     }
 
@@ -214,6 +222,48 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_paused_after_its_claim_does_not_start_the_call() {
+    let ledger = Shaky::default();
+    let agent = Agent::start("a", size(), ledger.clone()).await;
+    ledger.pause.store(true, Ordering::Release);
+
+    let paused = agent.run(&booking(1, Some("k"), "{}")).await;
+    let runs_before = runs(&agent, "k");
+    until("the claim is given back", || {
+        agent.calls.dump()["claims_open"] == 0
+    })
+    .await;
+    let answer = agent.run(&booking(2, Some("k"), "{}")).await;
+
+    assert_eq!(paused.fault().code, Code::ClaimUnavailable);
+    assert_eq!(paused.fault().outcome, Outcome::NotRun);
+    assert_eq!(runs_before, 0);
+    assert_eq!(response(&answer).status, 200);
+    assert_eq!(runs(&agent, "k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_look_up_whose_caller_is_gone_frees_its_slot() {
+    let agent = agent(Size {
+        first: Duration::from_secs(20),
+        ..size()
+    })
+    .await;
+    let mut open = booking(1, None, "{}");
+    if let Work::Plain(plain) = &mut open.work {
+        plain.idempotent = true;
+    }
+    let events = agent.open(&open).await;
+    until("the look-up runs", || agent.plain.runs().len() == 1).await;
+
+    agent.cancel(open.id).await;
+    let answer = events.rest().await;
+
+    assert_eq!(answer.fault().code, Code::Revoked);
+    until("the slot is free", || agent.calls.load().running == 0).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claim_of_an_earlier_process_stays_unknown_for_each_send() {
     let ledger = Memory::default();
--- a/crates/pistachiolug_standin/src/engine/face.rs
+++ b/crates/pistachiolug_standin/src/engine/face.rs
@@ -88,6 +88,11 @@
         self.control.freeze(frozen);
     }
 
+    /// Cuts all open streams; their generations end, the engine goes on.
+    pub fn cut(&self) {
+        self.control.crash();
+    }
+
     /// Crashes the engine now.
     pub fn crash(&self) {
         if self.crash == Crash::Exit {
@@ -167,6 +172,7 @@
         match order {
             "freeze" => self.freeze(true),
             "thaw" => self.freeze(false),
+            "cut" => self.cut(),
             "crash" => self.crash(),
             _ => return reply::status(StatusCode::NOT_FOUND),
         }
