--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -7,7 +7,7 @@
 xflags::xflags! {
     /// Load tool and stand-ins of pistachiolug.
     cmd bench {
-        /// Runs one stand-in: kv, directory, origin, engine or plain.
+        /// Runs one stand-in: kv, directory, origin, engine, plain or relay.
         cmd standin {
             /// Role.
             required role: String
@@ -25,6 +25,10 @@
             optional --checks-fence
             /// Generations that an engine runs at once.
             optional --slots slots: u32
+            /// Address that a relay forwards to.
+            optional --target target: SocketAddr
+            /// Address on which a relay takes orders.
+            optional --control control: SocketAddr
         }
         /// Runs experiments, writes their results, and exits 1 if a promise was broken.
         cmd run {
@@ -33,6 +37,15 @@
             /// Folder of the results; `out` unless named.
             optional --out out: PathBuf
         }
+        /// Runs random faults under load, writes the results, and exits 1 if a promise was broken.
+        cmd chaos {
+            /// Seed of the faults and of the load.
+            required --seed seed: u64
+            /// Length in minutes; 1 unless set.
+            optional --minutes minutes: f64
+            /// Folder of the results; `out` unless named.
+            optional --out out: PathBuf
+        }
         /// Measures what control costs each process without calls, and prints a row for each role.
         cmd capacity {
             /// Number of agents.
--- a/crates/pistachiolug_bench/src/standin.rs
+++ b/crates/pistachiolug_bench/src/standin.rs
@@ -16,6 +16,7 @@
     kv::gateway::Gateway,
     origin::Origin,
     plain::Plain,
+    relay::Relay,
 };
 
 /// Largest body a stand-in takes, in bytes.
@@ -38,6 +39,10 @@
     pub checks_fence: bool,
     /// Generations that an engine runs at once.
     pub slots: u32,
+    /// Address that a relay forwards to.
+    pub target: Option<SocketAddr>,
+    /// Address on which a relay takes orders.
+    pub control: Option<SocketAddr>,
 }
 
 /// Runs a stand-in until it is told to stop.
@@ -73,6 +78,17 @@
                 .with_crash(Crash::Exit);
             wait(options, face).await
         }
+        "relay" => match (options.target, options.control) {
+            (Some(target), Some(control)) => {
+                let relay = Relay::start(options.listen, target).await?;
+                let listen = control;
+                wait(Options { listen, ..options }, relay).await
+            }
+            _ => Err(io::Error::new(
+                io::ErrorKind::InvalidInput,
+                "a relay needs --target and --control",
+            )),
+        },
         "plain" => wait(options, Plain::new(first)).await,
         _ => Err(io::Error::new(
             io::ErrorKind::InvalidInput,
