--- a/crates/pistachiolug_kernel/src/kernel.rs
+++ b/crates/pistachiolug_kernel/src/kernel.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     admin::Admin,
-    dump::Dump,
+    dump::{self, Dump},
     phase::{Control, Phase},
     registry::{self, Registry},
     signal,
@@ -128,6 +128,7 @@
     fn add_parts(&self, instance: &str) {
         let instance = instance.to_owned();
         self.dump.add("instance", move || json!(instance));
+        self.dump.add("traffic", dump::traffic);
         self.dump
             .add("version", || json!(env!("CARGO_PKG_VERSION")));
         let control = self.control().clone();
