--- a/crates/pistachiolug/src/args.rs
+++ b/crates/pistachiolug/src/args.rs
@@ -36,6 +36,30 @@
             /// Prints the findings as JSON.
             optional --json
         }
+        /// Puts the customers and plans lists in force, row by row.
+        ///
+        /// Rows that others changed meanwhile are kept and reported. The file lists.applied.json beside the customers
+        /// list belongs into version control with them.
+        ///
+        /// Example: pistachiolug apply customers.jsonc plans.jsonc --dry-run
+        cmd apply {
+            /// Customers list.
+            required customers: PathBuf
+            /// Plans list, with models and services.
+            required plans: PathBuf
+            /// Shows the differences of each row and writes nothing.
+            optional --dry-run
+            /// Takes a row such as customers/delis from these lists in a conflict.
+            repeated --prefer row: String
+            /// Name that the history keeps; $USER by default.
+            optional --author author: String
+            /// Waits up to this many seconds until the rows are in force everywhere.
+            optional --wait wait: u64
+            /// Operator's settings file; operator.jsonc by default.
+            optional --settings settings: PathBuf
+            /// Prints JSON.
+            optional --json
+        }
         /// Shows which revision of the lists is in force, per place.
         ///
         /// Example: pistachiolug lists --wait 8
--- a/crates/pistachiolug/src/command.rs
+++ b/crates/pistachiolug/src/command.rs
@@ -8,6 +8,7 @@
     output,
 };
 
+pub mod apply;
 pub mod check;
 pub mod demo;
 pub mod digest;
--- a/crates/pistachiolug/src/command/lists.rs
+++ b/crates/pistachiolug/src/command/lists.rs
@@ -61,6 +61,16 @@
     })
 }
 
+/// Waits until a revision is in force everywhere.
+pub(super) async fn wait_for(operator: &Operator, revision: u64, seconds: u64) -> Exit {
+    let waited = wait(operator, Some(revision), Duration::from_secs(seconds)).await;
+    match waited {
+        Ok(report) if report.in_force => Exit::Done,
+        Ok(report) => output::fail(Exit::TimedOut, &text(&report)),
+        Err(error) => output::fail(Exit::Unavailable, &error),
+    }
+}
+
 async fn wait(
     operator: &Operator,
     wanted: Option<u64>,
--- a/crates/pistachiolug/src/main.rs
+++ b/crates/pistachiolug/src/main.rs
@@ -13,6 +13,7 @@
         PistachiolugCmd::Entry(entry) => daemon::entry(&entry.settings).into(),
         PistachiolugCmd::Agent(agent) => daemon::agent(&agent.settings).into(),
         PistachiolugCmd::Check(check) => command::check::run(&check).into(),
+        PistachiolugCmd::Apply(apply) => command::apply::run(&apply).into(),
         PistachiolugCmd::Lists(lists) => command::lists::run(&lists).into(),
         PistachiolugCmd::Status(status) => command::status::run(&status).into(),
         PistachiolugCmd::Dump(dump) => command::dump::run(&dump).into(),
--- a/crates/pistachiolug/tests/product_cli.rs
+++ b/crates/pistachiolug/tests/product_cli.rs
@@ -66,8 +66,10 @@
     for deployment in ["karoo", "authority"] {
         let entry = sample(deployment, "entry");
         let operator = sample(deployment, "operator");
+        let customers = format!("examples/{deployment}/customers.jsonc");
+        let plans = format!("examples/{deployment}/plans.jsonc");
 
-        let output = run(&["check", &entry, &operator]);
+        let output = run(&["check", &entry, &operator, &customers, &plans]);
 
         assert_eq!(code(&output), 0, "{}", errors(&output));
     }
@@ -109,6 +111,15 @@
         (&["--help"], 0),
         (&["lists", "--help"], 0),
         (&["check", &entry], 0),
+        (&["check", "examples/karoo/customers.jsonc"], 0),
+        (
+            &[
+                "check",
+                "examples/karoo/customers.jsonc",
+                "examples/authority/plans.jsonc",
+            ],
+            1,
+        ),
         (&["check", "--live", &entry], 1),
         (&["entry", &entry], 1),
         (&["agent", &entry], 1),
@@ -116,6 +127,8 @@
         (&[], 2),
         (&["frobnicate"], 2),
         (&["dump", "nowhere"], 2),
+        (&["check"], 2),
+        (&["apply", "examples/karoo/customers.jsonc"], 2),
         (&["check", "missing.jsonc"], 3),
         (&["entry", "missing.jsonc"], 3),
         (&["status", "--settings", &operator], 3),
--- a/crates/pistachiolug_bench/src/demo.rs
+++ b/crates/pistachiolug_bench/src/demo.rs
@@ -1,6 +1,7 @@
 //! Demonstration: a whole deployment on loopback, a model spread to it, a burst of calls, and what held.
 
 pub mod calls;
+pub mod operator;
 pub mod promise;
 pub mod report;
 pub mod spread;
@@ -8,6 +9,7 @@
 
 use std::io;
 
+use self::operator::Operator;
 use crate::{
     experiment::record,
     rig::deployment::{self, Deployment, Size},
@@ -33,16 +35,17 @@
     let size = size();
     say("starting stand-ins, agents and entries");
     let deployment = Deployment::start(&size).await?;
+    let operator = Operator::new(&deployment)?;
     say("applying the sample lists and spreading the model");
     let weights = deployment::weights(VERSION, WEIGHTS_BYTES);
-    let spread = spread::run(&deployment, VERSION, &weights).await?;
+    let spread = spread::run(&deployment, &operator, VERSION, &weights).await?;
     say("sending a burst of paid and trial calls, and bookings twice");
     let samples = calls::run(&deployment, VERSION, &weights).await?;
     let record = record::read(&deployment).await?;
     let promises = promise::check(&spread, &samples, &record);
     print(&report::render(&spread, &samples, &record, &promises));
     if stay {
-        stay::run(&deployment).await?;
+        stay::run(&deployment, &operator).await?;
     }
     Ok(promises.iter().all(|promise| promise.held))
 }
--- a/crates/pistachiolug_bench/src/demo/spread.rs
+++ b/crates/pistachiolug_bench/src/demo/spread.rs
@@ -1,11 +1,11 @@
 //! Spread of the model to all agents, watched at the engines.
 
-use std::{io, time::Instant};
+use std::{io, net::SocketAddr, time::Instant};
 
 use http::Method;
 use tokio::time::{Duration, sleep};
 
-use super::say;
+use super::{operator::Operator, say};
 use crate::{
     experiment::record,
     rig::deployment::{CHUNK_BYTES, Deployment},
@@ -41,13 +41,21 @@
 ///
 /// # Errors
 /// Returns the error of an upload or list change; a spread that does not finish in time is part of the result.
-pub async fn run(deployment: &Deployment, version: &str, weights: &[u8]) -> io::Result<Spread> {
+pub async fn run(
+    deployment: &Deployment,
+    operator: &Operator,
+    version: &str,
+    weights: &[u8],
+) -> io::Result<Spread> {
     let uploaded = deployment.upload("pasta", version, weights, CHUNK_BYTES);
     let manifest = uploaded.await?;
     let before = record::read(deployment).await?.origin_bytes;
+    operator.write_lists(version, manifest, engines(deployment).len())?;
     let start = Instant::now();
-    deployment.write_sample(version, manifest).await?;
+    let applier = operator.clone();
+    let applied = tokio::task::spawn_blocking(move || applier.apply());
     let (wanted, served) = watch(deployment, version, start).await;
+    applied.await.map_err(io::Error::other)??;
     let after = record::read(deployment).await?.origin_bytes;
     Ok(Spread {
         wanted,
@@ -57,12 +65,14 @@
     })
 }
 
+fn engines(deployment: &Deployment) -> Vec<SocketAddr> {
+    let agents = deployment.agents.iter();
+    let assistants = agents.filter(|agent| agent.service == "assistant");
+    assistants.filter_map(|agent| agent.backend).collect()
+}
+
 async fn watch(deployment: &Deployment, version: &str, start: Instant) -> (usize, Vec<Duration>) {
-    let engines = deployment
-        .agents
-        .iter()
-        .filter(|agent| agent.service == "assistant");
-    let mut waiting: Vec<_> = engines.filter_map(|agent| agent.backend).collect();
+    let mut waiting = engines(deployment);
     let wanted = waiting.len();
     let mut served = Vec::new();
     while !waiting.is_empty() && start.elapsed() < PATIENCE {
@@ -85,7 +95,7 @@
     (wanted, served)
 }
 
-async fn serves(deployment: &Deployment, engine: std::net::SocketAddr, version: &str) -> bool {
+async fn serves(deployment: &Deployment, engine: SocketAddr, version: &str) -> bool {
     let path = "/v1/engine/state";
     let sent = deployment.http.send(Method::GET, engine, path, None, "");
     let needle = format!("\"version\":\"{version}\"");
--- a/crates/pistachiolug_bench/src/demo/stay.rs
+++ b/crates/pistachiolug_bench/src/demo/stay.rs
@@ -1,38 +1,25 @@
 //! Requests to try while the demonstration stays up.
 
-use std::{fs, io, path::Path};
+use std::io;
 
 use pistachiolug_kernel::signal;
-use serde_json::json;
 
-use super::{print, say};
-use crate::rig::deployment::{Deployment, PAID_KEY, SECRET, TRIAL_KEY};
+use super::{operator::Operator, print, say};
+use crate::rig::deployment::{Deployment, PAID_KEY, TRIAL_KEY};
 
 /// Prints requests and waits until it is told to stop.
 ///
 /// # Errors
-/// Returns the error of a file or of the signals.
-pub async fn run(deployment: &Deployment) -> io::Result<()> {
-    let settings = write_settings(deployment)?;
-    print(&requests(deployment, &settings));
+/// Returns the error of the signals.
+pub async fn run(deployment: &Deployment, operator: &Operator) -> io::Result<()> {
+    print(&requests(deployment, operator));
     say("stays up until Ctrl-C");
     signal::stop().await
 }
 
-fn write_settings(deployment: &Deployment) -> io::Result<String> {
-    let secret = deployment.folder().join("secret");
-    fs::write(&secret, SECRET)?;
-    let path = deployment.folder().join("operator.jsonc");
-    let settings = json!({
-        "key_value": format!("http://{}", deployment.kv),
-        "instances": format!("http://{}", deployment.directory),
-        "secret_file": secret,
-    });
-    fs::write(&path, format!("{settings:#}\n"))?;
-    Ok(Path::display(&path).to_string())
-}
-
-fn requests(deployment: &Deployment, settings: &str) -> String {
+fn requests(deployment: &Deployment, operator: &Operator) -> String {
+    let settings = operator.settings.display();
+    let (customers, plans) = (operator.customers.display(), operator.plans.display());
     let entry = deployment.entries.iter().find_map(|entry| entry.callers);
     let entry = entry.map_or_else(String::new, |entry| entry.to_string());
     let agent = deployment.agents.first().map(|agent| agent.internal);
@@ -52,6 +39,7 @@
         "# what operators see".to_owned(),
         format!("pistachiolug status --settings {settings}"),
         format!("pistachiolug lists --settings {settings}"),
+        format!("pistachiolug apply {customers} {plans} --settings {settings} --dry-run"),
         format!("pistachiolug dump {agent} --settings {settings}"),
     ]
     .join("\n")
