--- a/crates/pistachiolug_agent/src/lib.rs
+++ b/crates/pistachiolug_agent/src/lib.rs
@@ -1,6 +1,11 @@
 //! Agent: the process beside one backend server that admits its calls and keeps its weights in line.
 
 pub mod calls;
+pub mod crash;
 pub mod door;
+pub mod incarnation;
+pub mod metrics;
+pub mod peers;
 pub mod process;
+pub mod serving;
 pub mod weights;
