--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -23,15 +23,8 @@
 const PROMPT: &str = "forty kilos of ravioli";
 
 async fn deployment() -> Deployment {
-    let size = Size {
-        models: 2,
-        plains: 1,
-        entries: 1,
-        engine_args: Vec::new(),
-        origin_rate: 0,
-        weights_bytes: 200_000,
-    };
-    let deployment = Deployment::start(&size).await.expect("deployment starts");
+    let deployment = Deployment::start(&Size::new(2, 1, 1)).await;
+    let deployment = deployment.expect("deployment starts");
     deployment.prepare("v1").await.expect("version serves");
     deployment
 }
--- a/crates/pistachiolug/tests/product_survival.rs
+++ b/crates/pistachiolug/tests/product_survival.rs
@@ -22,15 +22,8 @@
 const CALLS: u32 = 10;
 
 async fn deployment() -> Deployment {
-    let size = Size {
-        models: 2,
-        plains: 1,
-        entries: 2,
-        engine_args: Vec::new(),
-        origin_rate: 0,
-        weights_bytes: 200_000,
-    };
-    let deployment = Deployment::start(&size).await.expect("deployment starts");
+    let deployment = Deployment::start(&Size::new(2, 1, 2)).await;
+    let deployment = deployment.expect("deployment starts");
     deployment.prepare("v1").await.expect("version serves");
     deployment
 }
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -65,6 +65,20 @@
     pub weights_bytes: usize,
 }
 
+impl Size {
+    /// Creates sizes with fast stand-ins, an unlimited origin and small weights.
+    pub fn new(models: usize, plains: usize, entries: usize) -> Self {
+        Self {
+            models,
+            plains,
+            entries,
+            engine_args: Vec::new(),
+            origin_rate: 0,
+            weights_bytes: 200_000,
+        }
+    }
+}
+
 /// Running daemon.
 #[derive(Debug)]
 pub struct Daemon {
