--- a/crates/pistachiolug_bench/src/rig.rs
+++ b/crates/pistachiolug_bench/src/rig.rs
@@ -4,3 +4,4 @@
 pub mod deployment;
 pub mod port;
 pub mod process;
+pub mod watch;
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -156,6 +156,11 @@
         &self.folder
     }
 
+    /// Returns the length of each version's weights in bytes.
+    pub fn weights_bytes(&self) -> usize {
+        self.weights_bytes
+    }
+
     /// Publishes all daemons as live instances.
     ///
     /// # Errors
