--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -27,6 +27,8 @@
             optional --target target: SocketAddr
             /// Address on which a relay takes orders.
             optional --control control: SocketAddr
+            /// Generations that an engine runs at once.
+            optional --slots slots: u32
         }
         /// Runs experiments, writes their results, and exits 1 if a promise was broken.
         cmd run {
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -47,6 +47,7 @@
         checks_fence: flags.checks_fence,
         target: flags.target,
         control: flags.control,
+        slots: flags.slots.unwrap_or(64),
     };
     standin::run(&flags.role, options)?;
     Ok(ExitCode::SUCCESS)
