--- a/crates/pistachiolug/tests/routing_rig/mod.rs
+++ b/crates/pistachiolug/tests/routing_rig/mod.rs
@@ -62,12 +62,12 @@
     })
 }
 
-/// Sends a booking in the background.
-pub(crate) fn book(http: &Http, entry: SocketAddr) -> JoinHandle<Response<Bytes>> {
+/// Sends a booking in the background; `order` names it in the service's record.
+pub(crate) fn book(http: &Http, entry: SocketAddr, order: &str) -> JoinHandle<Response<Bytes>> {
     let http = http.clone();
+    let path = format!("/services/booking/{order}");
     tokio::spawn(async move {
-        let path = "/services/booking/orders";
-        let reply = http.send(Method::POST, entry, path, Some(PAID_KEY), "{}");
+        let reply = http.send(Method::POST, entry, &path, Some(PAID_KEY), "{}");
         reply.await.expect("the entry answers")
     })
 }
