--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -23,12 +23,12 @@
             optional --gap-ms gap_ms: u64
             /// Makes an engine refuse old fencing numbers.
             optional --checks-fence
+            /// Generations that an engine runs at once.
+            optional --slots slots: u32
             /// Address that a relay forwards to.
             optional --target target: SocketAddr
             /// Address on which a relay takes orders.
             optional --control control: SocketAddr
-            /// Generations that an engine runs at once.
-            optional --slots slots: u32
         }
         /// Runs experiments, writes their results, and exits 1 if a promise was broken.
         cmd run {
--- a/crates/pistachiolug_bench/src/standin.rs
+++ b/crates/pistachiolug_bench/src/standin.rs
@@ -37,12 +37,12 @@
     pub gap_ms: u64,
     /// Whether an engine refuses old fencing numbers.
     pub checks_fence: bool,
+    /// Generations that an engine runs at once.
+    pub slots: u32,
     /// Address that a relay forwards to.
     pub target: Option<SocketAddr>,
     /// Address on which a relay takes orders.
     pub control: Option<SocketAddr>,
-    /// Generations that an engine runs at once.
-    pub slots: u32,
 }
 
 /// Runs a stand-in until it is told to stop.
--- a/crates/pistachiolug_bench/tests/ports.rs
+++ b/crates/pistachiolug_bench/tests/ports.rs
@@ -1,5 +1,7 @@
 //! Ports of the rig.
 
+use std::collections::BTreeSet;
+
 use pistachiolug_bench::rig::port;
 
 #[test]
@@ -8,3 +10,12 @@
 
     assert!(address.ip().is_loopback());
 }
+
+#[test]
+fn a_port_is_handed_out_once() {
+    let ports: BTreeSet<_> = (0..200)
+        .map(|_| port::free().expect("a port is free"))
+        .collect();
+
+    assert_eq!(ports.len(), 200);
+}
