Exchange chunks between members over HTTP, and measure a spread

Cause: the planner had no transport. Change: swarm of members (have-maps by deltas, verified chunks, upload slots and allowance, paced links, staging budget), origin stand-in with faults on order, `pistachiolug-bench spread` with two baselines.

--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -24,5 +24,25 @@
             /// Makes an engine refuse old fencing numbers.
             optional --checks-fence
         }
+
+        /// Measures the spread of a version to N members on loopback with shaped links.
+        cmd spread {
+            /// How members get their chunks: time-first, bytes-first, origin or chain.
+            optional --policy policy: String
+            /// Numbers of members, separated by commas.
+            optional --n n: String
+            /// Bytes of the version.
+            optional --bytes bytes: usize
+            /// Bytes of a chunk.
+            optional --chunk-bytes chunk_bytes: usize
+            /// Bytes a second of the origin's link.
+            optional --origin-rate origin_rate: u64
+            /// Bytes a second of each member's link.
+            optional --link-rate link_rate: u64
+            /// Members in a hundred to kill half way.
+            optional --kill-percent kill_percent: usize
+            /// Seed of the version's bytes.
+            optional --seed seed: u64
+        }
     }
 }
--- /dev/null
+++ b/crates/pistachiolug_bench/src/spread.rs
@@ -0,0 +1,7 @@
+//! Spread of one version to N members on loopback with shaped links, against two baselines.
+
+pub mod command;
+pub mod member;
+pub mod net;
+pub mod run;
+pub mod upstream;
--- /dev/null
+++ b/crates/pistachiolug_bench/src/spread/command.rs
@@ -0,0 +1,110 @@
+//! Subcommand that measures spreads and prints one row per number of members.
+
+use std::{io, time::Duration};
+
+use pistachiolug_weights::planner::policy::Policy;
+
+use super::{
+    net::{Shape, Size},
+    run::{self, Kill, Report},
+};
+
+/// Options of the subcommand.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// How members get their chunks: `time-first`, `bytes-first`, `origin` or `chain`.
+    pub policy: String,
+    /// Numbers of members, separated by commas.
+    pub members: String,
+    /// Bytes of the version.
+    pub bytes: usize,
+    /// Bytes of a chunk.
+    pub chunk_bytes: usize,
+    /// Rate of the origin's link in bytes a second.
+    pub origin_rate: u64,
+    /// Rate of each member's link in bytes a second.
+    pub link_rate: u64,
+    /// Members in a hundred to kill half way.
+    pub kill_percent: usize,
+    /// Seed of the version's bytes.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            policy: "bytes-first".to_owned(),
+            members: "1,2,4,8,16,32".to_owned(),
+            bytes: 8 << 20,
+            chunk_bytes: 32 << 10,
+            origin_rate: 8_000_000,
+            link_rate: 4_000_000,
+            kill_percent: 0,
+            seed: 1,
+        }
+    }
+}
+
+/// Runs the spreads one after another and prints their rows.
+///
+/// # Errors
+/// Returns the error of a start, or `InvalidInput` for unknown words.
+#[allow(clippy::print_stdout)]
+pub fn run(options: &Options) -> io::Result<()> {
+    let shape = parse_shape(&options.policy)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    println!("policy n finished seconds bound ratio origin_copies largest_upload");
+    for members in options.members.split(',') {
+        let members: usize = members.parse().map_err(invalid)?;
+        let report = runtime.block_on(measure(options, shape, members))?;
+        print_row(&options.policy, members, &report);
+    }
+    Ok(())
+}
+
+async fn measure(options: &Options, shape: Shape, members: usize) -> io::Result<Report> {
+    let size = Size {
+        members,
+        bytes: options.bytes,
+        chunk_bytes: options.chunk_bytes,
+        origin_rate: options.origin_rate,
+        link_rate: options.link_rate,
+        stall: Duration::from_secs(1),
+        exchange_gap: Duration::from_millis(20),
+    };
+    let half = size.bytes as f64 / size.link_rate.max(1) as f64 / 2.0;
+    let kill = Kill {
+        members: members * options.kill_percent / 100,
+        after: Duration::from_secs_f64(half),
+    };
+    run::run(size, shape, kill, options.seed).await
+}
+
+#[allow(clippy::print_stdout)]
+fn print_row(policy: &str, members: usize, report: &Report) {
+    println!(
+        "{policy} {members} {} {:.2} {:.2} {:.2} {:.3} {:.2}",
+        report.members,
+        report.seconds,
+        report.bound,
+        report.seconds / report.bound,
+        report.origin_copies,
+        report.largest_upload,
+    );
+}
+
+fn parse_shape(policy: &str) -> io::Result<Shape> {
+    match policy {
+        "time-first" => Ok(Shape::Swarm(Policy::TimeFirst)),
+        "bytes-first" => Ok(Shape::Swarm(Policy::BytesFirst)),
+        "origin" => Ok(Shape::Origin),
+        "chain" => Ok(Shape::Chain),
+        _ => Err(invalid(format!("no policy `{policy}`"))),
+    }
+}
+
+fn invalid(cause: impl ToString) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, cause.to_string())
+}
--- a/crates/pistachiolug_http/src/lib.rs
+++ b/crates/pistachiolug_http/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod body;
 pub mod client;
 pub mod limit;
+pub mod pace;
 pub mod secret;
 pub mod server;
--- a/crates/pistachiolug_platform/src/source.rs
+++ b/crates/pistachiolug_platform/src/source.rs
@@ -2,13 +2,19 @@
 
 use std::{future::Future, ops::Range, time::Duration};
 
-use bytes::Bytes;
-use http::{Request, StatusCode, header};
-use pistachiolug_http::client::Client;
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use pistachiolug_http::{
+    client::Client,
+    pace::{Pace, Unpaced},
+};
 use snafu::Snafu;
+use tokio::time::timeout;
 
-/// Longest time one range may take.
-const TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest silence of a source before a read counts as failed.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Largest object read whole, such as a manifest, in bytes.
 const OBJECT_BYTES: usize = 16 << 20;
@@ -41,11 +47,15 @@
     /// Reads a whole small object.
     fn read(&self, name: &str) -> impl Future<Output = Result<Bytes, Error>> + Send;
 
-    /// Reads a range of an object, in bytes.
-    fn read_range(
+    /// Reads a range of an object, in bytes, no faster than `pace` lets them pass.
+    ///
+    /// # Errors
+    /// [`Error::Failed`] when the source is silent for too long or sends fewer bytes than asked for.
+    fn read_range<P: Pace>(
         &self,
         name: &str,
         range: Range<u64>,
+        pace: &P,
     ) -> impl Future<Output = Result<Bytes, Error>> + Send;
 }
 
@@ -54,6 +64,7 @@
 pub struct Http {
     client: Client,
     base: String,
+    silence: Duration,
 }
 
 impl Http {
@@ -62,25 +73,31 @@
         Self {
             client,
             base: base.to_owned(),
+            silence: SILENCE_TIMEOUT,
         }
     }
 
-    async fn get(&self, name: &str, range: Option<&Range<u64>>) -> Result<Bytes, Error> {
+    /// Sets the longest silence before a read counts as failed.
+    #[must_use]
+    pub fn with_silence(self, silence: Duration) -> Self {
+        Self { silence, ..self }
+    }
+
+    async fn open(
+        &self,
+        name: &str,
+        range: Option<&Range<u64>>,
+    ) -> Result<Response<Incoming>, Error> {
         let mut request = Request::get(format!("{}/{name}", self.base));
-        let mut most = OBJECT_BYTES;
         if let Some(range) = range {
             let last = range.end.saturating_sub(1);
             request = request.header(header::RANGE, format!("bytes={}-{last}", range.start));
-            most = range.end.saturating_sub(range.start) as usize;
         }
         let request = request.body(Bytes::new()).map_err(failed)?;
-        let response = self
-            .client
-            .fetch(request, most, TIMEOUT)
-            .await
-            .map_err(failed)?;
+        let sent = self.client.send(request, self.silence).await;
+        let response = sent.map_err(failed)?;
         match response.status() {
-            StatusCode::OK | StatusCode::PARTIAL_CONTENT => Ok(response.into_body()),
+            StatusCode::OK | StatusCode::PARTIAL_CONTENT => Ok(response),
             StatusCode::NOT_FOUND => Err(Error::Missing),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 Err(Error::Throttled {
@@ -90,17 +107,45 @@
             status => Err(failed(status)),
         }
     }
+
+    async fn collect<P: Pace>(
+        &self,
+        response: Response<Incoming>,
+        most: usize,
+        pace: &P,
+    ) -> Result<Bytes, Error> {
+        let mut body = response.into_body();
+        let mut whole = BytesMut::new();
+        while let Some(frame) = timeout(self.silence, body.frame()).await.map_err(failed)? {
+            let Ok(data) = frame.map_err(failed)?.into_data() else {
+                continue;
+            };
+            if whole.len() + data.len() > most {
+                return Err(failed(format!("more than {most} bytes")));
+            }
+            pace.take(data.len()).await;
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
 }
 
 impl Source for Http {
     async fn read(&self, name: &str) -> Result<Bytes, Error> {
-        self.get(name, None).await
+        let response = self.open(name, None).await?;
+        self.collect(response, OBJECT_BYTES, &Unpaced).await
     }
 
-    async fn read_range(&self, name: &str, range: Range<u64>) -> Result<Bytes, Error> {
-        let wanted = range.end.saturating_sub(range.start);
-        let bytes = self.get(name, Some(&range)).await?;
-        if bytes.len() as u64 != wanted {
+    async fn read_range<P: Pace>(
+        &self,
+        name: &str,
+        range: Range<u64>,
+        pace: &P,
+    ) -> Result<Bytes, Error> {
+        let wanted = range.end.saturating_sub(range.start) as usize;
+        let response = self.open(name, Some(&range)).await?;
+        let bytes = self.collect(response, wanted, pace).await?;
+        if bytes.len() != wanted {
             return Err(failed(format!("{} of {wanted} bytes", bytes.len())));
         }
         Ok(bytes)
--- a/crates/pistachiolug_standin/src/origin.rs
+++ b/crates/pistachiolug_standin/src/origin.rs
@@ -1,103 +1,237 @@
-//! Origin and weight store: objects with HTTP ranges behind a shared link.
+//! Origin and weight store: objects with HTTP ranges behind a shared, rate-limited link.
+//!
+//! | request | effect |
+//! |---|---|
+//! | `PUT /{name}`, `GET /{name}` | stores, reads an object |
+//! | `GET /control/record` | bytes sent, in all and per object |
+//! | `POST /control/fault?kind=K&reads=N` | the next N ranged reads fail by `corrupt`, `truncate`, `stall` or `throttle` |
+//! | `POST /control/down?on=1` | refuses everything with 500 until `on=0` |
+//! | `POST /control/rate?bytes=N` | changes the link's rate |
 
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Response, StatusCode, header};
 use pistachiolug_http::{
     body::Body,
+    pace::{Bucket, Pace},
     server::{Handler, Reply, Request},
 };
-use serde_json::json;
-use tokio::{sync::Mutex as Turn, time::sleep};
+use serde::Serialize;
+use tokio::{sync::mpsc, time::sleep};
 
 use crate::reply;
 
 /// Bytes sent in one turn on the link.
-const TURN_BYTES: usize = 64 << 10;
+const TURN_BYTES: usize = 16 << 10;
+
+/// Time that a stalled read stays silent.
+const STALL: Duration = Duration::from_secs(600);
+
+/// Seconds named by a refusal for the rate.
+const RETRY_AFTER_S: u32 = 1;
 
 /// Origin stand-in; clones share one state.
 #[derive(Debug, Clone)]
 pub struct Origin {
-    /// Bytes a second of the link; 0 means no limit.
-    rate: u64,
-    objects: Arc<Mutex<BTreeMap<String, Bytes>>>,
-    /// Held while a turn is sent, so that all reads share one link.
-    link: Arc<Turn<()>>,
-    sent: Arc<AtomicU64>,
+    link: Arc<Bucket>,
+    /// Reads served at once; 0 means no limit, more are refused with 429.
+    readers: usize,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, Bytes>,
+    record: Record,
+    reading: usize,
+    down: bool,
+    fault: Option<Fault>,
+    /// Ranged reads that `fault` still spoils.
+    spoiled: u64,
+}
+
+/// What was sent.
+#[derive(Debug, Default, Clone, Serialize)]
+pub struct Record {
+    /// Bytes of all answers.
+    pub sent_bytes: u64,
+    /// Bytes by object.
+    pub objects: BTreeMap<String, u64>,
+    /// Reads refused for the rate.
+    pub throttled: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Corrupt,
+    Truncate,
+    Stall,
+    Throttle,
+}
+
+/// Counts a read for as long as its body is sent.
+struct Reading(Arc<Mutex<State>>);
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        lock(&self.0).reading -= 1;
+    }
 }
 
 impl Origin {
     /// Creates an empty origin behind a link of `rate` bytes a second; 0 means no limit.
     pub fn new(rate: u64) -> Self {
         Self {
-            rate,
-            objects: Arc::default(),
-            link: Arc::default(),
-            sent: Arc::default(),
+            link: Arc::new(Bucket::new(rate)),
+            readers: 0,
+            state: Arc::default(),
         }
     }
 
-    fn store(&self, name: &str, body: Bytes) -> Reply {
-        let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
-        objects.insert(name.to_owned(), body);
-        reply::status(StatusCode::CREATED)
+    /// Limits how many reads are served at once.
+    #[must_use]
+    pub fn with_readers(self, readers: usize) -> Self {
+        Self { readers, ..self }
+    }
+
+    /// Stores an object.
+    pub fn store(&self, name: &str, body: Bytes) {
+        lock(&self.state).objects.insert(name.to_owned(), body);
+    }
+
+    /// Returns what was sent so far.
+    pub fn record(&self) -> Record {
+        lock(&self.state).record.clone()
     }
 
     fn read(&self, name: &str, range: Option<&str>) -> Reply {
-        let objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(object) = objects.get(name).cloned() else {
+        let mut state = lock(&self.state);
+        if state.down {
+            return reply::status(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        let Some(object) = state.objects.get(name).cloned() else {
             return reply::status(StatusCode::NOT_FOUND);
         };
+        let fault = range.and_then(|_| state.take_fault());
+        let full = self.readers > 0 && state.reading >= self.readers;
+        if full || fault == Some(Fault::Throttle) {
+            state.record.throttled += 1;
+            return throttled();
+        }
+        state.reading += 1;
+        drop(state);
         let (status, bytes) = match range.and_then(|range| cut(&object, range)) {
             Some(bytes) => (StatusCode::PARTIAL_CONTENT, bytes),
             None => (StatusCode::OK, object),
         };
         let (sender, stream) = Body::channel();
         let origin = self.clone();
-        let length = bytes.len();
+        let reading = Reading(Arc::clone(&self.state));
+        let name = name.to_owned();
         tokio::spawn(async move {
-            for start in (0..bytes.len()).step_by(TURN_BYTES) {
-                let end = bytes.len().min(start + TURN_BYTES);
-                origin.take_turn(end - start).await;
-                if sender.send(bytes.slice(start..end)).await.is_err() {
-                    return;
-                }
-            }
+            origin.send(&name, bytes, fault, sender).await;
+            drop(reading);
         });
         let mut reply = Response::new(stream);
         *reply.status_mut() = status;
         reply
-            .headers_mut()
-            .insert(header::CONTENT_LENGTH, length.into());
-        reply
     }
 
-    async fn take_turn(&self, bytes: usize) {
-        let _link = self.link.lock().await;
-        if self.rate > 0 {
-            sleep(Duration::from_secs_f64(bytes as f64 / self.rate as f64)).await;
+    async fn send(
+        &self,
+        name: &str,
+        bytes: Bytes,
+        fault: Option<Fault>,
+        sender: mpsc::Sender<Bytes>,
+    ) {
+        let bytes = match fault {
+            Some(Fault::Corrupt) => corrupt(&bytes),
+            Some(Fault::Truncate | Fault::Stall) => bytes.slice(..bytes.len() / 2),
+            Some(Fault::Throttle) | None => bytes,
+        };
+        for start in (0..bytes.len()).step_by(TURN_BYTES) {
+            let end = bytes.len().min(start + TURN_BYTES);
+            self.link.take(end - start).await;
+            if lock(&self.state).down {
+                return;
+            }
+            if sender.send(bytes.slice(start..end)).await.is_err() {
+                return;
+            }
+            lock(&self.state).record.add(name, (end - start) as u64);
+        }
+        if fault == Some(Fault::Stall) {
+            tokio::select! {
+                () = sleep(STALL) => {}
+                () = sender.closed() => {}
+            }
+        }
+    }
+
+    fn control(&self, request: &Request) -> Reply {
+        let query = request.uri().query();
+        let mut state = lock(&self.state);
+        match request.uri().path() {
+            "/control/record" => return reply::json(StatusCode::OK, &state.record),
+            "/control/down" => state.down = reply::query_number(query, "on") == 1,
+            "/control/rate" => self.link.set_rate(reply::query_number(query, "bytes")),
+            "/control/fault" => {
+                let Some(fault) = reply::query_text(query, "kind").and_then(Fault::parse) else {
+                    return reply::status(StatusCode::BAD_REQUEST);
+                };
+                state.fault = Some(fault);
+                state.spoiled = reply::query_number(query, "reads");
+            }
+            _ => return reply::status(StatusCode::NOT_FOUND),
+        }
+        reply::status(StatusCode::NO_CONTENT)
+    }
+}
+
+impl State {
+    fn take_fault(&mut self) -> Option<Fault> {
+        if self.spoiled == 0 {
+            return None;
+        }
+        self.spoiled -= 1;
+        self.fault
+    }
+}
+
+impl Record {
+    fn add(&mut self, name: &str, bytes: u64) {
+        self.sent_bytes += bytes;
+        *self.objects.entry(name.to_owned()).or_default() += bytes;
+    }
+}
+
+impl Fault {
+    fn parse(text: &str) -> Option<Self> {
+        match text {
+            "corrupt" => Some(Self::Corrupt),
+            "truncate" => Some(Self::Truncate),
+            "stall" => Some(Self::Stall),
+            "throttle" => Some(Self::Throttle),
+            _ => None,
         }
-        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
 
 impl Handler for Origin {
     async fn handle(&self, request: Request) -> Reply {
-        let name = request.uri().path().trim_start_matches('/').to_owned();
-        if name == "control/record" {
-            let sent = self.sent.load(Ordering::Relaxed);
-            return reply::json(StatusCode::OK, &json!({ "sent_bytes": sent }));
+        let path = request.uri().path();
+        if path.starts_with("/control/") {
+            return self.control(&request);
         }
+        let name = path.trim_start_matches('/').to_owned();
         if request.method() == Method::PUT {
-            return self.store(&name, request.into_body());
+            self.store(&name, request.into_body());
+            return reply::status(StatusCode::CREATED);
         }
         let range = request
             .headers()
@@ -107,6 +241,27 @@
     }
 }
 
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn throttled() -> Reply {
+    let mut reply = reply::status(StatusCode::TOO_MANY_REQUESTS);
+    reply
+        .headers_mut()
+        .insert(header::RETRY_AFTER, RETRY_AFTER_S.into());
+    reply
+}
+
+/// Flips the first byte.
+fn corrupt(bytes: &Bytes) -> Bytes {
+    let mut bytes = BytesMut::from(bytes.as_ref());
+    if let Some(first) = bytes.first_mut() {
+        *first ^= 0xff;
+    }
+    bytes.freeze()
+}
+
 fn cut(object: &Bytes, range: &str) -> Option<Bytes> {
     let (first, last) = range.strip_prefix("bytes=")?.split_once('-')?;
     let first: usize = first.parse().ok()?;
--- a/crates/pistachiolug_weights/src/planner.rs
+++ b/crates/pistachiolug_weights/src/planner.rs
@@ -248,8 +248,12 @@
                 if let Some(neighbour) = self.neighbours.find(key) {
                     neighbour.busy_until = now + after;
                 }
+                self.pass_over_spent(key, after, now);
+            }
+            (Outcome::Busy { after }, Via::Member(key)) => {
+                self.pass_over_spent(key, after, now);
+                self.put_off(fetch.piece, now);
             }
-            (Outcome::Busy { .. }, Via::Member(_)) => self.put_off(fetch.piece, now),
             (Outcome::Failed | Outcome::Absent { .. }, Via::Source(index)) => {
                 self.fail_source(index, fetch.piece, now);
             }
@@ -382,6 +386,13 @@
         self.choose(now);
     }
 
+    /// Passes over a member whose upload allowance is used up, which its long wait tells.
+    fn pass_over_spent(&mut self, key: Key, after: Duration, now: Duration) {
+        if after >= self.tuning.stall {
+            self.suspect(key, now);
+        }
+    }
+
     /// Puts a piece that belongs to this member's queue back for a later try.
     fn put_off(&mut self, piece: u32, now: Duration) {
         if self.duty.rank(piece) == 0 {
--- /dev/null
+++ b/crates/pistachiolug_weights/src/swarm/pull.rs
@@ -0,0 +1,270 @@
+//! Pull of one version: runs the planner's fetches until all pieces are held.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use pistachiolug_platform::source::Source;
+use rand::{SeedableRng, rngs::StdRng};
+use snafu::ensure;
+use tokio::{task::JoinSet, time::sleep};
+
+use super::{Active, Error, Part, Parts, Shared, Swarm, TooLargeSnafu, Want, poll::Polls};
+use crate::{
+    exchange::Answer,
+    manifest::Chunk,
+    order::Key,
+    planner::{
+        Planner,
+        fetch::{Fetch, Outcome, Via},
+    },
+    roster::Roster,
+    staging,
+};
+
+/// Longest time between two looks at what is to do.
+const TICK: Duration = Duration::from_millis(50);
+
+/// End of a task of the pull.
+enum Event {
+    Fetched(Fetch, Outcome, Option<Bytes>),
+    Heard(Key, Option<Answer>),
+}
+
+/// State of one pull.
+struct Pull<S> {
+    shared: Arc<Shared<S>>,
+    want: Want,
+    roster: Arc<Roster>,
+    pieces: Vec<Chunk>,
+    planner: Planner,
+    polls: Polls,
+    tasks: JoinSet<Event>,
+    random: StdRng,
+    parts: Option<Parts>,
+}
+
+impl<S: Source> Swarm<S> {
+    /// Pulls a version until all its pieces are staged, or handed on to `parts`; dropping the future cancels it.
+    ///
+    /// Faults of peers and sources are retried without end; the caller drops the pull when the version is superseded.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] without `parts`, and [`Error::Closed`] when their receiver is gone.
+    pub async fn pull(&self, want: Want, parts: Option<Parts>) -> Result<(), Error> {
+        let budget = self.shared.options.staging_bytes;
+        let length = want.manifest.length();
+        ensure!(
+            parts.is_some() || length <= budget,
+            TooLargeSnafu { length, budget }
+        );
+        let _active = Active::enter(&self.shared, want.id);
+        let mut pull = Pull::open(&self.shared, want, parts);
+        pull.hand_on_held().await?;
+        while !pull.planner.complete() {
+            pull.start_tasks();
+            pull.wait().await?;
+        }
+        Ok(())
+    }
+}
+
+impl<S: Source> Pull<S> {
+    fn open(shared: &Arc<Shared<S>>, want: Want, parts: Option<Parts>) -> Self {
+        let now = shared.now();
+        let pieces = staging::pieces(&want.manifest);
+        let keys = pieces
+            .iter()
+            .map(|piece| Key::from(&piece.digest))
+            .collect();
+        let roster = Arc::clone(&want.roster.borrow());
+        let options = &shared.options;
+        let mut planner = Planner::new(
+            Key::of(&options.instance),
+            &options.region,
+            &options.home,
+            &roster,
+            keys,
+            options.tuning,
+            now,
+        );
+        let held = shared.buffer().open(want.id, &want.manifest, now);
+        held.iter().for_each(|piece| planner.hold(piece));
+        shared.note(&want.id, |progress| {
+            progress.held = held.count();
+            progress.reused = held.count();
+            progress.total = pieces.len();
+        });
+        Self {
+            shared: Arc::clone(shared),
+            want,
+            roster,
+            pieces,
+            planner,
+            polls: Polls::default(),
+            tasks: JoinSet::new(),
+            random: StdRng::seed_from_u64(rand::random()),
+            parts,
+        }
+    }
+
+    /// Hands on the pieces that were staged before the pull.
+    async fn hand_on_held(&mut self) -> Result<(), Error> {
+        let held: Vec<u32> = self.planner.held().iter().collect();
+        for piece in held {
+            let digest = self.pieces[piece as usize].digest;
+            let bytes = self.shared.buffer().chunk(&digest);
+            if let Some(bytes) = bytes {
+                self.hand_on(piece, bytes).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn hand_on(&self, piece: u32, bytes: Bytes) -> Result<(), Error> {
+        let Some(parts) = &self.parts else {
+            return Ok(());
+        };
+        let digest = self.pieces[piece as usize].digest;
+        let sent = parts.send(Part { digest, bytes }).await;
+        sent.map_err(|_| Error::Closed)
+    }
+
+    fn start_tasks(&mut self) {
+        let now = self.shared.now();
+        let active = self.shared.active.load(Ordering::Acquire).max(1);
+        let slots = self.shared.options.tuning.slots;
+        self.planner.set_slots(slots.div_ceil(active));
+        self.start_polls(now);
+        while let Some(fetch) = self.planner.next(now, &mut self.random) {
+            self.start_fetch(fetch);
+        }
+    }
+
+    fn start_polls(&mut self, now: Duration) {
+        let neighbours: Vec<Key> = self.planner.neighbours().collect();
+        self.polls.retain(|key| neighbours.contains(&key));
+        let gap = self.shared.options.exchange_gap;
+        for key in neighbours {
+            let Some(address) = self.address(key) else {
+                continue;
+            };
+            if let Some(ask) = self.polls.due(key, self.want.id, gap, now) {
+                let shared = Arc::clone(&self.shared);
+                self.tasks.spawn(async move {
+                    let answer = shared.ask(address, ask).await;
+                    Event::Heard(key, answer)
+                });
+            }
+        }
+    }
+
+    fn start_fetch(&mut self, fetch: Fetch) {
+        let shared = Arc::clone(&self.shared);
+        let chunk = self.pieces[fetch.piece as usize];
+        let id = self.want.id;
+        let address = match fetch.via {
+            Via::Source(_) => None,
+            Via::Neighbour(key) | Via::Member(key) => self.address(key),
+        };
+        self.tasks.spawn(async move {
+            let (outcome, bytes) = match (fetch.via, address) {
+                (Via::Source(index), _) => shared.fetch_source(index, chunk).await,
+                (_, Some(address)) => shared.fetch_member(address, &id, chunk).await,
+                (_, None) => (Outcome::Failed, None),
+            };
+            Event::Fetched(fetch, outcome, bytes)
+        });
+    }
+
+    async fn wait(&mut self) -> Result<(), Error> {
+        tokio::select! {
+            Some(Ok(event)) = self.tasks.join_next() => self.take(event).await?,
+            changed = self.want.roster.changed() => {
+                if changed.is_ok() {
+                    self.take_roster();
+                } else {
+                    sleep(TICK).await;
+                }
+            }
+            () = sleep(TICK) => {}
+        }
+        Ok(())
+    }
+
+    async fn take(&mut self, event: Event) -> Result<(), Error> {
+        let now = self.shared.now();
+        let gap = self.shared.options.exchange_gap;
+        match event {
+            Event::Heard(key, Some(answer)) => {
+                let serving = answer.serving;
+                let have = self.polls.take(key, answer, now + gap);
+                self.planner.hear(key, have, serving);
+            }
+            Event::Heard(key, None) => {
+                self.polls.miss(key, now + gap);
+                self.planner.miss(key, now);
+            }
+            Event::Fetched(fetch, outcome, bytes) => {
+                if let Some(bytes) = bytes {
+                    self.store(fetch, bytes, now).await?;
+                }
+                self.note(fetch, outcome);
+                self.planner.finish(fetch, outcome, now);
+            }
+        }
+        Ok(())
+    }
+
+    async fn store(&mut self, fetch: Fetch, bytes: Bytes, now: Duration) -> Result<(), Error> {
+        if self.planner.held().has(fetch.piece) {
+            return Ok(());
+        }
+        self.hand_on(fetch.piece, bytes.clone()).await?;
+        let window = self.parts.is_some();
+        let id = &self.want.id;
+        let stored = self
+            .shared
+            .buffer()
+            .insert(id, fetch.piece, bytes, window, now);
+        if stored.is_err() && !window {
+            let budget = self.shared.options.staging_bytes;
+            let length = self.want.manifest.length();
+            return TooLargeSnafu { length, budget }.fail();
+        }
+        self.shared.news.send_modify(|news| *news += 1);
+        Ok(())
+    }
+
+    fn note(&self, fetch: Fetch, outcome: Outcome) {
+        let length = u64::from(self.pieces[fetch.piece as usize].length);
+        let arrived = outcome == Outcome::Arrived;
+        self.shared
+            .note(&self.want.id, |progress| match (outcome, fetch.via) {
+                (Outcome::Arrived, Via::Source(_)) => progress.source_bytes += length,
+                (Outcome::Arrived, _) => progress.member_bytes += length,
+                (Outcome::Corrupt, _) => progress.corrupt += 1,
+                (Outcome::Busy { .. }, Via::Source(_)) => progress.throttled += 1,
+                _ => {}
+            });
+        if arrived && !self.planner.held().has(fetch.piece) {
+            self.shared
+                .note(&self.want.id, |progress| progress.held += 1);
+        }
+    }
+
+    fn take_roster(&mut self) {
+        self.roster = Arc::clone(&self.want.roster.borrow_and_update());
+        let options = &self.shared.options;
+        let now = self.shared.now();
+        self.planner
+            .set_roster(&options.region, &options.home, &self.roster, now);
+    }
+
+    fn address(&self, key: Key) -> Option<SocketAddr> {
+        self.roster.find(key).map(|member| member.address)
+    }
+}
