--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -2,7 +2,7 @@
 
 #![allow(missing_docs, unreachable_pub)]
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
     /// Load tool and stand-ins of pistachiolug.
@@ -24,7 +24,38 @@
             /// Makes an engine refuse old fencing numbers.
             optional --checks-fence
         }
-
+        /// Runs experiments, writes their results, and exits 1 if a promise was broken.
+        cmd run {
+            /// Files of the experiments, JSON with comments.
+            repeated file: PathBuf
+            /// Folder of the results; `out` unless named.
+            optional --out out: PathBuf
+        }
+        /// Measures what control costs each process without calls, and prints a row for each role.
+        cmd capacity {
+            /// Number of agents.
+            required --agents agents: usize
+            /// Number of entries.
+            required --entries entries: usize
+            /// Rows of the customers list.
+            optional --customers customers: usize
+            /// List changes a second.
+            optional --changes changes: f64
+            /// Length of the measurement in seconds; 20 unless set.
+            optional --seconds seconds: u64
+        }
+        /// Starts a whole deployment on loopback, spreads a model, makes calls and prints what held.
+        cmd demo {
+            /// Leaves the deployment running and prints requests to try.
+            optional --stay
+        }
+        /// Prints the figures of a second result against a first as ratios.
+        cmd compare {
+            /// First result, the base of the ratios.
+            required first: PathBuf
+            /// Second result.
+            required second: PathBuf
+        }
         /// Measures the spread of a version to N members on loopback with shaped links.
         cmd spread {
             /// How members get their chunks: time-first, bytes-first, origin or chain.
--- /dev/null
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -0,0 +1,124 @@
+//! Subcommands of the load tool.
+
+#![allow(clippy::print_stdout, clippy::print_stderr)]
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use pistachiolug_bench::{
+    capacity::{measure, table},
+    demo,
+    experiment::{document::Document, run},
+    report::{compare, files, markdown},
+    spread, standin,
+};
+
+use crate::args;
+
+/// Exit code of a run that broke a promise.
+const EXIT_BREACH: u8 = 1;
+
+/// Exit code of a demonstration that broke a promise.
+const EXIT_DEMO: u8 = 7;
+
+/// Exit code of a command that could not be carried out.
+const EXIT_ERROR: u8 = 2;
+
+/// Length of a capacity measurement in seconds unless another is named.
+const CAPACITY_SECONDS: u64 = 20;
+
+/// Folder of results unless another is named.
+const FOLDER: &str = "out";
+
+/// Runs one stand-in.
+pub(crate) fn standin(flags: &args::Standin) -> io::Result<ExitCode> {
+    let options = standin::Options {
+        listen: flags.listen,
+        rate: flags.rate.unwrap_or(0),
+        lag_ms: flags.lag_ms.unwrap_or(0),
+        first_ms: flags.first_ms.unwrap_or(20),
+        gap_ms: flags.gap_ms.unwrap_or(5),
+        checks_fence: flags.checks_fence,
+    };
+    standin::run(&flags.role, options)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs experiments one after the other.
+pub(crate) fn run(flags: &args::Run) -> io::Result<ExitCode> {
+    let folder = flags.out.clone().unwrap_or_else(|| PathBuf::from(FOLDER));
+    let mut breaches = 0;
+    for path in &flags.file {
+        breaches += run_one(path, &folder)?;
+    }
+    if breaches > 0 {
+        return Ok(ExitCode::from(EXIT_BREACH));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Measures the cost of control.
+pub(crate) fn capacity(flags: &args::Capacity) -> io::Result<ExitCode> {
+    let case = measure::Case {
+        agents: flags.agents,
+        entries: flags.entries,
+        customers: flags.customers.unwrap_or(0),
+        changes_per_s: flags.changes.unwrap_or(0.0),
+        seconds: flags.seconds.unwrap_or(CAPACITY_SECONDS),
+    };
+    let row = tokio::runtime::Runtime::new()?.block_on(measure::run(case))?;
+    println!("{}", table::render(&[row]));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs the demonstration.
+pub(crate) fn demo(flags: &args::Demo) -> io::Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    if runtime.block_on(demo::run(flags.stay))? {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::from(EXIT_DEMO))
+}
+
+/// Compares two results.
+pub(crate) fn compare(flags: &args::Compare) -> io::Result<ExitCode> {
+    let first = files::read(&flags.first)?;
+    let second = files::read(&flags.second)?;
+    println!("{}", compare::render(&first, &second));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Measures spreads.
+pub(crate) fn spread(flags: &args::Spread) -> io::Result<ExitCode> {
+    let default = spread::command::Options::default();
+    let options = spread::command::Options {
+        policy: flags.policy.clone().unwrap_or(default.policy),
+        members: flags.n.clone().unwrap_or(default.members),
+        bytes: flags.bytes.unwrap_or(default.bytes),
+        chunk_bytes: flags.chunk_bytes.unwrap_or(default.chunk_bytes),
+        origin_rate: flags.origin_rate.unwrap_or(default.origin_rate),
+        link_rate: flags.link_rate.unwrap_or(default.link_rate),
+        kill_percent: flags.kill_percent.unwrap_or(default.kill_percent),
+        seed: flags.seed.unwrap_or(default.seed),
+    };
+    spread::command::run(&options)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reports an error.
+pub(crate) fn fail(error: &io::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_ERROR)
+}
+
+fn run_one(path: &Path, folder: &Path) -> io::Result<usize> {
+    let document = Document::read(path)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let run = runtime.block_on(run::run(&document))?;
+    files::write(folder, &run)?;
+    println!("{}", markdown::render(&run.outcome));
+    Ok(run.outcome.breaches.len())
+}
--- a/crates/pistachiolug_bench/src/lib.rs
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -1,5 +1,10 @@
 //! Load tool and experiments: starts the real daemons and the stand-ins as processes on loopback.
 
+pub mod capacity;
+pub mod demo;
+pub mod experiment;
+pub mod load;
+pub mod report;
 pub mod rig;
 pub mod spread;
 pub mod standin;
--- a/crates/pistachiolug_http/src/lib.rs
+++ b/crates/pistachiolug_http/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod pace;
 pub mod secret;
 pub mod server;
+pub mod traffic;
--- a/crates/pistachiolug_http/src/server.rs
+++ b/crates/pistachiolug_http/src/server.rs
@@ -16,6 +16,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
+use socket2::SockRef;
 use tokio::{sync::mpsc, time::timeout};
 use xitca_web::{
     HttpServer,
@@ -24,7 +25,7 @@
     service::fn_service,
 };
 
-use crate::{body::Body, limit::Limit};
+use crate::{body::Body, limit::Limit, traffic};
 
 /// Whole request as a handler sees it.
 pub type Request = http::Request<Bytes>;
@@ -76,6 +77,8 @@
         handler: H,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
+        // Accepted connections inherit the option; without it a stream's first piece waits for a delayed ACK.
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
         let address = listener.local_addr()?;
         let active = Arc::new(AtomicUsize::new(0));
         let counter = Arc::clone(&active);
@@ -163,13 +166,28 @@
         handler.refuse(StatusCode::SERVICE_UNAVAILABLE)
     } else {
         match read(request, limit).await {
-            Ok(request) => handler.handle(request).await,
+            Ok(request) => answer(request, &handler).await,
             Err(status) => handler.refuse(status),
         }
     };
     Ok(render(reply, active))
 }
 
+async fn answer<H: Handler>(request: Request, handler: &H) -> Reply {
+    let control = traffic::is_control(request.uri().path());
+    let received = traffic::head_bytes(Some(request.uri()), request.headers());
+    let received = received + request.body().len() as u64;
+    let reply = handler.handle(request).await;
+    if control {
+        let body = match reply.body() {
+            Body::Full(bytes) => bytes.len() as u64,
+            Body::Stream(_) => 0,
+        };
+        traffic::count(traffic::head_bytes(None, reply.headers()) + body, received);
+    }
+    reply
+}
+
 async fn read(request: WebRequest<RequestBody>, limit: Limit) -> Result<Request, StatusCode> {
     let (parts, extension) = request.into_parts();
     let (_, body) = extension.replace_body(());
