Prove the spread over sockets under faults

Cause: the transport had no tests; members that joined half way read again what others held, and dead members were found at one a second. Change: fault tables over sockets; a joiner asks the next member in the order before the origin; a dead member that is found leads to the next question at once; a closed roster no longer delays the pull; a chain baseline that pipelines.

--- a/crates/pistachiolug_bench/src/spread/net.rs
+++ b/crates/pistachiolug_bench/src/spread/net.rs
@@ -31,6 +31,9 @@
 /// Region of all members.
 const REGION: &str = "gauteng";
 
+/// Chunks that a member of a chain waits for at once.
+const CHAIN_SLOTS: usize = 256;
+
 /// How members get their chunks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shape {
@@ -168,8 +171,19 @@
             Shape::Swarm(policy) => policy,
             Shape::Origin | Shape::Chain => Policy::BytesFirst,
         };
+        let chained = self.shape == Shape::Chain && index > 0;
         let tuning = Tuning {
             policy,
+            slots: if chained {
+                CHAIN_SLOTS
+            } else {
+                Tuning::default().slots
+            },
+            source_slots: if chained {
+                CHAIN_SLOTS
+            } else {
+                Tuning::default().source_slots
+            },
             stall: self.size.stall,
             ask_interval: self.size.stall / 4,
             ..Tuning::default()
--- a/crates/pistachiolug_bench/src/spread/run.rs
+++ b/crates/pistachiolug_bench/src/spread/run.rs
@@ -42,9 +42,8 @@
     let pulls: Vec<_> = (0..size.members)
         .map(|index| net.pull(index, &want))
         .collect();
-    if kill.members > 0 {
+    if let Some(stride) = size.members.checked_div(kill.members) {
         sleep(kill.after).await;
-        let stride = size.members / kill.members;
         for victim in 0..kill.members {
             pulls[victim * stride].abort();
             net.members[victim * stride].stop();
--- a/crates/pistachiolug_bench/src/spread/upstream.rs
+++ b/crates/pistachiolug_bench/src/spread/upstream.rs
@@ -11,9 +11,10 @@
 };
 use pistachiolug_platform::source::{self, Error, Source};
 use pistachiolug_weights::exchange::CHUNK_PATH;
+use tokio::time::sleep;
 
 /// Wait before a chunk is asked for again that the predecessor does not hold yet.
-const RETRY: Duration = Duration::from_millis(10);
+const RETRY: Duration = Duration::from_millis(50);
 
 /// Longest time one chunk may take.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -41,17 +42,19 @@
 impl Predecessor {
     async fn read_chunk<P: Pace>(&self, name: &str, pace: &P) -> Result<Bytes, Error> {
         let digest = name.trim_start_matches("chunks/");
-        let request = Request::get(format!("http://{}{CHUNK_PATH}{digest}", self.address))
-            .header(secret::HEADER, self.secret.expose())
-            .body(Bytes::new())
-            .map_err(failed)?;
-        let response = self.client.fetch(request, usize::MAX, TIMEOUT).await;
-        let response = response.map_err(failed)?;
-        if response.status() != StatusCode::OK {
-            return Err(Error::Throttled { after: RETRY });
+        loop {
+            let request = Request::get(format!("http://{}{CHUNK_PATH}{digest}", self.address))
+                .header(secret::HEADER, self.secret.expose())
+                .body(Bytes::new())
+                .map_err(failed)?;
+            let response = self.client.fetch(request, usize::MAX, TIMEOUT).await;
+            let response = response.map_err(failed)?;
+            if response.status() == StatusCode::OK {
+                pace.take(response.body().len()).await;
+                return Ok(response.into_body());
+            }
+            sleep(RETRY).await;
         }
-        pace.take(response.body().len()).await;
-        Ok(response.into_body())
     }
 }
 
--- a/crates/pistachiolug_weights/src/planner.rs
+++ b/crates/pistachiolug_weights/src/planner.rs
@@ -34,7 +34,7 @@
 const FAILURES: u32 = 3;
 
 /// Stalls for which a member that failed is passed over in the order.
-const SUSPECT_STALLS: u32 = 4;
+const SUSPECT_STALLS: u32 = 12;
 
 /// Longest wait after repeated failures of a source, in stalls.
 const SOURCE_STALLS: u32 = 2;
@@ -86,6 +86,8 @@
     shunned: FxHashSet<Key>,
     /// Members asked in vain per missing piece, in a transfer that others have finished.
     tried: FxHashMap<u32, usize>,
+    /// Whether others held pieces before this transfer began, so that the member next in the order may hold a piece.
+    joined: bool,
     next_ask: Duration,
     /// Where the last scan for unowned pieces ended.
     cursor: u32,
@@ -129,6 +131,7 @@
             strikes: FxHashMap::default(),
             shunned: FxHashSet::default(),
             tried: FxHashMap::default(),
+            joined: false,
             next_ask: now,
             cursor: 0,
             started: now,
@@ -187,6 +190,10 @@
 
     /// Takes what a neighbour says of itself; sets of another shape are ignored.
     pub fn hear(&mut self, key: Key, have: Have, serving: bool) {
+        let first = self.neighbours.find(key).is_some_and(|known| !known.heard);
+        if first && self.held.count() == 0 {
+            self.joined |= matches!(&have, Have::Whole(set) if set.count() > 0);
+        }
         match have {
             Have::Whole(set) if set.fits(self.held.length()) => {
                 self.neighbours.replace_have(key, set);
@@ -260,6 +267,7 @@
             (Outcome::Failed, Via::Neighbour(key)) => self.fail_neighbour(key, now),
             (Outcome::Failed, Via::Member(key)) => {
                 self.suspect(key, now);
+                self.next_ask = now;
                 self.put_off(fetch.piece, now);
             }
         }
@@ -356,7 +364,11 @@
             self.idle.insert(key, now + self.tuning.stall);
         }
         *self.tried.entry(piece).or_default() += 1;
-        self.put_off(piece, now);
+        if self.joined && self.home.is_empty() && self.duty.rank(piece) == 0 {
+            self.queue.push_front(piece);
+        } else {
+            self.put_off(piece, now);
+        }
     }
 
     fn fail_source(&mut self, index: usize, piece: u32, now: Duration) {
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -141,8 +141,14 @@
 
     /// Returns where the first reader of a piece reads it.
     fn upstream(&mut self, piece: u32, now: Duration) -> Option<Via> {
-        let home: Vec<Key> = self.usable_of(&self.home, now);
-        match self.duty.first(piece, &home, 1).first().copied() {
+        let ask_next = self.joined && self.home.is_empty() && !self.tried.contains_key(&piece);
+        let mut ahead = if ask_next {
+            self.usable_of(self.duty.members(), now)
+        } else {
+            self.usable_of(&self.home, now)
+        };
+        ahead.retain(|key| *key != self.me);
+        match self.duty.first(piece, &ahead, 1).first().copied() {
             Some(key) => Some(Via::Member(key)),
             None => self.free_source(now),
         }
@@ -167,7 +173,7 @@
     fn may_take_over(&self, piece: u32, now: Duration) -> bool {
         let rank = self.duty.rank(piece);
         let idle = now.saturating_sub(self.progress);
-        self.late() || usize::from(rank) < KEEPERS || idle >= self.tuning.stall * u32::from(rank)
+        self.late() || usize::from(rank) < KEEPERS || idle >= self.tuning.stall
     }
 
     fn take_over(&mut self, piece: u32, now: Duration) -> Option<Via> {
--- a/crates/pistachiolug_weights/src/swarm/pull.rs
+++ b/crates/pistachiolug_weights/src/swarm/pull.rs
@@ -39,6 +39,8 @@
     shared: Arc<Shared<S>>,
     want: Want,
     roster: Arc<Roster>,
+    /// Whether the roster can no longer change.
+    roster_closed: bool,
     pieces: Vec<Chunk>,
     planner: Planner,
     polls: Polls,
@@ -102,6 +104,7 @@
             shared: Arc::clone(shared),
             want,
             roster,
+            roster_closed: false,
             pieces,
             planner,
             polls: Polls::default(),
@@ -183,13 +186,10 @@
     async fn wait(&mut self) -> Result<(), Error> {
         tokio::select! {
             Some(Ok(event)) = self.tasks.join_next() => self.take(event).await?,
-            changed = self.want.roster.changed() => {
-                if changed.is_ok() {
-                    self.take_roster();
-                } else {
-                    sleep(TICK).await;
-                }
-            }
+            changed = self.want.roster.changed(), if !self.roster_closed => match changed {
+                Ok(()) => self.take_roster(),
+                Err(_) => self.roster_closed = true,
+            },
             () = sleep(TICK) => {}
         }
         Ok(())
