--- a/crates/pistachiolug_agent/src/calls/desk.rs
+++ b/crates/pistachiolug_agent/src/calls/desk.rs
@@ -38,6 +38,8 @@
     pub(super) entries: FxHashMap<SocketAddr, Duration>,
     /// Ledger writes that must end before the process may.
     pub(super) claims: u32,
+    /// Notices of leaving that are on their way; the process stays until they have been tried.
+    pub(super) notices: u32,
     /// Engine caches of moved calls, until they are fetched.
     pub(super) caches: FxHashMap<Id, Bytes>,
 }
@@ -53,6 +55,7 @@
             drained: false,
             entries: FxHashMap::default(),
             claims: 0,
+            notices: 0,
             caches: FxHashMap::default(),
         }
     }
--- a/crates/pistachiolug_agent/src/calls/leave.rs
+++ b/crates/pistachiolug_agent/src/calls/leave.rs
@@ -136,7 +136,7 @@
 
     fn is_idle(&self) -> bool {
         let desk = self.desk();
-        desk.table.open() == 0 && desk.claims == 0
+        desk.table.open() == 0 && desk.claims == 0 && desk.notices == 0
     }
 
     fn move_all(&self) {
@@ -158,10 +158,14 @@
             instance: options.instance.clone(),
             incarnation: self.inner.parts.incarnation.get().unwrap_or(0),
         };
+        self.desk().notices += entries.len() as u32;
         for entry in entries {
-            let peers = self.inner.parts.peers.clone();
+            let calls = self.clone();
             let notice = notice.clone();
-            tokio::spawn(async move { peers.notify(entry, &notice).await });
+            tokio::spawn(async move {
+                calls.inner.parts.peers.notify(entry, &notice).await;
+                calls.desk().notices -= 1;
+            });
         }
     }
 }
