--- a/crates/pistachiolug_entry/src/call.rs
+++ b/crates/pistachiolug_entry/src/call.rs
@@ -82,6 +82,8 @@
     losses: u8,
     /// Joins since the last token.
     joins: u8,
+    /// Whether the call is another send of the same idempotency key, which this one must not withdraw or cancel.
+    borrowed: bool,
 }
 
 /// Agent that has a call.
@@ -128,6 +130,7 @@
             tried: Vec::new(),
             losses: 0,
             joins: 0,
+            borrowed: false,
         };
         running.open.entry = self.address;
         match running.connect().await {
@@ -311,7 +314,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         self.runner.metrics.open.dec();
-        let Some(place) = self.place.take() else {
+        let Some(place) = self.place.take().filter(|_| !self.borrowed) else {
             return;
         };
         let remote = self.runner.remote.clone();
--- a/crates/pistachiolug_entry/src/call/recover.rs
+++ b/crates/pistachiolug_entry/src/call/recover.rs
@@ -84,7 +84,7 @@
 
     /// Goes on after an agent's refusal or its report of a failure.
     pub(super) async fn refused(&mut self, fault: Fault) -> Result<(), Fault> {
-        let Some(place) = self.place.take() else {
+        let Some(place) = self.place.take().filter(|_| !self.borrowed) else {
             return Err(fault);
         };
         self.point_to_cache(None);
@@ -130,6 +130,7 @@
         let named = self.runner.router.take_named(&elsewhere.instance);
         let ticket = named.ok_or_else(unknown)?;
         self.open.id = elsewhere.call;
+        self.borrowed = true;
         self.tried.push(ticket.name.clone());
         let events = self.join(ticket.address).await.map_err(|_| unknown())?;
         self.place = Some(Place {
@@ -146,6 +147,9 @@
         let Some(place) = self.place.take() else {
             return Fault::unknown(Code::DeadlineExceeded, late);
         };
+        if self.borrowed {
+            return Fault::unknown(Code::DeadlineExceeded, late);
+        }
         let verdict = self.verdict(place.ticket.address, place.since, 1).await;
         if verdict == Some(Verdict::Withdrawn) {
             return Fault::not_run(Code::DeadlineExceeded, RETRY_AFTER, late);
@@ -166,8 +170,7 @@
         since: Instant,
         reason: &str,
     ) -> Result<bool, Fault> {
-        let attempts = if self.idempotent() { 1 } else { VERDICTS };
-        match self.verdict(ticket.address, since, attempts).await {
+        match self.fate(&ticket, since).await {
             Some(Verdict::Withdrawn) => {
                 self.spend(RETRY_AFTER.as_millis() as u32)?;
                 self.runner.metrics.moved(Move::Withdrawn);
@@ -189,7 +192,7 @@
             None => self.runner.router.view.record(&ticket.name, Cause::Lost),
         }
         let fault = Fault::unknown(Code::BackendFailed, reason);
-        if !self.idempotent() {
+        if self.borrowed || !self.idempotent() {
             return Err(fault);
         }
         self.lose(&fault)?;
@@ -198,6 +201,15 @@
         Ok(false)
     }
 
+    /// Learns how far a lost call came, without withdrawing one that is not this entry's.
+    async fn fate(&self, ticket: &Ticket, since: Instant) -> Option<Verdict> {
+        if self.borrowed {
+            return Some(Verdict::Started);
+        }
+        let attempts = if self.idempotent() { 1 } else { VERDICTS };
+        self.verdict(ticket.address, since, attempts).await
+    }
+
     async fn verdict(&self, agent: SocketAddr, since: Instant, attempts: u32) -> Option<Verdict> {
         let age = since.elapsed();
         let revoke = Revoke {
--- a/crates/pistachiolug_entry/tests/recovery.rs
+++ b/crates/pistachiolug_entry/tests/recovery.rs
@@ -9,7 +9,7 @@
 use pistachiolug_entry::call::{Part, Patience, Running};
 use pistachiolug_membership::sign::Cause;
 use pistachiolug_wire::{
-    call::Work,
+    call::{Body, Elsewhere, Id, Work},
     fault::{Code, Fault},
     outcome::Outcome::{self, NotRun, Unknown},
     revoke::Verdict,
@@ -371,3 +371,50 @@
         "{opens} opens for 100 calls"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_joins_the_run_of_its_key_and_never_withdraws_it() {
+    let earlier = Id(7);
+    let elsewhere = Step::Send(Body::Elsewhere(Elsewhere {
+        instance: "far".to_owned(),
+        call: earlier,
+    }));
+    let kept = || vec![response("booked")];
+    let rows = [
+        ("kept answer", vec![kept()], Ok("booked")),
+        ("cut and joined again", vec![vec![], kept()], Ok("booked")),
+        ("cut for good", vec![vec![]; 8], Err(Unknown)),
+        (
+            "refused there",
+            vec![vec![not_run(Code::Leaving)]],
+            Err(NotRun),
+        ),
+    ];
+    for (name, scripts, expected) in rows {
+        let near = Agent::new(&[vec![elsewhere.clone()]], &[]);
+        let far = Agent::new(&scripts, &[Verdict::Withdrawn]);
+        let servers = (near.serve(), far.serve());
+        let runner = runner(servers.0.address(), servers.1.address());
+
+        let mut running = runner
+            .open(open(plain(false)), Patience::Whole)
+            .await
+            .unwrap();
+        let answer = read(&mut running).await.map_err(|fault| fault.outcome);
+        drop(running);
+
+        assert_eq!(answer.as_deref(), expected.as_ref().copied(), "{name}");
+        let record = far.record();
+        assert!(
+            record
+                .opens
+                .iter()
+                .all(|open| open.join && open.id == earlier),
+            "{name}"
+        );
+        assert!(
+            record.revokes.is_empty() && record.cancels.is_empty(),
+            "{name}"
+        );
+    }
+}
