--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -159,6 +159,24 @@
     (process, internal, callers)
 }
 
+/// Checks that the operators' page has each metric of a text in Prometheus' format.
+fn assert_documented(metrics: &str) {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let types = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "));
+    let names = types.filter_map(|line| line.split_whitespace().next());
+    let missing: Vec<&str> = names
+        .filter(|name| !page.contains(&format!("| `{name}` |")))
+        .collect();
+    assert_eq!(
+        missing,
+        Vec::<&str>::new(),
+        "docs/OPERATING.md lacks these metrics"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn dumps_metrics_and_logs_show_no_secret_key_or_content() {
     let deployment = deployment().await;
@@ -200,6 +218,7 @@
     }
     drop(entry);
 
+    assert_documented(&shown);
     assert!(shown.contains("entry runs"), "the log was read");
     for hidden in [SECRET, PAID_KEY, "stranger-key", PROMPT] {
         assert!(!shown.contains(hidden), "`{hidden}` is shown");
--- a/crates/pistachiolug_agent/src/metrics.rs
+++ b/crates/pistachiolug_agent/src/metrics.rs
@@ -31,23 +31,30 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             IntCounterVec::new(Opts::new(name, help), labels)
         };
-        let waits = HistogramOpts::new("agent_wait_seconds", "Time from arrival to start.");
+        let waits = HistogramOpts::new(
+            "pistachiolug_agent_wait_seconds",
+            "Time from arrival to start.",
+        );
         let metrics = Self {
             calls: counter(
-                "agent_calls_total",
+                "pistachiolug_agent_calls_total",
                 "Ended calls by plan, outcome and code.",
                 &["plan", "outcome", "code"],
             )?,
             waits: HistogramVec::new(waits.buckets(WAIT_BUCKETS.to_vec()), &["plan"])?,
-            tokens: counter("agent_tokens_total", "Generated tokens by plan.", &["plan"])?,
+            tokens: counter(
+                "pistachiolug_agent_tokens_total",
+                "Generated tokens by plan.",
+                &["plan"],
+            )?,
             pauses: IntCounter::new(
-                "agent_pauses_total",
+                "pistachiolug_agent_pauses_total",
                 "Trial runs paused for waiting paid calls.",
             )?,
-            queued: IntGauge::new("agent_calls_queued", "Waiting calls.")?,
-            running: IntGauge::new("agent_calls_running", "Running calls.")?,
+            queued: IntGauge::new("pistachiolug_agent_calls_queued", "Waiting calls.")?,
+            running: IntGauge::new("pistachiolug_agent_calls_running", "Running calls.")?,
             owed: IntGauge::new(
-                "agent_tokens_owed",
+                "pistachiolug_agent_tokens_owed",
                 "Tokens that waiting and running calls may still cost.",
             )?,
         };
