--- a/crates/pistachiolug_bench/src/lib.rs
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod load;
 pub mod report;
 pub mod rig;
+pub mod spread;
 pub mod standin;
