--- /dev/null
+++ b/crates/pistachiolug_bench/src/decision.rs
@@ -0,0 +1,158 @@
+//! Decisions at today's and at the planned size, as benchmarks and cost tests run them.
+
+use std::{hint::black_box, time::Duration};
+
+use pistachiolug_lists::{
+    customer::Customer,
+    row::{Kind, Name},
+    table::{Change, Table},
+};
+use pistachiolug_routing::{
+    choice::{self, Candidate},
+    schedule::{Call, Capacity, Schedule},
+    share::Class,
+    subset::{self, Member},
+};
+use pistachiolug_wire::{call::Id, digest::Digest, instance::Place};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Availability zones of the planned size.
+const ZONES: usize = 5;
+
+/// Agents that one entry works with.
+const SUBSET: usize = 24;
+
+/// Cost of each call in the queue, in tokens.
+const CALL_TOKENS: u32 = 300;
+
+/// Instances by name and place.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    names: Vec<String>,
+    places: Vec<Place>,
+}
+
+impl Fleet {
+    /// Creates `size` instances spread over the zones.
+    pub fn new(prefix: &str, size: usize) -> Self {
+        let place = |index: usize| Place {
+            region: format!("region-{}", index % ZONES % 2),
+            zone: format!("zone-{}", index % ZONES),
+        };
+        Self {
+            names: (0..size).map(|index| format!("{prefix}-{index}")).collect(),
+            places: (0..size).map(place).collect(),
+        }
+    }
+
+    /// Returns the instances as members of an assignment.
+    pub fn members(&self) -> Vec<Member<'_>> {
+        let pairs = self.names.iter().zip(&self.places);
+        pairs.map(|(name, place)| Member { name, place }).collect()
+    }
+}
+
+/// Returns candidates with uneven load.
+pub fn candidates(count: usize) -> Vec<Candidate> {
+    let candidate = |index: usize| Candidate {
+        calls: (index * 7 % 13) as f64,
+        home: index.is_multiple_of(4),
+        lacking: index.is_multiple_of(11),
+    };
+    (0..count).map(candidate).collect()
+}
+
+/// Chooses an agent among candidates, `times` times.
+pub fn choose(candidates: &[Candidate], times: usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..times {
+        black_box(choice::choose(candidates, None, &mut random));
+    }
+}
+
+/// Computes the subset of one entry.
+pub fn subset(entries: &Fleet, agents: &Fleet) {
+    let entries = entries.members();
+    let agents = agents.members();
+    black_box(subset::choose(entries[0], &entries, &agents, SUBSET));
+}
+
+/// Returns a schedule with `waiting` calls over `plans` plans.
+pub fn schedule(waiting: usize, plans: usize) -> Schedule {
+    let mut schedule = Schedule::new(Capacity {
+        slots: 16,
+        rate: 1e9,
+        calls: waiting + 64,
+        bytes: usize::MAX,
+        reserve: 2,
+    });
+    for index in 0..waiting {
+        // A call that is refused leaves the queue as it was.
+        let _ = schedule.offer(call(index, plans), Duration::ZERO);
+    }
+    schedule
+}
+
+/// Queues, starts and ends one call after the other, `times` times.
+pub fn turn_over(schedule: &mut Schedule, plans: usize, times: usize) {
+    for index in 0..times {
+        let call = call(usize::MAX / 2 + index, plans);
+        let id = call.id;
+        let now = Duration::from_millis(index as u64);
+        // A call that is refused leaves the queue as it was.
+        let _ = schedule.offer(call, now);
+        black_box(schedule.next(now));
+        schedule.end(id, now);
+    }
+}
+
+/// Returns a table with a row for each of `customers`.
+pub fn table(customers: usize) -> Table {
+    let mut table = Table::default();
+    let changes = (0..customers).map(|index| change(index, 0, index as u64 + 1));
+    table.take_all(changes.collect(), customers as u64);
+    table.admit();
+    table
+}
+
+/// Takes one changed row and puts the lists in force.
+pub fn edit(table: &mut Table, revision: u64) {
+    table.take(change(0, revision, revision));
+    black_box(table.admit());
+}
+
+fn call(index: usize, plans: usize) -> Call {
+    Call {
+        id: Id(index as u128),
+        plan: format!("plan-{}", index % plans),
+        class: Class {
+            weight: 1 + (index % plans) as u32,
+            trial: false,
+        },
+        cost: CALL_TOKENS,
+        bytes: 1,
+        due: Duration::from_secs(3_600),
+        pausable: false,
+        alone: false,
+    }
+}
+
+fn change(index: usize, limit: u64, revision: u64) -> Change {
+    let name = format!("customer-{index:05}");
+    let customer = Customer {
+        keys: vec![Digest::of(name.as_bytes())],
+        name: name.clone(),
+        plan: "paid".to_owned(),
+        tokens_per_minute: limit,
+    };
+    Change {
+        name: Name {
+            kind: Kind::Customers,
+            name,
+        },
+        revision,
+        value: serde_json::to_vec(&customer).ok().map(Into::into),
+        good: None,
+    }
+}
--- a/crates/pistachiolug_bench/src/lib.rs
+++ b/crates/pistachiolug_bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod chaos;
+pub mod decision;
 pub mod demo;
 pub mod experiment;
 pub mod load;
