--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -6,15 +6,28 @@
 use pistachiolug_kernel::{
     dump::Dump,
     kernel::{self, Kernel},
+    phase::Phase,
     registry,
 };
+use pistachiolug_ledger::log::{self as ledger, Ledger};
 use pistachiolug_lists::{force::Force, reader};
-use pistachiolug_platform::{engine, kv::etcd::Etcd, plain, source};
-use pistachiolug_settings::daemon::{Daemon, Kind};
+use pistachiolug_membership::{follow, view::View};
+use pistachiolug_platform::{directory, engine, kv::etcd::Etcd, plain, source};
+use pistachiolug_routing::schedule::Capacity;
+use pistachiolug_settings::daemon::{Backend, Daemon, Kind};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::{calls::Calls, door::Door, weights};
+use crate::{
+    calls::{Calls, Options, Parts},
+    crash::{self, Reporter},
+    door::Door,
+    incarnation::Incarnation,
+    metrics::Metrics,
+    peers::Peers,
+    serving::Serving,
+    weights,
+};
 
 /// Idle connections kept per peer.
 const IDLE_CONNECTIONS: usize = 64;
@@ -22,6 +35,18 @@
 /// Worker threads of the internal port.
 const THREADS: usize = 1;
 
+/// Largest number of waiting calls.
+const QUEUE_CALLS: usize = 4096;
+
+/// Largest total size of waiting and running calls in bytes.
+const QUEUE_BYTES: usize = 64 << 20;
+
+/// Calls that one slot of a plain service is taken to finish a second, until measured.
+const PLAIN_CALLS_PER_SECOND: f64 = 10.0;
+
+/// Time after the drain deadline in which plain calls still end; they are bounded by their callers' deadlines.
+const DRAIN_MARGIN: Duration = Duration::from_secs(90);
+
 /// Reports an agent that could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -34,6 +59,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// The metrics could not be registered.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
     /// A service is missing or registered twice.
     #[snafu(display("{source}"))]
     Registry {
@@ -59,20 +90,48 @@
     let force = force.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
     let engine = engine::http::Http::new(client.clone(), &backend.address);
-    let service = plain::Http::new(Client::new(0), &backend.address);
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let directory = directory::Http::new(client.clone(), &settings.platform.instances);
     let origin = source::Http::new(client.clone(), &settings.platform.origin);
+    let (crashes, reports) = Reporter::new();
+    let incarnation = Incarnation::default();
+    let serving = Serving::new(engine.clone());
+    let parts = Parts {
+        engine: engine.clone(),
+        serving: serving.clone(),
+        service: plain::Http::new(Client::new(0), &backend.address),
+        claims: Ledger::new(store.clone(), ledger::Settings::default()),
+        force: force.clone(),
+        peers: Peers::new(client, secret.clone()),
+        crashes,
+        incarnation: incarnation.clone(),
+        metrics: Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
+    };
+    let calls = Calls::new(options(&settings, &backend), parts);
     add_parts(&kernel.dump, &force);
+    let dumped = calls.clone();
+    kernel.dump.add("calls", move || dumped.dump());
     let door = Door {
         admin: kernel.admin(),
         secret,
-        calls: Calls::new(engine.clone(), service),
+        calls: calls.clone(),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
+    let view = View::default();
+    let timer = kernel.timer.clone();
     let supervisor = &kernel.supervisor;
-    supervisor.spawn("lists", reader::run(store, force.clone()));
+    supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
+    supervisor.spawn("crashes", crash::run(store.clone(), reports));
+    tokio::spawn(incarnation.draw(store, settings.instance.clone()));
+    supervisor.spawn("calls", calls.clone().run(timer.clone()));
+    supervisor.spawn(
+        "membership",
+        follow::run(directory, view.clone(), timer.clone()),
+    );
+    supervisor.spawn("leaving", calls.clone().watch_row(view));
     if backend.kind == Kind::Model {
+        supervisor.spawn("engine", serving.run(timer));
         supervisor.spawn(
             "weights",
             weights::run(backend.service.clone(), force, engine, origin),
@@ -80,11 +139,40 @@
     }
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
-    let ended = kernel.run(drain, || server.active() == 0).await;
+    let control = kernel.control().clone();
+    let drained = calls.clone();
+    tokio::spawn(async move {
+        control.reached(Phase::Draining).await;
+        drained.leave();
+        drained.drain(drain).await;
+    });
+    let idle = || calls.is_drained() && server.active() == 0;
+    let ended = kernel.run(drain + DRAIN_MARGIN, idle).await;
     server.stop();
     ended.context(KernelSnafu)
 }
 
+fn options(settings: &Daemon, backend: &Backend) -> Options {
+    let model = backend.kind == Kind::Model;
+    let rate = if model {
+        f64::from(backend.tokens_per_second)
+    } else {
+        PLAIN_CALLS_PER_SECOND * f64::from(backend.slots)
+    };
+    Options {
+        instance: settings.instance.clone(),
+        service: backend.service.clone(),
+        capacity: Capacity {
+            slots: backend.slots.max(1),
+            rate,
+            calls: QUEUE_CALLS,
+            bytes: QUEUE_BYTES,
+            reserve: u32::from(!model),
+        },
+        heartbeat: Duration::from_millis(settings.calls.heartbeat_ms.into()),
+    }
+}
+
 fn add_parts(dump: &Dump, force: &Force) {
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
