--- a/crates/pistachiolug_platform/src/kv/pace.rs
+++ b/crates/pistachiolug_platform/src/kv/pace.rs
@@ -33,7 +33,7 @@
             writes_per_second: 16.0,
             burst: 16.0,
             first_backoff: Duration::from_millis(50),
-            longest_backoff: Duration::from_secs(5),
+            longest_backoff: Duration::from_secs(2),
         }
     }
 }
