--- a/crates/pistachiolug_ledger/src/shard.rs
+++ b/crates/pistachiolug_ledger/src/shard.rs
@@ -28,7 +28,7 @@
 const BATCH: usize = ROWS_AFTER_TRIM;
 
 /// Factor by which the least time between writes grows at most under contention.
-const CONTENTION: u32 = 10;
+const CONTENTION: u32 = 4;
 
 /// Claims whose effect is unknown that are remembered for release.
 const UNSETTLED: usize = 1024;
@@ -77,8 +77,10 @@
     /// Page as last seen, and the revision it was stored at; 0 before the first write.
     page: Page,
     revision: u64,
-    /// Whether `page` was read from the service at all.
+    /// Whether `page` is the newest this process can know without a read.
     known: bool,
+    /// Whether other processes wrote lately, so that a read comes before each write.
+    shared: bool,
     segments: FxHashMap<u128, Arc<Segment>>,
     /// Releases of claims that were answered as not certain; they come before newer operations.
     unsettled: Vec<Claim>,
@@ -98,6 +100,7 @@
             page: Page::default(),
             revision: 0,
             known: false,
+            shared: false,
             segments: FxHashMap::default(),
             unsettled: Vec::new(),
             granted: FxHashSet::default(),
@@ -161,6 +164,7 @@
         batch: &[Operation],
     ) -> Result<Vec<Result<Verdict, Error>>, Error> {
         let mut fresh = false;
+        self.known &= !self.shared;
         loop {
             if !self.known {
                 self.read().await?;
@@ -184,6 +188,9 @@
             if self.store_page(page).await? {
                 return Ok(verdicts);
             }
+            if fresh {
+                self.contend();
+            }
             fresh = self.known;
             sleep(self.interval.mul_f64(rand::random_range(0.0..0.2))).await;
         }
@@ -218,7 +225,6 @@
                 Ok(true)
             }
             Ok(Swap::Lost { current }) => {
-                self.contend();
                 self.take(current)?;
                 Ok(false)
             }
@@ -243,6 +249,7 @@
         if revision < self.revision {
             return Err(uncertain("the service answered with an older page"));
         }
+        self.shared = revision > self.revision;
         self.page = page;
         self.revision = revision;
         self.known = true;
--- a/crates/pistachiolug_lists/tests/support/fleet.rs
+++ b/crates/pistachiolug_lists/tests/support/fleet.rs
@@ -14,7 +14,10 @@
     force::Force,
     spread::{Settings, Spread},
 };
-use pistachiolug_platform::{directory::Snapshot, kv::memory::Memory};
+use pistachiolug_platform::{
+    directory::Snapshot,
+    kv::{Store, memory::Memory},
+};
 use pistachiolug_wire::instance::{Instance, Place, Role, State};
 use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
@@ -35,9 +38,9 @@
 }
 
 /// One place.
-pub(crate) struct Node {
+pub(crate) struct Node<S = Memory> {
     pub(crate) name: String,
-    pub(crate) line: Line,
+    pub(crate) line: Line<S>,
     pub(crate) spread: Spread,
     pub(crate) force: Force,
     address: SocketAddr,
@@ -45,23 +48,33 @@
     task: JoinHandle<()>,
 }
 
-impl Drop for Node {
+impl<S> Drop for Node<S> {
     fn drop(&mut self) {
         self.task.abort();
         self.server.stop();
     }
 }
 
-/// Places of one availability zone.
-pub(crate) struct Fleet {
-    pub(crate) store: Memory,
-    pub(crate) nodes: Vec<Node>,
+/// Places of one availability zone, by default over a store in memory.
+pub(crate) struct Fleet<S = Memory> {
+    pub(crate) store: S,
+    pub(crate) nodes: Vec<Node<S>>,
     list: watch::Sender<Arc<Snapshot>>,
 }
 
-impl Fleet {
-    /// Starts places whose lines are in `mode`.
-    pub(crate) fn start(places: usize, store: Memory) -> Self {
+impl<S: Store> Fleet<S> {
+    /// Starts places, each with a store of its own.
+    pub(crate) fn start_with(places: usize, store: impl Fn() -> S) -> Self {
+        let mut fleet = Self::start(0, store());
+        for number in 0..places {
+            fleet.store = store();
+            fleet.add(&format!("place-{number}"), Mode::Up);
+        }
+        fleet
+    }
+
+    /// Starts places that share a store.
+    pub(crate) fn start(places: usize, store: S) -> Self {
         let mut fleet = Self {
             store,
             nodes: Vec::new(),
@@ -120,7 +133,7 @@
     }
 
     fn publish(&self) {
-        let instance = |node: &Node| Instance {
+        let instance = |node: &Node<S>| Instance {
             name: node.name.clone(),
             role: Role::Agent,
             service: "assistant".to_owned(),
--- a/crates/pistachiolug_lists/tests/support/line.rs
+++ b/crates/pistachiolug_lists/tests/support/line.rs
@@ -29,13 +29,13 @@
 
 /// Store of one place; clones share the mode.
 #[derive(Debug, Clone)]
-pub(crate) struct Line {
-    store: Memory,
+pub(crate) struct Line<S = Memory> {
+    store: S,
     mode: Arc<AtomicU8>,
 }
 
-impl Line {
-    pub(crate) fn new(store: &Memory) -> Self {
+impl<S: Clone> Line<S> {
+    pub(crate) fn new(store: &S) -> Self {
         Self {
             store: store.clone(),
             mode: Arc::new(AtomicU8::new(Mode::Up as u8)),
@@ -60,7 +60,7 @@
     }
 }
 
-impl Store for Line {
+impl<S: Store> Store for Line<S> {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         self.check()?;
         self.store.get(key).await
