--- a/crates/pistachiolug_agent/src/weights.rs
+++ b/crates/pistachiolug_agent/src/weights.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use pistachiolug_http::pace::Unpaced;
 use pistachiolug_lists::{force::Force, plan::Model};
 use pistachiolug_platform::{
     engine::{Engine, Order},
@@ -71,7 +72,7 @@
 async fn read_chunk<O: Source>(chunk: &manifest::Chunk, origin: &O) -> Result<Bytes, Whatever> {
     let name = manifest::chunk_object(&chunk.digest);
     let range = 0..u64::from(chunk.length);
-    let bytes = origin.read_range(&name, range).await;
+    let bytes = origin.read_range(&name, range, &Unpaced).await;
     let bytes = bytes.whatever_context("chunk")?;
     ensure_whatever!(Digest::of(&bytes) == chunk.digest, "chunk is corrupted");
     Ok(bytes)
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -13,7 +13,7 @@
     chaos, demo,
     experiment::{document::Document, run},
     report::{compare, files, markdown},
-    standin,
+    spread, standin,
 };
 
 use crate::args;
@@ -112,6 +112,23 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Measures spreads.
+pub(crate) fn spread(flags: &args::Spread) -> io::Result<ExitCode> {
+    let default = spread::command::Options::default();
+    let options = spread::command::Options {
+        policy: flags.policy.clone().unwrap_or(default.policy),
+        members: flags.n.clone().unwrap_or(default.members),
+        bytes: flags.bytes.unwrap_or(default.bytes),
+        chunk_bytes: flags.chunk_bytes.unwrap_or(default.chunk_bytes),
+        origin_rate: flags.origin_rate.unwrap_or(default.origin_rate),
+        link_rate: flags.link_rate.unwrap_or(default.link_rate),
+        kill_percent: flags.kill_percent.unwrap_or(default.kill_percent),
+        seed: flags.seed.unwrap_or(default.seed),
+    };
+    spread::command::run(&options)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Reports an error.
 pub(crate) fn fail(error: &io::Error) -> ExitCode {
     eprintln!("{error}");
