--- a/crates/pistachiolug/tests/routing_streams.rs
+++ b/crates/pistachiolug/tests/routing_streams.rs
@@ -101,6 +101,34 @@
     assert!(ended.expect("the agent ends"), "the agent ends well");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_and_an_agent_that_leave_together_end_their_stream_whole() {
+    let mut deployment = deployment(2, 0, 1).await;
+    let entry = deployment.entries[0].callers.expect("entries take callers");
+    let body = body(TOKENS);
+    let answer = stream(&deployment.http, entry, &body);
+
+    let agent = deployment.wait_running().await.expect("the stream starts");
+    let stopping = [
+        &deployment.agents[agent].process,
+        &deployment.entries[0].process,
+    ];
+    for process in stopping {
+        process.signal("TERM").expect("both are told to stop");
+    }
+    let seen = answer.await.expect("the caller reads");
+
+    assert_exact(&seen, &deployment.expected("v1", &body));
+    let stopping = [
+        &mut deployment.agents[agent].process,
+        &mut deployment.entries[0].process,
+    ];
+    for process in stopping {
+        let ended = wait_ended(process).await;
+        assert!(ended.expect("the process ends"), "the process ends well");
+    }
+}
+
 /// Puts a relay in front of each agent and waits until the entry knows.
 async fn relays(deployment: &mut Deployment) -> Vec<Relay> {
     let mut relays = Vec::new();
