Show causes of failed versions; count silent instances as not in line

Cause: status read dump fields under names that landed otherwise; lists called a change in force everywhere although instances gave no state, even if none did. Change: status reads calls.load.running, calls.open and each version's finding; lists counts silent instances against. Conclusion: both commands say no more than they saw.

--- a/crates/pistachiolug/src/command/lists.rs
+++ b/crates/pistachiolug/src/command/lists.rs
@@ -44,7 +44,7 @@
 pub struct Report {
     /// Revision that is looked for; `None` when none was named and the key-value service does not answer.
     pub accepted: Option<u64>,
-    /// Whether every instance that answered holds it.
+    /// Whether every instance of the list holds it; one that gives no state is not known to.
     pub in_force: bool,
     /// One row per place.
     pub places: Vec<Row>,
@@ -121,9 +121,10 @@
         .into_iter()
         .map(|(place, members)| place_row(place, &members))
         .collect();
-    let in_force = accepted.is_some_and(|accepted| {
-        let mut answering = places.iter().filter(|row| row.instances > 0);
-        answering.all(|row| row.oldest >= accepted)
+    // An instance that gives no state may hold older lists.
+    let holds = |row: &Row, revision| row.silent == 0 && row.oldest >= revision;
+    let in_force = accepted.is_some_and(|revision| {
+        !places.is_empty() && places.iter().all(|row| holds(row, revision))
     });
     Report {
         accepted,
--- a/crates/pistachiolug/src/command/status.rs
+++ b/crates/pistachiolug/src/command/status.rs
@@ -88,15 +88,34 @@
     for ((model, version), rollout) in rollouts(members) {
         lines.push(line(&model, &version, &rollout));
     }
+    lines.extend(members.iter().flat_map(findings));
     lines.join("\n")
 }
 
+/// Renders why versions are not served at an instance.
+fn findings(member: &Member) -> Vec<String> {
+    let transfers = member.transfers().into_iter();
+    let found = transfers.filter(|transfer| !transfer.finding.is_empty());
+    let name = &member.instance.name;
+    found
+        .map(|found| {
+            let Transfer {
+                model,
+                version,
+                state,
+                finding,
+                ..
+            } = found;
+            format!("{name}: {model} {version} {state}: {finding}")
+        })
+        .collect()
+}
+
 fn cells(member: &Member) -> Vec<String> {
     let instance = &member.instance;
-    let number = |path| {
-        let number = member.number(path);
-        number.map_or_else(|| "-".to_owned(), |number| number.to_string())
-    };
+    let shown = |number: Option<u64>| number.map_or_else(|| "-".to_owned(), |it| it.to_string());
+    let running = member.number("/calls/load/running");
+    let running = running.or_else(|| member.number("/calls/open"));
     let versions: Vec<String> = member
         .transfers()
         .iter()
@@ -108,9 +127,9 @@
         instance.service.clone(),
         format!("{}/{}", instance.place.region, instance.place.zone),
         phase(member),
-        number("/lists_revision"),
-        number("/calls/queued"),
-        number("/calls/running"),
+        shown(member.revision()),
+        shown(member.number("/calls/queued")),
+        shown(running),
         versions.join(" "),
     ]
 }
--- a/crates/pistachiolug/src/fleet.rs
+++ b/crates/pistachiolug/src/fleet.rs
@@ -31,8 +31,10 @@
     pub model: String,
     /// Version.
     pub version: String,
-    /// Stage, such as `fetching` or `serving`.
+    /// Stage, such as `pulling` or `serving`.
     pub state: String,
+    /// Why the version is refused or failed; empty otherwise.
+    pub finding: String,
     /// Bytes that are there.
     pub done_bytes: u64,
     /// Bytes of the version.
@@ -110,6 +112,7 @@
         model: text("model"),
         version: text("version"),
         state: text("state"),
+        finding: text("finding"),
         done_bytes: number("done_bytes"),
         total_bytes: number("total_bytes"),
     }
