--- a/crates/pistachiolug_bench/src/standin.rs
+++ b/crates/pistachiolug_bench/src/standin.rs
@@ -9,10 +9,14 @@
 use pistachiolug_kernel::signal;
 use pistachiolug_standin::{
     directory::Directory,
-    engine::face::{Face, Speed},
+    engine::{
+        control::Crash,
+        face::{Face, Speed},
+    },
     kv::gateway::Gateway,
     origin::Origin,
     plain::Plain,
+    relay::Relay,
 };
 
 /// Largest body a stand-in takes, in bytes.
@@ -33,6 +37,12 @@
     pub gap_ms: u64,
     /// Whether an engine refuses old fencing numbers.
     pub checks_fence: bool,
+    /// Generations that an engine runs at once.
+    pub slots: u32,
+    /// Address that a relay forwards to.
+    pub target: Option<SocketAddr>,
+    /// Address on which a relay takes orders.
+    pub control: Option<SocketAddr>,
 }
 
 /// Runs a stand-in until it is told to stop.
@@ -63,8 +73,22 @@
         "engine" => {
             let gap = Duration::from_millis(options.gap_ms);
             let speed = Speed { first, gap };
-            wait(options, Face::new(speed, options.checks_fence)).await
+            let face = Face::new(speed, options.checks_fence)
+                .with_slots(options.slots)
+                .with_crash(Crash::Exit);
+            wait(options, face).await
         }
+        "relay" => match (options.target, options.control) {
+            (Some(target), Some(control)) => {
+                let relay = Relay::start(options.listen, target).await?;
+                let listen = control;
+                wait(Options { listen, ..options }, relay).await
+            }
+            _ => Err(io::Error::new(
+                io::ErrorKind::InvalidInput,
+                "a relay needs --target and --control",
+            )),
+        },
         "plain" => wait(options, Plain::new(first)).await,
         _ => Err(io::Error::new(
             io::ErrorKind::InvalidInput,
