Load wanted versions from other members, all or nothing

Cause: the agent read every version whole from the origin, ordered with fencing number 0 and never unloaded. Change: loader that compares lists, instance list and the engine's own account each round: placement by rendezvous hash per zone, manifests checked and pinned to version names, pull through the swarm, whole digest, one load order with the incarnation's number, superseded versions cancelled, an old version unloaded only when the new one serves and its last call has ended (calls are counted around the engine), large versions streamed in parts, progress in the dump. Conclusion: the fault rows of the engine hold at one agent; burst growth is left.

--- a/crates/pistachiolug_agent/src/door.rs
+++ b/crates/pistachiolug_agent/src/door.rs
@@ -8,13 +8,17 @@
 };
 use pistachiolug_kernel::admin::Admin;
 use pistachiolug_ledger::claim::Claims;
-use pistachiolug_platform::{engine::Engine, plain::Service};
+use pistachiolug_platform::{engine::Engine, plain::Service, source::Http};
+use pistachiolug_weights::swarm::Swarm;
 
 use crate::calls::Calls;
 
 /// Path below which the engine caches of moved calls are served.
 const CACHE_PATH: &str = "/internal/cache/";
 
+/// Path below which weights are exchanged.
+const WEIGHTS_PATH: &str = "/internal/weights/";
+
 /// Routes requests on the internal port.
 #[derive(Debug, Clone)]
 pub struct Door<E, S, C> {
@@ -24,6 +28,8 @@
     pub secret: Secret,
     /// Calls.
     pub calls: Calls<E, S, C>,
+    /// Exchange of weights; none beside a plain service.
+    pub weights: Option<Swarm<Http>>,
 }
 
 impl<E: Engine, S: Service, C: Claims> Handler for Door<E, S, C> {
@@ -35,6 +41,11 @@
         if !self.secret.admits(request.headers()) {
             return refuse(StatusCode::UNAUTHORIZED);
         }
+        if path.starts_with(WEIGHTS_PATH)
+            && let Some(weights) = &self.weights
+        {
+            return weights.handle(request).await;
+        }
         match (request.method(), path) {
             (&Method::POST, "/internal/call") => self.calls.open(request.body()),
             (&Method::POST, "/internal/revoke") => self.calls.revoke(request.body()),
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -14,7 +14,11 @@
 use pistachiolug_membership::{follow, view::View};
 use pistachiolug_platform::{directory, engine, kv::etcd::Etcd, plain, source};
 use pistachiolug_routing::schedule::Capacity;
-use pistachiolug_settings::daemon::{Backend, Daemon, Kind};
+use pistachiolug_settings::daemon::{self, Backend, Daemon, Kind};
+use pistachiolug_weights::{
+    planner::policy::{Policy, Tuning},
+    swarm::{self, Swarm},
+};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 
@@ -26,7 +30,12 @@
     metrics::Metrics,
     peers::Peers,
     serving::Serving,
-    weights,
+    weights::{
+        self,
+        activate::{Asked, Either, Fenced},
+        status::Status,
+        usage::{Counted, Usage},
+    },
 };
 
 /// Idle connections kept per peer.
@@ -89,10 +98,18 @@
     let force = kernel.register("lists", Force::default());
     let force = force.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
+    let usage = Usage::default();
     let engine = engine::http::Http::new(client.clone(), &backend.address);
+    let engine = Counted::new(engine, usage.clone());
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
     let directory = directory::Http::new(client.clone(), &settings.platform.instances);
-    let origin = source::Http::new(client.clone(), &settings.platform.origin);
+    let sources = sources(&settings, &client);
+    let swarm = Swarm::new(
+        spread(&settings),
+        client.clone(),
+        secret.clone(),
+        sources.clone(),
+    );
     let (crashes, reports) = Reporter::new();
     let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
@@ -115,6 +132,7 @@
         admin: kernel.admin(),
         secret,
         calls: calls.clone(),
+        weights: Some(swarm.clone()),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
@@ -123,19 +141,31 @@
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
     supervisor.spawn("crashes", crash::run(store.clone(), reports));
-    tokio::spawn(incarnation.draw(store, settings.instance.clone()));
+    let draw = incarnation.clone();
+    tokio::spawn(draw.draw(store.clone(), settings.instance.clone()));
     supervisor.spawn("calls", calls.clone().run(timer.clone()));
     supervisor.spawn(
         "membership",
         follow::run(directory, view.clone(), timer.clone()),
     );
-    supervisor.spawn("leaving", calls.clone().watch_row(view));
+    supervisor.spawn("leaving", calls.clone().watch_row(view.clone()));
     if backend.kind == Kind::Model {
         supervisor.spawn("engine", serving.run(timer));
-        supervisor.spawn(
-            "weights",
-            weights::run(backend.service.clone(), force, engine, origin),
-        );
+        let parts = weights::Parts {
+            engine,
+            swarm: swarm.clone(),
+            sources,
+            force,
+            view,
+            service: backend.service.clone(),
+            incarnation: incarnation.clone(),
+            guard: guard(&settings, &backend, store.clone(), &incarnation),
+            usage,
+            status: Status::default(),
+        };
+        let status = parts.status.clone();
+        kernel.dump.add("weights", move || status.dump(&swarm));
+        supervisor.spawn("weights", weights::run(parts));
     }
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
@@ -152,6 +182,50 @@
     ended.context(KernelSnafu)
 }
 
+fn sources(settings: &Daemon, client: &Client) -> Vec<source::Http> {
+    let store = settings.platform.store.iter();
+    let addresses = store.chain([&settings.platform.origin]);
+    addresses
+        .map(|address| source::Http::new(client.clone(), address))
+        .collect()
+}
+
+fn spread(settings: &Daemon) -> swarm::Options {
+    let policy = match settings.weights.policy {
+        daemon::Policy::TimeFirst => Policy::TimeFirst,
+        daemon::Policy::BytesFirst => Policy::BytesFirst,
+    };
+    swarm::Options {
+        instance: settings.instance.clone(),
+        region: settings.region.clone(),
+        tuning: Tuning {
+            policy,
+            ..Tuning::default()
+        },
+        staging_bytes: settings.weights.staging_bytes,
+        up: settings.weights.link_bytes_per_second,
+        down: settings.weights.link_bytes_per_second,
+        upload_copies: settings.weights.upload_copies,
+        ..swarm::Options::default()
+    }
+}
+
+fn guard(
+    settings: &Daemon,
+    backend: &Backend,
+    store: Etcd,
+    incarnation: &Incarnation,
+) -> Either<Etcd> {
+    match backend.fencing {
+        daemon::Fencing::Checked => Either::Fenced(Fenced),
+        daemon::Fencing::Ignored => Either::Asked(Asked {
+            store,
+            instance: settings.instance.clone(),
+            incarnation: incarnation.clone(),
+        }),
+    }
+}
+
 fn options(settings: &Daemon, backend: &Backend) -> Options {
     let model = backend.kind == Kind::Model;
     let rate = if model {
--- /dev/null
+++ b/crates/pistachiolug_agent/src/weights/usage.rs
@@ -0,0 +1,134 @@
+//! Running calls by version, counted around the engine.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use pistachiolug_platform::engine::{
+    CacheEvent, Chunk, Engine, Error, Generate, Generation, Order, Role, State,
+};
+use pistachiolug_wire::call;
+
+/// Counts of running calls; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Usage {
+    /// Versions with at least one running call.
+    counts: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+/// Engine whose generations are counted.
+#[derive(Debug, Clone)]
+pub struct Counted<E> {
+    engine: E,
+    usage: Usage,
+}
+
+/// Generation that is counted until it is dropped.
+#[derive(Debug)]
+pub struct Running<T> {
+    generation: T,
+    _held: Held,
+}
+
+#[derive(Debug)]
+struct Held {
+    usage: Usage,
+    version: String,
+}
+
+impl Usage {
+    /// Returns the number of calls that a version runs.
+    pub fn running(&self, version: &str) -> u32 {
+        self.counts().get(version).copied().unwrap_or(0)
+    }
+
+    fn hold(&self, version: &str) -> Held {
+        *self.counts().entry(version.to_owned()).or_default() += 1;
+        Held {
+            usage: self.clone(),
+            version: version.to_owned(),
+        }
+    }
+
+    fn counts(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let mut counts = self.usage.counts();
+        if let Some(count) = counts.get_mut(&self.version) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.version);
+            }
+        }
+    }
+}
+
+impl<E> Counted<E> {
+    /// Wraps an engine.
+    pub fn new(engine: E, usage: Usage) -> Self {
+        Self { engine, usage }
+    }
+}
+
+impl<T: Generation> Generation for Running<T> {
+    async fn next(&mut self) -> Result<Chunk, Error> {
+        self.generation.next().await
+    }
+}
+
+impl<E: Engine> Engine for Counted<E> {
+    type Generation = Running<E::Generation>;
+
+    async fn generate(&self, call: &Generate) -> Result<Self::Generation, Error> {
+        // Held before the engine is asked, so that the version is not unloaded in between.
+        let held = self.usage.hold(&call.version);
+        let generation = self.engine.generate(call).await?;
+        Ok(Running {
+            generation,
+            _held: held,
+        })
+    }
+
+    async fn cancel(&self, id: call::Id) -> Result<(), Error> {
+        self.engine.cancel(id).await
+    }
+
+    async fn state(&self) -> Result<State, Error> {
+        self.engine.state().await
+    }
+
+    async fn stage(&self, order: &Order, offset: u64, bytes: Bytes) -> Result<(), Error> {
+        self.engine.stage(order, offset, bytes).await
+    }
+
+    async fn load(&self, order: &Order) -> Result<(), Error> {
+        self.engine.load(order).await
+    }
+
+    async fn unload(&self, order: &Order) -> Result<(), Error> {
+        self.engine.unload(order).await
+    }
+
+    async fn set_role(&self, fence: u64, role: Role) -> Result<(), Error> {
+        self.engine.set_role(fence, role).await
+    }
+
+    async fn export_cache(&self, id: call::Id) -> Result<Bytes, Error> {
+        self.engine.export_cache(id).await
+    }
+
+    async fn import_cache(&self, id: call::Id, cache: Bytes) -> Result<(), Error> {
+        self.engine.import_cache(id, cache).await
+    }
+
+    async fn cache_events(&self, sequence: u64, wait: Duration) -> Result<Vec<CacheEvent>, Error> {
+        self.engine.cache_events(sequence, wait).await
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_agent/tests/script/mod.rs
@@ -0,0 +1,136 @@
+//! Engine whose answers to orders go wrong by script.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use pistachiolug_platform::engine::{
+    CacheEvent, Engine, Error, Generate, Order, Role, State, http::Http,
+};
+use pistachiolug_wire::call;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Refuses a load order.
+    RefuseLoad,
+    /// Agrees to a load order and does nothing.
+    ForgetLoad,
+    /// Obeys a load order and its answer is lost.
+    LoseAnswer,
+    /// Takes no parts, at any time.
+    RefuseParts,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Scripted {
+    inner: Http,
+    faults: Arc<Mutex<VecDeque<Fault>>>,
+    /// Whether its account of itself is empty.
+    blank: bool,
+}
+
+impl Scripted {
+    pub(crate) fn new(inner: Http) -> Self {
+        Self {
+            inner,
+            faults: Arc::default(),
+            blank: false,
+        }
+    }
+
+    pub(crate) fn add(&self, faults: &[Fault]) {
+        self.faults
+            .lock()
+            .expect("no test panics while it holds the lock")
+            .extend(faults);
+    }
+
+    /// Returns a view of the same engine that never sees its account of itself.
+    pub(crate) fn blind(&self) -> Self {
+        Self {
+            blank: true,
+            ..self.clone()
+        }
+    }
+
+    fn refuses_parts(&self) -> bool {
+        self.faults
+            .lock()
+            .expect("no test panics while it holds the lock")
+            .contains(&Fault::RefuseParts)
+    }
+}
+
+impl Engine for Scripted {
+    type Generation = <Http as Engine>::Generation;
+
+    async fn generate(&self, call: &Generate) -> Result<Self::Generation, Error> {
+        self.inner.generate(call).await
+    }
+
+    async fn cancel(&self, id: call::Id) -> Result<(), Error> {
+        self.inner.cancel(id).await
+    }
+
+    async fn state(&self) -> Result<State, Error> {
+        if self.blank {
+            return Ok(State::default());
+        }
+        self.inner.state().await
+    }
+
+    async fn stage(&self, order: &Order, offset: u64, bytes: Bytes) -> Result<(), Error> {
+        if self.refuses_parts() {
+            return Err(Error::Refused {
+                status: 501,
+                reason: "no parts".to_owned(),
+            });
+        }
+        self.inner.stage(order, offset, bytes).await
+    }
+
+    async fn load(&self, order: &Order) -> Result<(), Error> {
+        let fault = self
+            .faults
+            .lock()
+            .expect("no test panics while it holds the lock")
+            .pop_front();
+        match fault {
+            Some(Fault::RefuseLoad) => Err(Error::Refused {
+                status: 500,
+                reason: "out of memory".to_owned(),
+            }),
+            Some(Fault::ForgetLoad) => Ok(()),
+            Some(Fault::LoseAnswer) => {
+                self.inner.load(order).await?;
+                Err(Error::Broken {
+                    reason: "timeout".to_owned(),
+                })
+            }
+            Some(Fault::RefuseParts) | None => self.inner.load(order).await,
+        }
+    }
+
+    async fn unload(&self, order: &Order) -> Result<(), Error> {
+        self.inner.unload(order).await
+    }
+
+    async fn set_role(&self, fence: u64, role: Role) -> Result<(), Error> {
+        self.inner.set_role(fence, role).await
+    }
+
+    async fn export_cache(&self, id: call::Id) -> Result<Bytes, Error> {
+        self.inner.export_cache(id).await
+    }
+
+    async fn import_cache(&self, id: call::Id, cache: Bytes) -> Result<(), Error> {
+        self.inner.import_cache(id, cache).await
+    }
+
+    async fn cache_events(&self, sequence: u64, wait: Duration) -> Result<Vec<CacheEvent>, Error> {
+        self.inner.cache_events(sequence, wait).await
+    }
+}
--- a/crates/pistachiolug_agent/tests/support/mod.rs
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -151,6 +151,7 @@
             },
             secret: Secret::new(SECRET),
             calls: calls.clone(),
+            weights: None,
         };
         let server = serve(door);
         Self {
