--- a/crates/pistachiolug/tests/path.rs
+++ b/crates/pistachiolug/tests/path.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use pistachiolug_bench::rig::deployment::{Deployment, PAID_KEY, Size};
+use pistachiolug_bench::rig::deployment::{Deployment, PAID_KEY, SLOTS, Size};
 use pistachiolug_standin::engine::answer;
 use pistachiolug_wire::{digest::Digest, outcome};
 use serde_json::{Value, json};
@@ -22,6 +22,7 @@
         engine_args: Vec::new(),
         origin_rate: 0,
         weights_bytes: 0,
+        slots: SLOTS,
     };
     let deployment = Deployment::start(&size).await.expect("deployment starts");
     let manifest = deployment.upload("pasta", "v1", &weights(1), 65_536).await;
--- a/crates/pistachiolug/tests/routing_rig/mod.rs
+++ b/crates/pistachiolug/tests/routing_rig/mod.rs
@@ -8,7 +8,7 @@
     load::sse::{Event, Parser},
     rig::{
         client::Http,
-        deployment::{Deployment, PAID_KEY, Size},
+        deployment::{Deployment, PAID_KEY, SLOTS, Size},
     },
 };
 use serde_json::{Value, json};
@@ -37,6 +37,7 @@
         engine_args: args.map(str::to_owned).to_vec(),
         origin_rate: 0,
         weights_bytes: 10_000,
+        slots: SLOTS,
     };
     let deployment = Deployment::start(&size).await.expect("deployment starts");
     deployment.prepare("v1").await.expect("version serves");
--- a/crates/pistachiolug_bench/src/capacity/measure.rs
+++ b/crates/pistachiolug_bench/src/capacity/measure.rs
@@ -98,12 +98,8 @@
 
 fn size(case: Case) -> Size {
     Size {
-        models: case.agents,
-        plains: 0,
-        entries: case.entries,
-        engine_args: Vec::new(),
-        origin_rate: 0,
         weights_bytes: WEIGHTS_BYTES,
+        ..Size::new(case.agents, 0, case.entries)
     }
 }
 
--- a/crates/pistachiolug_bench/src/demo.rs
+++ b/crates/pistachiolug_bench/src/demo.rs
@@ -12,7 +12,7 @@
 use self::operator::Operator;
 use crate::{
     experiment::record,
-    rig::deployment::{self, Deployment, Size},
+    rig::deployment::{self, Deployment, SLOTS, Size},
 };
 
 /// Version that the demonstration spreads.
@@ -58,6 +58,7 @@
         engine_args: ENGINE_SPEED.map(str::to_owned).to_vec(),
         origin_rate: ORIGIN_RATE,
         weights_bytes: WEIGHTS_BYTES,
+        slots: SLOTS,
     }
 }
 
--- a/crates/pistachiolug_bench/src/experiment/document.rs
+++ b/crates/pistachiolug_bench/src/experiment/document.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fault::Timed;
-use crate::load::plan::Stream;
+use crate::{load::plan::Stream, rig::deployment::SLOTS};
 
 /// Experiment as written in its file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,6 +46,8 @@
     pub weights_bytes: usize,
     /// Bytes a second of the origin's link; 0 means no limit.
     pub origin_rate: u64,
+    /// Calls that each backend server runs at once.
+    pub slots: u32,
     /// Whether callers go straight to the engines, as a baseline without the system.
     pub direct: bool,
 }
@@ -72,6 +74,7 @@
             gap_ms: 5,
             weights_bytes: 1 << 20,
             origin_rate: 0,
+            slots: SLOTS,
             direct: false,
         }
     }
--- a/crates/pistachiolug_bench/src/experiment/run.rs
+++ b/crates/pistachiolug_bench/src/experiment/run.rs
@@ -101,7 +101,8 @@
     let sizes = &document.deployment;
     let first = sizes.first_ms.to_string();
     let gap = sizes.gap_ms.to_string();
-    let engine_args = ["--first-ms", &first, "--gap-ms", &gap];
+    let slots = sizes.slots.to_string();
+    let engine_args = ["--first-ms", &first, "--gap-ms", &gap, "--slots", &slots];
     Size {
         models: sizes.models,
         plains: sizes.plains,
@@ -109,6 +110,7 @@
         engine_args: engine_args.map(str::to_owned).to_vec(),
         origin_rate: sizes.origin_rate,
         weights_bytes: sizes.weights_bytes,
+        slots: sizes.slots,
     }
 }
 
--- a/crates/pistachiolug_bench/src/load/caller.rs
+++ b/crates/pistachiolug_bench/src/load/caller.rs
@@ -110,7 +110,9 @@
             builder = builder.header("idempotency-key", format!("{:016x}", planned.nonce));
         }
         if let Some(version) = &self.direct {
-            builder = builder.header("x-model-version", version);
+            builder = builder
+                .header("x-model-version", version)
+                .header("x-request-id", format!("{:032x}", planned.nonce));
         }
         builder.body(body).unwrap_or_default()
     }
--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -39,6 +39,9 @@
 /// Bearer key of the trial customer.
 pub const TRIAL_KEY: &str = "trial-key";
 
+/// Calls that each backend server runs at once unless a size says otherwise.
+pub const SLOTS: u32 = 16;
+
 /// Length of a chunk in bytes.
 pub const CHUNK_BYTES: usize = 64 << 10;
 
@@ -63,6 +66,8 @@
     pub origin_rate: u64,
     /// Length of the weights that [`Deployment::roll_out`] makes, in bytes.
     pub weights_bytes: usize,
+    /// Calls that each backend server runs at once.
+    pub slots: u32,
 }
 
 impl Size {
@@ -75,6 +80,7 @@
             engine_args: Vec::new(),
             origin_rate: 0,
             weights_bytes: 200_000,
+            slots: SLOTS,
         }
     }
 }
@@ -119,6 +125,8 @@
     pub platform: Vec<Process>,
     /// Length of each version's weights in bytes.
     weights_bytes: usize,
+    /// Calls that each backend server runs at once.
+    slots: u32,
     folder: PathBuf,
 }
 
@@ -143,6 +151,7 @@
             http: Http::new(SECRET),
             platform: Vec::new(),
             weights_bytes: size.weights_bytes,
+            slots: size.slots,
             folder,
         };
         deployment.start_platform(size)?;
@@ -356,7 +365,10 @@
         };
         let mut settings = self.settings(name, internal);
         settings["backend"] = json!({
-            "service": service, "kind": kind, "address": format!("http://{backend}"),
+            "service": service,
+            "kind": kind,
+            "address": format!("http://{backend}"),
+            "slots": self.slots,
         });
         Ok(Daemon {
             name: name.to_owned(),
