--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -21,7 +21,11 @@
     plain, source,
 };
 use pistachiolug_routing::schedule::Capacity;
-use pistachiolug_settings::daemon::{Backend, Daemon, Kind};
+use pistachiolug_settings::daemon::{self, Backend, Daemon, Kind};
+use pistachiolug_weights::{
+    planner::policy::{Policy, Tuning},
+    swarm::{self, Swarm},
+};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 
@@ -33,7 +37,12 @@
     metrics::Metrics,
     peers::Peers,
     serving::Serving,
-    weights,
+    weights::{
+        self,
+        activate::{Asked, Either, Fenced},
+        status::Status,
+        usage::{Counted, Usage},
+    },
 };
 
 /// Idle connections kept per peer.
@@ -96,7 +105,9 @@
     let force = kernel.register("lists", Force::default());
     let force = force.context(RegistrySnafu)?;
     let client = Client::new(IDLE_CONNECTIONS);
+    let usage = Usage::default();
     let engine = engine::http::Http::new(client.clone(), &backend.address);
+    let engine = Counted::new(engine, usage.clone());
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
     let store = Budget::new(store, pace::Settings::default());
     let view = kernel.register("membership", View::default());
@@ -104,7 +115,13 @@
     let here = spread::Settings::new(&settings, &secret);
     let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
     let directory = directory::Http::new(client.clone(), &settings.platform.instances);
-    let origin = source::Http::new(client.clone(), &settings.platform.origin);
+    let sources = sources(&settings, &client);
+    let swarm = Swarm::new(
+        spread(&settings),
+        client.clone(),
+        secret.clone(),
+        sources.clone(),
+    );
     let (crashes, reports) = Reporter::new();
     let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
@@ -128,6 +145,7 @@
         secret,
         lists: lists.clone(),
         calls: calls.clone(),
+        weights: Some(swarm.clone()),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
@@ -135,20 +153,32 @@
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", lists.run(store.clone()));
     supervisor.spawn("crashes", crash::run(store.clone(), reports));
-    tokio::spawn(incarnation.draw(store, settings.instance.clone()));
+    let draw = incarnation.clone();
+    tokio::spawn(draw.draw(store.clone(), settings.instance.clone()));
     supervisor.spawn("calls", calls.clone().run(timer.clone()));
     supervisor.spawn(
         "membership",
         follow::run(directory, view.clone(), timer.clone()),
     );
-    supervisor.spawn("leaving", calls.clone().watch_row(view));
+    supervisor.spawn("leaving", calls.clone().watch_row(view.clone()));
     let ready = force.clone();
     if backend.kind == Kind::Model {
         supervisor.spawn("engine", serving.run(timer));
-        supervisor.spawn(
-            "weights",
-            weights::run(backend.service.clone(), force, engine, origin),
-        );
+        let parts = weights::Parts {
+            engine,
+            swarm: swarm.clone(),
+            sources,
+            force,
+            view,
+            service: backend.service.clone(),
+            incarnation: incarnation.clone(),
+            guard: guard(&settings, &backend, store.clone(), &incarnation),
+            usage,
+            status: Status::default(),
+        };
+        let status = parts.status.clone();
+        kernel.dump.add("weights", move || status.dump(&swarm));
+        supervisor.spawn("weights", weights::run(parts));
     }
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
@@ -167,6 +197,50 @@
     ended.context(KernelSnafu)
 }
 
+fn sources(settings: &Daemon, client: &Client) -> Vec<source::Http> {
+    let store = settings.platform.store.iter();
+    let addresses = store.chain([&settings.platform.origin]);
+    addresses
+        .map(|address| source::Http::new(client.clone(), address))
+        .collect()
+}
+
+fn spread(settings: &Daemon) -> swarm::Options {
+    let policy = match settings.weights.policy {
+        daemon::Policy::TimeFirst => Policy::TimeFirst,
+        daemon::Policy::BytesFirst => Policy::BytesFirst,
+    };
+    swarm::Options {
+        instance: settings.instance.clone(),
+        region: settings.region.clone(),
+        tuning: Tuning {
+            policy,
+            ..Tuning::default()
+        },
+        staging_bytes: settings.weights.staging_bytes,
+        up: settings.weights.link_bytes_per_second,
+        down: settings.weights.link_bytes_per_second,
+        upload_copies: settings.weights.upload_copies,
+        ..swarm::Options::default()
+    }
+}
+
+fn guard(
+    settings: &Daemon,
+    backend: &Backend,
+    store: Budget<Etcd>,
+    incarnation: &Incarnation,
+) -> Either<Budget<Etcd>> {
+    match backend.fencing {
+        daemon::Fencing::Checked => Either::Fenced(Fenced),
+        daemon::Fencing::Ignored => Either::Asked(Asked {
+            store,
+            instance: settings.instance.clone(),
+            incarnation: incarnation.clone(),
+        }),
+    }
+}
+
 fn options(settings: &Daemon, backend: &Backend) -> Options {
     let model = backend.kind == Kind::Model;
     let rate = if model {
--- a/crates/pistachiolug_agent/tests/support/mod.rs
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -169,6 +169,7 @@
             secret: Secret::new(SECRET),
             lists: spread(name, &client, &force),
             calls: calls.clone(),
+            weights: None,
         };
         let server = serve(door);
         Self {
