Keep each customer's limit at one agent for all

Cause: a limit enforced at each agent by itself is either exceeded by as many bursts as there are agents, or refuses small customers whose calls meet the same agent twice. Change: an agent found by rendezvous hashing keeps the customer's bucket; others ask it for each limited call (100 ms at most) and tell it corrections with the next ask; while it is away each agent grants an even part by itself. Conclusion: exact without a counter in the key-value service, at one message for each call of a limited customer; the overshoot is one burst when the keeper changes.

--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -24,6 +24,7 @@
 };
 use pistachiolug_ledger::claim::Claims;
 use pistachiolug_lists::force::Force;
+use pistachiolug_membership::view::View;
 use pistachiolug_platform::{engine::Engine, plain::Service};
 use pistachiolug_routing::{
     schedule::{Action, Capacity},
@@ -84,6 +85,8 @@
     pub claims: C,
     /// Lists in force.
     pub force: Force,
+    /// Instances.
+    pub view: View,
     /// Way to other processes.
     pub peers: Peers,
     /// Way to report crashes.
@@ -275,7 +278,7 @@
             return withdrawal.stage;
         };
         if desk.schedule.end(id, now) {
-            desk.limits.settle(&run.open.customer, run.cost, 0);
+            desk.limits.settle(&run, 0, now);
         }
         drop(desk);
         self.conclude(&run, Body::Failed(fault));
@@ -384,7 +387,7 @@
             let mut desk = self.desk();
             desk.table.finish(id, bytes, now);
             desk.schedule.end(id, now);
-            desk.limits.settle(&run.open.customer, run.cost, real);
+            desk.limits.settle(run, real, now);
         }
         self.pump();
     }
--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -50,7 +50,7 @@
         if let Some(known) = self.enter(&run, now)? {
             return Ok(known);
         }
-        if let Err(fault) = self.admit(&run, now) {
+        if let Err(fault) = self.admit(&run, now).await {
             self.drop_queued(run.open.id, fault.clone());
             return Err(fault);
         }
@@ -98,7 +98,7 @@
         }
     }
 
-    fn admit(&self, run: &Run, now: Duration) -> Result<(), Fault> {
+    async fn admit(&self, run: &Run, now: Duration) -> Result<(), Fault> {
         let open = &run.open;
         if self.desk().leaving {
             let message = "instance is leaving";
@@ -122,7 +122,8 @@
                 Fault::not_run(Code::Unavailable, VERSION_RETRY, message)
             })?;
         }
-        self.enqueue(run, access, decision == Decision::Alone, now)
+        self.allow(run, access.rate).await?;
+        self.enqueue(run, access, decision == Decision::Alone)
     }
 
     fn crashes(&self, open: &Open, now: Duration) -> u8 {
@@ -134,24 +135,22 @@
         desk.suspects.crashes(&open.content, now)
     }
 
-    fn enqueue(&self, run: &Run, access: Access, alone: bool, now: Duration) -> Result<(), Fault> {
+    fn enqueue(&self, run: &Run, access: Access, alone: bool) -> Result<(), Fault> {
         let open = &run.open;
+        let now = self.now();
         let mut desk = self.desk();
-        desk.limits
-            .take(&open.customer, access.rate, run.cost, now)
-            .map_err(|wait| Fault::not_run(Code::RateLimited, wait, "customer's limit is used"))?;
         let call = Call {
             id: open.id,
             plan: open.plan.clone(),
             class: access.class,
             cost: run.cost,
             bytes: bytes(&open.work),
-            due: now + Duration::from_millis(open.deadline_ms.into()),
+            due: run.arrived + Duration::from_millis(open.deadline_ms.into()),
             pausable: matches!(open.work, Work::Model(_)),
             alone,
         };
         desk.schedule.offer(call, now).map_err(|refusal| {
-            desk.limits.settle(&open.customer, run.cost, 0);
+            desk.limits.settle(run, 0, now);
             overloaded(&refusal, rand::random())
         })
     }
--- a/crates/pistachiolug_agent/src/peers.rs
+++ b/crates/pistachiolug_agent/src/peers.rs
@@ -8,7 +8,12 @@
     client::Client,
     secret::{self, Secret},
 };
-use pistachiolug_wire::{call::Id, codec, notice::Leaving};
+use pistachiolug_wire::{
+    call::Id,
+    codec,
+    limit::{Ask, Grant},
+    notice::Leaving,
+};
 
 /// Longest time a notice may take.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -19,6 +24,9 @@
 /// Longest time the read of an engine's cache may take; a resume without it is slower, not wrong.
 const CACHE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time an ask for a customer's limit may take; it delays the call.
+const LIMIT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Largest accepted engine cache of one call, in bytes.
 const CACHE_BYTES: usize = 4 << 20;
 
@@ -56,6 +64,17 @@
         }
     }
 
+    /// Asks the keeper of a customer's limit whether a call may pass; `None` if it does not answer.
+    pub async fn ask_limit(&self, keeper: SocketAddr, ask: &Ask) -> Option<Grant> {
+        let request = Request::post(format!("http://{keeper}/internal/limit"))
+            .header(secret::HEADER, self.secret.expose())
+            .body(codec::encode(ask))
+            .ok()?;
+        let response = self.client.fetch(request, ANSWER_BYTES, LIMIT_TIMEOUT);
+        let response = response.await.ok()?;
+        codec::decode(response.body()).ok()
+    }
+
     /// Reads the engine's cache of a call that another agent gave up; `None` if it can't be had.
     pub async fn read_cache(&self, agent: SocketAddr, call: Id) -> Option<Bytes> {
         let request = Request::get(format!("http://{agent}/internal/cache/{call}"))
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -96,12 +96,14 @@
     let (crashes, reports) = Reporter::new();
     let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
+    let view = View::default();
     let parts = Parts {
         engine: engine.clone(),
         serving: serving.clone(),
         service: plain::Http::new(Client::new(0), &backend.address),
         claims: Ledger::new(store.clone(), ledger::Settings::default()),
         force: force.clone(),
+        view: view.clone(),
         peers: Peers::new(client, secret.clone()),
         crashes,
         incarnation: incarnation.clone(),
@@ -118,7 +120,6 @@
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
-    let view = View::default();
     let timer = kernel.timer.clone();
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
--- a/crates/pistachiolug_agent/tests/support/mod.rs
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -32,7 +32,9 @@
     plan::{Model, Plan, Replicas, Service},
     row::Row,
 };
+use pistachiolug_membership::view::View;
 use pistachiolug_platform::{
+    directory::Snapshot,
     engine::{self, Order},
     plain,
 };
@@ -50,6 +52,7 @@
     codec::{self, Decoder},
     digest::Digest,
     fault::Fault,
+    instance::{Instance, Place, Role, State},
     revoke::{Cancel, Revoke, Verdict},
 };
 use tokio::time::{sleep, timeout};
@@ -94,6 +97,7 @@
     pub(crate) engine: Face,
     pub(crate) plain: PlainStandin,
     pub(crate) force: Force,
+    pub(crate) view: View,
     pub(crate) calls: Calls<engine::http::Http, plain::Http, C>,
     client: Client,
     servers: Vec<Server>,
@@ -124,12 +128,14 @@
         let metrics = prometheus::Registry::new();
         let force = Force::default();
         force.advance(Arc::new(lists(1)));
+        let view = View::default();
         let parts = Parts {
             engine: http,
             serving: serving.clone(),
             service: plain::Http::new(Client::new(0), &base),
             claims,
             force: force.clone(),
+            view: view.clone(),
             peers: Peers::new(client.clone(), Secret::new(SECRET)),
             crashes: Reporter::new().0,
             incarnation: Incarnation::default(),
@@ -159,12 +165,20 @@
             engine: face,
             plain,
             force,
+            view,
             calls,
             client,
             servers: vec![server, backend],
         }
     }
 
+    /// Closes the agent's port and connections.
+    pub(crate) fn stop(&self) {
+        for server in &self.servers {
+            server.stop();
+        }
+    }
+
     /// Opens a call.
     pub(crate) async fn open(&self, open: &Open) -> Events {
         let request = self.request("call", codec::encode(open));
@@ -329,6 +343,28 @@
     }
 }
 
+/// Shows all agents to each of them.
+pub(crate) fn introduce<C: Claims>(agents: &[&Agent<C>]) {
+    let instances = agents.iter().map(|agent| Instance {
+        name: agent.name.clone(),
+        role: Role::Agent,
+        service: "assistant".to_owned(),
+        address: agent.address,
+        place: Place {
+            region: "gauteng".to_owned(),
+            zone: "midrand".to_owned(),
+        },
+        state: State::Live,
+    });
+    let snapshot = Snapshot {
+        version: 1,
+        instances: instances.collect(),
+    };
+    for agent in agents {
+        agent.view.replace(snapshot.clone());
+    }
+}
+
 /// Polls until a condition holds.
 pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let waited = timeout(PATIENCE, async {
--- a/crates/pistachiolug_routing/src/limit.rs
+++ b/crates/pistachiolug_routing/src/limit.rs
@@ -46,9 +46,9 @@
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
 
-    /// Gives back or charges the difference between a call's estimated and real cost.
-    pub fn settle(&mut self, estimated: u64, real: u64) {
-        self.level += estimated as f64 - real as f64;
+    /// Gives back tokens that a call was charged too much; negative for too little.
+    pub fn give_back(&mut self, tokens: i64) {
+        self.level += tokens as f64;
     }
 
     /// Tells whether the bucket is full, so that it can be forgotten.
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod digest;
 pub mod fault;
 pub mod instance;
+pub mod limit;
 pub mod load;
 pub mod notice;
 pub mod outcome;
