--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -10,6 +10,7 @@
 mod plain;
 mod reader;
 pub mod run;
+mod suspect;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -27,7 +28,7 @@
 use pistachiolug_membership::view::View;
 use pistachiolug_platform::{engine::Engine, plain::Service};
 use pistachiolug_routing::{
-    schedule::{Action, Capacity},
+    schedule::{Action, Capacity, Schedule},
     table::Stage,
 };
 use pistachiolug_wire::{
@@ -125,6 +126,8 @@
     Ended(Body),
     /// The run gave its slot back and waits to be resumed.
     Paused,
+    /// The run gave its slot back and waits until nothing else runs.
+    Isolated,
 }
 
 impl<E: Engine, S: Service, C: Claims> Calls<E, S, C> {
@@ -345,22 +348,24 @@
     fn drive(&self, run: Arc<Run>) {
         let calls = self.clone();
         tokio::spawn(async move {
-            let stop = match &run.open.work {
-                Work::Model(generation) => calls.generate(&run, generation).await,
-                Work::Plain(plain) => Stop::Ended(calls.call_plain(&run, plain).await),
+            let stop = match (calls.check_suspect(&run), &run.open.work) {
+                (Some(stop), _) => stop,
+                (None, Work::Model(generation)) => calls.generate(&run, generation).await,
+                (None, Work::Plain(plain)) => Stop::Ended(calls.call_plain(&run, plain).await),
             };
             match stop {
                 Stop::Ended(end) => calls.end(&run, end),
-                Stop::Paused => calls.rest(&run),
+                Stop::Paused => calls.rest(&run, Schedule::pause),
+                Stop::Isolated => calls.rest(&run, Schedule::isolate),
             }
         });
     }
 
-    /// Puts a paused run back into its lane, unless it was told to stop meanwhile.
-    fn rest(&self, run: &Arc<Run>) {
+    /// Gives a run's slot back, unless it was told to stop meanwhile.
+    fn rest(&self, run: &Arc<Run>, yield_slot: fn(&mut Schedule, Id, Duration)) {
         let now = self.now();
-        self.desk().schedule.pause(run.open.id, now);
-        if *run.orders().borrow() > Order::Pause {
+        yield_slot(&mut self.desk().schedule, run.open.id, now);
+        if *run.orders().borrow() > Order::Isolate {
             self.end_if_paused(run);
         }
         self.pump();
--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -19,6 +19,7 @@
     Calls,
     access::{self, Access},
     run::Run,
+    suspect::refused,
 };
 
 /// Time after which a call may come back that found no served version.
@@ -50,7 +51,7 @@
         if let Some(known) = self.enter(&run, now)? {
             return Ok(known);
         }
-        if let Err(fault) = self.admit(&run, now).await {
+        if let Err(fault) = self.admit(&run).await {
             self.drop_queued(run.open.id, fault.clone());
             return Err(fault);
         }
@@ -98,7 +99,7 @@
         }
     }
 
-    async fn admit(&self, run: &Run, now: Duration) -> Result<(), Fault> {
+    async fn admit(&self, run: &Run) -> Result<(), Fault> {
         let open = &run.open;
         if self.desk().leaving {
             let message = "instance is leaving";
@@ -110,11 +111,9 @@
         }
         let access = access::check(&self.inner.parts.force.now(), open)
             .map_err(|code| Fault::not_run(code, Duration::ZERO, "not in the lists in force"))?;
-        let crashes = self.crashes(open, now);
-        let decision = suspect::decide(crashes);
+        let decision = suspect::decide(self.crashes(open));
         if decision == Decision::Refuse {
-            let message = "backend servers died running this request";
-            return Err(Fault::not_run(Code::CrashSuspect, Duration::ZERO, message));
+            return Err(refused(false));
         }
         if let Work::Model(generation) = &open.work {
             self.version(generation).ok_or_else(|| {
@@ -126,15 +125,6 @@
         self.enqueue(run, access, decision == Decision::Alone)
     }
 
-    fn crashes(&self, open: &Open, now: Duration) -> u8 {
-        let lists = self.inner.parts.force.now();
-        let spread = lists.suspect(&open.content).map_or(0, |row| row.count());
-        let told = open.crashes.max(u8::try_from(spread).unwrap_or(u8::MAX));
-        let mut desk = self.desk();
-        desk.suspects.learn(open.content, told, now);
-        desk.suspects.crashes(&open.content, now)
-    }
-
     fn enqueue(&self, run: &Run, access: Access, alone: bool) -> Result<(), Fault> {
         let open = &run.open;
         let now = self.now();
--- a/crates/pistachiolug_agent/src/calls/model.rs
+++ b/crates/pistachiolug_agent/src/calls/model.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use pistachiolug_ledger::claim::Claims;
-use pistachiolug_lists::suspect::Crash;
 use pistachiolug_platform::{
     engine::{self, Chunk, Engine, Generate, Generation as _},
     plain::Service,
@@ -166,6 +165,7 @@
         self.stop_engine(run).await;
         match order {
             Order::Go | Order::Pause => Stop::Paused,
+            Order::Isolate => Stop::Isolated,
             Order::Move | Order::Cancel => Stop::Ended(stopped(order)),
         }
     }
@@ -204,20 +204,6 @@
         }
         Body::Failed(Fault::unknown(Code::BackendFailed, &message))
     }
-
-    /// Remembers and reports that a backend server died while it ran the call.
-    pub(super) async fn suspect(&self, run: &Run, incarnation: u64) {
-        let now = self.now();
-        let content = run.open.content;
-        let crashes = self.desk().suspects.crash(content, incarnation, now);
-        log::warn!(call:% = run.open.id, content:%, crashes; "backend server died running the call");
-        let crash = Crash {
-            instance: self.inner.options.instance.clone(),
-            // One death counts once, however many calls with the content it cut.
-            call: format!("backend server {incarnation:016x}"),
-        };
-        self.inner.parts.crashes.report(content, crash).await;
-    }
 }
 
 /// Waits for an order to stop.
--- a/crates/pistachiolug_agent/src/calls/run.rs
+++ b/crates/pistachiolug_agent/src/calls/run.rs
@@ -15,6 +15,8 @@
     Go,
     /// Stop for now and give the slot back.
     Pause,
+    /// Stop for now, to be resumed while nothing else runs.
+    Isolate,
     /// Stop, because an entry is to resume the call at another instance.
     Move,
     /// Stop, because nobody wants the answer.
@@ -139,10 +141,10 @@
         self.order.subscribe()
     }
 
-    /// Gives an order; only [`Order::Go`] undoes a pause, and nothing undoes a cancel or move.
+    /// Gives an order; [`Order::Go`] undoes a pause or isolation, and nothing undoes a cancel or move.
     pub fn order(&self, order: Order) {
         self.order.send_if_modified(|now| {
-            let undoes = order == Order::Go && *now == Order::Pause;
+            let undoes = order == Order::Go && *now <= Order::Isolate;
             let taken = order > *now || undoes;
             if taken {
                 *now = order;
--- a/crates/pistachiolug_agent/src/door.rs
+++ b/crates/pistachiolug_agent/src/door.rs
@@ -39,6 +39,7 @@
             (&Method::POST, "/internal/call") => self.calls.open(request.body()),
             (&Method::POST, "/internal/revoke") => self.calls.revoke(request.body()),
             (&Method::POST, "/internal/cancel") => self.calls.cancel(request.body()),
+            (&Method::POST, "/internal/crash") => self.calls.learn_crash(request.body()),
             (&Method::POST, "/internal/limit") => self.calls.grant(request.body()),
             (&Method::GET, path) if path.starts_with(CACHE_PATH) => {
                 self.calls.take_cache(&path[CACHE_PATH.len()..])
--- a/crates/pistachiolug_agent/src/peers.rs
+++ b/crates/pistachiolug_agent/src/peers.rs
@@ -10,7 +10,7 @@
 };
 use pistachiolug_wire::{
     call::Id,
-    codec,
+    codec, crash,
     limit::{Ask, Grant},
     notice::Leaving,
 };
@@ -24,6 +24,9 @@
 /// Longest time the read of an engine's cache may take; a resume without it is slower, not wrong.
 const CACHE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time a crash notice may take.
+const CRASH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest time an ask for a customer's limit may take; it delays the call.
 const LIMIT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -64,6 +67,20 @@
         }
     }
 
+    /// Tells an agent of crashes; one that can't be reached learns from the lists.
+    pub async fn tell_crash(&self, agent: SocketAddr, notice: &crash::Notice) {
+        let request = Request::post(format!("http://{agent}/internal/crash"))
+            .header(secret::HEADER, self.secret.expose())
+            .body(codec::encode(notice));
+        let Ok(request) = request else {
+            return;
+        };
+        let sent = self.client.fetch(request, ANSWER_BYTES, CRASH_TIMEOUT);
+        if let Err(error) = sent.await {
+            log::info!(agent:%, error:%; "crash notice not delivered");
+        }
+    }
+
     /// Asks the keeper of a customer's limit whether a call may pass; `None` if it does not answer.
     pub async fn ask_limit(&self, keeper: SocketAddr, ask: &Ask) -> Option<Grant> {
         let request = Request::post(format!("http://{keeper}/internal/limit"))
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     calls::{Calls, Options, Parts},
-    crash::{self, Reporter},
+    crash::{Reporter, Spreader},
     door::Door,
     incarnation::Incarnation,
     metrics::Metrics,
@@ -97,6 +97,7 @@
     let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
     let view = View::default();
+    let peers = Peers::new(client, secret.clone());
     let parts = Parts {
         engine: engine.clone(),
         serving: serving.clone(),
@@ -104,7 +105,7 @@
         claims: Ledger::new(store.clone(), ledger::Settings::default()),
         force: force.clone(),
         view: view.clone(),
-        peers: Peers::new(client, secret.clone()),
+        peers: peers.clone(),
         crashes,
         incarnation: incarnation.clone(),
         metrics: Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
@@ -123,7 +124,13 @@
     let timer = kernel.timer.clone();
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
-    supervisor.spawn("crashes", crash::run(store.clone(), reports));
+    let spreader = Spreader {
+        instance: settings.instance.clone(),
+        store: store.clone(),
+        view: view.clone(),
+        peers,
+    };
+    supervisor.spawn("crashes", spreader.run(reports));
     tokio::spawn(incarnation.draw(store, settings.instance.clone()));
     supervisor.spawn("calls", calls.clone().run(timer.clone()));
     supervisor.spawn(
--- a/crates/pistachiolug_agent/tests/calls_model.rs
+++ b/crates/pistachiolug_agent/tests/calls_model.rs
@@ -13,7 +13,9 @@
     outcome::Outcome,
     revoke::Verdict,
 };
-use support::{Agent, Size, customer, expected, generation, joined, lists, load, trial, until};
+use support::{
+    Agent, Size, customer, expected, generation, introduce, joined, lists, load, trial, until,
+};
 
 async fn agent(size: Size) -> Agent<Memory> {
     Agent::start("a", size, Memory::default()).await
@@ -395,11 +397,7 @@
     let agent = agent(slow()).await;
     let mut neighbour = agent.open(&generation(1, 40)).await;
     neighbour.tokens(1).await;
-    let mut killer = generation(2, 5);
-    if let Work::Model(generation) = &mut killer.work {
-        generation.body = b"{\"prompt\":\"crash-the-server\"}".to_vec().into();
-    }
-    killer.content = killer.work.content("assistant");
+    let mut killer = deadly(2);
     killer.crashes = 1;
 
     let events = agent.open(&killer).await;
@@ -421,6 +419,63 @@
     assert!(agent.runs_of(Id(3)).is_empty());
 }
 
+/// Call that ends each engine that runs it.
+fn deadly(id: u128) -> Open {
+    let mut open = generation(id, 5);
+    if let Work::Model(generation) = &mut open.work {
+        generation.body = b"{\"prompt\":\"crash-the-server\"}".to_vec().into();
+    }
+    open.content = open.work.content("assistant");
+    open
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_learn_of_a_crash_before_its_caller_does() {
+    let agents = [
+        Agent::start("a", slow(), Memory::default()).await,
+        Agent::start("b", slow(), Memory::default()).await,
+        Agent::start("c", slow(), Memory::default()).await,
+    ];
+    introduce(&agents.iter().collect::<Vec<_>>());
+
+    let first = agents[0].run(&deadly(1)).await;
+    let second = agents[1].run(&deadly(2)).await;
+    let third = agents[2].run(&deadly(3)).await;
+
+    assert_eq!(first.fault().outcome, Outcome::Unknown);
+    assert_eq!(second.fault().outcome, Outcome::Unknown);
+    assert_eq!(third.fault().code, Code::CrashSuspect);
+    assert_eq!(third.fault().outcome, Outcome::NotRun);
+    assert!(agents[2].runs_of(Id(3)).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_whose_content_killed_another_server_goes_on_alone() {
+    let dying = Agent::start("a", slow(), Memory::default()).await;
+    let other = Agent::start("b", slow(), Memory::default()).await;
+    introduce(&[&dying, &other]);
+    let open = generation(1, 60);
+    let mut same = generation(2, 60);
+    same.work = open.work.clone();
+    same.content = open.content;
+    let mut neighbour = other.open(&generation(3, 30)).await;
+    neighbour.tokens(1).await;
+    let mut events = other.open(&same).await;
+    let head = events.tokens(2).await;
+    let mut killed = dying.open(&open).await;
+    killed.tokens(1).await;
+
+    dying.engine.crash();
+    killed.rest().await;
+    let rest = events.rest().await;
+    let neighbour = neighbour.rest().await;
+
+    assert_eq!(neighbour.finish().tokens, 30);
+    let head: String = head.into_iter().map(|(_, text)| text).collect();
+    assert_eq!(head + &rest.text(), expected(&same));
+    assert_eq!(other.runs_of(same.id).len(), 2, "stopped and resumed alone");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_engine_connection_resumes_at_the_token_reached() {
     let agent = agent(slow()).await;
--- a/crates/pistachiolug_agent/tests/support/mod.rs
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use pistachiolug_agent::{
     calls::{Calls, Options, Parts},
-    crash::Reporter,
+    crash::{Reporter, Spreader},
     door::Door,
     incarnation::Incarnation,
     metrics::Metrics,
@@ -36,6 +36,7 @@
 use pistachiolug_platform::{
     directory::Snapshot,
     engine::{self, Order},
+    kv::memory::Memory as Store,
     plain,
 };
 use pistachiolug_routing::schedule::Capacity;
@@ -129,6 +130,15 @@
         let force = Force::default();
         force.advance(Arc::new(lists(1)));
         let view = View::default();
+        let peers = Peers::new(client.clone(), Secret::new(SECRET));
+        let (crashes, reports) = Reporter::new();
+        let spreader = Spreader {
+            instance: name.to_owned(),
+            store: Store::new(1),
+            view: view.clone(),
+            peers: peers.clone(),
+        };
+        tokio::spawn(spreader.run(reports));
         let parts = Parts {
             engine: http,
             serving: serving.clone(),
@@ -136,8 +146,8 @@
             claims,
             force: force.clone(),
             view: view.clone(),
-            peers: Peers::new(client.clone(), Secret::new(SECRET)),
-            crashes: Reporter::new().0,
+            peers,
+            crashes,
             incarnation: Incarnation::default(),
             metrics: Metrics::new(&metrics).expect("metrics have their own registry"),
         };
--- a/crates/pistachiolug_routing/src/schedule.rs
+++ b/crates/pistachiolug_routing/src/schedule.rs
@@ -234,6 +234,27 @@
         self.calls.insert(id, entry);
     }
 
+    /// Takes a call out of its slot, or out of its lane, to run alone later.
+    pub fn isolate(&mut self, id: Id, now: Duration) {
+        self.pause(id, now);
+        let Some(mut entry) = self.calls.remove(&id) else {
+            return;
+        };
+        if !entry.call.alone {
+            let (plan, class) = (entry.call.plan.clone(), entry.call.class);
+            self.queue.remove(&plan, &id);
+            entry.call.alone = true;
+            let cost = entry.charged;
+            self.solo.push(&plan, class, Waiting { item: id, cost });
+        }
+        self.calls.insert(id, entry);
+    }
+
+    /// Tells whether a call waits for, or has, a run of its own.
+    pub fn is_alone(&self, id: Id) -> bool {
+        self.calls.get(&id).is_some_and(|entry| entry.call.alone)
+    }
+
     /// Finds the waiting calls that are past their time or surely will be; each is to be ended at once.
     pub fn given_up(&self, now: Duration) -> Vec<(Id, Refusal)> {
         let lanes = self.queue.waiting().chain(self.solo.waiting());
--- a/crates/pistachiolug_routing/src/suspect.rs
+++ b/crates/pistachiolug_routing/src/suspect.rs
@@ -42,12 +42,19 @@
 
 #[derive(Debug)]
 struct Row {
-    crashes: u8,
-    /// Incarnation of the backend server that died last.
-    incarnation: u64,
+    /// Crashes learned of without knowing the backend servers.
+    told: u8,
+    /// Incarnations of the backend servers known to have died, each once and at most [`MOST_CRASHES`].
+    dead: Vec<u64>,
     until: Duration,
 }
 
+impl Row {
+    fn crashes(&self) -> u8 {
+        self.told.max(self.dead.len() as u8)
+    }
+}
+
 impl Suspects {
     /// Creates an empty memory.
     pub fn new(keep: Duration, most: usize) -> Self {
@@ -61,53 +68,57 @@
 
     /// Notes that a backend server's incarnation died while it ran the request, and returns the crashes known.
     ///
-    /// One incarnation counts once, however many calls with the same content it was running.
+    /// One incarnation counts once, however many calls with the same content it was running and whoever tells of it.
     pub fn crash(&mut self, digest: Digest, incarnation: u64, now: Duration) -> u8 {
-        let before = self.crashes(&digest, now);
-        let same = self
-            .rows
-            .get(&digest)
-            .is_some_and(|row| row.incarnation == incarnation);
-        let crashes = if same {
-            before
-        } else {
-            before.saturating_add(1)
-        };
-        self.learn(digest, crashes.max(1), now);
-        if let Some(row) = self.rows.get_mut(&digest) {
-            row.incarnation = incarnation;
+        let row = self.row(digest, now);
+        let full = row.dead.len() >= usize::from(MOST_CRASHES);
+        if !full && !row.dead.contains(&incarnation) {
+            row.dead.push(incarnation);
         }
-        crashes.max(1)
+        let crashes = row.crashes();
+        self.trim(now);
+        crashes
     }
 
     /// Learns of crashes seen elsewhere; a smaller number changes nothing.
     pub fn learn(&mut self, digest: Digest, crashes: u8, now: Duration) {
-        if crashes == 0 {
-            return;
+        if crashes > 0 {
+            let row = self.row(digest, now);
+            row.told = row.told.max(crashes);
+            self.trim(now);
         }
-        let known = self.crashes(&digest, now);
-        if !self.rows.contains_key(&digest) {
-            self.order.push_back(digest);
-        }
-        let row = self.rows.entry(digest).or_insert(Row {
-            crashes,
-            incarnation: 0,
-            until: now,
-        });
-        row.crashes = crashes.max(known);
-        row.until = now + self.keep;
-        self.trim(now);
     }
 
     /// Returns the crashes known of a request.
     pub fn crashes(&self, digest: &Digest, now: Duration) -> u8 {
         let row = self.rows.get(digest).filter(|row| now < row.until);
-        row.map_or(0, |row| row.crashes)
+        row.map_or(0, Row::crashes)
     }
 
     /// Iterates over the remembered digests with their crashes.
     pub fn iter(&self) -> impl Iterator<Item = (&Digest, u8)> {
-        self.rows.iter().map(|(digest, row)| (digest, row.crashes))
+        self.rows
+            .iter()
+            .map(|(digest, row)| (digest, row.crashes()))
+    }
+
+    /// Finds a digest's row, anew if it has expired, and extends its time.
+    fn row(&mut self, digest: Digest, now: Duration) -> &mut Row {
+        let order = &mut self.order;
+        let row = self.rows.entry(digest).or_insert_with(|| {
+            order.push_back(digest);
+            Row {
+                told: 0,
+                dead: Vec::new(),
+                until: Duration::MAX,
+            }
+        });
+        if row.until <= now {
+            row.told = 0;
+            row.dead.clear();
+        }
+        row.until = now + self.keep;
+        row
     }
 
     fn trim(&mut self, now: Duration) {
--- a/crates/pistachiolug_routing/tests/schedule.rs
+++ b/crates/pistachiolug_routing/tests/schedule.rs
@@ -293,6 +293,7 @@
     Next,
     Progress(#[generator(0..12)] u8, #[generator(0..60)] u8),
     End(#[generator(0..12)] u8),
+    Isolate(#[generator(0..12)] u8),
     Wait(#[generator(0..200)] u8),
 }
 
@@ -383,6 +384,13 @@
             model.waiting.remove(&number);
             model.running.remove(&number);
         }
+        Step::Isolate(number) => {
+            schedule.isolate(Id(number.into()), *now);
+            if model.running.remove(&number) || model.waiting.contains(&number) {
+                model.waiting.insert(number);
+                model.alone.insert(number);
+            }
+        }
         Step::Wait(tenths) => {
             *now += Duration::from_millis(u64::from(tenths) * 100);
             for (id, _) in schedule.given_up(*now) {
--- a/crates/pistachiolug_routing/tests/share.rs
+++ b/crates/pistachiolug_routing/tests/share.rs
@@ -212,6 +212,19 @@
     assert_eq!(suspects.crashes(&digest, keep), 0, "expires");
 }
 
+#[test]
+fn deaths_told_by_several_agents_count_once_each() {
+    let digest = Digest::of(b"killer");
+    let mut suspects = Suspects::new(Duration::from_secs(60), 10);
+
+    suspects.learn(digest, 1, Duration::ZERO);
+    let own = suspects.crash(digest, 1, Duration::ZERO);
+    let told_again = suspects.crash(digest, 1, Duration::ZERO);
+    let other = suspects.crash(digest, 2, Duration::ZERO);
+
+    assert_eq!((own, told_again, other), (1, 1, 2));
+}
+
 #[test]
 fn remembered_suspects_are_bounded() {
     let mut suspects = Suspects::new(Duration::from_secs(60), 10);
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod call;
 pub mod codec;
+pub mod crash;
 pub mod digest;
 pub mod fault;
 pub mod instance;
