--- a/crates/pistachiolug/tests/calls_processes.rs
+++ b/crates/pistachiolug/tests/calls_processes.rs
@@ -188,6 +188,24 @@
     assert_eq!(runs(&deployment, "k").await.iter().sum::<usize>(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn two_sends_of_one_key_through_two_entries_get_one_runs_answer() {
+    let deployment = deployment(0, 2, 2).await;
+    let entries = callers(&deployment);
+    delay(&deployment, 100).await;
+    let keys: Vec<String> = (0..8).map(|number| format!("k{number}")).collect();
+
+    for key in &keys {
+        let (one, two) = tokio::join!(book(entries[0], key), book(entries[1], key));
+
+        assert_eq!(outcome_of(&one), "answered", "{key}: {:?}", one.body());
+        assert_eq!(outcome_of(&two), "answered", "{key}: {:?}", two.body());
+        assert_eq!(one.body(), two.body(), "{key}");
+        let runs = runs(&deployment, key).await;
+        assert_eq!(runs.iter().sum::<usize>(), 1, "{key}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_at_a_frozen_agent_runs_at_most_once() {
     let deployment = deployment(0, 2, 2).await;
