--- a/crates/pistachiolug/tests/calls_processes.rs
+++ b/crates/pistachiolug/tests/calls_processes.rs
@@ -31,6 +31,7 @@
         models,
         plains,
         entries,
+        slots: 16,
         engine_args: ["--gap-ms", "20"].map(str::to_owned).to_vec(),
         origin_rate: 0,
         weights_bytes: WEIGHTS_BYTES,
