Test the secret at every internal port

Cause: only one agent's dump was asked with a wrong secret. Change: 11 rows of paths and secrets at each agent and entry. Conclusion: only health and readiness are open.

--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -8,12 +8,14 @@
     time::Duration,
 };
 
-use http::{Method, StatusCode};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
 use pistachiolug_bench::rig::{
     deployment::{Deployment, PAID_KEY, SECRET, Size},
     port,
     process::{Process, program},
 };
+use pistachiolug_http::{client::Client, secret};
 use serde_json::{Value, json};
 
 /// Longest wait for a condition.
@@ -138,6 +140,41 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("401"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn internal_ports_ask_for_the_secret_but_for_health() {
+    let deployment = deployment().await;
+    let client = Client::new(0);
+    let get = async |address: SocketAddr, path: &str, shown: Option<&str>| {
+        let mut request = Request::get(format!("http://{address}{path}"));
+        if let Some(shown) = shown {
+            request = request.header(secret::HEADER, shown);
+        }
+        let request = request.body(Bytes::new()).expect("request is well formed");
+        let reply = client.fetch(request, 1 << 20, PATIENCE).await;
+        reply.expect("process answers").status().as_u16()
+    };
+    let longer = format!("{SECRET}x");
+    let cases = [
+        ("/healthz", None, 200),
+        ("/readyz", None, 200),
+        ("/metrics", None, 401),
+        ("/debug/state", None, 401),
+        ("/internal/call", None, 401),
+        ("/metrics", Some("another"), 401),
+        ("/metrics", Some(""), 401),
+        ("/metrics", Some(longer.as_str()), 401),
+        ("/metrics", Some(SECRET), 200),
+        ("/debug/state", Some(SECRET), 200),
+        ("/nowhere", Some(SECRET), 404),
+    ];
+    for daemon in deployment.agents.iter().chain(&deployment.entries) {
+        for (path, shown, status) in cases {
+            let answered = get(daemon.internal, path, shown).await;
+            assert_eq!(answered, status, "{} {path} {shown:?}", daemon.name);
+        }
+    }
+}
+
 /// Starts one more entry that logs everything.
 fn talkative_entry(folder: &Folder, deployment: &Deployment) -> (Process, SocketAddr, SocketAddr) {
     let internal = port::free().expect("a port is free");
