--- a/crates/pistachiolug_bench/src/demo/stay.rs
+++ b/crates/pistachiolug_bench/src/demo/stay.rs
@@ -5,19 +5,27 @@
 use pistachiolug_kernel::signal;
 
 use super::{operator::Operator, print, say};
-use crate::rig::deployment::{Deployment, PAID_KEY, TRIAL_KEY};
+use crate::rig::{
+    deployment::{Deployment, PAID_KEY, TRIAL_KEY},
+    process::program,
+};
 
 /// Prints requests and waits until it is told to stop.
 ///
 /// # Errors
-/// Returns the error of the signals.
+/// Returns the error of the signals, or `NotFound` without the program.
 pub async fn run(deployment: &Deployment, operator: &Operator) -> io::Result<()> {
-    print(&requests(deployment, operator));
+    let program = program("pistachiolug")?;
+    print(&requests(
+        deployment,
+        operator,
+        &program.display().to_string(),
+    ));
     say("stays up until Ctrl-C");
     signal::stop().await
 }
 
-fn requests(deployment: &Deployment, operator: &Operator) -> String {
+fn requests(deployment: &Deployment, operator: &Operator, program: &str) -> String {
     let settings = operator.settings.display();
     let (customers, plans) = (operator.customers.display(), operator.plans.display());
     let entry = deployment.entries.iter().find_map(|entry| entry.callers);
@@ -37,10 +45,10 @@
         "# a key that nobody holds".to_owned(),
         format!("curl -i -H 'Authorization: Bearer nobody' http://{entry}/v1/models"),
         "# what operators see".to_owned(),
-        format!("pistachiolug status --settings {settings}"),
-        format!("pistachiolug lists --settings {settings}"),
-        format!("pistachiolug apply {customers} {plans} --settings {settings} --dry-run"),
-        format!("pistachiolug dump {agent} --settings {settings}"),
+        format!("{program} status --settings {settings}"),
+        format!("{program} lists --settings {settings}"),
+        format!("{program} apply {customers} {plans} --settings {settings} --dry-run"),
+        format!("{program} dump {agent} --settings {settings}"),
     ]
     .join("\n")
 }
