Show the roll-out's lines in a test; let the demo's trials ask for too much

Change: trial answers of 96 tokens at 150 calls a second; a test follows a roll-out on two instances to its end.

--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -126,6 +126,23 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn rollouts_show_as_lines_and_end() {
+    let deployment = deployment().await;
+    let folder = Folder::new("pistachiolug-rollout");
+    let settings = operator_settings(&folder, &deployment);
+    deployment.roll_out("v2").await.expect("version is wanted");
+    deployment.wait_serving("v2").await.expect("version serves");
+
+    let lines = succeed(&settings, &["status", "--follow", "60"]);
+
+    let last = lines.lines().last().unwrap_or_default();
+    let expected = "pasta v2: serves on 2 of 2 instances, 400000 of 400000 bytes";
+    assert_eq!(last, expected, "{lines}");
+    let text = succeed(&settings, &["status"]);
+    assert!(text.contains("pasta=v2:serving"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_wrong_secret_is_refused() {
     let deployment = deployment().await;
--- a/crates/pistachiolug_bench/src/demo/calls.rs
+++ b/crates/pistachiolug_bench/src/demo/calls.rs
@@ -21,6 +21,9 @@
 /// Longest wait until every entry answers its first call.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Tokens of each trial answer: long enough that the surge asks for more than the engines have.
+const SURGE_TOKENS: u32 = 96;
+
 /// Length of the burst in seconds.
 const BURST_S: f64 = 5.0;
 
@@ -58,7 +61,8 @@
     };
     let surge = Stream {
         from_s: 1.0,
-        ..stream("trial", Kind::Chat, 250.0)
+        tokens: SURGE_TOKENS,
+        ..stream("trial", Kind::Chat, 150.0)
     };
     vec![
         stream("paid", Kind::Chat, 40.0),
