--- a/crates/pistachiolug/src/command.rs
+++ b/crates/pistachiolug/src/command.rs
@@ -14,6 +14,7 @@
 pub mod digest;
 pub mod dump;
 pub mod lists;
+pub mod rollout;
 pub mod status;
 
 /// Settings that are read when none are named.
--- a/crates/pistachiolug_bench/src/demo.rs
+++ b/crates/pistachiolug_bench/src/demo.rs
@@ -9,6 +9,8 @@
 
 use std::io;
 
+use pistachiolug_kernel::signal;
+
 use self::operator::Operator;
 use crate::{
     experiment::record,
@@ -27,14 +29,36 @@
 /// Time to an engine's first token and between its tokens, in milliseconds.
 const ENGINE_SPEED: [&str; 4] = ["--first-ms", "20", "--gap-ms", "10"];
 
+/// Demonstration that has been shown and still runs.
+struct Shown {
+    deployment: Deployment,
+    operator: Operator,
+    /// Whether all promises held.
+    held: bool,
+}
+
 /// Runs the demonstration and tells whether all that it promises held.
 ///
 /// # Errors
-/// Returns the error of a process or request that the demonstration can't go on without.
+/// Returns the error of a process or request that the demonstration can't go on without, or `Interrupted`.
 pub async fn run(stay: bool) -> io::Result<bool> {
-    let size = size();
+    // A signal drops the deployment, which ends its processes.
+    let shown = tokio::select! {
+        shown = show() => shown?,
+        stopped = signal::stop() => {
+            stopped?;
+            return Err(io::Error::new(io::ErrorKind::Interrupted, "stopped by a signal"));
+        }
+    };
+    if stay {
+        stay::run(&shown.deployment, &shown.operator).await?;
+    }
+    Ok(shown.held)
+}
+
+async fn show() -> io::Result<Shown> {
     say("starting stand-ins, agents and entries");
-    let deployment = Deployment::start(&size).await?;
+    let deployment = Deployment::start(&size()).await?;
     let operator = Operator::new(&deployment)?;
     say("applying the sample lists and spreading the model");
     let weights = deployment::weights(VERSION, WEIGHTS_BYTES);
@@ -44,10 +68,11 @@
     let record = record::read(&deployment).await?;
     let promises = promise::check(&spread, &samples, &record);
     print(&report::render(&spread, &samples, &record, &promises));
-    if stay {
-        stay::run(&deployment, &operator).await?;
-    }
-    Ok(promises.iter().all(|promise| promise.held))
+    Ok(Shown {
+        deployment,
+        operator,
+        held: promises.iter().all(|promise| promise.held),
+    })
 }
 
 fn size() -> Size {
