--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -8,12 +8,14 @@
     time::Duration,
 };
 
-use http::{Method, StatusCode};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
 use pistachiolug_bench::rig::{
     deployment::{Deployment, PAID_KEY, SECRET, Size},
     port,
     process::{Process, program},
 };
+use pistachiolug_http::{client::Client, secret};
 use serde_json::{Value, json};
 
 /// Longest wait for a condition.
@@ -124,6 +126,23 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn rollouts_show_as_lines_and_end() {
+    let deployment = deployment().await;
+    let folder = Folder::new("pistachiolug-rollout");
+    let settings = operator_settings(&folder, &deployment);
+    deployment.roll_out("v2").await.expect("version is wanted");
+    deployment.wait_serving("v2").await.expect("version serves");
+
+    let lines = succeed(&settings, &["status", "--follow", "60"]);
+
+    let last = lines.lines().last().unwrap_or_default();
+    let expected = "pasta v2: serves on 2 of 2 instances, 400000 of 400000 bytes";
+    assert_eq!(last, expected, "{lines}");
+    let text = succeed(&settings, &["status"]);
+    assert!(text.contains("pasta=v2:serving"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_wrong_secret_is_refused() {
     let deployment = deployment().await;
@@ -138,13 +157,52 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("401"));
 }
 
-/// Starts one more entry that logs everything.
-fn talkative_entry(folder: &Folder, deployment: &Deployment) -> (Process, SocketAddr, SocketAddr) {
+#[tokio::test(flavor = "multi_thread")]
+async fn internal_ports_ask_for_the_secret_but_for_health() {
+    let deployment = deployment().await;
+    let client = Client::new(0);
+    let get = async |address: SocketAddr, path: &str, shown: Option<&str>| {
+        let mut request = Request::get(format!("http://{address}{path}"));
+        if let Some(shown) = shown {
+            request = request.header(secret::HEADER, shown);
+        }
+        let request = request.body(Bytes::new()).expect("request is well formed");
+        let reply = client.fetch(request, 1 << 20, PATIENCE).await;
+        reply.expect("process answers").status().as_u16()
+    };
+    let longer = format!("{SECRET}x");
+    let cases = [
+        ("/healthz", None, 200),
+        ("/readyz", None, 200),
+        ("/metrics", None, 401),
+        ("/debug/state", None, 401),
+        ("/internal/call", None, 401),
+        ("/metrics", Some("another"), 401),
+        ("/metrics", Some(""), 401),
+        ("/metrics", Some(longer.as_str()), 401),
+        ("/metrics", Some(SECRET), 200),
+        ("/debug/state", Some(SECRET), 200),
+        ("/nowhere", Some(SECRET), 404),
+    ];
+    for daemon in deployment.agents.iter().chain(&deployment.entries) {
+        for (path, shown, status) in cases {
+            let answered = get(daemon.internal, path, shown).await;
+            assert_eq!(answered, status, "{} {path} {shown:?}", daemon.name);
+        }
+    }
+}
+
+/// Starts one more entry that logs at a level; returns its internal and its callers' address.
+fn entry_at(
+    level: &str,
+    folder: &Folder,
+    deployment: &Deployment,
+) -> (Process, SocketAddr, SocketAddr) {
     let internal = port::free().expect("a port is free");
     let callers = port::free().expect("a port is free");
     let settings = json!({
-        "instance": "entry-talkative", "region": "gauteng", "zone": "midrand",
-        "internal": internal, "callers": callers, "log_level": "trace",
+        "instance": "entry-more", "region": "gauteng", "zone": "midrand",
+        "internal": internal, "callers": callers, "log_level": level,
         "platform": {
             "key_value": format!("http://{}", deployment.kv),
             "instances": format!("http://{}", deployment.directory),
@@ -181,7 +239,7 @@
 async fn dumps_metrics_and_logs_show_no_secret_key_or_content() {
     let deployment = deployment().await;
     let folder = Folder::new("pistachiolug-secrets");
-    let (entry, internal, callers) = talkative_entry(&folder, &deployment);
+    let (entry, internal, callers) = entry_at("trace", &folder, &deployment);
     let body = json!({
         "model": "pasta", "max_tokens": 4,
         "messages": [{ "role": "user", "content": PROMPT }],
@@ -228,3 +286,37 @@
         serde_json::from_str::<Value>(line).unwrap_or_else(|error| panic!("{error}: {line}"));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn levels_decide_what_is_logged() {
+    let deployment = Deployment::start(&Size::new(0, 0, 1)).await;
+    let deployment = deployment.expect("deployment starts");
+    for (level, logs_start) in [("error", false), ("info", true)] {
+        let folder = Folder::new(&format!("pistachiolug-level-{level}"));
+        let (mut entry, internal, _) = entry_at(level, &folder, &deployment);
+        let ready = async {
+            let ask = || {
+                deployment
+                    .http
+                    .send(Method::GET, internal, "/healthz", None, "")
+            };
+            while ask().await.is_err() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let ready = tokio::time::timeout(PATIENCE, ready).await;
+        ready.expect("the entry starts");
+        entry.signal("TERM").expect("signal is sent");
+        while entry.ended().expect("child is ours").is_none() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+
+        let log = fs::read_to_string(folder.0.join("entry.log")).expect("log can be read");
+
+        assert_eq!(
+            log.contains("\"level\":\"INFO\""),
+            logs_start,
+            "{level}: {log}"
+        );
+    }
+}
