Shape transfers by the logistic rate factor, chosen by measurement

Cause: transfers ran at the link's full rate beside calls. Change: three controllers (fixed cap, AIMD, logistic factor with floor, eBA equations 15 to 17) and a deterministic one-link benchmark; the agent paces its transfers by the winner over the machine's interface counters; metrics.

--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -162,7 +162,10 @@
             guard: guard(&settings, &backend, store.clone(), &incarnation),
             usage,
             status: Status::default(),
+            metrics: weights::metrics::Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
         };
+        let capacity = settings.weights.link_bytes_per_second;
+        supervisor.spawn("link", weights::link::run(swarm.clone(), capacity));
         let status = parts.status.clone();
         kernel.dump.add("weights", move || status.dump(&swarm));
         supervisor.spawn("weights", weights::run(parts));
--- a/crates/pistachiolug_agent/src/weights.rs
+++ b/crates/pistachiolug_agent/src/weights.rs
@@ -4,7 +4,9 @@
 //! special case: what is missing is pulled from other members first, and ordered again.
 
 pub mod activate;
+pub mod link;
 pub mod manifests;
+pub mod metrics;
 pub mod placement;
 pub mod status;
 pub mod usage;
@@ -31,6 +33,7 @@
 use self::{
     activate::{Activate, Guard},
     manifests::Manifests,
+    metrics::Metrics,
     status::Status,
     usage::Usage,
     want::Want,
@@ -69,6 +72,8 @@
     pub usage: Usage,
     /// State for the dump.
     pub status: Status,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 /// Transfer of one version.
@@ -120,6 +125,7 @@
 
 impl<E: Engine, S: Source, G: Guard> Loader<E, S, G> {
     async fn round(&mut self) {
+        self.parts.metrics.update(&self.parts.swarm);
         let lists = self.parts.force.now();
         let snapshot = self.parts.view.now();
         let instance = &self.parts.swarm.options().instance;
--- a/crates/pistachiolug_agent/tests/weights.rs
+++ b/crates/pistachiolug_agent/tests/weights.rs
@@ -15,6 +15,7 @@
     weights::{
         self,
         activate::Fenced,
+        metrics::Metrics,
         status::{Stage, Status},
         usage::{Counted, Usage},
     },
@@ -136,6 +137,7 @@
             guard: Fenced,
             usage: self.usage.clone(),
             status: status.clone(),
+            metrics: Metrics::new(&prometheus::Registry::new()).expect("names are free"),
         };
         let task = tokio::spawn(weights::run(parts));
         Agent { status, task }
@@ -429,3 +431,15 @@
     wait_stage(&agent, |stage| matches!(stage, Stage::Refused(_))).await;
     assert!(rig.versions().await.is_empty());
 }
+
+#[test]
+fn counters_of_all_interfaces_but_loopback_are_summed() {
+    let counters = "Inter-| Receive | Transmit\n face |bytes packets\n\
+        lo: 7 1 0 0 0 0 0 0 7 1 0 0 0 0 0 0\n\
+        eth0: 100 1 0 0 0 0 0 0 40 1 0 0 0 0 0 0\n\
+        eth1:5 1 0 0 0 0 0 0 2 1 0 0 0 0 0 0\n";
+
+    let bytes = weights::link::parse(counters);
+
+    assert_eq!((bytes.down, bytes.up), (105, 42));
+}
--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -71,6 +71,8 @@
             /// Second result.
             required second: PathBuf
         }
+        /// Compares rate controllers of transfers on one link with bursts of calls, in a deterministic model.
+        cmd shaping {}
         /// Measures the spread of a version to N members on loopback with shaped links.
         cmd spread {
             /// How members get their chunks: time-first, bytes-first, origin or chain.
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -112,6 +112,27 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Compares rate controllers.
+pub(crate) fn shaping() -> ExitCode {
+    println!(
+        "| controller | finish s | mean delay ms | p95 delay ms | max delay ms | utilization | yield ms | recover ms |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (name, figures) in spread::shaping::compare() {
+        println!(
+            "| {name} | {:.1} | {:.1} | {:.1} | {:.1} | {:.3} | {:.0} | {:.0} |",
+            figures.finish_s,
+            figures.mean_delay_ms,
+            figures.p95_delay_ms,
+            figures.max_delay_ms,
+            figures.utilization,
+            figures.yield_ms,
+            figures.recover_ms,
+        );
+    }
+    ExitCode::SUCCESS
+}
+
 /// Measures spreads.
 pub(crate) fn spread(flags: &args::Spread) -> io::Result<ExitCode> {
     let default = spread::command::Options::default();
--- a/crates/pistachiolug_bench/src/main.rs
+++ b/crates/pistachiolug_bench/src/main.rs
@@ -14,6 +14,7 @@
         args::BenchCmd::Capacity(flags) => command::capacity(&flags),
         args::BenchCmd::Demo(flags) => command::demo(&flags),
         args::BenchCmd::Compare(flags) => command::compare(&flags),
+        args::BenchCmd::Shaping(_) => Ok(command::shaping()),
         args::BenchCmd::Spread(flags) => command::spread(&flags),
     };
     match ended {
--- a/crates/pistachiolug_bench/src/spread.rs
+++ b/crates/pistachiolug_bench/src/spread.rs
@@ -4,4 +4,5 @@
 pub mod member;
 pub mod net;
 pub mod run;
+pub mod shaping;
 pub mod upstream;
--- /dev/null
+++ b/crates/pistachiolug_weights/src/shape/aimd.rs
@@ -0,0 +1,33 @@
+//! Additive increase, multiplicative decrease (Chiu and Jain 1989).
+
+use super::{Controller, FLOOR, Sample, TARGET};
+
+/// Share of the link added per interval without congestion.
+const INCREASE: f64 = 0.05;
+
+/// Factor per interval of congestion.
+const DECREASE: f64 = 0.5;
+
+/// Controller with the share of now.
+#[derive(Debug, Clone, Copy)]
+pub struct Aimd {
+    share: f64,
+}
+
+impl Default for Aimd {
+    fn default() -> Self {
+        Self { share: FLOOR }
+    }
+}
+
+impl Controller for Aimd {
+    fn update(&mut self, sample: Sample) -> f64 {
+        let next = if sample.total > TARGET {
+            self.share * DECREASE
+        } else {
+            self.share + INCREASE
+        };
+        self.share = next.clamp(FLOOR, TARGET);
+        self.share
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_weights/src/shape/logistic.rs
@@ -0,0 +1,39 @@
+//! Logistic rate factor with a guaranteed floor.
+//!
+//! Source: Liu, Guo, Huang and Lui, "eBA: Efficient Bandwidth Guarantee Under Traffic Variability in Datacenters",
+//! IEEE/ACM Transactions on Networking 25(1), 2017, equations 15 to 17, for one link and one flow of weight 1.
+
+use super::{Controller, FLOOR, Sample, TARGET};
+
+/// Product of the rate's coefficient and its interval (`alpha * tau_v`).
+const RATE_GAIN: f64 = 0.9;
+
+/// Product of the factor's coefficient and its interval (`beta * tau_r`).
+const FACTOR_GAIN: f64 = 1.5;
+
+/// Controller with the link's factor and the flow's rate, both as shares of the link.
+#[derive(Debug, Clone, Copy)]
+pub struct Logistic {
+    /// Rate factor of the link; at most 1.
+    factor: f64,
+    /// Rate before the floor; above 0.
+    rate: f64,
+}
+
+impl Default for Logistic {
+    fn default() -> Self {
+        Self {
+            factor: FLOOR,
+            rate: FLOOR,
+        }
+    }
+}
+
+impl Controller for Logistic {
+    fn update(&mut self, sample: Sample) -> f64 {
+        let growth = (FACTOR_GAIN * (1.0 - sample.total / TARGET)).exp();
+        self.factor = (self.factor * growth).clamp(FLOOR / 4.0, 1.0);
+        self.rate = self.rate.powf(1.0 - RATE_GAIN) * self.factor.powf(RATE_GAIN);
+        self.rate.clamp(FLOOR, TARGET)
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_weights/tests/shape.rs
@@ -0,0 +1,58 @@
+//! Controllers of the transfers' rate.
+
+use pistachiolug_weights::shape::{
+    Controller, FLOOR, Sample, TARGET, aimd::Aimd, logistic::Logistic,
+};
+
+fn load(calls: f64, transfers: f64) -> Sample {
+    Sample {
+        total: calls + transfers,
+        transfers,
+    }
+}
+
+/// Runs a controller for `rounds` intervals under a constant share of calls and returns its last share.
+fn settle<C: Controller>(controller: &mut C, calls: f64, rounds: u32) -> f64 {
+    let mut share = controller.update(Sample::default());
+    for _ in 0..rounds {
+        share = controller.update(load(calls, share));
+    }
+    share
+}
+
+#[test]
+fn transfers_never_fall_below_the_floor_nor_rise_above_the_target() {
+    for calls in [0.0, 0.3, 0.9, 1.0, 5.0] {
+        for rounds in [1, 10, 1000] {
+            let shares = [
+                settle(&mut Aimd::default(), calls, rounds),
+                settle(&mut Logistic::default(), calls, rounds),
+            ];
+
+            assert!(
+                shares.iter().all(|share| (FLOOR..=TARGET).contains(share)),
+                "{shares:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_logistic_factor_converges_to_what_calls_leave_over() {
+    for calls in [0.1, 0.4, 0.7] {
+        let share = settle(&mut Logistic::default(), calls, 200);
+
+        assert!((share - (TARGET - calls)).abs() < 0.05, "{calls}: {share}");
+    }
+}
+
+#[test]
+fn the_logistic_factor_recovers_after_a_burst() {
+    let mut controller = Logistic::default();
+    let busy = settle(&mut controller, 2.0, 500);
+
+    let quiet = settle(&mut controller, 0.1, 20);
+
+    assert!((busy - FLOOR).abs() < 1e-9);
+    assert!(quiet > 0.6, "{quiet}");
+}
