Bound the fetches under way from one member, whatever named it

Cause: spread::a_corrupting_member_is_shunned_and_nothing_of_it_staged failed under load (more than 20 corrupt chunks for five members): questions to the next member in the order were not counted among a neighbour's fetches, so more than three were under way when the second strike fell. Conclusion: the fault was in the planner, not in the test.

--- a/crates/pistachiolug_weights/src/planner.rs
+++ b/crates/pistachiolug_weights/src/planner.rs
@@ -300,14 +300,8 @@
     fn start(&mut self, fetch: Fetch, now: Duration) {
         self.flying.add(fetch.piece);
         self.flights.push(Flight { fetch, since: now });
-        match fetch.via {
-            Via::Source(index) => self.sources[index].flying += 1,
-            Via::Neighbour(key) => {
-                if let Some(neighbour) = self.neighbours.find(key) {
-                    neighbour.flying += 1;
-                }
-            }
-            Via::Member(_) => {}
+        if let Via::Source(index) = fetch.via {
+            self.sources[index].flying += 1;
         }
     }
 
@@ -317,16 +311,8 @@
         if !self.flights.iter().any(flies_on) {
             self.flying.remove(fetch.piece);
         }
-        match fetch.via {
-            Via::Source(index) => {
-                self.sources[index].flying = self.sources[index].flying.saturating_sub(1);
-            }
-            Via::Neighbour(key) => {
-                if let Some(neighbour) = self.neighbours.find(key) {
-                    neighbour.flying = neighbour.flying.saturating_sub(1);
-                }
-            }
-            Via::Member(_) => {}
+        if let Via::Source(index) = fetch.via {
+            self.sources[index].flying = self.sources[index].flying.saturating_sub(1);
         }
     }
 
--- a/crates/pistachiolug_weights/src/planner/neighbour.rs
+++ b/crates/pistachiolug_weights/src/planner/neighbour.rs
@@ -14,8 +14,6 @@
     pub key: Key,
     /// Pieces it has said to hold.
     pub have: Bitmap,
-    /// Fetches under way.
-    pub flying: usize,
     /// Time before which it takes no fetch.
     pub busy_until: Duration,
     /// Failures in a row.
@@ -139,7 +137,6 @@
         Self {
             key,
             have: Bitmap::new(pieces),
-            flying: 0,
             busy_until: Duration::ZERO,
             failures: 0,
             heard: false,
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -47,8 +47,9 @@
         let slots = self.tuning.neighbour_slots;
         let mut free: Vec<(usize, u32, Key)> = Vec::new();
         for neighbour in self.neighbours.all() {
-            if neighbour.flying < slots && neighbour.busy_until <= now {
-                free.push((neighbour.flying, random.random(), neighbour.key));
+            let flying = self.flights_to(neighbour.key);
+            if flying < slots && neighbour.busy_until <= now {
+                free.push((flying, random.random(), neighbour.key));
             }
         }
         free.sort_unstable();
@@ -122,7 +123,9 @@
                 .any(|flight| flight.fetch == Fetch { piece, via })
         };
         let mut holders = self.neighbours.all().iter().filter(|neighbour| {
-            neighbour.have.has(piece) && neighbour.busy_until <= now && neighbour.flying == 0
+            neighbour.have.has(piece)
+                && neighbour.busy_until <= now
+                && self.flights_to(neighbour.key) == 0
         });
         let holder = holders.find(|neighbour| !flies(Via::Neighbour(neighbour.key)))?;
         let via = Via::Neighbour(holder.key);
@@ -149,7 +152,7 @@
         };
         ahead.retain(|key| *key != self.me);
         match self.duty.first(piece, &ahead, 1).first().copied() {
-            Some(key) => Some(Via::Member(key)),
+            Some(key) => self.free_member(key),
             None => self.free_source(now),
         }
     }
@@ -159,6 +162,18 @@
         members.filter(|key| self.usable(*key, now)).collect()
     }
 
+    /// Returns the fetches under way from a member, whatever named it.
+    fn flights_to(&self, key: Key) -> usize {
+        let named = |via: Via| via == Via::Neighbour(key) || via == Via::Member(key);
+        let flights = self.flights.iter();
+        flights.filter(|flight| named(flight.fetch.via)).count()
+    }
+
+    /// Names a member for a fetch unless it has all the fetches it may have.
+    fn free_member(&self, key: Key) -> Option<Via> {
+        (self.flights_to(key) < self.tuning.neighbour_slots).then_some(Via::Member(key))
+    }
+
     fn free_source(&self, now: Duration) -> Option<Via> {
         let slots = self.tuning.source_slots;
         let free = self
@@ -184,7 +199,7 @@
         if late {
             first.retain(|key| *key != self.me);
             if let Some(key) = first.get(tried) {
-                return Some(Via::Member(*key));
+                return self.free_member(*key);
             }
             self.tried.remove(&piece);
             return self.free_source(now);
@@ -195,8 +210,9 @@
         if now < self.next_ask {
             return None;
         }
+        let via = self.free_member(*first.first()?)?;
         self.next_ask = now + self.tuning.ask_interval;
-        first.first().map(|key| Via::Member(*key))
+        Some(via)
     }
 
     fn rarest<R: Rng>(&mut self, key: Key, random: &mut R) -> Option<u32> {
