Test cut regions, killed first readers and placement

Cause: three rows of the issue had no test. Change: planner rounds with a link that is cut and healed, each first reader of three killed in turn, placement churn.

--- /dev/null
+++ b/crates/pistachiolug_agent/tests/placement.rs
@@ -0,0 +1,75 @@
+//! Placement of models on instances.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use pistachiolug_agent::weights::placement::chosen;
+use pistachiolug_platform::directory::Snapshot;
+use pistachiolug_wire::instance::{Instance, Place, Role, State};
+
+fn snapshot(indices: impl Iterator<Item = usize>) -> Snapshot {
+    let instances = indices.map(|index| Instance {
+        name: format!("assistant-{index}"),
+        role: Role::Agent,
+        service: "assistant".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        place: Place {
+            region: "gauteng".to_owned(),
+            zone: format!("zone-{}", index % 3),
+        },
+        state: State::Live,
+    });
+    Snapshot {
+        version: 1,
+        instances: instances.collect(),
+    }
+}
+
+fn names(snapshot: &Snapshot, count: usize) -> BTreeSet<String> {
+    let chosen = chosen(snapshot, "assistant", "pasta", count);
+    chosen
+        .iter()
+        .map(|instance| instance.name.clone())
+        .collect()
+}
+
+#[test]
+fn the_order_of_the_list_does_not_matter() {
+    let forward = snapshot(0..60);
+    let backward = snapshot((0..60).rev());
+
+    assert_eq!(names(&forward, 20), names(&backward, 20));
+}
+
+#[test]
+fn zones_get_even_shares() {
+    let snapshot = snapshot(0..60);
+
+    let chosen = chosen(&snapshot, "assistant", "pasta", 30);
+
+    for zone in ["zone-0", "zone-1", "zone-2"] {
+        let count = chosen
+            .iter()
+            .filter(|instance| instance.place.zone == zone)
+            .count();
+        assert_eq!(count, 10, "{zone}");
+    }
+}
+
+#[test]
+fn an_instance_that_leaves_moves_one_replica() {
+    let before = names(&snapshot(0..60), 21);
+
+    for gone in 0..60 {
+        let after = names(&snapshot((0..60).filter(|index| *index != gone)), 21);
+
+        let kept = before.intersection(&after).count();
+        assert!(kept >= 20, "without {gone}: {kept}");
+    }
+}
+
+#[test]
+fn a_larger_count_keeps_those_chosen_before() {
+    let snapshot = snapshot(0..60);
+
+    assert!(names(&snapshot, 20).is_subset(&names(&snapshot, 40)));
+}
--- a/crates/pistachiolug_weights/tests/planner.rs
+++ b/crates/pistachiolug_weights/tests/planner.rs
@@ -87,6 +87,46 @@
     assert!(rounds.crossings() <= 1.10, "{}", rounds.crossings());
 }
 
+#[test]
+fn a_region_that_is_cut_off_catches_up_after_the_link_heals() {
+    for policy in [Policy::BytesFirst, Policy::TimeFirst] {
+        let mut rounds = Rounds::new(16, 2, 96, policy, SEED);
+        rounds.run(4);
+        rounds.cut(true);
+        rounds.run(2_000);
+        assert!(rounds.region_complete("a") && !rounds.region_complete("b"));
+
+        rounds.cut(false);
+        rounds.run(20_000);
+
+        let (copies, crossings) = (rounds.origin_copies(), rounds.crossings());
+        println!("seed {SEED} {policy:?}: {copies:.2} copies, {crossings:.2} crossings");
+        assert!(rounds.complete(), "{policy:?}");
+        assert!(
+            copies <= 4.0 && crossings <= 2.0,
+            "{policy:?}: {copies} {crossings}"
+        );
+    }
+}
+
+#[test]
+fn the_first_reader_killed_is_replaced_by_the_next_in_the_order() {
+    for victim in 0..3 {
+        let mut rounds = Rounds::new(3, 1, 48, Policy::BytesFirst, SEED);
+        rounds.run(1);
+        rounds.kill(victim);
+
+        rounds.run(20_000);
+
+        assert!(rounds.complete(), "{victim}");
+        assert!(
+            rounds.origin_copies() <= 1.5,
+            "{victim}: {}",
+            rounds.origin_copies()
+        );
+    }
+}
+
 #[test]
 fn joiners_are_served_without_the_origin() {
     let mut rounds = Rounds::new(16, 1, 96, Policy::BytesFirst, SEED);
--- a/crates/pistachiolug_weights/tests/rounds/mod.rs
+++ b/crates/pistachiolug_weights/tests/rounds/mod.rs
@@ -79,6 +79,8 @@
     origin_reads: usize,
     crossings: usize,
     corrupt: usize,
+    /// Whether the regions have lost each other.
+    cut: bool,
 }
 
 impl Rounds {
@@ -99,6 +101,7 @@
             origin_reads: 0,
             crossings: 0,
             corrupt: 0,
+            cut: false,
         };
         rounds.join(count);
         rounds
@@ -134,6 +137,17 @@
         self.nodes[index].corrupts = true;
     }
 
+    /// Cuts or heals the link between the regions; the origin stands in the first one.
+    pub(crate) fn cut(&mut self, cut: bool) {
+        self.cut = cut;
+    }
+
+    /// Tells whether all members of a region are complete.
+    pub(crate) fn region_complete(&self, region: &str) -> bool {
+        let mut nodes = self.nodes.iter().filter(|node| node.region == region);
+        nodes.all(|node| node.planner.complete())
+    }
+
     /// Runs until all living members are complete, or for `most` rounds.
     pub(crate) fn run(&mut self, most: u32) {
         for _ in 0..most {
@@ -226,6 +240,7 @@
 
     fn outcome(&mut self, index: usize, fetch: Fetch, origin: &mut usize) -> Outcome {
         match fetch.via {
+            Via::Source(_) if self.cut && self.nodes[index].region != "a" => Outcome::Failed,
             Via::Source(_) if *origin == 0 => Outcome::Busy { after: ROUND },
             Via::Source(_) => {
                 *origin -= 1;
@@ -246,7 +261,7 @@
             .saturating_sub(self.nodes[from].planner.progress());
         let crosses = self.nodes[from].region != self.nodes[to].region;
         let peer = &mut self.nodes[from];
-        if !peer.alive {
+        if !peer.alive || (self.cut && crosses) {
             return Outcome::Failed;
         }
         if !peer.planner.held().has(piece) {
