Probe a barred instance by its name

Cause: a probe of readiness took another instance at a dead one's address for it. Change: the probe reads the state dump and compares name and phase.

--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -88,6 +88,7 @@
     let remote = Remote::new(secret.clone());
     let runner = Runner::new(router, remote, metrics, Some(settings.internal));
     add_parts(&kernel, &force, &view, &runner);
+    let probe_secret = secret.clone();
     let internal = Internal {
         admin: kernel.admin(),
         secret,
@@ -115,7 +116,10 @@
         "membership",
         follow::run(directory, view.clone(), kernel.timer.clone()),
     );
-    supervisor.spawn("probes", probe::run(view, kernel.timer.clone()));
+    supervisor.spawn(
+        "probes",
+        probe::run(view, kernel.timer.clone(), probe_secret),
+    );
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
     let began = OnceLock::new();
