Count earlier crashes of a suspect; shrink grown subsets

Cause: read through: a call known to have crashed one server could be lost with two more; a subset that grew for full agents never shrank and was chosen again for every call while all were full. Change: crashes known from the lists count towards the two servers; a grown subset shrinks with the next change and is chosen again only when it grows.

--- a/crates/pistachiolug_entry/src/call.rs
+++ b/crates/pistachiolug_entry/src/call.rs
@@ -80,6 +80,8 @@
     tried: Vec<String>,
     /// Instances or backend servers lost while they may have been running the call.
     losses: u8,
+    /// Backend servers that earlier sends of the same content crashed, as the lists knew at the start.
+    crashed_before: u8,
     /// Joins since the last token.
     joins: u8,
     /// Whether the call is another send of the same idempotency key, which this one must not withdraw or cancel.
@@ -122,6 +124,7 @@
         self.metrics.open.inc();
         let mut running = Running {
             runner: self.clone(),
+            crashed_before: open.crashes,
             open,
             patience,
             deadline: Instant::now() + within,
--- a/crates/pistachiolug_entry/src/call/recover.rs
+++ b/crates/pistachiolug_entry/src/call/recover.rs
@@ -21,7 +21,7 @@
 /// Agents that one call is opened at, at the most.
 const AGENTS: usize = 6;
 
-/// Instances or backend servers that may be lost while they run one call.
+/// Instances or backend servers that may be lost while they run one content, earlier sends included.
 ///
 /// A request that kills its server so reaches two servers and no third, even when nobody is left to report it.
 const LOSSES: u8 = 2;
@@ -257,7 +257,7 @@
         if fault.code == Code::CrashSuspect {
             self.open.crashes = self.open.crashes.saturating_add(1);
         }
-        if self.losses >= LOSSES {
+        if self.losses.saturating_add(self.crashed_before) >= LOSSES {
             return Err(fault.clone());
         }
         Ok(())
--- a/crates/pistachiolug_entry/src/router.rs
+++ b/crates/pistachiolug_entry/src/router.rs
@@ -23,6 +23,9 @@
 /// Time for which an agent that lacks a version or is full is avoided.
 const AVOID: Duration = Duration::from_secs(1);
 
+/// Epoch of a subset that must be chosen again.
+const OUTDATED: u64 = 0;
+
 /// Largest number of avoided pairs of agent and model.
 const AVOIDED: usize = 4096;
 
@@ -73,7 +76,7 @@
 /// Subset of one service.
 #[derive(Debug, Default)]
 struct Pool {
-    /// Epoch of the view it was made from.
+    /// Epoch of the view it was made from, plus one; or [`OUTDATED`].
     epoch: u64,
     /// Multiple of the usual size.
     growth: usize,
@@ -130,9 +133,9 @@
                 lacking: is_avoided(avoided, &peer.name, need.model, now),
             })
             .collect();
-        if candidates.iter().all(|candidate| candidate.lacking) {
-            pool.growth = (pool.growth * 2).min(LARGEST_GROWTH);
-            pool.epoch = 0;
+        if pool.growth < LARGEST_GROWTH && candidates.iter().all(|candidate| candidate.lacking) {
+            pool.growth *= 2;
+            pool.epoch = OUTDATED;
         }
         let names = open.iter().map(|peer| peer.hash);
         let preferred = (!need.prompt.is_empty())
@@ -214,7 +217,9 @@
         if agents.is_empty() {
             state.pools.remove(service);
         } else {
-            let growth = known.map_or(1, |pool| pool.growth);
+            // A subset that grew shrinks again with the next change of the instances.
+            let grown = known.filter(|pool| pool.epoch == OUTDATED);
+            let growth = grown.map_or(1, |pool| pool.growth);
             let agents = self.choose_subset(&agents, subset::SIZE * growth);
             let pool = Pool {
                 epoch,
--- a/crates/pistachiolug_entry/tests/door.rs
+++ b/crates/pistachiolug_entry/tests/door.rs
@@ -16,8 +16,12 @@
     lists::Lists,
     plan::{Model, Plan, Replicas, Service},
     row::Row,
+    suspect::{Crash, Suspect},
+};
+use pistachiolug_wire::{
+    call::{Generation, Work},
+    digest::Digest,
 };
-use pistachiolug_wire::digest::Digest;
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -99,10 +103,39 @@
         keys: vec![key::digest("good")],
         tokens_per_minute: 0,
     }));
+    for crashes in 1..=2_usize {
+        let crash = |number| Crash {
+            instance: format!("assistant-{number}"),
+            call: format!("{number}"),
+        };
+        lists.insert(Row::Suspect(Suspect {
+            digest: suspect(crashes),
+            crashes: (0..crashes).map(crash).collect(),
+        }));
+    }
     lists.advance(1);
     lists
 }
 
+/// Returns the body of a request that crashed a number of backend servers.
+fn crashing(crashes: usize) -> String {
+    format!(r#"{{"model":"pasta","prompt":"crash {crashes}"}}"#)
+}
+
+fn suspect(crashes: usize) -> Digest {
+    let work = Work::Model(Generation {
+        model: "pasta".to_owned(),
+        version: String::new(),
+        path: "/v1/completions".to_owned(),
+        body: crashing(crashes).into(),
+        reached: 0,
+        prefix: String::new(),
+        estimate: 0,
+        cache: None,
+    });
+    work.content("assistant")
+}
+
 /// Renders a request that states its body's length.
 fn request(line: &str, headers: &str, body: &str) -> String {
     let length = body.len();
@@ -393,6 +426,28 @@
     assert_healthy(&rig, "a chunked body").await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_suspects_are_tried_once_more_and_then_refused() {
+    let rig = rig();
+    let send = |crashes| request("POST /v1/completions", "", &crashing(crashes));
+
+    let (once, answer) = exchange(rig.door.address(), &send(1), false).await;
+    let opens: Vec<u8> = rig
+        .agent
+        .record()
+        .opens
+        .iter()
+        .map(|open| open.crashes)
+        .collect();
+    let (twice, refusal) = exchange(rig.door.address(), &send(2), false).await;
+
+    assert_eq!(once, 200, "{answer}");
+    assert_eq!(opens, [1]);
+    assert_eq!(twice, 422, "{refusal}");
+    assert_eq!(error_of(&refusal)["code"], "crash_suspect");
+    assert_eq!(rig.agent.record().opens.len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn models_are_those_of_the_plan() {
     let rig = rig();
--- a/crates/pistachiolug_entry/tests/recovery.rs
+++ b/crates/pistachiolug_entry/tests/recovery.rs
@@ -372,6 +372,22 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_known_suspect_that_crashes_again_gets_no_third_server() {
+    let crash = vec![started("v1"), unknown(Code::CrashSuspect)];
+    let (near, far) = (Agent::new(&[crash], &[]), Agent::new(&[whole()], &[]));
+    let servers = (near.serve(), far.serve());
+    let runner = runner(servers.0.address(), servers.1.address());
+    let mut message = open(generation());
+    message.crashes = 1;
+
+    let mut running = runner.open(message, Patience::Whole).await.unwrap();
+    let fault = read(&mut running).await.unwrap_err();
+
+    assert_eq!((fault.code, fault.outcome), (Code::CrashSuspect, Unknown));
+    assert!(far.record().opens.is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resend_joins_the_run_of_its_key_and_never_withdraws_it() {
     let earlier = Id(7);
