--- a/crates/pistachiolug_entry/src/call.rs
+++ b/crates/pistachiolug_entry/src/call.rs
@@ -1,5 +1,6 @@
 //! Life of a call at an entry: choose an agent, open, relay, and recover what is lost on the way.
 
+mod event;
 mod recover;
 
 use std::{
@@ -10,7 +11,7 @@
 
 use pistachiolug_routing::retry::Budget;
 use pistachiolug_wire::{
-    call::{Body, Finish, Open, Response, Work},
+    call::{Finish, Open, Response, Work},
     fault::{Code, Fault},
     outcome::Outcome,
 };
@@ -206,61 +207,6 @@
         }
     }
 
-    async fn take(&mut self, body: Body) -> Result<Option<Part>, Fault> {
-        match body {
-            Body::Heartbeat(load) => {
-                if let Some(place) = &self.place {
-                    self.runner.router.report(&place.ticket.name, &load);
-                }
-                Ok(None)
-            }
-            Body::Started { version } => self.start(version),
-            Body::Tokens(tokens) => match self.progress.take(tokens) {
-                Ok(texts) if texts.is_empty() => Ok(None),
-                Ok(texts) => {
-                    self.joins = 0;
-                    self.runner.metrics.tokens.inc_by(texts.len() as u64);
-                    Ok(Some(Part::Text(texts)))
-                }
-                Err(error) => self.recover(&error.to_string()).await.map(|()| None),
-            },
-            Body::Response(response) => {
-                self.end();
-                Ok(Some(Part::Response(response)))
-            }
-            Body::Finished(finish) => match self.progress.finish(&finish) {
-                Ok(()) => {
-                    if let Some(place) = &self.place {
-                        self.runner.router.report(&place.ticket.name, &finish.load);
-                    }
-                    self.end();
-                    Ok(Some(Part::Finished(finish)))
-                }
-                Err(error) => self.recover(&error.to_string()).await.map(|()| None),
-            },
-            Body::Failed(fault) => self.refused(fault).await.map(|()| None),
-            Body::Elsewhere(elsewhere) => self.follow(&elsewhere).await.map(|()| None),
-        }
-    }
-
-    fn start(&mut self, version: String) -> Result<Option<Part>, Fault> {
-        match self.progress.start(&version) {
-            Ok(true) => {
-                if let Work::Model(generation) = &mut self.open.work {
-                    generation.version.clone_from(&version);
-                }
-                Ok(Some(Part::Started(version)))
-            }
-            Ok(false) => Ok(None),
-            Err(error) => Err(Fault::unknown(Code::BackendFailed, &error.to_string())),
-        }
-    }
-
-    fn end(&mut self) {
-        self.place = None;
-        self.runner.metrics.answered();
-    }
-
     /// Corrects the word of the last agent by what happened at earlier ones.
     fn truthful(&self, mut fault: Fault) -> Fault {
         let may_have_run = self.progress.reached() > 0 || self.losses > 0;
