--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -29,8 +29,8 @@
     call::Runner, door::Door, internal::Internal, metrics::Metrics, remote::Remote, router::Router,
 };
 
-/// Idle connections kept per agent.
-const IDLE_CONNECTIONS: usize = 64;
+/// Idle connections kept per service of the platform.
+const IDLE_CONNECTIONS: usize = 4;
 
 /// Worker threads of the callers' port.
 const CALLER_THREADS: usize = 2;
@@ -91,11 +91,12 @@
     };
     let router = Router::new(view.clone(), &settings.instance, place);
     let metrics = Metrics::new(&kernel.metrics).context(MetricSnafu)?;
-    let remote = Remote::new(client.clone(), secret.clone());
+    let remote = Remote::new(secret.clone());
     let runner = Runner::new(router, remote, metrics, Some(settings.internal));
     let here = spread::Settings::new(&settings, &secret);
     let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
     add_parts(&kernel, &force, &view, &runner, &lists);
+    let probe_secret = secret.clone();
     let internal = Internal {
         admin: kernel.admin(),
         secret,
@@ -125,7 +126,10 @@
         "membership",
         follow::run(directory, view.clone(), kernel.timer.clone()),
     );
-    supervisor.spawn("probes", probe::run(view, kernel.timer.clone()));
+    supervisor.spawn(
+        "probes",
+        probe::run(view, kernel.timer.clone(), probe_secret),
+    );
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
     let began = OnceLock::new();
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -2,9 +2,11 @@
 
 pub mod call;
 pub mod codec;
+pub mod crash;
 pub mod digest;
 pub mod fault;
 pub mod instance;
+pub mod limit;
 pub mod load;
 pub mod notice;
 pub mod outcome;
