--- a/crates/pistachiolug_agent/tests/support/mod.rs
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -229,6 +229,17 @@
             .collect()
     }
 
+    /// Reads the agent's metrics.
+    pub(crate) async fn metrics(&self) -> String {
+        let request = Request::get(format!("http://{}/metrics", self.address))
+            .header(secret::HEADER, SECRET)
+            .body(Bytes::new())
+            .expect("request is well formed");
+        let response = self.client.fetch(request, 1 << 20, PATIENCE).await;
+        let body = response.expect("agent answers").into_body();
+        String::from_utf8(body.to_vec()).expect("metrics are text")
+    }
+
     async fn ask(&self, path: &str, body: Bytes) -> Verdict {
         let request = self.request(path, body);
         let response = self.client.fetch(request, 1024, PATIENCE).await;
