--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -80,7 +80,7 @@
         serving.choose(&generation.model, &generation.version, wanted)
     }
 
-    /// Returns what the lists say of a call now, or nothing special if they no longer know it.
+    /// Returns the engine priority of a call's plan by the lists in force; 0 once they no longer know it.
     pub(super) fn priority(&self, open: &Open) -> u8 {
         let lists = self.inner.parts.force.now();
         access::check(&lists, open).map_or(0, |access| access.priority)
--- a/crates/pistachiolug_routing/src/limit.rs
+++ b/crates/pistachiolug_routing/src/limit.rs
@@ -18,7 +18,7 @@
 }
 
 impl Bucket {
-    /// Creates a bucket that is full for a limit of `rate` tokens a minute and a burst of `burst` tokens.
+    /// Creates a full bucket of `burst` tokens.
     pub fn new(burst: u64, now: Duration) -> Self {
         Self {
             level: burst as f64,
