--- a/crates/pistachiolug_agent/tests/support/mod.rs
+++ b/crates/pistachiolug_agent/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use pistachiolug_agent::{
     calls::{Calls, Options, Parts},
-    crash::Reporter,
+    crash::{Reporter, Spreader},
     door::Door,
     incarnation::Incarnation,
     metrics::Metrics,
@@ -32,8 +32,11 @@
     plan::{Model, Plan, Replicas, Service},
     row::Row,
 };
+use pistachiolug_membership::view::View;
 use pistachiolug_platform::{
+    directory::Snapshot,
     engine::{self, Order},
+    kv::memory::Memory as Store,
     plain,
 };
 use pistachiolug_routing::schedule::Capacity;
@@ -50,6 +53,7 @@
     codec::{self, Decoder},
     digest::Digest,
     fault::Fault,
+    instance::{Instance, Place, Role, State},
     revoke::{Cancel, Revoke, Verdict},
 };
 use tokio::time::{sleep, timeout};
@@ -94,6 +98,7 @@
     pub(crate) engine: Face,
     pub(crate) plain: PlainStandin,
     pub(crate) force: Force,
+    pub(crate) view: View,
     pub(crate) calls: Calls<engine::http::Http, plain::Http, C>,
     client: Client,
     servers: Vec<Server>,
@@ -124,14 +129,25 @@
         let metrics = prometheus::Registry::new();
         let force = Force::default();
         force.advance(Arc::new(lists(1)));
+        let view = View::default();
+        let peers = Peers::new(client.clone(), Secret::new(SECRET));
+        let (crashes, reports) = Reporter::new();
+        let spreader = Spreader {
+            instance: name.to_owned(),
+            store: Store::new(1),
+            view: view.clone(),
+            peers: peers.clone(),
+        };
+        tokio::spawn(spreader.run(reports));
         let parts = Parts {
             engine: http,
             serving: serving.clone(),
             service: plain::Http::new(Client::new(0), &base),
             claims,
             force: force.clone(),
-            peers: Peers::new(client.clone(), Secret::new(SECRET)),
-            crashes: Reporter::new().0,
+            view: view.clone(),
+            peers,
+            crashes,
             incarnation: Incarnation::default(),
             metrics: Metrics::new(&metrics).expect("metrics have their own registry"),
         };
@@ -160,12 +176,20 @@
             engine: face,
             plain,
             force,
+            view,
             calls,
             client,
             servers: vec![server, backend],
         }
     }
 
+    /// Closes the agent's port and connections.
+    pub(crate) fn stop(&self) {
+        for server in &self.servers {
+            server.stop();
+        }
+    }
+
     /// Opens a call.
     pub(crate) async fn open(&self, open: &Open) -> Events {
         let request = self.request("call", codec::encode(open));
@@ -330,6 +354,28 @@
     }
 }
 
+/// Shows all agents to each of them.
+pub(crate) fn introduce<C: Claims>(agents: &[&Agent<C>]) {
+    let instances = agents.iter().map(|agent| Instance {
+        name: agent.name.clone(),
+        role: Role::Agent,
+        service: "assistant".to_owned(),
+        address: agent.address,
+        place: Place {
+            region: "gauteng".to_owned(),
+            zone: "midrand".to_owned(),
+        },
+        state: State::Live,
+    });
+    let snapshot = Snapshot {
+        version: 1,
+        instances: instances.collect(),
+    };
+    for agent in agents {
+        agent.view.replace(snapshot.clone());
+    }
+}
+
 /// Polls until a condition holds.
 pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let waited = timeout(PATIENCE, async {
