--- a/crates/pistachiolug_agent/src/weights/metrics.rs
+++ b/crates/pistachiolug_agent/src/weights/metrics.rs
@@ -25,21 +25,24 @@
             prometheus::Result::Ok(gauge)
         };
         Ok(Self {
-            staged: gauge("agent_weights_staged_bytes", "Bytes of staged chunks.")?,
+            staged: gauge(
+                "pistachiolug_agent_weights_staged_bytes",
+                "Bytes of staged chunks.",
+            )?,
             uploaded: gauge(
-                "agent_weights_uploaded_bytes",
+                "pistachiolug_agent_weights_uploaded_bytes",
                 "Bytes sent to other members.",
             )?,
             downloaded: gauge(
-                "agent_weights_downloaded_bytes",
+                "pistachiolug_agent_weights_downloaded_bytes",
                 "Bytes of chunks received.",
             )?,
             rate_up: gauge(
-                "agent_weights_rate_up",
+                "pistachiolug_agent_weights_rate_up",
                 "Bytes a second that uploads may use.",
             )?,
             rate_down: gauge(
-                "agent_weights_rate_down",
+                "pistachiolug_agent_weights_rate_down",
                 "Bytes a second that downloads may use.",
             )?,
         })
