Let the settings name the region nearest to the origin

Cause: the planner could keep one copy on the link between regions, and no setting told it where the origin is.

--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -201,6 +201,7 @@
     swarm::Options {
         instance: settings.instance.clone(),
         region: settings.region.clone(),
+        home: settings.weights.home_region.clone().unwrap_or_default(),
         tuning: Tuning {
             policy,
             ..Tuning::default()
--- a/crates/pistachiolug_settings/src/daemon.rs
+++ b/crates/pistachiolug_settings/src/daemon.rs
@@ -116,6 +116,8 @@
     pub link_bytes_per_second: u64,
     /// Copies of a version that an instance may upload to neighbours.
     pub upload_copies: f64,
+    /// Region nearest to the origin; without one each region reads the origin.
+    pub home_region: Option<String>,
 }
 
 /// What a spread saves first.
@@ -150,6 +152,7 @@
             staging_bytes: 8 << 30,
             link_bytes_per_second: 1_250_000_000,
             upload_copies: 2.0,
+            home_region: None,
         }
     }
 }
--- a/crates/pistachiolug_settings/src/fields.rs
+++ b/crates/pistachiolug_settings/src/fields.rs
@@ -148,6 +148,7 @@
     field("staging_bytes", whole(Unit::Bytes, 1 << 20, 1 << 50), Need::Optional, "Bytes of weights that may be staged in memory; 8 GiB."),
     field("link_bytes_per_second", whole(Unit::Bytes, 1_000, 1 << 50), Need::Optional, "Capacity of the instance's link each way in bytes a second; 1250000000."),
     field("upload_copies", Kind::Real { least: 0.0, most: 16.0 }, Need::Optional, "Copies of a version that an instance may upload to neighbours; 2."),
+    field("home_region", Kind::Name, Need::Optional, "Region nearest to the origin; in a bytes-first spread the other regions read from it, so that one copy leaves the origin. Unset: each region reads the origin."),
 ];
 
 /// Fields of `calls`.
