--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     calls::{Calls, Options, Parts},
-    crash::{self, Reporter},
+    crash::{Reporter, Spreader},
     door::Door,
     incarnation::Incarnation,
     metrics::Metrics,
@@ -113,13 +113,16 @@
     let (crashes, reports) = Reporter::new();
     let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
+    let view = View::default();
+    let peers = Peers::new(client, secret.clone());
     let parts = Parts {
         engine: engine.clone(),
         serving: serving.clone(),
         service: plain::Http::new(Client::new(0), &backend.address),
         claims: Ledger::new(store.clone(), ledger::Settings::default()),
         force: force.clone(),
-        peers: Peers::new(client, secret.clone()),
+        view: view.clone(),
+        peers: peers.clone(),
         crashes,
         incarnation: incarnation.clone(),
         metrics: Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
@@ -136,11 +139,16 @@
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
-    let view = View::default();
     let timer = kernel.timer.clone();
     let supervisor = &kernel.supervisor;
     supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
-    supervisor.spawn("crashes", crash::run(store.clone(), reports));
+    let spreader = Spreader {
+        instance: settings.instance.clone(),
+        store: store.clone(),
+        view: view.clone(),
+        peers,
+    };
+    supervisor.spawn("crashes", spreader.run(reports));
     let draw = incarnation.clone();
     tokio::spawn(draw.draw(store.clone(), settings.instance.clone()));
     supervisor.spawn("calls", calls.clone().run(timer.clone()));
