Split the agent's calls by stage, state code names once

Change: calls/{drive,withdraw}.rs; fault::Code::{ALL, as_str}; one note_start. Conclusion: no change of behaviour.

--- a/crates/pistachiolug_agent/src/calls.rs
+++ b/crates/pistachiolug_agent/src/calls.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod claim;
 mod desk;
+mod drive;
 mod leave;
 mod limits;
 mod model;
@@ -11,6 +12,7 @@
 mod reader;
 pub mod run;
 mod suspect;
+mod withdraw;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -27,14 +29,10 @@
 use pistachiolug_lists::force::Force;
 use pistachiolug_membership::view::View;
 use pistachiolug_platform::{engine::Engine, plain::Service};
-use pistachiolug_routing::{
-    schedule::{Action, Capacity, Schedule},
-    table::Stage,
-};
+use pistachiolug_routing::{schedule::Capacity, table::Stage};
 use pistachiolug_wire::{
-    call::{Body, Id, Open, Work},
+    call::{Body, Open, Work},
     codec,
-    fault::{Code, Fault},
     load::Load,
     revoke::{Cancel, Revoke, Verdict},
 };
@@ -46,7 +44,7 @@
 };
 use desk::Desk;
 use reader::Reader;
-use run::{Order, Run};
+use run::Run;
 
 /// Time for which a run that nobody reads waits for its entry to come back.
 const REJOIN_TIME: Duration = Duration::from_secs(4);
@@ -263,166 +261,6 @@
         self.now() > age + age / AGE_MARGIN_PART + AGE_MARGIN
     }
 
-    fn withdraw(&self, id: Id) -> Verdict {
-        let fault = Fault::not_run(Code::Revoked, Duration::ZERO, "call was withdrawn");
-        match self.drop_queued(id, fault) {
-            Stage::Withdrawn | Stage::Queued => Verdict::Withdrawn,
-            Stage::Started => Verdict::Started,
-            Stage::Finished => Verdict::Finished,
-        }
-    }
-
-    /// Ends a call that has not started; returns the stage it has then.
-    fn drop_queued(&self, id: Id, fault: Fault) -> Stage {
-        let now = self.now();
-        let mut desk = self.desk();
-        let withdrawal = desk.table.withdraw(id, now);
-        let Some(run) = withdrawal.dropped else {
-            return withdrawal.stage;
-        };
-        if desk.schedule.end(id, now) {
-            desk.limits.settle(&run, 0, now);
-        }
-        drop(desk);
-        self.conclude(&run, Body::Failed(fault));
-        self.pump();
-        withdrawal.stage
-    }
-
-    /// Withdraws a waiting call and stops a started one that may be repeated.
-    fn abandon(&self, id: Id) -> Verdict {
-        let verdict = self.withdraw(id);
-        if verdict == Verdict::Started
-            && let Some(run) = self.known_run(id).filter(|run| run.is_repeatable())
-        {
-            run.order(Order::Cancel);
-            self.end_if_paused(&run);
-        }
-        verdict
-    }
-
-    fn known_run(&self, id: Id) -> Option<Arc<Run>> {
-        let desk = self.desk();
-        let (_, run) = desk.table.find(id)?;
-        run.cloned()
-    }
-
-    /// Ends a run that has no driver now and so can't see its order.
-    fn end_if_paused(&self, run: &Arc<Run>) {
-        let paused = self.desk().schedule.is_waiting(run.open.id);
-        if paused {
-            let order = *run.orders().borrow();
-            self.end(run, stopped(order));
-        }
-    }
-
-    /// Does all that the schedule wants done now.
-    fn pump(&self) {
-        loop {
-            let now = self.now();
-            let mut desk = self.desk();
-            let Some(action) = desk.schedule.next(now) else {
-                return;
-            };
-            let (Action::Start(id) | Action::Pause(id)) = action;
-            let Some((_, Some(run))) = desk.table.find(id) else {
-                desk.schedule.end(id, now);
-                continue;
-            };
-            let run = Arc::clone(run);
-            if matches!(action, Action::Start(_)) {
-                // Under the lock, so that a pause decided later is not undone.
-                run.order(Order::Go);
-            }
-            drop(desk);
-            match action {
-                Action::Start(_) => self.drive(run),
-                Action::Pause(_) => {
-                    self.inner.parts.metrics.pause();
-                    run.order(Order::Pause);
-                }
-            }
-        }
-    }
-
-    fn drive(&self, run: Arc<Run>) {
-        let calls = self.clone();
-        tokio::spawn(async move {
-            let stop = match (calls.check_suspect(&run), &run.open.work) {
-                (Some(stop), _) => stop,
-                (None, Work::Model(generation)) => calls.generate(&run, generation).await,
-                (None, Work::Plain(plain)) => Stop::Ended(calls.call_plain(&run, plain).await),
-            };
-            match stop {
-                Stop::Ended(end) => calls.end(&run, end),
-                Stop::Paused => calls.rest(&run, Schedule::pause),
-                Stop::Isolated => calls.rest(&run, Schedule::isolate),
-            }
-        });
-    }
-
-    /// Gives a run's slot back, unless it was told to stop meanwhile.
-    fn rest(&self, run: &Arc<Run>, yield_slot: fn(&mut Schedule, Id, Duration)) {
-        let now = self.now();
-        yield_slot(&mut self.desk().schedule, run.open.id, now);
-        if *run.orders().borrow() > Order::Isolate {
-            self.end_if_paused(run);
-        }
-        self.pump();
-    }
-
-    /// Claims the right to start a call's work; `false` means that it must not run.
-    fn begin(&self, run: &Run) -> bool {
-        let mut desk = self.desk();
-        let id = run.open.id;
-        match desk.table.find(id) {
-            Some((Stage::Queued, _)) => desk.table.start(id),
-            Some((Stage::Started, _)) => true,
-            _ => false,
-        }
-    }
-
-    /// Ends a call with its last event.
-    fn end(&self, run: &Arc<Run>, end: Body) {
-        if self.conclude(run, end) {
-            let now = self.now();
-            let id = run.open.id;
-            let bytes = run.read(run::Log::bytes) + admit::bytes(&run.open.work);
-            let real = Self::real_cost(run);
-            let mut desk = self.desk();
-            desk.table.finish(id, bytes, now);
-            desk.schedule.end(id, now);
-            desk.limits.settle(run, real, now);
-        }
-        self.pump();
-    }
-
-    /// Gives the readers their last event and counts the call; `false` if it has ended before.
-    fn conclude(&self, run: &Run, end: Body) -> bool {
-        let tokens = run.read(|log| log.reached() - log.base());
-        let first = run.finish(end.clone());
-        if first {
-            let lists = self.inner.parts.force.now();
-            let plan = lists
-                .plan(&run.open.plan)
-                .map_or("other", |plan| &plan.name);
-            self.inner.parts.metrics.end(plan, &end, tokens);
-        }
-        first
-    }
-
-    /// Tokens that a run has cost, prompt included; units for plain calls.
-    fn real_cost(run: &Run) -> u32 {
-        run.read(|log| match (&log.end, &run.open.work) {
-            (Some(Body::Finished(finish)), _) => {
-                finish.prompt_tokens + (log.reached() - log.base())
-            }
-            (_, Work::Model(_)) => log.reached() - log.base(),
-            (Some(Body::Response(_)), Work::Plain(_)) => run.cost,
-            (_, Work::Plain(_)) => 0,
-        })
-    }
-
     fn tick(&self) {
         let now = self.now();
         let given_up = {
@@ -448,19 +286,6 @@
     }
 }
 
-/// Last event of a run that was told to stop.
-fn stopped(order: Order) -> Body {
-    let fault = match order {
-        Order::Move => Fault::not_run(
-            Code::Leaving,
-            Duration::from_secs(1),
-            "instance leaves, resume the rest elsewhere",
-        ),
-        _ => Fault::unknown(Code::Revoked, "caller is gone"),
-    };
-    Body::Failed(fault)
-}
-
 fn refuse(status: StatusCode) -> Reply {
     let mut reply = Response::new(Stream::from(status.as_str().to_owned()));
     *reply.status_mut() = status;
--- a/crates/pistachiolug_agent/src/calls/claim.rs
+++ b/crates/pistachiolug_agent/src/calls/claim.rs
@@ -15,7 +15,7 @@
     Calls,
     plain::Ran,
     run::{Order, Run},
-    stopped,
+    withdraw::stopped,
 };
 
 /// Longest wait for the ledger's verdict.
--- a/crates/pistachiolug_agent/src/calls/model.rs
+++ b/crates/pistachiolug_agent/src/calls/model.rs
@@ -16,7 +16,7 @@
 use super::{
     Calls, Stop,
     run::{Order, Run},
-    stopped,
+    withdraw::stopped,
 };
 use crate::serving::Health;
 
@@ -110,7 +110,8 @@
         }
     }
 
-    fn note_start(&self, run: &Run, version: &str) {
+    /// Counts a run's first start and names its version; empty for plain services.
+    pub(super) fn note_start(&self, run: &Run, version: &str) {
         let first = run.read(|log| log.version.is_none());
         if first {
             let lists = self.inner.parts.force.now();
--- a/crates/pistachiolug_agent/src/calls/plain.rs
+++ b/crates/pistachiolug_agent/src/calls/plain.rs
@@ -18,7 +18,7 @@
 use super::{
     Calls,
     run::{Order, Run},
-    stopped,
+    withdraw::stopped,
 };
 
 /// Time after which a call may come back that the service did not take.
@@ -61,7 +61,7 @@
             let fault = Fault::not_run(Code::DeadlineExceeded, UNREACHED_RETRY, message);
             return Ran::NotRun(fault);
         }
-        self.note_plain_start(run);
+        self.note_start(run, "");
         let mut orders = run.orders();
         let called = tokio::select! {
             called = self.inner.parts.service.call(plain, left) => called,
@@ -75,16 +75,6 @@
         }
     }
 
-    fn note_plain_start(&self, run: &Run) {
-        let lists = self.inner.parts.force.now();
-        let plan = lists
-            .plan(&run.open.plan)
-            .map_or("other", |plan| &plan.name);
-        let wait = self.now().saturating_sub(run.arrived);
-        self.inner.parts.metrics.start(plan, wait);
-        run.start("");
-    }
-
     async fn plain_failed(&self, run: &Run, plain: &Plain, error: plain::Error) -> Ran {
         let message = error.to_string();
         match error {
--- a/crates/pistachiolug_agent/src/metrics.rs
+++ b/crates/pistachiolug_agent/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachiolug_wire::{call::Body, fault::Code, load::Load, outcome::Outcome};
+use pistachiolug_wire::{call::Body, load::Load, outcome::Outcome};
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -65,7 +65,7 @@
     /// Counts an ended call.
     pub fn end(&self, plan: &str, end: &Body, tokens: u32) {
         let (outcome, code) = match end {
-            Body::Failed(fault) => (fault.outcome, code_label(fault.code)),
+            Body::Failed(fault) => (fault.outcome, fault.code.as_str()),
             _ => (Outcome::Answered, "none"),
         };
         let labels = [plan, outcome.as_str(), code];
@@ -103,23 +103,3 @@
         registry.register(Box::new(self.owed.clone()))
     }
 }
-
-/// Label of a code, as callers see it.
-const fn code_label(code: Code) -> &'static str {
-    match code {
-        Code::InvalidRequest => "invalid_request",
-        Code::InvalidKey => "invalid_key",
-        Code::NotInPlan => "not_in_plan",
-        Code::NotFound => "not_found",
-        Code::RateLimited => "rate_limited",
-        Code::Overloaded => "overloaded",
-        Code::Leaving => "leaving",
-        Code::Unavailable => "unavailable",
-        Code::CrashSuspect => "crash_suspect",
-        Code::DeadlineExceeded => "deadline_exceeded",
-        Code::KeyReused => "key_reused",
-        Code::BackendFailed => "backend_failed",
-        Code::Revoked => "revoked",
-        Code::ClaimUnavailable => "claim_unavailable",
-    }
-}
--- a/crates/pistachiolug_entry/src/metrics.rs
+++ b/crates/pistachiolug_entry/src/metrics.rs
@@ -68,7 +68,7 @@
                 "pistachiolug_entry_faults_total",
                 "Calls without an answer by cause",
                 "code",
-                &CODES.map(code),
+                &Code::ALL.map(Code::as_str),
             )?,
             moves: counters(
                 "pistachiolug_entry_moves_total",
@@ -105,7 +105,7 @@
     /// Counts a call that ends without an answer.
     pub fn failed(&self, fault: &Fault) {
         self.outcomes.of(fault.outcome.as_str()).inc();
-        self.faults.of(code(fault.code)).inc();
+        self.faults.of(fault.code.as_str()).inc();
     }
 
     /// Counts a call that went on elsewhere.
@@ -128,39 +128,3 @@
     Move::Joined,
     Move::Resumed,
 ];
-
-const CODES: [Code; 14] = [
-    Code::InvalidRequest,
-    Code::InvalidKey,
-    Code::NotInPlan,
-    Code::NotFound,
-    Code::RateLimited,
-    Code::Overloaded,
-    Code::Leaving,
-    Code::Unavailable,
-    Code::CrashSuspect,
-    Code::DeadlineExceeded,
-    Code::KeyReused,
-    Code::BackendFailed,
-    Code::Revoked,
-    Code::ClaimUnavailable,
-];
-
-const fn code(code: Code) -> &'static str {
-    match code {
-        Code::InvalidRequest => "invalid_request",
-        Code::InvalidKey => "invalid_key",
-        Code::NotInPlan => "not_in_plan",
-        Code::NotFound => "not_found",
-        Code::RateLimited => "rate_limited",
-        Code::Overloaded => "overloaded",
-        Code::Leaving => "leaving",
-        Code::Unavailable => "unavailable",
-        Code::CrashSuspect => "crash_suspect",
-        Code::DeadlineExceeded => "deadline_exceeded",
-        Code::KeyReused => "key_reused",
-        Code::BackendFailed => "backend_failed",
-        Code::Revoked => "revoked",
-        Code::ClaimUnavailable => "claim_unavailable",
-    }
-}
--- a/crates/pistachiolug_wire/src/fault.rs
+++ b/crates/pistachiolug_wire/src/fault.rs
@@ -40,6 +40,46 @@
     ClaimUnavailable,
 }
 
+impl Code {
+    /// All codes.
+    pub const ALL: [Self; 14] = [
+        Self::InvalidRequest,
+        Self::InvalidKey,
+        Self::NotInPlan,
+        Self::NotFound,
+        Self::RateLimited,
+        Self::Overloaded,
+        Self::Leaving,
+        Self::Unavailable,
+        Self::CrashSuspect,
+        Self::DeadlineExceeded,
+        Self::KeyReused,
+        Self::BackendFailed,
+        Self::Revoked,
+        Self::ClaimUnavailable,
+    ];
+
+    /// Returns the code as callers and metrics see it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::InvalidRequest => "invalid_request",
+            Self::InvalidKey => "invalid_key",
+            Self::NotInPlan => "not_in_plan",
+            Self::NotFound => "not_found",
+            Self::RateLimited => "rate_limited",
+            Self::Overloaded => "overloaded",
+            Self::Leaving => "leaving",
+            Self::Unavailable => "unavailable",
+            Self::CrashSuspect => "crash_suspect",
+            Self::DeadlineExceeded => "deadline_exceeded",
+            Self::KeyReused => "key_reused",
+            Self::BackendFailed => "backend_failed",
+            Self::Revoked => "revoked",
+            Self::ClaimUnavailable => "claim_unavailable",
+        }
+    }
+}
+
 /// Final answer of a call that is not served.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
