--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -19,6 +19,7 @@
     Calls,
     access::{self, Access},
     run::Run,
+    suspect::refused,
 };
 
 /// Time after which a call may come back that found no served version.
@@ -50,7 +51,7 @@
         if let Some(known) = self.enter(&run, now)? {
             return Ok(known);
         }
-        if let Err(fault) = self.admit(&run, now) {
+        if let Err(fault) = self.admit(&run).await {
             self.drop_queued(run.open.id, fault.clone());
             return Err(fault);
         }
@@ -79,7 +80,7 @@
         serving.choose(&generation.model, &generation.version, wanted)
     }
 
-    /// Returns what the lists say of a call now, or nothing special if they no longer know it.
+    /// Returns the engine priority of a call's plan by the lists in force; 0 once they no longer know it.
     pub(super) fn priority(&self, open: &Open) -> u8 {
         let lists = self.inner.parts.force.now();
         access::check(&lists, open).map_or(0, |access| access.priority)
@@ -98,7 +99,7 @@
         }
     }
 
-    fn admit(&self, run: &Run, now: Duration) -> Result<(), Fault> {
+    async fn admit(&self, run: &Run) -> Result<(), Fault> {
         let open = &run.open;
         if self.desk().leaving {
             let message = "instance is leaving";
@@ -110,11 +111,9 @@
         }
         let access = access::check(&self.inner.parts.force.now(), open)
             .map_err(|code| Fault::not_run(code, Duration::ZERO, "not in the lists in force"))?;
-        let crashes = self.crashes(open, now);
-        let decision = suspect::decide(crashes);
+        let decision = suspect::decide(self.crashes(open));
         if decision == Decision::Refuse {
-            let message = "backend servers died running this request";
-            return Err(Fault::not_run(Code::CrashSuspect, Duration::ZERO, message));
+            return Err(refused(false));
         }
         if let Work::Model(generation) = &open.work {
             self.version(generation).ok_or_else(|| {
@@ -122,36 +121,26 @@
                 Fault::not_run(Code::Unavailable, VERSION_RETRY, message)
             })?;
         }
-        self.enqueue(run, access, decision == Decision::Alone, now)
+        self.allow(run, access.rate).await?;
+        self.enqueue(run, access, decision == Decision::Alone)
     }
 
-    fn crashes(&self, open: &Open, now: Duration) -> u8 {
-        let lists = self.inner.parts.force.now();
-        let spread = lists.suspect(&open.content).map_or(0, |row| row.count());
-        let told = open.crashes.max(u8::try_from(spread).unwrap_or(u8::MAX));
-        let mut desk = self.desk();
-        desk.suspects.learn(open.content, told, now);
-        desk.suspects.crashes(&open.content, now)
-    }
-
-    fn enqueue(&self, run: &Run, access: Access, alone: bool, now: Duration) -> Result<(), Fault> {
+    fn enqueue(&self, run: &Run, access: Access, alone: bool) -> Result<(), Fault> {
         let open = &run.open;
+        let now = self.now();
         let mut desk = self.desk();
-        desk.limits
-            .take(&open.customer, access.rate, run.cost, now)
-            .map_err(|wait| Fault::not_run(Code::RateLimited, wait, "customer's limit is used"))?;
         let call = Call {
             id: open.id,
             plan: open.plan.clone(),
             class: access.class,
             cost: run.cost,
             bytes: bytes(&open.work),
-            due: now + Duration::from_millis(open.deadline_ms.into()),
+            due: run.arrived + Duration::from_millis(open.deadline_ms.into()),
             pausable: matches!(open.work, Work::Model(_)),
             alone,
         };
         desk.schedule.offer(call, now).map_err(|refusal| {
-            desk.limits.settle(&open.customer, run.cost, 0);
+            desk.limits.settle(run, 0, now);
             overloaded(&refusal, rand::random())
         })
     }
--- a/crates/pistachiolug_agent/src/door.rs
+++ b/crates/pistachiolug_agent/src/door.rs
@@ -8,6 +8,7 @@
 };
 use pistachiolug_kernel::admin::Admin;
 use pistachiolug_ledger::claim::Claims;
+use pistachiolug_lists::spread::Spread;
 use pistachiolug_platform::{engine::Engine, plain::Service, source::Http};
 use pistachiolug_weights::swarm::Swarm;
 
@@ -26,6 +27,8 @@
     pub admin: Admin,
     /// Secret that peers must show.
     pub secret: Secret,
+    /// Lists, which peers ask for.
+    pub lists: Spread,
     /// Calls.
     pub calls: Calls<E, S, C>,
     /// Exchange of weights; none beside a plain service.
@@ -41,6 +44,9 @@
         if !self.secret.admits(request.headers()) {
             return refuse(StatusCode::UNAUTHORIZED);
         }
+        if let Some(reply) = self.lists.serve(&request) {
+            return reply;
+        }
         if path.starts_with(WEIGHTS_PATH)
             && let Some(weights) = &self.weights
         {
@@ -50,6 +56,8 @@
             (&Method::POST, "/internal/call") => self.calls.open(request.body()),
             (&Method::POST, "/internal/revoke") => self.calls.revoke(request.body()),
             (&Method::POST, "/internal/cancel") => self.calls.cancel(request.body()),
+            (&Method::POST, "/internal/crash") => self.calls.learn_crash(request.body()),
+            (&Method::POST, "/internal/limit") => self.calls.grant(request.body()),
             (&Method::GET, path) if path.starts_with(CACHE_PATH) => {
                 self.calls.take_cache(&path[CACHE_PATH.len()..])
             }
--- a/crates/pistachiolug_agent/src/process.rs
+++ b/crates/pistachiolug_agent/src/process.rs
@@ -6,13 +6,24 @@
 use pistachiolug_kernel::{
     dump::Dump,
     kernel::{self, Kernel},
-    phase::Phase,
+    phase::{Control, Phase},
     registry,
 };
-use pistachiolug_ledger::log::{self as ledger, Ledger};
-use pistachiolug_lists::{force::Force, reader};
+use pistachiolug_ledger::{
+    claim::Claims,
+    log::{self as ledger, Ledger},
+};
+use pistachiolug_lists::{
+    force::Force,
+    spread::{self, Spread},
+};
 use pistachiolug_membership::{follow, view::View};
-use pistachiolug_platform::{directory, engine, kv::etcd::Etcd, plain, source};
+use pistachiolug_platform::{
+    directory,
+    engine::{self, Engine},
+    kv::{budget::Budget, etcd::Etcd, pace},
+    plain, source,
+};
 use pistachiolug_routing::schedule::Capacity;
 use pistachiolug_settings::daemon::{self, Backend, Daemon, Kind};
 use pistachiolug_weights::{
@@ -24,7 +35,7 @@
 
 use crate::{
     calls::{Calls, Options, Parts},
-    crash::{self, Reporter},
+    crash::{Reporter, Spreader},
     door::Door,
     incarnation::Incarnation,
     metrics::Metrics,
@@ -101,7 +112,11 @@
     let usage = Usage::default();
     let engine = engine::http::Http::new(client.clone(), &backend.address);
     let engine = Counted::new(engine, usage.clone());
-    let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let store = key_value(&settings, &client);
+    let view = kernel.register("membership", View::default());
+    let view = view.context(RegistrySnafu)?;
+    let here = spread::Settings::new(&settings, &secret);
+    let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
     let directory = directory::Http::new(client.clone(), &settings.platform.instances);
     let sources = sources(&settings, &client);
     let swarm = Swarm::new(
@@ -113,34 +128,40 @@
     let (crashes, reports) = Reporter::new();
     let incarnation = Incarnation::default();
     let serving = Serving::new(engine.clone());
+    let peers = Peers::new(client, secret.clone());
     let parts = Parts {
         engine: engine.clone(),
         serving: serving.clone(),
         service: plain::Http::new(Client::new(0), &backend.address),
         claims: Ledger::new(store.clone(), ledger::Settings::default()),
         force: force.clone(),
-        peers: Peers::new(client, secret.clone()),
+        view: view.clone(),
+        peers: peers.clone(),
         crashes,
         incarnation: incarnation.clone(),
         metrics: Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
     };
     let calls = Calls::new(options(&settings, &backend), parts);
-    add_parts(&kernel.dump, &force);
-    let dumped = calls.clone();
-    kernel.dump.add("calls", move || dumped.dump());
+    add_parts(&kernel.dump, &force, &lists, &calls);
     let door = Door {
         admin: kernel.admin(),
         secret,
+        lists: lists.clone(),
         calls: calls.clone(),
         weights: Some(swarm.clone()),
     };
     let server =
         Server::bind(settings.internal, THREADS, Limit::default(), door).context(IoSnafu)?;
-    let view = View::default();
     let timer = kernel.timer.clone();
     let supervisor = &kernel.supervisor;
-    supervisor.spawn("lists", reader::run(store.clone(), force.clone()));
-    supervisor.spawn("crashes", crash::run(store.clone(), reports));
+    supervisor.spawn("lists", lists.run(store.clone()));
+    let spreader = Spreader {
+        instance: settings.instance.clone(),
+        store: store.clone(),
+        view: view.clone(),
+        peers,
+    };
+    supervisor.spawn("crashes", spreader.run(reports));
     let draw = incarnation.clone();
     tokio::spawn(draw.draw(store.clone(), settings.instance.clone()));
     supervisor.spawn("calls", calls.clone().run(timer.clone()));
@@ -149,6 +170,7 @@
         follow::run(directory, view.clone(), timer.clone()),
     );
     supervisor.spawn("leaving", calls.clone().watch_row(view.clone()));
+    let ready = force.clone();
     if backend.kind == Kind::Model {
         supervisor.spawn("engine", serving.run(timer));
         let parts = weights::Parts {
@@ -162,26 +184,41 @@
             guard: guard(&settings, &backend, store.clone(), &incarnation),
             usage,
             status: Status::default(),
+            metrics: weights::metrics::Metrics::new(&kernel.metrics).context(MetricsSnafu)?,
         };
+        let capacity = settings.weights.link_bytes_per_second;
+        supervisor.spawn("link", weights::link::run(swarm.clone(), capacity));
         let status = parts.status.clone();
         kernel.dump.add("weights", move || status.dump(&swarm));
         supervisor.spawn("weights", weights::run(parts));
     }
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "agent runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
-    let control = kernel.control().clone();
-    let drained = calls.clone();
-    tokio::spawn(async move {
-        control.reached(Phase::Draining).await;
-        drained.leave();
-        drained.drain(drain).await;
-    });
+    tokio::spawn(leave(calls.clone(), kernel.control().clone(), drain));
     let idle = || calls.is_drained() && server.active() == 0;
-    let ended = kernel.run(drain + DRAIN_MARGIN, idle).await;
+    let ended = kernel
+        .run_after(ready.ready(), drain + DRAIN_MARGIN, idle)
+        .await;
     server.stop();
     ended.context(KernelSnafu)
 }
 
+fn key_value(settings: &Daemon, client: &Client) -> Budget<Etcd> {
+    let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    Budget::new(store, pace::Settings::default())
+}
+
+/// Refuses new calls once the process drains, and ends those that pass the deadline.
+async fn leave<E: Engine, S: plain::Service, C: Claims>(
+    calls: Calls<E, S, C>,
+    control: Control,
+    drain: Duration,
+) {
+    control.reached(Phase::Draining).await;
+    calls.leave();
+    calls.drain(drain).await;
+}
+
 fn sources(settings: &Daemon, client: &Client) -> Vec<source::Http> {
     let store = settings.platform.store.iter();
     let addresses = store.chain([&settings.platform.origin]);
@@ -198,6 +235,7 @@
     swarm::Options {
         instance: settings.instance.clone(),
         region: settings.region.clone(),
+        home: settings.weights.home_region.clone().unwrap_or_default(),
         tuning: Tuning {
             policy,
             ..Tuning::default()
@@ -213,9 +251,9 @@
 fn guard(
     settings: &Daemon,
     backend: &Backend,
-    store: Etcd,
+    store: Budget<Etcd>,
     incarnation: &Incarnation,
-) -> Either<Etcd> {
+) -> Either<Budget<Etcd>> {
     match backend.fencing {
         daemon::Fencing::Checked => Either::Fenced(Fenced),
         daemon::Fencing::Ignored => Either::Asked(Asked {
@@ -247,7 +285,16 @@
     }
 }
 
-fn add_parts(dump: &Dump, force: &Force) {
+fn add_parts<E: Engine, S: plain::Service, C: Claims>(
+    dump: &Dump,
+    force: &Force,
+    lists: &Spread,
+    calls: &Calls<E, S, C>,
+) {
+    let calls = calls.clone();
+    dump.add("calls", move || calls.dump());
     let force = force.clone();
     dump.add("lists_revision", move || json!(force.now().revision()));
+    let lists = lists.clone();
+    dump.add("lists", move || json!(lists.place().report()));
 }
--- a/crates/pistachiolug_entry/src/door.rs
+++ b/crates/pistachiolug_entry/src/door.rs
@@ -78,6 +78,10 @@
 
 impl Door {
     async fn answer(&self, lists: &Lists, id: Id, request: &Request) -> Result<Reply, Fault> {
+        if !self.force.is_ready() {
+            let message = "the lists are not read yet";
+            return Err(Fault::not_run(Code::Unavailable, RETRY_AFTER, message));
+        }
         let caller = caller::identify(lists, request.headers())
             .ok_or_else(|| refused(Code::InvalidKey, "missing, unknown or revoked key"))?;
         let path = request.uri().path();
--- a/crates/pistachiolug_entry/src/internal.rs
+++ b/crates/pistachiolug_entry/src/internal.rs
@@ -7,6 +7,7 @@
     server::{Handler, Reply, Request},
 };
 use pistachiolug_kernel::admin::Admin;
+use pistachiolug_lists::spread::Spread;
 use pistachiolug_membership::{sign::Cause, view::View};
 use pistachiolug_wire::{codec, notice::Leaving};
 
@@ -17,6 +18,8 @@
     pub admin: Admin,
     /// Secret that peers must show.
     pub secret: Secret,
+    /// Lists, which peers ask for.
+    pub lists: Spread,
     /// Instances, which direct notices change.
     pub view: View,
 }
@@ -31,6 +34,9 @@
         if request.method() == Method::POST && path == "/internal/leaving" {
             return self.leaving(&request);
         }
+        if let Some(reply) = self.lists.serve(&request) {
+            return reply;
+        }
         let served = self.admin.serve(path);
         served.unwrap_or_else(|| bare(StatusCode::NOT_FOUND))
     }
--- a/crates/pistachiolug_entry/src/process.rs
+++ b/crates/pistachiolug_entry/src/process.rs
@@ -11,9 +11,15 @@
     kernel::{self, Kernel},
     metric, registry,
 };
-use pistachiolug_lists::{force::Force, reader};
+use pistachiolug_lists::{
+    force::Force,
+    spread::{self, Spread},
+};
 use pistachiolug_membership::{follow, probe, view::View};
-use pistachiolug_platform::{directory, kv::etcd::Etcd};
+use pistachiolug_platform::{
+    directory,
+    kv::{budget::Budget, etcd::Etcd, pace},
+};
 use pistachiolug_settings::daemon::Daemon;
 use pistachiolug_wire::instance::Place;
 use serde_json::json;
@@ -23,8 +29,8 @@
     call::Runner, door::Door, internal::Internal, metrics::Metrics, remote::Remote, router::Router,
 };
 
-/// Idle connections kept per agent.
-const IDLE_CONNECTIONS: usize = 64;
+/// Idle connections kept per service of the platform.
+const IDLE_CONNECTIONS: usize = 4;
 
 /// Worker threads of the callers' port.
 const CALLER_THREADS: usize = 2;
@@ -85,12 +91,16 @@
     };
     let router = Router::new(view.clone(), &settings.instance, place);
     let metrics = Metrics::new(&kernel.metrics).context(MetricSnafu)?;
-    let remote = Remote::new(client.clone(), secret.clone());
+    let remote = Remote::new(secret.clone());
     let runner = Runner::new(router, remote, metrics, Some(settings.internal));
-    add_parts(&kernel, &force, &view, &runner);
+    let here = spread::Settings::new(&settings, &secret);
+    let lists = Spread::new(here, client.clone(), force.clone(), view.subscribe());
+    add_parts(&kernel, &force, &view, &runner, &lists);
+    let probe_secret = secret.clone();
     let internal = Internal {
         admin: kernel.admin(),
         secret,
+        lists: lists.clone(),
         view: view.clone(),
     };
     let door = Door {
@@ -108,14 +118,18 @@
         Server::bind(settings.internal, INTERNAL_THREADS, bare, internal).context(IoSnafu)?;
     let server = Server::bind(callers, CALLER_THREADS, limit, door).context(IoSnafu)?;
     let store = Etcd::new(client.clone(), &settings.platform.key_value);
+    let store = Budget::new(store, pace::Settings::default());
     let directory = directory::Http::new(client, &settings.platform.instances);
     let supervisor = &kernel.supervisor;
-    supervisor.spawn("lists", reader::run(store, force));
+    supervisor.spawn("lists", lists.run(store));
     supervisor.spawn(
         "membership",
         follow::run(directory, view.clone(), kernel.timer.clone()),
     );
-    supervisor.spawn("probes", probe::run(view, kernel.timer.clone()));
+    supervisor.spawn(
+        "probes",
+        probe::run(view, kernel.timer.clone(), probe_secret),
+    );
     log::info!(instance = settings.instance.as_str(), address:% = server.address(); "entry runs");
     let drain = Duration::from_millis(settings.calls.drain_ms.into());
     let began = OnceLock::new();
@@ -123,16 +137,18 @@
         let began: &Instant = began.get_or_init(Instant::now);
         began.elapsed() >= BALANCER_GRACE && server.active() == 0
     };
-    let ended = kernel.run(drain, idle).await;
+    let ended = kernel.run_after(force.ready(), drain, idle).await;
     server.finish().await;
     internal.stop();
     ended.context(KernelSnafu)
 }
 
-fn add_parts(kernel: &Kernel, force: &Force, view: &View, runner: &Runner) {
+fn add_parts(kernel: &Kernel, force: &Force, view: &View, runner: &Runner, lists: &Spread) {
     let parts = &kernel.dump;
     let force = force.clone();
     parts.add("lists_revision", move || json!(force.now().revision()));
+    let lists = lists.clone();
+    parts.add("lists", move || json!(lists.place().report()));
     let view = view.clone();
     parts.add("instances", move || {
         let list = view.now();
