--- a/crates/pistachiolug_bench/src/args.rs
+++ b/crates/pistachiolug_bench/src/args.rs
@@ -30,14 +30,14 @@
             /// Address on which a relay takes orders.
             optional --control control: SocketAddr
         }
-        /// Runs experiments, writes their results, and exits 1 if a promise was broken.
+        /// Runs experiments, writes their results, and exits 1 if an invariant was violated.
         cmd run {
             /// Files of the experiments, JSON with comments.
             repeated file: PathBuf
             /// Folder of the results; `out` unless named.
             optional --out out: PathBuf
         }
-        /// Runs random faults under load, writes the results, and exits 1 if a promise was broken.
+        /// Runs random faults under load, writes the results, and exits 1 if an invariant was violated.
         cmd chaos {
             /// Seed of the faults and of the load.
             required --seed seed: u64
--- a/crates/pistachiolug_bench/src/command.rs
+++ b/crates/pistachiolug_bench/src/command.rs
@@ -18,10 +18,10 @@
 
 use crate::args;
 
-/// Exit code of a run that broke a promise.
-const EXIT_BREACH: u8 = 1;
+/// Exit code of a run that violated an invariant.
+const EXIT_VIOLATION: u8 = 1;
 
-/// Exit code of a demonstration that broke a promise.
+/// Exit code of a demonstration that violated an invariant.
 const EXIT_DEMO: u8 = 7;
 
 /// Exit code of a command that could not be carried out.
@@ -56,12 +56,12 @@
 /// Runs experiments one after the other.
 pub(crate) fn run(flags: &args::Run) -> io::Result<ExitCode> {
     let folder = flags.out.clone().unwrap_or_else(|| PathBuf::from(FOLDER));
-    let mut breaches = 0;
+    let mut violations = 0;
     for path in &flags.file {
-        breaches += run_one(path, &folder)?;
+        violations += run_one(path, &folder)?;
     }
-    if breaches > 0 {
-        return Ok(ExitCode::from(EXIT_BREACH));
+    if violations > 0 {
+        return Ok(ExitCode::from(EXIT_VIOLATION));
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -70,15 +70,15 @@
 pub(crate) fn chaos(flags: &args::Chaos) -> io::Result<ExitCode> {
     let document = chaos::document(flags.seed, flags.minutes.unwrap_or(CHAOS_MINUTES));
     let folder = flags.out.clone().unwrap_or_else(|| PathBuf::from(FOLDER));
-    let breaches = run_document(&document, &folder)?;
-    if breaches == 0 {
+    let violations = run_document(&document, &folder)?;
+    if violations == 0 {
         return Ok(ExitCode::SUCCESS);
     }
     println!("seed {}, faults:", flags.seed);
     for fault in &document.faults {
         println!("  {:6.2} s {:?}", fault.at_s, fault.action);
     }
-    Ok(ExitCode::from(EXIT_BREACH))
+    Ok(ExitCode::from(EXIT_VIOLATION))
 }
 
 /// Measures the cost of control.
@@ -165,5 +165,5 @@
     let run = runtime.block_on(run::run(document))?;
     files::write(folder, &run)?;
     println!("{}", markdown::render(&run.outcome));
-    Ok(run.outcome.breaches.len())
+    Ok(run.outcome.violations.len())
 }
--- a/crates/pistachiolug_bench/src/demo.rs
+++ b/crates/pistachiolug_bench/src/demo.rs
@@ -1,8 +1,8 @@
 //! Demonstration: a whole deployment on loopback, a model spread to it, a burst of calls, and what held.
 
 pub mod calls;
+pub mod invariant;
 pub mod operator;
-pub mod promise;
 pub mod report;
 pub mod spread;
 pub mod stay;
@@ -33,11 +33,11 @@
 struct Shown {
     deployment: Deployment,
     operator: Operator,
-    /// Whether all promises held.
+    /// Whether all invariants held.
     held: bool,
 }
 
-/// Runs the demonstration and tells whether all that it promises held.
+/// Runs the demonstration and tells whether all invariants held.
 ///
 /// # Errors
 /// Returns the error of a process or request that the demonstration can't go on without, or `Interrupted`.
@@ -66,12 +66,12 @@
     say("sending a burst of paid and trial calls, and bookings twice");
     let samples = calls::run(&deployment, VERSION, &weights).await?;
     let record = record::read(&deployment).await?;
-    let promises = promise::check(&spread, &samples, &record);
-    print(&report::render(&spread, &samples, &record, &promises));
+    let invariants = invariant::check(&spread, &samples, &record);
+    print(&report::render(&spread, &samples, &record, &invariants));
     Ok(Shown {
         deployment,
         operator,
-        held: promises.iter().all(|promise| promise.held),
+        held: invariants.iter().all(|invariant| invariant.held),
     })
 }
 
--- a/crates/pistachiolug_bench/src/demo/promise.rs
+++ b/crates/pistachiolug_bench/src/demo/invariant.rs
@@ -1,4 +1,4 @@
-//! What the demonstration promises, checked from callers' samples and the stand-ins' own records.
+//! What the demonstration shows, checked from callers' samples and the stand-ins' own records.
 
 use super::spread::Spread;
 use crate::{
@@ -9,10 +9,10 @@
 /// Copies of the weights that the origin's link carries in the time of a spread.
 const ORIGIN_COPIES: f64 = 4.0;
 
-/// One promise.
+/// One invariant.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Promise {
-    /// What is promised.
+pub struct Invariant {
+    /// What must hold.
     pub name: &'static str,
     /// Whether it held.
     pub held: bool,
@@ -20,8 +20,8 @@
     pub seen: String,
 }
 
-/// Checks all promises.
-pub fn check(spread: &Spread, samples: &[Sample], record: &Record) -> Vec<Promise> {
+/// Checks all invariants.
+pub fn check(spread: &Spread, samples: &[Sample], record: &Record) -> Vec<Invariant> {
     let twice = record.bookings.values().filter(|runs| **runs > 1).count();
     let paid = |sample: &&Sample| sample.customer == "paid";
     let refused = samples.iter().filter(paid);
@@ -30,39 +30,39 @@
         not_run: true,
         ..Allow::default()
     };
-    let breaches = check::run(samples, record, &[], allow);
-    let first = breaches.first();
-    let first = first.map(|breach| format!("{}: {}", breach.invariant, breach.seen));
+    let violations = check::run(samples, record, &[], allow);
+    let first = violations.first();
+    let first = first.map(|violation| format!("{}: {}", violation.invariant, violation.seen));
     let copies = spread.copies();
     vec![
-        promise(
+        invariant(
             "every replica serves the new version",
             spread.served.len() == spread.wanted,
             format!("{} of {}", spread.served.len(), spread.wanted),
         ),
-        promise(
+        invariant(
             "the origin sends at most 4 copies",
             copies <= ORIGIN_COPIES,
             format!("{copies:.2} copies"),
         ),
-        promise(
+        invariant(
             "bookings run at most once",
             twice == 0,
             format!("{twice} ran twice of {}", record.bookings.len()),
         ),
-        promise(
+        invariant(
             "paid calls are answered while trials surge",
             refused == 0,
             format!("{refused} refused"),
         ),
-        promise(
+        invariant(
             "answers are whole, refusals were not run and say when to come back",
-            breaches.is_empty(),
-            first.unwrap_or_else(|| "no breach".to_owned()),
+            violations.is_empty(),
+            first.unwrap_or_else(|| "no violation".to_owned()),
         ),
     ]
 }
 
-fn promise(name: &'static str, held: bool, seen: String) -> Promise {
-    Promise { name, held, seen }
+fn invariant(name: &'static str, held: bool, seen: String) -> Invariant {
+    Invariant { name, held, seen }
 }
--- a/crates/pistachiolug_bench/src/demo/report.rs
+++ b/crates/pistachiolug_bench/src/demo/report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{promise::Promise, spread::Spread};
+use super::{invariant::Invariant, spread::Spread};
 use crate::{
     experiment::record::Record,
     load::{
@@ -11,12 +11,12 @@
     },
 };
 
-/// Renders the figures and the promises.
+/// Renders the figures and the invariants.
 pub fn render(
     spread: &Spread,
     samples: &[Sample],
     record: &Record,
-    promises: &[Promise],
+    invariants: &[Invariant],
 ) -> String {
     let mut lines = vec![String::new()];
     lines.extend(spread_lines(spread));
@@ -27,7 +27,7 @@
     lines.push(row("bookings run", record.bookings.len()));
     lines.push(row("duplicates run", twice));
     lines.push(String::new());
-    lines.extend(promises.iter().map(promise_line));
+    lines.extend(invariants.iter().map(invariant_line));
     lines.join("\n")
 }
 
@@ -67,9 +67,9 @@
     ]
 }
 
-fn promise_line(promise: &Promise) -> String {
-    let verdict = if promise.held { "held  " } else { "BROKEN" };
-    format!("{verdict} {} ({})", promise.name, promise.seen)
+fn invariant_line(invariant: &Invariant) -> String {
+    let verdict = if invariant.held { "held  " } else { "BROKEN" };
+    format!("{verdict} {} ({})", invariant.name, invariant.seen)
 }
 
 fn row(name: &str, value: impl std::fmt::Display) -> String {
--- a/crates/pistachiolug_bench/src/experiment/check.rs
+++ b/crates/pistachiolug_bench/src/experiment/check.rs
@@ -10,9 +10,9 @@
     sample::{End, Sample},
 };
 
-/// Broken promise.
+/// Violated invariant.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Breach {
+pub struct Violation {
     /// Name of the invariant.
     pub invariant: String,
     /// What was seen.
@@ -25,28 +25,28 @@
     record: &Record,
     sightings: &[Sighting],
     allow: Allow,
-) -> Vec<Breach> {
-    let mut breaches = Vec::new();
-    breaches.extend(check_answers(samples));
-    breaches.extend(check_not_run(samples, record));
-    breaches.extend(check_once(record));
-    breaches.extend(check_lost(samples, record));
-    breaches.extend(check_revisions(sightings));
-    breaches.extend(check_ends(samples, allow));
-    breaches.extend(check_retry_after(samples));
-    breaches
+) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    violations.extend(check_answers(samples));
+    violations.extend(check_not_run(samples, record));
+    violations.extend(check_once(record));
+    violations.extend(check_lost(samples, record));
+    violations.extend(check_revisions(sightings));
+    violations.extend(check_ends(samples, allow));
+    violations.extend(check_retry_after(samples));
+    violations
 }
 
 /// An answer that says it is whole is the answer to its own request from the version it names.
-fn check_answers(samples: &[Sample]) -> Vec<Breach> {
+fn check_answers(samples: &[Sample]) -> Vec<Violation> {
     let wrong = samples.iter().filter(|sample| sample.end == End::Wrong);
     wrong
-        .map(|sample| breach("answers are whole and own", sample))
+        .map(|sample| violation("answers are whole and own", sample))
         .collect()
 }
 
 /// A booking whose callers were all told `not-run` did not run.
-fn check_not_run(samples: &[Sample], record: &Record) -> Vec<Breach> {
+fn check_not_run(samples: &[Sample], record: &Record) -> Vec<Violation> {
     let bookings = samples.iter().filter(|sample| is_booking(sample));
     let mut ends: BTreeMap<String, Vec<End>> = BTreeMap::new();
     for sample in bookings {
@@ -56,20 +56,20 @@
         .filter(|(key, ends)| {
             ends.iter().all(|end| *end == End::NotRun) && record.bookings.contains_key(*key)
         })
-        .map(|(key, _)| breach("not-run means not run", key))
+        .map(|(key, _)| violation("not-run means not run", key))
         .collect()
 }
 
 /// A booking runs at most once.
-fn check_once(record: &Record) -> Vec<Breach> {
+fn check_once(record: &Record) -> Vec<Violation> {
     let twice = record.bookings.iter().filter(|(_, runs)| **runs > 1);
     twice
-        .map(|run| breach("bookings run at most once", &run))
+        .map(|run| violation("bookings run at most once", &run))
         .collect()
 }
 
 /// A booking that was answered did run.
-fn check_lost(samples: &[Sample], record: &Record) -> Vec<Breach> {
+fn check_lost(samples: &[Sample], record: &Record) -> Vec<Violation> {
     let answered: BTreeSet<String> = samples
         .iter()
         .filter(|sample| is_booking(sample) && sample.end == End::Whole)
@@ -78,26 +78,26 @@
     answered
         .iter()
         .filter(|key| !record.bookings.contains_key(*key))
-        .map(|key| breach("answered bookings ran", key))
+        .map(|key| violation("answered bookings ran", key))
         .collect()
 }
 
 /// The revision in force at a process never falls.
-fn check_revisions(sightings: &[Sighting]) -> Vec<Breach> {
+fn check_revisions(sightings: &[Sighting]) -> Vec<Violation> {
     let mut last = BTreeMap::new();
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for sighting in sightings {
         let before = last.insert(sighting.address, sighting.revision);
         // A process that has just started has no lists yet.
         if sighting.revision > 0 && before.is_some_and(|before| before > sighting.revision) {
-            breaches.push(breach("lists never revert", sighting));
+            violations.push(violation("lists never revert", sighting));
         }
     }
-    breaches
+    violations
 }
 
 /// Callers see no ends but those that the experiment allows.
-fn check_ends(samples: &[Sample], allow: Allow) -> Vec<Breach> {
+fn check_ends(samples: &[Sample], allow: Allow) -> Vec<Violation> {
     let allowed = |end| match end {
         End::Whole | End::Wrong => true,
         End::NotRun => allow.not_run,
@@ -106,17 +106,17 @@
     };
     let others = samples.iter().filter(|sample| !allowed(sample.end));
     others
-        .map(|sample| breach("allowed ends", sample))
+        .map(|sample| violation("allowed ends", sample))
         .collect()
 }
 
 /// A refusal that may succeed later says when to come back.
-fn check_retry_after(samples: &[Sample]) -> Vec<Breach> {
+fn check_retry_after(samples: &[Sample]) -> Vec<Violation> {
     let refused = samples.iter().filter(|sample| {
         sample.end == End::NotRun && matches!(sample.status, 429 | 503) && !sample.retry_after
     });
     refused
-        .map(|sample| breach("refusals say when to come back", sample))
+        .map(|sample| violation("refusals say when to come back", sample))
         .collect()
 }
 
@@ -128,8 +128,8 @@
     format!("{:016x}", sample.nonce)
 }
 
-fn breach(invariant: &str, seen: &impl std::fmt::Debug) -> Breach {
-    Breach {
+fn violation(invariant: &str, seen: &impl std::fmt::Debug) -> Violation {
+    Violation {
         invariant: invariant.to_owned(),
         seen: format!("{seen:?}"),
     }
--- a/crates/pistachiolug_bench/src/experiment/result.rs
+++ b/crates/pistachiolug_bench/src/experiment/result.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{check::Breach, document::Document, usage::Usage};
+use super::{check::Violation, document::Document, usage::Usage};
 use crate::load::summary::Summary;
 
 /// Figures and findings of one run.
@@ -22,8 +22,8 @@
     pub in_force_ms: Vec<u64>,
     /// Bytes that the origin sent, in copies of the weights.
     pub origin_copies: f64,
-    /// Broken promises.
-    pub breaches: Vec<Breach>,
+    /// Violated invariants.
+    pub violations: Vec<Violation>,
 }
 
 /// Runs of bookings.
--- a/crates/pistachiolug_bench/src/experiment/run.rs
+++ b/crates/pistachiolug_bench/src/experiment/run.rs
@@ -45,7 +45,7 @@
 /// Runs an experiment.
 ///
 /// # Errors
-/// Returns the first error of the rig; broken promises are part of the result.
+/// Returns the first error of the rig; violations are part of the result.
 pub async fn run(document: &Document) -> io::Result<Run> {
     let mut deployment = Deployment::start(&size(document)).await?;
     deployment.prepare(FIRST_VERSION).await?;
@@ -84,7 +84,7 @@
         },
         in_force_ms: in_force(&sightings),
         origin_copies: record.origin_bytes as f64 / document.deployment.weights_bytes.max(1) as f64,
-        breaches: check::run(&samples, &record, &sightings, document.allow),
+        violations: check::run(&samples, &record, &sightings, document.allow),
     };
     Ok(Run { outcome, samples })
 }
--- a/crates/pistachiolug_bench/src/report/markdown.rs
+++ b/crates/pistachiolug_bench/src/report/markdown.rs
@@ -33,9 +33,9 @@
         "List changes in force after (ms): {:?}.\n",
         outcome.in_force_ms
     )?;
-    writeln!(page, "Broken promises: {}.\n", outcome.breaches.len())?;
-    for breach in &outcome.breaches {
-        writeln!(page, "- {}: {}", breach.invariant, breach.seen)?;
+    writeln!(page, "Violations: {}.\n", outcome.violations.len())?;
+    for violation in &outcome.violations {
+        writeln!(page, "- {}: {}", violation.invariant, violation.seen)?;
     }
     Ok(())
 }
--- a/crates/pistachiolug_bench/tests/check.rs
+++ b/crates/pistachiolug_bench/tests/check.rs
@@ -1,4 +1,4 @@
-//! Each invariant check finds its breach and passes what is right.
+//! Each invariant check finds its violation and passes what is right.
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
@@ -75,7 +75,7 @@
 }
 
 #[test]
-fn each_check_finds_its_breach() {
+fn each_check_finds_its_violation() {
     let rows: [Row; 9] = [
         (booking(End::Whole), 1, &[1, 2, 3], None),
         (booking(End::Unknown), 1, &[], None),
@@ -100,24 +100,24 @@
 
     for (sample, runs, revisions, expected) in rows {
         let samples = [sample];
-        let breaches = check::run(&samples, &record(runs), &sightings(revisions), ALL);
+        let violations = check::run(&samples, &record(runs), &sightings(revisions), ALL);
 
-        let names: Vec<&str> = breaches
+        let names: Vec<&str> = violations
             .iter()
-            .map(|breach| breach.invariant.as_str())
+            .map(|violation| violation.invariant.as_str())
             .collect();
         assert_eq!(names, Vec::from_iter(expected), "{samples:?}");
     }
 }
 
 #[test]
-fn ends_that_are_not_allowed_are_breaches() {
+fn ends_that_are_not_allowed_are_violations() {
     let ends = [End::NotRun, End::Unknown, End::Cut, End::Unconnected];
 
     for end in ends {
-        let breaches = check::run(&[booking(end)], &record(0), &[], Allow::default());
+        let violations = check::run(&[booking(end)], &record(0), &[], Allow::default());
 
-        assert_eq!(breaches.len(), 1, "{end:?}");
+        assert_eq!(violations.len(), 1, "{end:?}");
     }
 }
 
--- a/crates/pistachiolug_bench/tests/demo.rs
+++ b/crates/pistachiolug_bench/tests/demo.rs
@@ -1,9 +1,9 @@
-//! Promises of the demonstration: each one breaks on what it forbids, and only that one.
+//! Invariants of the demonstration: each one breaks on what it forbids, and only that one.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use pistachiolug_bench::{
-    demo::{promise, report, spread::Spread},
+    demo::{invariant, report, spread::Spread},
     experiment::record::Record,
     load::{
         plan::Kind,
@@ -48,13 +48,13 @@
 }
 
 fn broken(spread: &Spread, samples: &[Sample], record: &Record) -> Vec<&'static str> {
-    let promises = promise::check(spread, samples, record);
-    let broken = promises.iter().filter(|promise| !promise.held);
-    broken.map(|promise| promise.name).collect()
+    let invariants = invariant::check(spread, samples, record);
+    let broken = invariants.iter().filter(|invariant| !invariant.held);
+    broken.map(|invariant| invariant.name).collect()
 }
 
 #[test]
-fn each_promise_breaks_on_what_it_forbids() {
+fn each_invariant_breaks_on_what_it_forbids() {
     let whole = [
         sample("paid", Kind::BookingTwice, End::Whole),
         sample("trial", Kind::Chat, End::NotRun),
@@ -99,9 +99,9 @@
 #[test]
 fn the_report_shows_figures_and_verdicts() {
     let samples = [sample("paid", Kind::Chat, End::Whole)];
-    let promises = promise::check(&spread(), &samples, &record(2));
+    let invariants = invariant::check(&spread(), &samples, &record(2));
 
-    let text = report::render(&spread(), &samples, &record(2), &promises);
+    let text = report::render(&spread(), &samples, &record(2), &invariants);
 
     for line in [
         "time to 2 replicas               2.00 s",
