Split the rig by job: deployment, launch, operator

Change: start of processes in launch.rs, uploads and list edits in operator.rs; callers take `operator::weights`. Conclusion: no change of behaviour.

--- a/crates/pistachiolug/tests/calls_processes.rs
+++ b/crates/pistachiolug/tests/calls_processes.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use pistachiolug_bench::rig::deployment::{Deployment, PAID_KEY, Size, weights};
+use pistachiolug_bench::rig::{
+    deployment::{Deployment, PAID_KEY, Size},
+    operator::weights,
+};
 use pistachiolug_http::client::Client;
 use pistachiolug_standin::{engine::answer, plain::Run};
 use pistachiolug_wire::{digest::Digest, outcome};
--- a/crates/pistachiolug_bench/src/demo.rs
+++ b/crates/pistachiolug_bench/src/demo.rs
@@ -14,7 +14,10 @@
 use self::operator::Operator;
 use crate::{
     experiment::record,
-    rig::deployment::{self, Deployment, SLOTS, Size},
+    rig::{
+        deployment::{Deployment, SLOTS, Size},
+        operator::weights,
+    },
 };
 
 /// Version that the demonstration spreads.
@@ -61,7 +64,7 @@
     let deployment = Deployment::start(&size()).await?;
     let operator = Operator::new(&deployment)?;
     say("applying the sample lists and spreading the model");
-    let weights = deployment::weights(VERSION, WEIGHTS_BYTES);
+    let weights = weights(VERSION, WEIGHTS_BYTES);
     let spread = spread::run(&deployment, &operator, VERSION, &weights).await?;
     say("sending a burst of paid and trial calls, and bookings twice");
     let samples = calls::run(&deployment, VERSION, &weights).await?;
--- a/crates/pistachiolug_bench/src/experiment/run.rs
+++ b/crates/pistachiolug_bench/src/experiment/run.rs
@@ -21,7 +21,10 @@
 };
 use crate::{
     load::{caller::Caller, plan, runner, sample::Sample, summary},
-    rig::deployment::{self, Deployment, PAID_KEY, Size, TRIAL_KEY},
+    rig::{
+        deployment::{Deployment, PAID_KEY, Size, TRIAL_KEY},
+        operator,
+    },
 };
 
 /// First version of the model.
@@ -141,7 +144,7 @@
     std::iter::once(FIRST_VERSION)
         .chain(later)
         .map(|version| {
-            let weights = deployment::weights(version, length);
+            let weights = operator::weights(version, length);
             (version.to_owned(), Digest::of(&weights))
         })
         .collect()
--- a/crates/pistachiolug_bench/src/rig.rs
+++ b/crates/pistachiolug_bench/src/rig.rs
@@ -2,6 +2,8 @@
 
 pub mod client;
 pub mod deployment;
+mod launch;
+pub mod operator;
 pub mod port;
 pub mod process;
 pub mod watch;
--- a/crates/pistachiolug_bench/src/rig/watch.rs
+++ b/crates/pistachiolug_bench/src/rig/watch.rs
@@ -9,7 +9,8 @@
 use tokio::time::sleep;
 
 use super::{
-    deployment::{Daemon, Deployment, weights},
+    deployment::{Daemon, Deployment},
+    operator::weights,
     process::Process,
 };
 
