Check that a refused generation did not begin at an engine

Cause: the check of not-run looked at bookings only. Change: engines' records are compared with the requests that callers were told did not run, by the digest of the body. Before: no check. Conclusion: stricter than before.

--- a/crates/pistachiolug_bench/src/experiment/check.rs
+++ b/crates/pistachiolug_bench/src/experiment/check.rs
@@ -29,6 +29,7 @@
     let mut violations = Vec::new();
     violations.extend(check_answers(samples));
     violations.extend(check_not_run(samples, record));
+    violations.extend(check_not_begun(samples, record));
     violations.extend(check_once(record));
     violations.extend(check_lost(samples, record));
     violations.extend(check_revisions(sightings));
@@ -60,6 +61,17 @@
         .collect()
 }
 
+/// A generation whose caller was told `not-run` did not begin at an engine that still has its record.
+fn check_not_begun(samples: &[Sample], record: &Record) -> Vec<Violation> {
+    let refused = samples.iter().filter(|sample| {
+        matches!(sample.kind, Kind::Chat | Kind::ChatWhole) && sample.end == End::NotRun
+    });
+    refused
+        .filter(|sample| record.generations.contains(&sample.content))
+        .map(|sample| violation("not-run means not begun", sample))
+        .collect()
+}
+
 /// A booking runs at most once.
 fn check_once(record: &Record) -> Vec<Violation> {
     let twice = record.bookings.iter().filter(|(_, runs)| **runs > 1);
--- a/crates/pistachiolug_bench/src/experiment/record.rs
+++ b/crates/pistachiolug_bench/src/experiment/record.rs
@@ -1,9 +1,15 @@
 //! Records that the stand-ins keep of what ran.
 
-use std::{collections::BTreeMap, io};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddr,
+};
 
-use http::Method;
-use pistachiolug_standin::plain::Run;
+use bytes::Bytes;
+use http::{Method, Response};
+use pistachiolug_standin::{engine, plain};
+use pistachiolug_wire::digest::Digest;
 
 use crate::rig::deployment::Deployment;
 
@@ -12,6 +18,8 @@
 pub struct Record {
     /// Runs of bookings by idempotency key.
     pub bookings: BTreeMap<String, u64>,
+    /// Digests of the requests that an engine began to answer.
+    pub generations: BTreeSet<Digest>,
     /// Bytes that the origin sent.
     pub origin_bytes: u64,
 }
@@ -22,29 +30,31 @@
 /// Returns the error of a record that is no JSON.
 pub async fn read(deployment: &Deployment) -> io::Result<Record> {
     let mut record = Record::default();
-    for agent in deployment
-        .agents
-        .iter()
-        .filter(|agent| agent.service == "booking")
-    {
+    for agent in &deployment.agents {
         let backend = agent.backend.unwrap_or(agent.internal);
-        let sent = deployment
-            .http
-            .send(Method::GET, backend, "/control/record", None, "");
-        let Ok(reply) = sent.await else {
+        let Some(body) = body(deployment, backend).await else {
             continue;
         };
-        let runs: Vec<Run> = serde_json::from_slice(reply.body())?;
-        for key in runs.into_iter().filter_map(|run| run.key) {
-            *record.bookings.entry(key).or_default() += 1;
+        if agent.service == "booking" {
+            let runs: Vec<plain::Run> = serde_json::from_slice(&body)?;
+            for key in runs.into_iter().filter_map(|run| run.key) {
+                *record.bookings.entry(key).or_default() += 1;
+            }
+        } else {
+            let kept: engine::record::Record = serde_json::from_slice(&body)?;
+            let prompts = kept.runs.into_iter().map(|run| run.prompt);
+            record.generations.extend(prompts);
         }
     }
-    let sent = deployment
-        .http
-        .send(Method::GET, deployment.origin, "/control/record", None, "");
-    if let Ok(reply) = sent.await {
-        let value: serde_json::Value = serde_json::from_slice(reply.body())?;
+    if let Some(body) = body(deployment, deployment.origin).await {
+        let value: serde_json::Value = serde_json::from_slice(&body)?;
         record.origin_bytes = value["sent_bytes"].as_u64().unwrap_or(0);
     }
     Ok(record)
 }
+
+async fn body(deployment: &Deployment, address: SocketAddr) -> Option<Bytes> {
+    let http = &deployment.http;
+    let sent = http.send(Method::GET, address, "/control/record", None, "");
+    sent.await.ok().map(Response::into_body)
+}
--- a/crates/pistachiolug_bench/src/load/caller.rs
+++ b/crates/pistachiolug_bench/src/load/caller.rs
@@ -261,6 +261,7 @@
         customer: planned.customer.clone(),
         kind: planned.kind,
         nonce: planned.nonce,
+        content: Digest::of(&body(planned)),
         entry,
         at_us: micros(planned.at),
         first_us: None,
--- a/crates/pistachiolug_bench/src/load/sample.rs
+++ b/crates/pistachiolug_bench/src/load/sample.rs
@@ -1,5 +1,6 @@
 //! What became of one request.
 
+use pistachiolug_wire::digest::Digest;
 use serde::{Deserialize, Serialize};
 
 use super::plan::Kind;
@@ -31,6 +32,8 @@
     pub kind: Kind,
     /// Number that makes its content unique, and names its idempotency key.
     pub nonce: u64,
+    /// Digest of its body, by which the engine stand-ins record what they ran.
+    pub content: Digest,
     /// Index of the entry it was sent to.
     pub entry: usize,
     /// Planned time since the run's start, in microseconds.
--- a/crates/pistachiolug_bench/tests/check.rs
+++ b/crates/pistachiolug_bench/tests/check.rs
@@ -17,6 +17,7 @@
         sample::{End, Sample},
     },
 };
+use pistachiolug_wire::digest::Digest;
 
 /// Sample, runs of its key, revisions seen at one process, and the invariant that breaks.
 type Row = (Sample, u64, &'static [u64], Option<&'static str>);
@@ -32,6 +33,7 @@
         customer: "paid".to_owned(),
         kind: Kind::Booking,
         nonce: 5,
+        content: Digest::of(b"body"),
         entry: 0,
         at_us: 0,
         first_us: None,
@@ -59,7 +61,7 @@
     let bookings = (runs > 0).then(|| (format!("{:016x}", 5), runs));
     Record {
         bookings: bookings.into_iter().collect(),
-        origin_bytes: 0,
+        ..Record::default()
     }
 }
 
@@ -134,3 +136,23 @@
         assert!(read.is_ok(), "{}: {read:?}", path.display());
     }
 }
+
+#[test]
+fn a_generation_that_began_may_not_be_called_not_run() {
+    let refused = Sample {
+        kind: Kind::Chat,
+        ..booking(End::NotRun)
+    };
+    let begun = Record {
+        generations: [refused.content].into(),
+        ..Record::default()
+    };
+
+    let violations = check::run(&[refused], &begun, &[], ALL);
+
+    let names: Vec<&str> = violations
+        .iter()
+        .map(|found| found.invariant.as_str())
+        .collect();
+    assert_eq!(names, ["not-run means not begun"]);
+}
--- a/crates/pistachiolug_bench/tests/demo.rs
+++ b/crates/pistachiolug_bench/tests/demo.rs
@@ -10,6 +10,7 @@
         sample::{End, Sample},
     },
 };
+use pistachiolug_wire::digest::Digest;
 
 fn spread() -> Spread {
     Spread {
@@ -25,6 +26,7 @@
         customer: customer.to_owned(),
         kind,
         nonce: 7,
+        content: Digest::of(b"body"),
         entry: 0,
         at_us: 0,
         first_us: Some(1_000),
@@ -44,6 +46,7 @@
     Record {
         bookings: BTreeMap::from([(format!("{:016x}", 7), runs)]),
         origin_bytes: 100,
+        ..Record::default()
     }
 }
 
--- a/crates/pistachiolug_bench/tests/load.rs
+++ b/crates/pistachiolug_bench/tests/load.rs
@@ -11,6 +11,7 @@
         summary,
     },
 };
+use pistachiolug_wire::digest::Digest;
 
 fn stream(rate: f64) -> Stream {
     Stream {
@@ -28,6 +29,7 @@
         customer: "paid".to_owned(),
         kind: Kind::Chat,
         nonce: 1,
+        content: Digest::of(b"body"),
         entry: 0,
         at_us: 0,
         first_us: Some(first_us),
