Tell the caller of a withdrawn call when to come back

Ruled out: the entry's rendering; the agent's fault itself carried 0, at two places. Change: one `withdrawn` fault with 1 s, used by both.

--- a/crates/pistachiolug_agent/src/calls/admit.rs
+++ b/crates/pistachiolug_agent/src/calls/admit.rs
@@ -20,6 +20,7 @@
     access::{self, Access},
     run::Run,
     suspect::refused,
+    withdraw::withdrawn,
 };
 
 /// Time after which a call may come back that found no served version.
@@ -67,7 +68,7 @@
             Arrival::New => Ok(None),
             Arrival::Known(_, known) => same(&known, &run.open).map(Some),
             Arrival::Forgotten => Err(forgotten()),
-            Arrival::Withdrawn => Err(revoked()),
+            Arrival::Withdrawn => Err(withdrawn()),
         }
     }
 
@@ -89,7 +90,7 @@
     fn join(&self, open: &Open) -> Result<Arc<Run>, Fault> {
         let desk = self.desk();
         match desk.table.find(open.id) {
-            Some((Stage::Withdrawn, _)) => Err(revoked()),
+            Some((Stage::Withdrawn, _)) => Err(withdrawn()),
             Some((_, Some(run))) => same(run, open),
             Some((_, None)) => Err(forgotten()),
             None => Err(Fault::unknown(
@@ -169,10 +170,6 @@
     ))
 }
 
-fn revoked() -> Fault {
-    Fault::not_run(Code::Revoked, Duration::ZERO, "call was withdrawn")
-}
-
 fn forgotten() -> Fault {
     Fault::unknown(Code::BackendFailed, "call ended and its answer is not kept")
 }
--- a/crates/pistachiolug_agent/src/calls/withdraw.rs
+++ b/crates/pistachiolug_agent/src/calls/withdraw.rs
@@ -16,10 +16,12 @@
     run::{Order, Run},
 };
 
+/// Time after which the caller of a withdrawn call may send it again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl<E: Engine, S: Service, C: Claims> Calls<E, S, C> {
     pub(super) fn withdraw(&self, id: Id) -> Verdict {
-        let fault = Fault::not_run(Code::Revoked, Duration::ZERO, "call was withdrawn");
-        match self.drop_queued(id, fault) {
+        match self.drop_queued(id, withdrawn()) {
             Stage::Withdrawn | Stage::Queued => Verdict::Withdrawn,
             Stage::Started => Verdict::Started,
             Stage::Finished => Verdict::Finished,
@@ -71,12 +73,17 @@
     }
 }
 
+/// Answer to whoever still reads or sends a withdrawn call, such as the twin of a booking whose entry lost touch.
+pub(super) fn withdrawn() -> Fault {
+    Fault::not_run(Code::Revoked, RETRY_AFTER, "call was withdrawn")
+}
+
 /// Last event of a run that was told to stop.
 pub(super) fn stopped(order: Order) -> Body {
     let fault = match order {
         Order::Move => Fault::not_run(
             Code::Leaving,
-            Duration::from_secs(1),
+            RETRY_AFTER,
             "instance leaves, resume the rest elsewhere",
         ),
         _ => Fault::unknown(Code::Revoked, "caller is gone"),
--- a/crates/pistachiolug_agent/tests/calls_model.rs
+++ b/crates/pistachiolug_agent/tests/calls_model.rs
@@ -86,6 +86,10 @@
     assert_eq!(verdict, Verdict::Withdrawn);
     assert_eq!(late.fault().code, Code::Revoked);
     assert_eq!(late.fault().outcome, Outcome::NotRun);
+    assert!(
+        late.fault().retry_after_ms > 0,
+        "a withdrawn call says when to come back"
+    );
     assert!(agent.runs_of(open.id).is_empty());
 }
 
@@ -116,6 +120,10 @@
 
     assert_eq!(verdict, Verdict::Withdrawn);
     assert_eq!(answer.fault().code, Code::Revoked);
+    assert!(
+        answer.fault().retry_after_ms > 0,
+        "a withdrawn call says when to come back"
+    );
     assert!(agent.runs_of(waiting.id).is_empty());
 }
 
