Wait in process tests until entries have the newest row

Its entry was ready with the empty lists of revision 0, and the rig took any later revision for enough, though the model's row is written last; that this refused the stream is inferred from the logs, not seen in an answer. Change: the rig waits for the newest revision in the key-value service; the first process test waits for the same instead of 2 s. Conclusion: stricter wait, no check eased.

--- a/crates/pistachiolug/tests/path.rs
+++ b/crates/pistachiolug/tests/path.rs
@@ -1,7 +1,5 @@
 //! Whole path through real processes: caller, entry, agent, engine, origin and lists.
 
-use std::time::Duration;
-
 use http::{Method, StatusCode};
 use pistachiolug_bench::rig::deployment::{Deployment, PAID_KEY, SLOTS, Size};
 use pistachiolug_standin::engine::answer;
@@ -33,12 +31,15 @@
         .expect("lists are written");
     deployment.wait_serving("v1").await.expect("version serves");
     deployment
+        .wait_informed()
+        .await
+        .expect("entries know lists and instances");
+    deployment
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_come_whole_from_the_wanted_version() {
     let deployment = deployment().await;
-    tokio::time::sleep(Duration::from_secs(2)).await;
     let body = json!({ "model": "pasta", "messages": [], "max_tokens": 8 }).to_string();
 
     for entry in &deployment.entries {
--- a/crates/pistachiolug_bench/src/rig/watch.rs
+++ b/crates/pistachiolug_bench/src/rig/watch.rs
@@ -3,6 +3,9 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use http::Method;
+use pistachiolug_http::client::Client;
+use pistachiolug_lists::row::PREFIX;
+use pistachiolug_platform::kv::{Store, etcd::Etcd};
 use pistachiolug_standin::{engine::answer, plain::Run};
 use pistachiolug_wire::digest::Digest;
 use serde_json::Value;
@@ -63,21 +66,31 @@
         ))
     }
 
-    /// Waits until every entry knows `agents` instances and a list revision.
+    /// Waits until every entry knows all instances and the newest row of the lists.
     ///
     /// # Errors
     /// `TimedOut` when one does not in time.
     pub async fn wait_informed(&self) -> io::Result<()> {
         let rows = self.agents.len() + self.entries.len();
+        let newest = self.newest_revision().await?;
         for entry in &self.entries {
             self.wait_for(entry.internal, "/debug/state", |state| {
-                state["instances"]["rows"] == rows && state["lists_revision"].as_u64() > Some(0)
+                state["instances"]["rows"] == rows
+                    && state["lists_revision"].as_u64() >= Some(newest)
             })
             .await?;
         }
         Ok(())
     }
 
+    /// Returns the revision of the newest row of the lists.
+    async fn newest_revision(&self) -> io::Result<u64> {
+        let store = Etcd::new(Client::new(1), &format!("http://{}", self.kv));
+        let range = store.range(PREFIX).await.map_err(io::Error::other)?;
+        let revisions = range.entries.iter().map(|entry| entry.revision);
+        Ok(revisions.max().unwrap_or(0))
+    }
+
     /// Waits until an engine runs a generation and returns its agent's index.
     ///
     /// # Errors
