Look up a run's plan label in one place

Cause: read-through: the split of calls.rs left the same look-up of a metrics label at a run's start and end, and made three methods wider than their use. Change: drive::plan_label; drive, rest and real_cost are private again. Conclusion: one piece serves both. Left as they are: the trait method heads that duplicates lists (three stores of one trait) and the two registrations of metric.rs, whose types differ.

--- a/crates/pistachiolug_agent/src/calls/drive.rs
+++ b/crates/pistachiolug_agent/src/calls/drive.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use pistachiolug_ledger::claim::Claims;
+use pistachiolug_lists::lists::Lists;
 use pistachiolug_platform::{engine::Engine, plain::Service};
 use pistachiolug_routing::{
     schedule::{Action, Schedule},
@@ -45,7 +46,7 @@
         }
     }
 
-    pub(super) fn drive(&self, run: Arc<Run>) {
+    fn drive(&self, run: Arc<Run>) {
         let calls = self.clone();
         tokio::spawn(async move {
             let stop = match (calls.check_suspect(&run), &run.open.work) {
@@ -62,7 +63,7 @@
     }
 
     /// Gives a run's slot back, unless it was told to stop meanwhile.
-    pub(super) fn rest(&self, run: &Arc<Run>, yield_slot: fn(&mut Schedule, Id, Duration)) {
+    fn rest(&self, run: &Arc<Run>, yield_slot: fn(&mut Schedule, Id, Duration)) {
         let now = self.now();
         yield_slot(&mut self.desk().schedule, run.open.id, now);
         if *run.orders().borrow() > Order::Isolate {
@@ -103,16 +104,14 @@
         let first = run.finish(end.clone());
         if first {
             let lists = self.inner.parts.force.now();
-            let plan = lists
-                .plan(&run.open.plan)
-                .map_or("other", |plan| &plan.name);
+            let plan = plan_label(&lists, run);
             self.inner.parts.metrics.end(plan, &end, tokens);
         }
         first
     }
 
     /// Tokens that a run has cost, prompt included; units for plain calls.
-    pub(super) fn real_cost(run: &Run) -> u32 {
+    fn real_cost(run: &Run) -> u32 {
         run.read(|log| match (&log.end, &run.open.work) {
             (Some(Body::Finished(finish)), _) => {
                 finish.prompt_tokens + (log.reached() - log.base())
@@ -123,3 +122,9 @@
         })
     }
 }
+
+/// Returns the metrics label of a run's plan, which is never text from outside the lists.
+pub(super) fn plan_label<'a>(lists: &'a Lists, run: &Run) -> &'a str {
+    let plan = lists.plan(&run.open.plan);
+    plan.map_or("other", |plan| &plan.name)
+}
--- a/crates/pistachiolug_agent/src/calls/model.rs
+++ b/crates/pistachiolug_agent/src/calls/model.rs
@@ -15,6 +15,7 @@
 
 use super::{
     Calls, Stop,
+    drive::plan_label,
     run::{Order, Run},
     withdraw::stopped,
 };
@@ -115,9 +116,7 @@
         let first = run.read(|log| log.version.is_none());
         if first {
             let lists = self.inner.parts.force.now();
-            let plan = lists
-                .plan(&run.open.plan)
-                .map_or("other", |plan| &plan.name);
+            let plan = plan_label(&lists, run);
             let wait = self.now().saturating_sub(run.arrived);
             self.inner.parts.metrics.start(plan, wait);
         }
