--- /dev/null
+++ b/crates/pistachiolug_gateway/src/admission.rs
@@ -0,0 +1,63 @@
+//! Decides whether a request that finds no free server waits for one or is refused.
+//!
+//! Answers the load of days on which more is asked for than the engines can give: those who can still be served on time
+//! wait, all others learn at once that they were not served and when to come back.
+
+use std::time::Duration;
+
+/// Share of the aim that a request may spend waiting, so that the rest is left for its first token.
+const WAIT_SHARE_OF_AIM: f64 = 0.5;
+
+/// Share of the time left that a late request may spend waiting: it earns less, and its answer takes its own time.
+const WAIT_SHARE_OF_REST: f64 = 0.25;
+
+/// Shortest time after which a refused caller is asked to come back, as a share of the time it has left.
+const RETURN_SHARE_LEAST: f64 = 0.15;
+
+/// Longest such time as a share of the time left; callers honour no more than a third.
+const RETURN_SHARE_MOST: f64 = 0.32;
+
+/// Request that finds no free server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Applicant {
+    /// Time within which its answer would be on time.
+    pub aim: Duration,
+    /// Whether it is on time still: an attempt that came back after a refusal is not.
+    pub fresh: bool,
+    /// Time until its deadline.
+    pub left: Duration,
+    /// Requests that wait and go first.
+    pub ahead: usize,
+}
+
+/// What becomes of an applicant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It waits this long at most.
+    Wait(Duration),
+    /// It is refused at once.
+    Refuse,
+}
+
+/// Decides by how fast places come free.
+///
+/// # Arguments
+/// `places` is the rate at which places come free for this entry's requests, per second.
+pub fn decide(applicant: &Applicant, places: f64) -> Verdict {
+    let patience = if applicant.fresh {
+        applicant.aim.mul_f64(WAIT_SHARE_OF_AIM)
+    } else {
+        applicant.left.mul_f64(WAIT_SHARE_OF_REST)
+    };
+    let turn = (applicant.ahead + 1) as f64 / places.max(f64::MIN_POSITIVE);
+    if turn > patience.as_secs_f64() {
+        return Verdict::Refuse;
+    }
+    Verdict::Wait(patience)
+}
+
+/// Returns when a refused caller should come back, spread by `point` in 0..1 so that the refused do not return together.
+pub fn come_back(left: Duration, point: f64) -> Duration {
+    let share = RETURN_SHARE_LEAST + (RETURN_SHARE_MOST - RETURN_SHARE_LEAST) * point;
+    left.mul_f64(share)
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -0,0 +1,351 @@
+//! What an entry believes of each backend server: the list's record, open work, failures and pace.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+use rustc_hash::{FxHashMap, FxHasher};
+
+use crate::{
+    beacon::Work,
+    catalog::Engine,
+    place::{self, Candidate, Distance},
+    server::{Record, Version},
+};
+
+/// First time for which a server that could not be reached is passed over.
+const AVOID: Duration = Duration::from_millis(400);
+
+/// Longest such time; servers come back after seconds.
+const AVOID_MOST: Duration = Duration::from_secs(3);
+
+/// Time for which a server that refused for want of room is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
+
+/// Weight of one answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// Weight of one first event in a server's pace.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// Bounds of a server's pace.
+const PACE_RANGE: (f64, f64) = (1.0, 20.0);
+
+/// Milliseconds of a call at a plain service, for comparing loads only.
+const PLAIN_CALL_MS: f64 = 15.0;
+
+/// Requests per slot that a plain server may have open; it queues a few times its slots.
+const PLAIN_CALLS_PER_SLOT: u32 = 3;
+
+/// Backend servers by id.
+#[derive(Debug, Default)]
+pub struct Board {
+    servers: FxHashMap<Arc<str>, Server>,
+    /// Ids by service, each server once.
+    services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
+}
+
+/// One incarnation of a backend server.
+#[derive(Debug)]
+pub struct Server {
+    record: Record,
+    /// Work of this entry.
+    own: Work,
+    /// Work of the other entries, by their last beacons.
+    others: Work,
+    strikes: u32,
+    avoid_until: Duration,
+    failures: f64,
+    pace: f64,
+    /// When it is dropped, once the list does not name it any more.
+    gone_at: Option<Duration>,
+}
+
+/// What a request needs of its server.
+#[derive(Debug, Clone, Default)]
+pub struct Need {
+    /// Service.
+    pub service: Arc<str>,
+    /// Model, for requests to engines.
+    pub model: Option<Arc<str>>,
+    /// Only version that may run it, if just one may.
+    pub version: Option<Version>,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Servers that had the request already.
+    pub tried: Vec<Arc<str>>,
+}
+
+/// Place of the choosing entry.
+#[derive(Debug, Clone)]
+pub struct Home {
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Regions by availability zone.
+    pub regions: FxHashMap<String, String>,
+}
+
+impl Home {
+    fn distance(&self, zone: &str) -> Distance {
+        if *self.zone == *zone {
+            return Distance::Zone;
+        }
+        match (self.regions.get(&*self.zone), self.regions.get(zone)) {
+            (Some(own), Some(other)) if own == other => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+}
+
+/// Chosen server.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Server's record.
+    pub record: Record,
+    /// Expected milliseconds until it begins to answer.
+    pub wait_ms: f64,
+    /// Open requests there, before this one.
+    pub calls: u32,
+}
+
+impl Server {
+    /// Returns the list's record.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Returns this entry's work there.
+    pub fn own(&self) -> Work {
+        self.own
+    }
+
+    fn calls(&self) -> u32 {
+        self.own.calls + self.others.calls
+    }
+
+    fn usable(&self, need: &Need, now: Duration) -> bool {
+        let holds = match &need.model {
+            None => true,
+            Some(model) => match (self.record.version(model), need.version) {
+                (Some(held), Some(only)) => held == only,
+                (held, None) => held.is_some(),
+                (None, Some(_)) => false,
+            },
+        };
+        holds
+            && !self.record.leaving
+            && self.avoid_until <= now
+            && !need.tried.contains(&self.record.id)
+    }
+
+    fn has_room(&self, engine: Option<&Engine>) -> bool {
+        let most = match engine {
+            Some(engine) => engine.slots,
+            None => self.record.slots.max(1) * PLAIN_CALLS_PER_SLOT,
+        };
+        self.calls() < most
+    }
+
+    fn wait_ms(&self, prompt: u32, engine: Option<&Engine>) -> f64 {
+        let Some(engine) = engine else {
+            return f64::from(self.calls()) / f64::from(self.record.slots.max(1)) * PLAIN_CALL_MS;
+        };
+        let unread = f64::from(self.own.prompt + self.others.prompt + prompt);
+        let step = engine.step_ms + engine.step_ms_per_call * f64::from(self.calls());
+        (unread / engine.read_per_ms + step * engine.stride) * self.pace
+    }
+}
+
+impl Board {
+    /// Takes a record of the list; a new start under a known id is a new server.
+    pub fn put(&mut self, record: Record) {
+        if let Some(server) = self.servers.get_mut(&record.id) {
+            let same = server.record.started == record.started
+                && server.record.service == record.service
+                && server.record.address == record.address;
+            if same {
+                server.record = record;
+                server.gone_at = None;
+                return;
+            }
+            self.drop_server(&record.id.clone());
+        }
+        let ids = self.services.entry(Arc::clone(&record.service));
+        ids.or_default().push(Arc::clone(&record.id));
+        self.servers.insert(
+            Arc::clone(&record.id),
+            Server {
+                record,
+                own: Work::default(),
+                others: Work::default(),
+                strikes: 0,
+                avoid_until: Duration::ZERO,
+                failures: 0.0,
+                pace: PACE_RANGE.0,
+                gone_at: None,
+            },
+        );
+    }
+
+    /// Notes that the list does not name a server any more; it is used until `at`.
+    pub fn remove(&mut self, id: &str, at: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.gone_at.get_or_insert(at);
+        }
+    }
+
+    /// Drops servers whose time after their removal is over and returns their ids.
+    pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+        let servers = self.servers.values();
+        let due = servers.filter(|server| server.gone_at.is_some_and(|at| at <= now));
+        let ids: Vec<Arc<str>> = due.map(|server| Arc::clone(&server.record.id)).collect();
+        for id in &ids {
+            self.drop_server(id);
+        }
+        ids
+    }
+
+    fn drop_server(&mut self, id: &Arc<str>) {
+        if let Some(server) = self.servers.remove(id)
+            && let Some(ids) = self.services.get_mut(&server.record.service)
+        {
+            ids.retain(|known| known != id);
+        }
+    }
+
+    /// Finds a server.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Returns all servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Returns the number of servers of a service that the list names.
+    pub fn listed(&self, service: &str) -> usize {
+        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let listed = ids.iter().filter(|id| self.servers[*id].gone_at.is_none());
+        listed.count()
+    }
+
+    /// Chooses the server for a request; `None` if none has room.
+    pub fn choose(
+        &self,
+        need: &Need,
+        engine: Option<&Engine>,
+        home: &Home,
+        now: Duration,
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let ids = self.services.get(&need.service)?;
+        let servers = ids.iter().map(|id| &self.servers[id]);
+        let able: Vec<&Server> = servers
+            .filter(|server| server.usable(need, now) && server.has_room(engine))
+            .collect();
+        let candidates: Vec<Candidate> = able
+            .iter()
+            .map(|server| Candidate {
+                wait_ms: server.wait_ms(need.prompt, engine),
+                failures: server.failures,
+                distance: home.distance(&server.record.zone),
+            })
+            .collect();
+        let index = place::choose(&candidates, random)?;
+        Some(Choice {
+            record: able[index].record.clone(),
+            wait_ms: candidates[index].wait_ms,
+            calls: able[index].calls(),
+        })
+    }
+
+    /// Tells whether any server could take such requests if it had room.
+    pub fn serves(&self, need: &Need, now: Duration) -> bool {
+        let ids = self.services.get(&need.service);
+        let mut ids = ids.into_iter().flatten();
+        ids.any(|id| self.servers[id].usable(need, now))
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn begin(&mut self, id: &str, prompt: u32) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own.calls += 1;
+            server.own.prompt += prompt;
+        }
+    }
+
+    /// Takes back the prompt of a request whose first event has come.
+    pub fn read(&mut self, id: &str, prompt: u32) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own.prompt = server.own.prompt.saturating_sub(prompt);
+        }
+    }
+
+    /// Compares the time to a first event with what was expected.
+    pub fn pace(&mut self, id: &str, expected_ms: f64, taken_ms: f64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            // What was expected contains the pace that was believed then.
+            let sample = taken_ms / expected_ms.max(1.0) * server.pace;
+            server.pace += PACE_WEIGHT * (sample - server.pace);
+            server.pace = server.pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+        }
+    }
+
+    /// Takes back a request; `prompt` is what [`Board::read`] has not taken back.
+    pub fn end(&mut self, id: &str, prompt: u32) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own.calls = server.own.calls.saturating_sub(1);
+            server.own.prompt = server.own.prompt.saturating_sub(prompt);
+        }
+    }
+
+    /// Notes a server that could not be reached or broke off.
+    pub fn strike(&mut self, id: &str, now: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            let pause = AVOID * 2_u32.pow(server.strikes.min(4));
+            server.strikes += 1;
+            server.avoid_until = now + pause.min(AVOID_MOST);
+        }
+    }
+
+    /// Notes a server that had no room.
+    pub fn full(&mut self, id: &str, now: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.avoid_until = server.avoid_until.max(now + FULL_PAUSE);
+        }
+    }
+
+    /// Notes how a server answered.
+    pub fn answered(&mut self, id: &str, well: bool) {
+        if let Some(server) = self.servers.get_mut(id) {
+            let sample = f64::from(u8::from(!well));
+            server.failures += FAILURE_WEIGHT * (sample - server.failures);
+            if well {
+                server.strikes = 0;
+            }
+        }
+    }
+
+    /// Replaces what is known of the other entries' work.
+    pub fn set_others(&mut self, work: &FxHashMap<u32, Work>) {
+        for server in self.servers.values_mut() {
+            let others = work.get(&short(&server.record.id));
+            server.others = others.copied().unwrap_or_default();
+        }
+    }
+
+    /// Returns this entry's work by short hash of the server's id.
+    pub fn own_work(&self) -> Vec<(u32, Work)> {
+        let busy = self.servers.values().filter(|server| server.own.calls > 0);
+        busy.map(|server| (short(&server.record.id), server.own))
+            .collect()
+    }
+}
+
+/// Hashes an id for beacons; a collision only blurs a load.
+fn short(id: &str) -> u32 {
+    use std::hash::Hasher;
+    let mut hasher = FxHasher::default();
+    hasher.write(id.as_bytes());
+    hasher.finish() as u32
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -0,0 +1,98 @@
+//! Exchange of beacons and rows between entries.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::Request;
+use pistachiolug_http::client::Client;
+use pistachiolug_kernel::timer::Ticks;
+use pistachiolug_replica::{follow::Observer, snapshot};
+use tokio::net::UdpSocket;
+
+use crate::{beacon::Beacon, fact::Decoder, intake::Intake, state::State};
+
+/// Interval of beacons: about the time in which one entry places a few requests.
+pub const BEACON_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Beacons that a peer may be ahead before its rows are read; the own watch usually brings them first.
+const BEHIND_MOST: u32 = 8;
+
+/// Largest beacon in bytes.
+const BEACON_BYTES: usize = 16 << 10;
+
+/// Longest time that reading a peer's rows may take.
+const ROWS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest rows that are accepted from a peer, in bytes.
+const ROWS_BYTES: usize = 8 << 20;
+
+/// Internal path of an entry's rows.
+pub const ROWS_PATH: &str = "/internal/rows";
+
+/// Sends beacons at each tick and catches up with better informed entries.
+pub async fn send<D: Decoder>(
+    state: Rc<State>,
+    intake: Intake<D>,
+    socket: Rc<UdpSocket>,
+    client: Client,
+    mut ticks: Ticks,
+) {
+    let mut behind = 0;
+    let mut known = 0;
+    loop {
+        ticks.next().await;
+        state.refresh();
+        let (beacon, peers) = state.beacon();
+        if let Ok(message) = postcard::to_stdvec(&beacon) {
+            for peer in peers {
+                // A beacon that is lost is replaced by the next one.
+                let _ = socket.try_send_to(&message, peer);
+            }
+        }
+        let peer = state.better_informed();
+        let advanced = beacon.revision > known;
+        known = beacon.revision;
+        let Some(peer) = peer.filter(|_| !advanced) else {
+            behind = 0;
+            continue;
+        };
+        behind += 1;
+        if behind >= BEHIND_MOST {
+            behind = 0;
+            catch_up(&intake, &client, peer).await;
+        }
+    }
+}
+
+/// Takes beacons.
+pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; BEACON_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match postcard::from_bytes::<Beacon>(&buffer[..length]) {
+                Ok(beacon) => state.hear(beacon),
+                Err(error) => log::warn!(from:%, error:%; "malformed beacon"),
+            },
+            Err(error) => log::debug!(error:%; "beacon not received"),
+        }
+    }
+}
+
+async fn catch_up<D: Decoder>(intake: &Intake<D>, client: &Client, peer: SocketAddr) {
+    let request = Request::get(format!("http://{peer}{ROWS_PATH}")).body(Bytes::new());
+    let Ok(request) = request else {
+        return;
+    };
+    let rows = match client.fetch(request, ROWS_BYTES, ROWS_TIMEOUT).await {
+        Ok(response) => snapshot::decode(response.body()).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    match rows {
+        Ok(rows) => {
+            log::info!(peer:%, revision = rows.revision; "rows read from another entry");
+            let changes = intake.with_rows(|known| known.reset(rows));
+            intake.changed(changes);
+        }
+        Err(error) => log::warn!(peer:%, error = error.as_str(); "rows of another entry not read"),
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/head.rs
@@ -0,0 +1,119 @@
+//! Heads of forwarded requests and answers.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, header, request};
+
+use crate::{board::Choice, catalog::Admitted, names::Names, server::Version};
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Model request's size.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tokens {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Largest number of tokens of the answer.
+    pub answer: u32,
+}
+
+/// Returns the text of a header, or `None` if it is absent or no visible ASCII.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Returns how long the sender of a request waits.
+pub fn deadline(headers: &HeaderMap, names: &Names) -> Option<Duration> {
+    let millis = text(headers, &names.deadline)?.trim().parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
+/// Returns the size that a model request names.
+pub fn tokens(headers: &HeaderMap, names: &Names) -> Tokens {
+    let sizes = text(headers, &names.tokens).unwrap_or_default();
+    let mut sizes = sizes.split(',').map(|size| size.trim().parse().ok());
+    Tokens {
+        prompt: sizes.next().flatten().unwrap_or_default(),
+        answer: sizes.next().flatten().unwrap_or_default(),
+    }
+}
+
+/// Removes the headers that concern one connection only.
+pub fn strip(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain(&listed) {
+        headers.remove(name);
+    }
+}
+
+/// What the system says to a server about one send.
+#[derive(Debug)]
+pub struct Send<'a> {
+    /// Route and workspace.
+    pub admitted: &'a Admitted,
+    /// Chosen server.
+    pub choice: &'a Choice,
+    /// Time until the request's deadline.
+    pub left: Duration,
+    /// Version that must run the request, if just one may.
+    pub version: Option<Version>,
+    /// Rank among the requests that wait at an engine, from 0 to 9.
+    pub priority: Option<u8>,
+    /// Id of the last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+/// Builds the headers of one send from those of the caller.
+pub fn outgoing(head: &request::Parts, names: &Names, send: &Send<'_>) -> HeaderMap {
+    let mut headers = head.headers.clone();
+    strip(&mut headers);
+    headers.remove(header::EXPECT);
+    headers.remove(&names.key);
+    headers.remove(&names.workspace);
+    headers.remove(&names.expected_version);
+    headers.remove(&names.priority);
+    let left = send.left.as_millis() as u64;
+    headers.insert(names.deadline.clone(), left.into());
+    if let Some(workspace) = &send.admitted.workspace {
+        insert_text(&mut headers, &names.workspace, &workspace.name);
+    }
+    insert_text(
+        &mut headers,
+        &names.expected_server,
+        &send.choice.record.id,
+    );
+    if let Some(version) = send.version {
+        headers.insert(names.expected_version.clone(), version.into());
+    }
+    if let Some(priority) = send.priority {
+        headers.insert(names.priority.clone(), u16::from(priority).into());
+    }
+    if let Some(id) = send.last_event {
+        headers.insert(names.last_event.clone(), id.into());
+    }
+    headers
+}
+
+fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name.clone(), value);
+    } else {
+        log::warn!(header = name.as_str(); "text does not fit into a header");
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/intake.rs
@@ -0,0 +1,119 @@
+//! Turns rows of the key-value service into an entry's beliefs.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use pistachiolug_platform::kv;
+use pistachiolug_replica::{
+    follow::Observer,
+    rows::{Change, Rows},
+};
+
+use crate::{
+    catalog::Catalog,
+    fact::{Decoder, Fact, Subject},
+    server::Record,
+    state::State,
+};
+
+/// Feeds an entry's state from rows.
+#[derive(Debug, Clone)]
+pub struct Intake<D> {
+    state: Rc<State>,
+    decoder: D,
+}
+
+impl<D: Decoder> Intake<D> {
+    /// Creates an intake.
+    pub fn new(state: Rc<State>, decoder: D) -> Self {
+        Self { state, decoder }
+    }
+
+    fn put(&self, entry: &kv::Entry, first: bool) {
+        match self.decoder.decode(&entry.key, &entry.value) {
+            Fact::Catalog(parts) => self.state.set_catalog(Catalog::new(parts)),
+            Fact::Server(record) => self.put_server(record, entry.revision),
+            Fact::Version { model, version } => self.state.set_wanted(&model, version, !first),
+            Fact::Entry { name, address } => self.state.meet(&name, address),
+            Fact::Other => {}
+            Fact::Unreadable { reason } => {
+                log::warn!(key = entry.key.as_str(), revision = entry.revision, reason = reason.as_str(); "row not readable");
+                if let Subject::Server(id) = self.decoder.subject(&entry.key) {
+                    let now = self.state.now();
+                    self.state.with_board(|board| board.remove(&id, now));
+                }
+            }
+        }
+    }
+
+    fn put_server(&self, record: Record, revision: u64) {
+        let known = self.state.with_board(|board| {
+            let known = board.get(&record.id);
+            known.is_some_and(|server| *server.record() == record)
+        });
+        if !known {
+            let versions: Vec<u64> = record.models.iter().map(|model| model.version).collect();
+            log::info!(
+                server = &*record.id,
+                service = &*record.service,
+                address:% = record.address,
+                leaving = record.leaving,
+                versions:? = versions,
+                revision;
+                "server listed"
+            );
+        }
+        self.state.with_board(|board| board.put(record));
+    }
+
+    fn remove(&self, ids: &[String]) {
+        let mut services: BTreeMap<String, Vec<&String>> = BTreeMap::new();
+        for id in ids {
+            let service = self.state.with_board(|board| {
+                let server = board.get(id)?;
+                Some(server.record().service.to_string())
+            });
+            if let Some(service) = service {
+                services.entry(service).or_default().push(id);
+            }
+        }
+        for (service, ids) in services {
+            let listed = self.state.with_board(|board| board.listed(&service));
+            let until = self.state.removal_time(ids.len(), listed);
+            for id in ids {
+                let kept_ms = until.saturating_sub(self.state.now()).as_millis() as u64;
+                log::info!(server = id.as_str(), service = service.as_str(), kept_ms; "server not listed any more");
+                self.state.with_board(|board| board.remove(id, until));
+            }
+        }
+    }
+}
+
+impl<D: Decoder> Observer for Intake<D> {
+    fn with_rows<T>(&self, act: impl FnOnce(&mut Rows) -> T) -> T {
+        self.state.with_rows(act)
+    }
+
+    fn changed(&self, changes: Vec<Change>) {
+        let first = self.state.catalog().is_none();
+        let mut removed = Vec::new();
+        for change in changes {
+            match change {
+                Change::Put(entry) => self.put(&entry, first),
+                Change::Gone { key } => match self.decoder.subject(&key) {
+                    Subject::Server(id) => removed.push(id),
+                    Subject::Entry(name) => self.state.part(&name),
+                    Subject::Other => {}
+                },
+            }
+        }
+        self.remove(&removed);
+        self.state.refresh();
+    }
+
+    fn reached(&self, result: Result<(), &kv::Error>) {
+        match result {
+            Ok(()) => self.state.reached(true, ""),
+            Err(error) => self.state.reached(false, &error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! Forwards callers' HTTP requests unchanged to the backend servers of configured routes.
+//!
+//! Decisions ([`admission`], [`board`], [`place`]) are pure: they take time and randomness as arguments and do no I/O.
+
+pub mod admission;
+pub mod beacon;
+pub mod board;
+pub mod catalog;
+pub mod event;
+pub mod fact;
+pub mod forward;
+pub mod gossip;
+pub mod head;
+pub mod intake;
+pub mod line;
+pub mod metrics;
+pub mod names;
+pub mod place;
+pub mod process;
+pub mod relay;
+pub mod reply;
+pub mod server;
+pub mod state;
+pub mod upstream;
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and latency histograms of an entry.
+
+use pistachiolug_kernel::metric::{Counters, Error, LibrarySnafu};
+use prometheus::{Histogram, HistogramOpts, Registry};
+use snafu::ResultExt;
+
+use crate::reply::Reason;
+
+/// Bounds of the latency histograms in seconds, around the aims and deadlines of calls.
+const BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// Outcome of a request that a server answered.
+pub const ANSWERED: &str = "answered";
+
+/// Outcome of a stream that broke after its head.
+pub const BROKEN: &str = "broken";
+
+/// Outcome of a request whose caller left.
+pub const LEFT: &str = "caller-left";
+
+/// Metrics of an entry.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Requests by outcome.
+    pub outcomes: Counters,
+    /// Further sends by cause.
+    pub retries: Counters,
+    /// Seconds to the head of a server's answer.
+    pub heads: Histogram,
+    /// Seconds to a stream's first event.
+    pub first_events: Histogram,
+    /// Seconds that requests waited in line.
+    pub waits: Histogram,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// [`Error::Library`] for a name that is taken.
+    pub fn register(registry: &Registry) -> Result<Self, Error> {
+        let outcomes = [
+            ANSWERED,
+            BROKEN,
+            LEFT,
+            Reason::Starting.as_str(),
+            Reason::NoRoute.as_str(),
+            Reason::BadKey.as_str(),
+            Reason::TooLarge.as_str(),
+            Reason::BadBody.as_str(),
+            Reason::Overloaded.as_str(),
+            Reason::Unavailable.as_str(),
+            Reason::Lost.as_str(),
+            Reason::Late.as_str(),
+        ];
+        Ok(Self {
+            outcomes: Counters::register(
+                registry,
+                "pistachiolug_gateway_requests_total",
+                "Requests by outcome.",
+                "outcome",
+                &outcomes,
+            )?,
+            retries: Counters::register(
+                registry,
+                "pistachiolug_gateway_retries_total",
+                "Further sends of a request by cause.",
+                "cause",
+                &["unsent", "not-run", "lost", "failed", "silent"],
+            )?,
+            heads: histogram(registry, "head", "Time to the head of a server's answer.")?,
+            first_events: histogram(registry, "first_event", "Time to a stream's first event.")?,
+            waits: histogram(registry, "wait", "Time that requests waited in line.")?,
+        })
+    }
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram, Error> {
+    let name = format!("pistachiolug_gateway_{name}_seconds");
+    let options = HistogramOpts::new(name, help).buckets(BOUNDS.to_vec());
+    let histogram = Histogram::with_opts(options).context(LibrarySnafu)?;
+    let registered = registry.register(Box::new(histogram.clone()));
+    registered.context(LibrarySnafu)?;
+    Ok(histogram)
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -0,0 +1,57 @@
+//! Choice of the backend server for one request.
+
+use rand::{Rng, RngExt};
+
+/// Cost in milliseconds of leaving the region: its links are narrow.
+const REGION_COST_MS: f64 = 6.0;
+
+/// Cost in milliseconds of leaving the availability zone.
+const ZONE_COST_MS: f64 = 2.0;
+
+/// Largest random addition to a cost in milliseconds; entries that see the same loads must not choose alike.
+const JITTER_MS: f64 = 12.0;
+
+/// Cost in milliseconds of a server all of whose recent answers were failures.
+const FAILURE_COST_MS: f64 = 2000.0;
+
+/// Distance between an entry and a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Distance {
+    /// Same availability zone.
+    Zone,
+    /// Same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+/// Server that may take a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Milliseconds until the server would begin to answer, by the work known to be there.
+    pub wait_ms: f64,
+    /// Share of failures among recent answers, in 0..=1.
+    pub failures: f64,
+    /// Distance.
+    pub distance: Distance,
+}
+
+/// Chooses the candidate that answers soonest and returns its index; `None` without candidates.
+pub fn choose(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
+    let costs = candidates.iter().enumerate().map(|(index, candidate)| {
+        let jitter = random.random_range(0.0..JITTER_MS);
+        (index, cost(candidate) + jitter)
+    });
+    costs
+        .min_by(|(_, left), (_, right)| left.total_cmp(right))
+        .map(|(index, _)| index)
+}
+
+fn cost(candidate: &Candidate) -> f64 {
+    let distance = match candidate.distance {
+        Distance::Zone => 0.0,
+        Distance::Region => ZONE_COST_MS,
+        Distance::Far => REGION_COST_MS,
+    };
+    candidate.wait_ms + distance + candidate.failures * FAILURE_COST_MS
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -0,0 +1,269 @@
+//! Passes a stream's events on as they arrive and lets it go on at another server when one breaks off.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, stream::unfold};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    event::Splitter,
+    forward::{self, Call, Outcome},
+    line::Rank,
+    metrics::{ANSWERED, BROKEN, LEFT},
+    reply::Broken,
+    state::{State, Ticket},
+    upstream::Link,
+};
+
+/// Multiple of a route's longest pause after which a silent server is left, if another may go on.
+const SILENCE_PER_PAUSE: f64 = 4.0;
+
+/// Longest wait for a place at the server at which a stream goes on.
+const RESUME_WAIT: Duration = Duration::from_millis(600);
+
+/// Rank of a stream that goes on: it goes before requests that have not begun.
+const RESUME_RANK: Rank = Rank {
+    late: false,
+    priority: 0,
+};
+
+struct Relay {
+    state: Rc<State>,
+    call: Rc<Call>,
+    /// Present while a server works on the stream.
+    source: Option<Source>,
+    /// Servers that were sent the request.
+    tried: Vec<Arc<str>>,
+    splitter: Splitter,
+    ended: bool,
+}
+
+/// Server that the stream comes from.
+struct Source {
+    ticket: Ticket,
+    body: Incoming,
+    /// Closes the connection when dropped.
+    _link: Link,
+    sent: Instant,
+    /// Events seen before this source.
+    before: u64,
+    heard: Instant,
+}
+
+/// What a source gave.
+enum Step {
+    Events(Bytes),
+    Whole,
+    Broke(String),
+    /// The deadline has passed.
+    Late,
+}
+
+/// Returns the events of a stream, whole ones only.
+pub fn stream(
+    state: Rc<State>,
+    call: Rc<Call>,
+    ticket: Ticket,
+    tried: Vec<Arc<str>>,
+    body: Incoming,
+    link: Link,
+) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> {
+    let relay = Relay {
+        state,
+        source: Some(Source::new(ticket, body, link, call.arrived, 0)),
+        call,
+        tried,
+        splitter: Splitter::default(),
+        ended: false,
+    };
+    unfold(relay, |mut relay| async move {
+        let item = relay.next().await?;
+        Some((item.map(Frame::data), relay))
+    })
+}
+
+impl Source {
+    fn new(ticket: Ticket, body: Incoming, link: Link, sent: Instant, before: u64) -> Self {
+        Self {
+            ticket,
+            body,
+            _link: link,
+            sent,
+            before,
+            heard: Instant::now(),
+        }
+    }
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let reason = match self.step().await {
+                Step::Events(events) => return Some(Ok(events)),
+                Step::Whole => {
+                    self.finish(ANSWERED);
+                    return None;
+                }
+                Step::Late => {
+                    self.finish(BROKEN);
+                    return Some(Err(Broken));
+                }
+                Step::Broke(reason) => reason,
+            };
+            if !self.resume(&reason).await {
+                self.finish(BROKEN);
+                return Some(Err(Broken));
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let until = self.patience();
+        let Some(source) = self.source.as_mut() else {
+            return Step::Broke("no server".to_owned());
+        };
+        loop {
+            let frame = match timeout_at(until, source.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Step::Broke(error.to_string()),
+                Ok(None) if self.splitter.partial() => {
+                    return Step::Broke("ended inside an event".to_owned());
+                }
+                Ok(None) => return Step::Whole,
+                Err(_) if Instant::now() >= self.call.deadline => return Step::Late,
+                Err(_) => return Step::Broke("silent".to_owned()),
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            source.heard = Instant::now();
+            match self.splitter.push(&data) {
+                Ok(Some(events)) => {
+                    self.note_events();
+                    return Step::Events(events);
+                }
+                Ok(None) => {}
+                Err(_) => return Step::Broke("event too large".to_owned()),
+            }
+        }
+    }
+
+    /// Notes the first event of a source.
+    fn note_events(&mut self) {
+        let Some(source) = self.source.as_mut() else {
+            return;
+        };
+        if source.before == u64::MAX {
+            return;
+        }
+        source.ticket.first_event(source.sent.elapsed());
+        if source.before == 0 {
+            let age = self.call.arrived.elapsed().as_secs_f64();
+            self.state.metrics.first_events.observe(age);
+        }
+        source.before = u64::MAX;
+    }
+
+    fn patience(&self) -> Instant {
+        let route = &self.call.admitted.route;
+        let heard = self.source.as_ref().map(|source| source.heard);
+        match heard {
+            Some(heard) if self.may_resume() => {
+                let silence = route.pause.mul_f64(SILENCE_PER_PAUSE);
+                self.call.deadline.min(heard + silence)
+            }
+            _ => self.call.deadline,
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        let route = &self.call.admitted.route;
+        route.resumable && (self.tried.len() as u32) < route.attempts
+    }
+
+    /// Lets the stream go on at another server; `false` if it can't.
+    async fn resume(&mut self, reason: &str) -> bool {
+        if let Some(source) = self.source.take() {
+            source.ticket.strike();
+            source.ticket.answered(false);
+        }
+        self.splitter.discard();
+        let call = &self.call;
+        let events = self.splitter.events();
+        let allowed = self.may_resume() && self.state.spend(&call.service);
+        log::info!(call = call.id.as_str(), reason, events, last_event:? = self.splitter.last_id(), allowed, age_ms = call.age_ms(); "stream broke");
+        if !allowed {
+            return false;
+        }
+        self.state.metrics.retries.of("lost").inc();
+        let Some(ticket) = self.place().await else {
+            log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no place to go on");
+            return false;
+        };
+        let server = Arc::clone(&ticket.choice.record.id);
+        self.tried.push(Arc::clone(&server));
+        let sent = Instant::now();
+        let last = self.splitter.last_id();
+        let outcome = forward::send(&self.state, call, &ticket, last, call.deadline).await;
+        match outcome {
+            Outcome::Answer(response, link) if response.status() == StatusCode::OK => {
+                log::info!(call = call.id.as_str(), server = &*server, last_event:? = last, age_ms = call.age_ms(); "stream goes on");
+                let body = response.into_body();
+                self.source = Some(Source::new(ticket, body, link, sent, events));
+                true
+            }
+            outcome => {
+                log::info!(call = call.id.as_str(), server = &*server, outcome:?; "stream not resumed");
+                false
+            }
+        }
+    }
+
+    async fn place(&self) -> Option<Ticket> {
+        let need = self.call.need(&self.state, &self.tried);
+        if let Some(ticket) = self.state.reserve(&need) {
+            return Some(ticket);
+        }
+        let service = Arc::clone(&need.service);
+        let (place, turn) = self.state.join(need, RESUME_RANK);
+        let until = self.call.deadline.min(Instant::now() + RESUME_WAIT);
+        let ticket = timeout_at(until, turn).await;
+        self.state.leave(&service, place);
+        ticket.ok()?.ok()
+    }
+
+    fn finish(&mut self, outcome: &'static str) {
+        self.ended = true;
+        let call = &self.call;
+        let server = self.source.as_ref().map(|source| &source.ticket);
+        if let Some(ticket) = server.filter(|_| outcome == ANSWERED) {
+            ticket.answered(true);
+        }
+        log::info!(
+            call = call.id.as_str(),
+            server = server.map_or("", |ticket| &*ticket.choice.record.id),
+            outcome,
+            events = self.splitter.events(),
+            sends = self.tried.len(),
+            age_ms = call.age_ms();
+            "stream ended"
+        );
+        self.state.metrics.outcomes.of(outcome).inc();
+        self.source = None;
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(LEFT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -0,0 +1,558 @@
+//! State of an entry, shared by its requests and its background tasks on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use pistachiolug_kernel::clock::{Clock, System};
+use pistachiolug_replica::rows::Rows;
+use pistachiolug_routing::retry::Budget;
+use rustc_hash::FxHashMap;
+use tokio::sync::oneshot;
+
+use crate::{
+    beacon::{Beacon, LOAD_AGE, PEER_AGE, Work},
+    board::{Board, Choice, Home, Need},
+    catalog::{Catalog, Engine, Service},
+    line::{Line, Place, Rank},
+    metrics::Metrics,
+    names::Names,
+    server::Version,
+};
+
+/// Time for which servers that vanished while the service was away are still used: those that live are back in the
+/// list within two seconds of its return.
+const RETURN_GRACE: Duration = Duration::from_millis(2500);
+
+/// Time for which one removed server is still used; a removal without notice is an order to stop sending.
+const REMOVAL_GRACE: Duration = Duration::ZERO;
+
+/// Share of a service's servers whose removal at one time looks like lapsed leases rather than a change of the fleet.
+const LAPSE_SHARE: f64 = 0.5;
+
+/// Window over which the rate of freed places is measured.
+const RATE_WINDOW: Duration = Duration::from_millis(500);
+
+/// Weight of a new window in the rate.
+const RATE_WEIGHT: f64 = 0.4;
+
+/// Rate of freed places that is assumed at first, per second.
+const FIRST_RATE: f64 = 20.0;
+
+/// Time before a version's bound from which only it is accepted: a request may wait at its server, and the naming may
+/// have been learned of late.
+const VERSION_MARGIN: Duration = Duration::from_millis(1500);
+
+/// Settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name.
+    pub name: String,
+    /// Place.
+    pub home: Home,
+    /// Internal address.
+    pub internal: SocketAddr,
+    /// Header names.
+    pub names: Names,
+    /// Retries over all entries as a share of the requests to a service.
+    pub retry_share: f64,
+    /// Retries over all entries beyond that share.
+    pub retry_slack: f64,
+    /// Time after the naming of a version from which no older one may begin a request.
+    pub version_allowed: Duration,
+    /// Time after its start from which a process is held to such times.
+    pub contact: Duration,
+}
+
+/// Version that a model's servers should hold.
+#[derive(Debug, Clone, Copy)]
+struct Wanted {
+    version: Version,
+    /// When this process learned of it; `None` for what stood there at its start.
+    since: Option<Duration>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Duration>,
+    revision: u64,
+    work: Vec<(u32, Work)>,
+}
+
+/// Rate at which places come free.
+#[derive(Debug)]
+struct Rate {
+    per_second: f64,
+    freed: u32,
+    since: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    /// When the service answered last.
+    answered: Option<Duration>,
+    /// Since when it does not answer.
+    away_since: Option<Duration>,
+    /// When it came back.
+    back_at: Option<Duration>,
+}
+
+type Waiter = (Need, oneshot::Sender<Ticket>);
+
+/// Entry's state.
+#[derive(Debug)]
+pub struct State {
+    /// Settings.
+    pub options: Options,
+    /// Counters.
+    pub metrics: Metrics,
+    clock: System,
+    rows: RefCell<Rows>,
+    catalog: RefCell<Option<Arc<Catalog>>>,
+    board: RefCell<Board>,
+    wanted: RefCell<FxHashMap<String, Wanted>>,
+    lines: RefCell<FxHashMap<Arc<str>, Line<Waiter>>>,
+    rates: RefCell<FxHashMap<Arc<str>, Rate>>,
+    budgets: RefCell<FxHashMap<Arc<str>, Budget>>,
+    peers: RefCell<FxHashMap<String, Peer>>,
+    /// Longest time that callers of a route have named as theirs.
+    longest: RefCell<FxHashMap<Arc<str>, Duration>>,
+    link: RefCell<Link>,
+    open: Cell<usize>,
+}
+
+/// Place of one request at a server; dropping it frees the place.
+#[derive(Debug)]
+pub struct Ticket {
+    /// Chosen server.
+    pub choice: Choice,
+    service: Arc<str>,
+    /// Prompt tokens that the server has not read yet.
+    prompt: Cell<u32>,
+    state: Rc<State>,
+}
+
+impl Ticket {
+    /// Notes the first event after `taken`.
+    pub fn first_event(&self, taken: Duration) {
+        let mut board = self.state.board.borrow_mut();
+        let id = &self.choice.record.id;
+        board.read(id, self.prompt.replace(0));
+        board.pace(id, self.choice.wait_ms, taken.as_secs_f64() * 1000.0);
+    }
+
+    /// Notes that the server could not be reached or broke off.
+    pub fn strike(&self) {
+        let now = self.state.now();
+        let id = &self.choice.record.id;
+        self.state.board.borrow_mut().strike(id, now);
+    }
+
+    /// Notes that the server had no room.
+    pub fn full(&self) {
+        let now = self.state.now();
+        let id = &self.choice.record.id;
+        self.state.board.borrow_mut().full(id, now);
+    }
+
+    /// Notes how the server answered.
+    pub fn answered(&self, well: bool) {
+        let id = &self.choice.record.id;
+        self.state.board.borrow_mut().answered(id, well);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let id = &self.choice.record.id;
+        let state = Rc::clone(&self.state);
+        state.board.borrow_mut().end(id, self.prompt.get());
+        state.count_freed(&self.service);
+        state.serve_line(&self.service);
+    }
+}
+
+/// Counts an open request until it is dropped.
+#[derive(Debug)]
+pub struct Open {
+    state: Rc<State>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.state.open.set(self.state.open.get() - 1);
+    }
+}
+
+impl State {
+    /// Creates the state of an entry that knows nothing yet.
+    pub fn new(options: Options, metrics: Metrics) -> Rc<Self> {
+        Rc::new(Self {
+            options,
+            metrics,
+            clock: System::default(),
+            rows: RefCell::default(),
+            catalog: RefCell::default(),
+            board: RefCell::default(),
+            wanted: RefCell::default(),
+            lines: RefCell::default(),
+            rates: RefCell::default(),
+            budgets: RefCell::default(),
+            peers: RefCell::default(),
+            longest: RefCell::default(),
+            link: RefCell::default(),
+            open: Cell::new(0),
+        })
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Counts an open request.
+    pub fn open(self: &Rc<Self>) -> Open {
+        self.open.set(self.open.get() + 1);
+        Open {
+            state: Rc::clone(self),
+        }
+    }
+
+    /// Returns the number of open requests.
+    pub fn open_requests(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Gives access to the rows.
+    pub fn with_rows<T>(&self, act: impl FnOnce(&mut Rows) -> T) -> T {
+        act(&mut self.rows.borrow_mut())
+    }
+
+    /// Returns the configuration in force; `None` before the first one.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn set_catalog(&self, catalog: Catalog) {
+        let mut current = self.catalog.borrow_mut();
+        let known = current.as_ref().map_or(0, |known| known.version());
+        let version = catalog.version();
+        if current.is_some() && version < known {
+            log::warn!(version, known; "older configuration ignored");
+            return;
+        }
+        log::info!(version, before = known; "configuration in force");
+        *current = Some(Arc::new(catalog));
+    }
+
+    /// Gives access to the board.
+    pub fn with_board<T>(&self, act: impl FnOnce(&mut Board) -> T) -> T {
+        act(&mut self.board.borrow_mut())
+    }
+
+    /// Notes the version that a model's servers should hold.
+    ///
+    /// # Arguments
+    /// `fresh` tells that the naming was seen as it happened.
+    pub fn set_wanted(&self, model: &str, version: Version, fresh: bool) {
+        let now = self.now();
+        let since = fresh.then_some(now);
+        let mut wanted = self.wanted.borrow_mut();
+        let known = wanted.get(model).map_or(0, |known| known.version);
+        if version > known {
+            log::info!(model, version, before = known; "version named");
+            wanted.insert(model.to_owned(), Wanted { version, since });
+        }
+    }
+
+    /// Returns the only version of a model that may begin a request now; `None` if any may.
+    pub fn only_version(&self, model: &str) -> Option<Version> {
+        let wanted = self.wanted.borrow();
+        let wanted = wanted.get(model)?;
+        let due = match wanted.since {
+            Some(since) => since + self.options.version_allowed,
+            None => self.options.contact,
+        };
+        let due = due.saturating_sub(VERSION_MARGIN);
+        (self.now() >= due).then_some(wanted.version)
+    }
+
+    /// Notes a caller's time limit and tells whether it is a first attempt, which names the longest of its route.
+    pub fn is_fresh(&self, route: &Arc<str>, limit: Duration) -> bool {
+        const SHORTER_MOST: f64 = 0.97;
+        let mut longest = self.longest.borrow_mut();
+        let longest = longest.entry(Arc::clone(route)).or_default();
+        *longest = limit.max(*longest);
+        limit >= longest.mul_f64(SHORTER_MOST)
+    }
+
+    /// Counts a first attempt for the retry budget.
+    pub fn earn(&self, service: &Arc<str>) {
+        self.with_budget(service, Budget::earn);
+    }
+
+    /// Takes one retry from the budget; `false` if there is none.
+    pub fn spend(&self, service: &Arc<str>) -> bool {
+        self.with_budget(service, Budget::spend)
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut Budget) -> T) -> T {
+        /// Part of the allowance that is used; the rest covers what entries learn late of each other.
+        const USED: f64 = 0.7;
+        let burst = self.options.retry_slack * USED / self.entries() as f64;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| Budget::new(self.options.retry_share * USED, burst));
+        budget.bound(burst);
+        act(budget)
+    }
+
+    /// Returns the number of entries that are known, with this one.
+    fn entries(&self) -> usize {
+        self.peers.borrow().len() + 1
+    }
+
+    /// Reserves a place at a server, or returns `None` if none has room.
+    pub fn reserve(self: &Rc<Self>, need: &Need) -> Option<Ticket> {
+        let catalog = self.catalog()?;
+        let engine = engine(&catalog, &need.service);
+        let mut board = self.board.borrow_mut();
+        let home = &self.options.home;
+        let choice = board.choose(need, engine, home, self.now(), &mut rand::rng())?;
+        board.begin(&choice.record.id, need.prompt);
+        Some(Ticket {
+            choice,
+            service: Arc::clone(&need.service),
+            prompt: Cell::new(need.prompt),
+            state: Rc::clone(self),
+        })
+    }
+
+    /// Returns how many waiting requests would go before one of a rank.
+    pub fn ahead(&self, service: &Arc<str>, rank: Rank) -> usize {
+        let lines = self.lines.borrow();
+        lines.get(service).map_or(0, |line| line.ahead(rank))
+    }
+
+    /// Joins the line of a service.
+    pub fn join(&self, need: Need, rank: Rank) -> (Place, oneshot::Receiver<Ticket>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.entry(Arc::clone(&need.service)).or_default();
+        (line.join(rank, (need, sender)), receiver)
+    }
+
+    /// Leaves the line of a service.
+    pub fn leave(&self, service: &Arc<str>, place: Place) {
+        if let Some(line) = self.lines.borrow_mut().get_mut(service) {
+            line.leave(place);
+        }
+    }
+
+    /// Calls waiting requests to the servers that have room.
+    pub fn serve_line(self: &Rc<Self>, service: &Arc<str>) {
+        while let Some((need, sender)) = self.call(service) {
+            let Some(ticket) = self.reserve(&need) else {
+                return;
+            };
+            // A request that has left drops its ticket, which frees the place.
+            drop(sender.send(ticket));
+        }
+    }
+
+    fn call(&self, service: &Arc<str>) -> Option<Waiter> {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.get_mut(service)?;
+        let catalog = self.catalog()?;
+        let engine = engine(&catalog, service);
+        let (need, _) = line.first()?;
+        let board = self.board.borrow();
+        let home = &self.options.home;
+        board.choose(need, engine, home, self.now(), &mut rand::rng())?;
+        line.call()
+    }
+
+    /// Calls waiting requests of all services.
+    pub fn serve_lines(self: &Rc<Self>) {
+        let lines = self.lines.borrow();
+        let waiting = lines.iter().filter(|(_, line)| !line.is_empty());
+        let services: Vec<Arc<str>> = waiting.map(|(service, _)| Arc::clone(service)).collect();
+        drop(lines);
+        for service in &services {
+            self.serve_line(service);
+        }
+    }
+
+    /// Returns the rate at which places come free, per second.
+    pub fn places(&self, service: &str) -> f64 {
+        let rates = self.rates.borrow();
+        rates.get(service).map_or(FIRST_RATE, |rate| rate.per_second)
+    }
+
+    fn count_freed(&self, service: &Arc<str>) {
+        let now = self.now();
+        let mut rates = self.rates.borrow_mut();
+        let rate = rates.entry(Arc::clone(service)).or_insert(Rate {
+            per_second: FIRST_RATE,
+            freed: 0,
+            since: now,
+        });
+        rate.freed += 1;
+        let window = now.saturating_sub(rate.since);
+        if window >= RATE_WINDOW {
+            let sample = f64::from(rate.freed) / window.as_secs_f64();
+            rate.per_second += RATE_WEIGHT * (sample - rate.per_second);
+            rate.freed = 0;
+            rate.since = now;
+        }
+    }
+
+    /// Notes that the key-value service answered, or that it did not.
+    pub fn reached(&self, reached: bool, reason: &str) {
+        let now = self.now();
+        let mut link = self.link.borrow_mut();
+        if reached {
+            link.answered = Some(now);
+            if let Some(since) = link.away_since.take() {
+                let away_ms = now.saturating_sub(since).as_millis() as u64;
+                log::info!(away_ms; "key-value service regained");
+                link.back_at = Some(now);
+            }
+        } else if link.away_since.is_none() {
+            log::warn!(reason; "key-value service lost");
+            link.away_since = Some(now);
+        }
+    }
+
+    /// Returns until when servers that the list has just dropped are still used.
+    ///
+    /// # Arguments
+    /// `dropped` of the `listed` servers of a service vanished together.
+    pub fn removal_time(&self, dropped: usize, listed: usize) -> Duration {
+        let now = self.now();
+        let link = self.link.borrow();
+        if link.away_since.is_some() {
+            return now + RETURN_GRACE;
+        }
+        if let Some(back_at) = link.back_at
+            && now < back_at + RETURN_GRACE
+        {
+            return back_at + RETURN_GRACE;
+        }
+        let lapse = dropped > 1 && dropped as f64 >= listed as f64 * LAPSE_SHARE;
+        now + if lapse { RETURN_GRACE } else { REMOVAL_GRACE }
+    }
+
+    /// Learns of another entry.
+    pub fn meet(&self, name: &str, address: SocketAddr) {
+        if name == self.options.name {
+            return;
+        }
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(name.to_owned()).or_insert_with(|| {
+            log::info!(peer = name, address:%; "entry seen");
+            Peer {
+                address,
+                heard: None,
+                revision: 0,
+                work: Vec::new(),
+            }
+        });
+        peer.address = address;
+    }
+
+    /// Forgets an entry whose row is gone.
+    pub fn part(&self, name: &str) {
+        self.peers.borrow_mut().remove(name);
+    }
+
+    /// Takes another entry's beacon.
+    pub fn hear(&self, beacon: Beacon) {
+        self.meet(&beacon.name, beacon.address);
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&beacon.name) {
+            peer.heard = Some(self.now());
+            peer.revision = beacon.revision;
+            peer.work = beacon.work;
+        }
+    }
+
+    /// Returns the beacon of now and the addresses it goes to.
+    pub fn beacon(&self) -> (Beacon, Vec<SocketAddr>) {
+        let beacon = Beacon {
+            name: self.options.name.clone(),
+            address: self.options.internal,
+            revision: self.rows.borrow().revision(),
+            work: self.board.borrow().own_work(),
+        };
+        let peers = self.peers.borrow();
+        (beacon, peers.values().map(|peer| peer.address).collect())
+    }
+
+    /// Adds up the other entries' work and drops servers and requests whose time is over.
+    pub fn refresh(self: &Rc<Self>) {
+        let now = self.now();
+        let mut work: FxHashMap<u32, Work> = FxHashMap::default();
+        for peer in self.peers.borrow().values() {
+            let fresh = peer.heard.is_some_and(|heard| now < heard + LOAD_AGE);
+            for (server, open) in peer.work.iter().filter(|_| fresh) {
+                let sum = work.entry(*server).or_default();
+                sum.calls += open.calls;
+                sum.prompt += open.prompt;
+            }
+        }
+        let gone = self.with_board(|board| {
+            board.set_others(&work);
+            board.expire(now)
+        });
+        for server in gone {
+            log::info!(server = &*server; "server dropped");
+        }
+        self.serve_lines();
+    }
+
+    /// Returns the address of the live entry whose rows are the newest, if they are newer than this one's.
+    pub fn better_informed(&self) -> Option<SocketAddr> {
+        let now = self.now();
+        let own = self.rows.borrow().revision();
+        let peers = self.peers.borrow();
+        let live = peers
+            .values()
+            .filter(|peer| peer.heard.is_some_and(|heard| now < heard + PEER_AGE));
+        let newest = live.max_by_key(|peer| peer.revision)?;
+        (newest.revision > own).then_some(newest.address)
+    }
+
+    /// Returns the state for a dump, without callers' content.
+    pub fn dump(&self) -> serde_json::Value {
+        let board = self.board.borrow();
+        let servers = board.servers().map(|server| {
+            let record = server.record();
+            serde_json::json!({
+                "id": &*record.id,
+                "service": &*record.service,
+                "leaving": record.leaving,
+                "calls": server.own().calls,
+            })
+        });
+        serde_json::json!({
+            "revision": self.rows.borrow().revision(),
+            "configuration": self.catalog().map(|catalog| catalog.version()),
+            "servers": servers.collect::<Vec<_>>(),
+            "entries": self.entries(),
+            "open": self.open.get(),
+        })
+    }
+}
+
+/// Finds the engine of a service.
+pub fn engine<'a>(catalog: &'a Catalog, service: &str) -> Option<&'a Engine> {
+    let service: &Service = catalog.service(service)?;
+    service.engine.as_ref()
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -0,0 +1,73 @@
+//! One exchange with a backend server, on a connection of its own.
+//!
+//! A connection that is never used again can't have gone silent unnoticed, and no byte of an earlier answer can be
+//! taken for the next one.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    task::{JoinHandle, spawn_local},
+    time::timeout,
+};
+
+/// Longest time a connection may take to open; a hundred times the delay between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The request may have run.
+    Lost(String),
+}
+
+/// Connection of one exchange; dropping it closes the connection, by which the server learns that nobody waits.
+#[derive(Debug)]
+pub struct Link {
+    task: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+/// [`Failure`], which tells whether the request may have run.
+pub async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Link), Failure> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(Failure::Unsent(error.to_string())),
+        Err(_) => return Err(Failure::Unsent("no connection in time".to_owned())),
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        return Err(Failure::Unsent(error.to_string()));
+    }
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) =
+        handshake.map_err(|error| Failure::Unsent(error.to_string()))?;
+    let task = spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(error:%; "connection to a server broke");
+        }
+    });
+    let link = Link { task };
+    match sender.send_request(request).await {
+        Ok(response) => Ok((response, link)),
+        Err(error) if error.is_canceled() => Err(Failure::Unsent(error.to_string())),
+        Err(error) => Err(Failure::Lost(error.to_string())),
+    }
+}
--- a/crates/pistachiolug_http/src/client.rs
+++ b/crates/pistachiolug_http/src/client.rs
@@ -21,6 +21,13 @@
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Idle time after which a connection is probed, and the interval between probes: together with [`PROBES`] an open
+/// connection that has gone silent is noticed within three seconds.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection counts as broken.
+const PROBES: u32 = 2;
+
 /// Reports why a request has no answer.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -70,6 +77,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(idle)
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/pistachiolug_kernel/src/signal.rs
+++ b/crates/pistachiolug_kernel/src/signal.rs
@@ -1,6 +1,6 @@
 //! Signals that ask a process to stop in order.
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Waits for SIGTERM or SIGINT.
 ///
@@ -15,3 +15,11 @@
     }
     Ok(())
 }
+
+/// Returns a stream of SIGHUPs, by which a process is told that its settings have changed.
+///
+/// # Errors
+/// Returns the error of the handler's installation.
+pub fn reloads() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -0,0 +1,162 @@
+//! Fetches the missing pieces of a version.
+
+use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{Request, StatusCode};
+use pistachiolug_http::client::Client;
+use rand::seq::SliceRandom;
+use tokio::time::timeout;
+
+use crate::{
+    engine::{Engine, Error, Origin},
+    roster::{Roster, Source},
+    state::{Staged, State},
+};
+
+/// Pieces that are fetched at once: enough to keep the link busy over the delay between regions.
+const FETCHES: usize = 6;
+
+/// Longest time one fetch from another agent may take; it may have to wait for the piece itself.
+const AGENT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Longest time one read from the origin may take; its link is shared by all that read at once.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Rounds over the sources of a piece before the manifest is read anew.
+const ROUNDS: usize = 2;
+
+/// Largest piece that is accepted, in bytes.
+const PIECE_BYTES: usize = 16 << 20;
+
+/// Fetches pieces of one version.
+#[derive(Debug)]
+pub struct Fetcher<'a, E, O> {
+    /// Agent's state.
+    pub state: &'a State,
+    /// Engine at which pieces are staged.
+    pub engine: &'a E,
+    /// Origin.
+    pub origin: &'a O,
+    /// Client for other agents.
+    pub client: &'a Client,
+}
+
+/// Internal path of a piece.
+pub fn path(model: &str, version: u64, index: usize) -> String {
+    format!("/internal/piece/{model}/{version}/{index}")
+}
+
+impl<E: Engine, O: Origin> Fetcher<'_, E, O> {
+    /// Fetches and stages all missing pieces; returns `false` if some could not be had.
+    pub async fn run(&self, staged: &Rc<Staged>) -> bool {
+        let roster = self.state.roster();
+        let mut pieces: Vec<(Vec<Source>, usize)> = staged
+            .missing()
+            .into_iter()
+            .map(|index| (self.sources(&roster, staged, index), index))
+            .collect();
+        pieces.shuffle(&mut rand::rng());
+        // Others wait for the pieces that this agent reads for them.
+        pieces.sort_by_key(|(sources, _)| sources.len());
+        let fetches = pieces
+            .into_iter()
+            .map(|(sources, index)| self.piece(staged, sources, index));
+        let done: Vec<bool> = stream::iter(fetches)
+            .buffer_unordered(FETCHES)
+            .collect()
+            .await;
+        done.into_iter().all(|done| done)
+    }
+
+    fn sources(&self, roster: &Roster, staged: &Staged, index: usize) -> Vec<Source> {
+        let name = path(&staged.model, staged.version, index);
+        roster.sources(&self.state.options.me, &name)
+    }
+
+    async fn piece(&self, staged: &Rc<Staged>, sources: Vec<Source>, index: usize) -> bool {
+        for _ in 0..ROUNDS {
+            for source in &sources {
+                match self.read(*source, staged, index).await {
+                    Ok(bytes) if staged.manifest.fits(index, &bytes) => {
+                        return self.stage(staged, *source, index, bytes).await;
+                    }
+                    Ok(_) => {
+                        self.state.metrics.pieces.of("spoilt").inc();
+                        log::warn!(model = staged.model.as_str(), version = staged.version, index, source:?; "piece does not fit its digest");
+                    }
+                    Err(error) => {
+                        log::info!(model = staged.model.as_str(), version = staged.version, index, source:?, error:%; "piece not fetched");
+                    }
+                }
+            }
+        }
+        false
+    }
+
+    async fn stage(
+        &self,
+        staged: &Rc<Staged>,
+        source: Source,
+        index: usize,
+        bytes: Bytes,
+    ) -> bool {
+        let name = match source {
+            Source::Agent(_) => "agent",
+            Source::Origin => "origin",
+        };
+        self.state.metrics.pieces.of(name).inc();
+        match self.engine.stage(&staged.model, index, bytes).await {
+            Ok(()) => {
+                staged.set(index, true);
+                true
+            }
+            Err(error) => {
+                log::warn!(model = staged.model.as_str(), index, error:%; "piece not staged");
+                false
+            }
+        }
+    }
+
+    async fn read(&self, source: Source, staged: &Staged, index: usize) -> Result<Bytes, Error> {
+        match source {
+            Source::Agent(address) => within(AGENT_TIMEOUT, self.ask(address, staged, index)).await,
+            Source::Origin => {
+                let origin = self.state.origin().ok_or_else(|| failed("no origin"))?;
+                let read = self
+                    .origin
+                    .piece(origin, &staged.model, staged.version, index);
+                within(ORIGIN_TIMEOUT, read).await
+            }
+        }
+    }
+
+    async fn ask(&self, agent: SocketAddr, staged: &Staged, index: usize) -> Result<Bytes, Error> {
+        let path = path(&staged.model, staged.version, index);
+        let request = Request::get(format!("http://{agent}{path}"))
+            .body(Bytes::new())
+            .map_err(|error| failed(&error.to_string()))?;
+        let response = self.client.fetch(request, PIECE_BYTES, AGENT_TIMEOUT).await;
+        let response = response.map_err(|error| failed(&error.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(failed(response.status().as_str()));
+        }
+        Ok(response.into_body())
+    }
+}
+
+fn failed(reason: &str) -> Error {
+    Error::Failed {
+        reason: reason.to_owned(),
+    }
+}
+
+async fn within(
+    time: Duration,
+    read: impl Future<Output = Result<Bytes, Error>>,
+) -> Result<Bytes, Error> {
+    timeout(time, read)
+        .await
+        .unwrap_or_else(|_| Err(failed("no answer in time")))
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/src/lib.rs
@@ -0,0 +1,14 @@
+//! Brings a model engine to the wanted version of its weights: pieces come from other agents or the origin, are
+//! verified by their SHA-256 digests, staged at the engine, verified again and then loaded.
+
+pub mod door;
+pub mod engine;
+pub mod fact;
+pub mod fetch;
+pub mod load;
+pub mod manifest;
+pub mod metrics;
+pub mod process;
+pub mod roster;
+pub mod state;
+pub mod turn;
--- /dev/null
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -0,0 +1,231 @@
+//! Brings the engine to the wanted version, again and again.
+
+use std::{rc::Rc, time::Duration};
+
+use pistachiolug_http::client::Client;
+use pistachiolug_kernel::timer::Ticks;
+use pistachiolug_platform::kv::Store;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    engine::{Engine, Error, Ordered, Origin, Report},
+    fact::{Decoder, Fact},
+    fetch::Fetcher,
+    roster::Roster,
+    state::{Staged, State, Want},
+    turn,
+};
+
+/// Longest time the list of members may take to read.
+const ROSTER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Interval of looks at an engine that loads.
+const LOAD_LOOK: Duration = Duration::from_millis(100);
+
+/// Longest time a load may take before the engine is looked at anew: running requests end within their deadlines.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Pause after a failure, before the next try.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Loader of one engine.
+#[derive(Debug)]
+pub struct Loader<E, O, S, D> {
+    /// Agent's state.
+    pub state: Rc<State>,
+    /// Engine.
+    pub engine: E,
+    /// Origin.
+    pub origin: O,
+    /// Key-value service, for the list of members.
+    pub store: S,
+    /// Format of the rows.
+    pub decoder: D,
+    /// Client for other agents.
+    pub client: Client,
+}
+
+impl<E: Engine, O: Origin, S: Store, D: Decoder> Loader<E, O, S, D> {
+    /// Runs until the process ends; looks at the engine at each tick and whenever a version is named.
+    pub async fn run(self, mut ticks: Ticks) {
+        let mut reachable = true;
+        loop {
+            let looked = match self.state.want() {
+                Some(want) => self.look(&want).await,
+                None => Ok(()),
+            };
+            if let Err(error) = &looked
+                && reachable
+            {
+                log::warn!(error:%; "weights not in order");
+            } else if looked.is_ok() && !reachable {
+                log::info!("weights in order again");
+            }
+            reachable = looked.is_ok();
+            if looked.is_err() {
+                sleep(RETRY_PAUSE).await;
+            }
+            tokio::select! {
+                () = ticks.next() => {}
+                () = self.state.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Takes the steps that bring the engine to a version.
+    async fn look(&self, want: &Want) -> Result<(), Error> {
+        let report = self.engine.report().await?;
+        let held = report.version(&want.model);
+        let staged = self.staged(want).await?;
+        if held.is_some_and(|held| held >= want.version) || report.busy {
+            return Ok(());
+        }
+        self.fetch(want, &staged).await?;
+        if held.is_some() {
+            self.wait_for_turn(want).await;
+        }
+        if self.state.want().as_ref() != Some(want) {
+            // A newer version was named; its pieces replace these.
+            return Ok(());
+        }
+        self.verify(&staged).await?;
+        if !staged.missing().is_empty() {
+            self.state.wake.notify_one();
+            return Ok(());
+        }
+        self.load(want, &report).await
+    }
+
+    /// Returns the record of staged pieces, made from what the engine holds if there is none yet.
+    async fn staged(&self, want: &Want) -> Result<Rc<Staged>, Error> {
+        if let Some(staged) = self.state.staged(&want.model, want.version) {
+            return Ok(staged);
+        }
+        let origin = self.state.origin();
+        let origin = origin.ok_or_else(|| failed("no origin is configured"))?;
+        let manifest = self
+            .origin
+            .manifest(origin, &want.model, want.version)
+            .await?;
+        if manifest.digests.len() != want.pieces {
+            return Err(failed("manifest has another number of pieces"));
+        }
+        let staged = Rc::new(Staged::new(want, manifest));
+        for index in 0..want.pieces {
+            let bytes = self.engine.staged(&want.model, index).await?;
+            if bytes.is_some_and(|bytes| staged.manifest.fits(index, &bytes)) {
+                self.state.metrics.pieces.of("staged").inc();
+                staged.set(index, true);
+            }
+        }
+        log::info!(model = want.model.as_str(), version = want.version, missing = staged.missing().len(); "staged pieces checked");
+        self.state.set_staged(Some(Rc::clone(&staged)));
+        Ok(staged)
+    }
+
+    async fn fetch(&self, want: &Want, staged: &Rc<Staged>) -> Result<(), Error> {
+        let missing = staged.missing().len();
+        if missing == 0 {
+            return Ok(());
+        }
+        self.read_roster().await;
+        let start = self.state.now();
+        let fetcher = Fetcher {
+            state: &self.state,
+            engine: &self.engine,
+            origin: &self.origin,
+            client: &self.client,
+        };
+        let whole = fetcher.run(staged).await;
+        let taken_ms = (self.state.now().saturating_sub(start)).as_millis() as u64;
+        log::info!(model = want.model.as_str(), version = want.version, missing, whole, taken_ms; "pieces fetched");
+        if whole {
+            return Ok(());
+        }
+        // The digests themselves may be spoilt: read them anew next time.
+        self.state.set_staged(None);
+        Err(failed("pieces are missing"))
+    }
+
+    async fn read_roster(&self) {
+        let prefix = self.decoder.members_prefix();
+        let range = match timeout(ROSTER_TIMEOUT, self.store.range(prefix)).await {
+            Ok(Ok(range)) => range,
+            Ok(Err(error)) => {
+                log::warn!(error:%; "members not read, those known before are asked");
+                return;
+            }
+            Err(_) => {
+                log::warn!("members not read in time, those known before are asked");
+                return;
+            }
+        };
+        let facts = range
+            .entries
+            .iter()
+            .map(|entry| self.decoder.decode(&entry.key, &entry.value));
+        let mut members: Vec<_> = facts
+            .filter_map(|fact| match fact {
+                Fact::Member(member) => Some(member),
+                _ => None,
+            })
+            .collect();
+        members.push(self.state.options.me.clone());
+        self.state.set_roster(Roster::new(members));
+    }
+
+    async fn wait_for_turn(&self, want: &Want) {
+        let roster = self.state.roster();
+        let name = format!("{}/{}", want.model, want.version);
+        let position = roster.position(&self.state.options.me, &name);
+        let due = want.since + turn::delay(position, self.state.options.version_allowed);
+        sleep(due.saturating_sub(self.state.now())).await;
+    }
+
+    /// Reads all staged pieces again; those that have turned bad count as missing.
+    async fn verify(&self, staged: &Rc<Staged>) -> Result<(), Error> {
+        for index in 0..staged.manifest.digests.len() {
+            let bytes = self.engine.staged(&staged.model, index).await?;
+            let whole = bytes.is_some_and(|bytes| staged.manifest.fits(index, &bytes));
+            if !whole {
+                self.state.metrics.pieces.of("spoilt").inc();
+                log::warn!(model = staged.model.as_str(), version = staged.version, index; "staged piece has turned bad");
+                staged.set(index, false);
+            }
+        }
+        Ok(())
+    }
+
+    async fn load(&self, want: &Want, report: &Report) -> Result<(), Error> {
+        let model = want.model.as_str();
+        let ordered = self.engine.load(model, want.version, report.orders).await?;
+        let before = report.version(model);
+        log::info!(model, version = want.version, before:?, orders = report.orders, ordered:?; "load ordered");
+        if ordered == Ordered::Conflict {
+            sleep(RETRY_PAUSE).await;
+            return Ok(());
+        }
+        let start = self.state.now();
+        loop {
+            sleep(LOAD_LOOK).await;
+            let report = self.engine.report().await?;
+            let taken = self.state.now().saturating_sub(start);
+            let taken_ms = taken.as_millis() as u64;
+            if report.version(model) == Some(want.version) {
+                self.state.metrics.loads.inc();
+                log::info!(model, version = want.version, taken_ms; "version serves");
+                return Ok(());
+            }
+            if taken >= LOAD_TIMEOUT {
+                log::warn!(model, version = want.version, taken_ms; "load takes long");
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn failed(reason: &str) -> Error {
+    Error::Failed {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/src/metrics.rs
@@ -0,0 +1,45 @@
+//! Counters of an agent's weights.
+
+use pistachiolug_kernel::metric::{Counters, Error, LibrarySnafu};
+use prometheus::{IntCounter, Registry};
+use snafu::ResultExt;
+
+/// Metrics of an agent.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Pieces by where they came from, and those that were spoilt.
+    pub pieces: Counters,
+    /// Pieces given to other agents.
+    pub given: IntCounter,
+    /// Loads that the engine has finished.
+    pub loads: IntCounter,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// [`Error::Library`] for a name that is taken.
+    pub fn register(registry: &Registry) -> Result<Self, Error> {
+        let pieces = Counters::register(
+            registry,
+            "pistachiolug_loader_pieces_total",
+            "Pieces of weights by source.",
+            "source",
+            &["origin", "agent", "staged", "spoilt"],
+        )?;
+        Ok(Self {
+            pieces,
+            given: counter(registry, "given", "Pieces given to other agents.")?,
+            loads: counter(registry, "loads", "Loads that the engine has finished.")?,
+        })
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
+    let name = format!("pistachiolug_loader_{name}_total");
+    let counter = IntCounter::new(name, help).context(LibrarySnafu)?;
+    let registered = registry.register(Box::new(counter.clone()));
+    registered.context(LibrarySnafu)?;
+    Ok(counter)
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -0,0 +1,114 @@
+//! Start and stop of an agent that keeps an engine's weights.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::Request;
+use hyper::body::Incoming;
+use pistachiolug_http::{
+    client::Client,
+    local::{self, Limit},
+};
+use pistachiolug_kernel::{
+    kernel::{self, Kernel},
+    metric,
+};
+use pistachiolug_platform::kv::Store;
+use pistachiolug_replica::follow;
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpListener, sync::watch, task::spawn_local};
+
+use crate::{
+    door,
+    engine::{Engine, Origin},
+    fact::Decoder,
+    load::Loader,
+    metrics::Metrics,
+    state::{Intake, Options, State},
+};
+
+/// Interval of looks at the engine: a restarted one is noticed within it.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Connections kept to each other agent.
+const KEPT_CONNECTIONS: usize = 2;
+
+/// Bounds of connections from other agents.
+const PEER_LIMIT: Limit = Limit {
+    head_bytes: 8192,
+    head_timeout: Duration::from_secs(20),
+};
+
+/// Reports why an agent could not run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The internal address could not be bound.
+    #[snafu(display("could not listen on {address}: {source}"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A metric could not be made.
+    #[snafu(display("metrics: {source}"))]
+    Metric {
+        /// Cause.
+        source: metric::Error,
+    },
+    /// The process failed.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// Cause.
+        source: kernel::Error,
+    },
+}
+
+/// Runs an agent until it is told to stop; needs a local task set.
+///
+/// # Errors
+/// [`Error`] when it can't start or fails.
+pub async fn run<E: Engine, O: Origin, S: Store, D: Decoder>(
+    options: Options,
+    engine: E,
+    origin: O,
+    store: S,
+    decoder: D,
+) -> Result<(), Error> {
+    let kernel = Kernel::start(&options.name);
+    let metrics = Metrics::register(&kernel.metrics).context(MetricSnafu)?;
+    let address = options.me.address;
+    let state = State::new(options, metrics);
+    let listener = local::bind(address).context(ListenSnafu { address })?;
+    let intake = Intake::new(Rc::clone(&state), decoder.clone());
+    let prefix = decoder.orders_prefix();
+    spawn_local(follow::run(store.clone(), prefix, intake));
+    let door = Rc::clone(&state);
+    spawn_local(serve(door, engine.clone(), kernel.clone(), listener));
+    let loader = Loader {
+        state,
+        engine,
+        origin,
+        store,
+        decoder,
+        client: Client::new(KEPT_CONNECTIONS),
+    };
+    let ticks = kernel.timer.subscribe(LOOK_INTERVAL, LOOK_INTERVAL / 4);
+    spawn_local(loader.run(ticks));
+    // Others who ask for a piece go to the next source, so nothing has to be finished.
+    kernel.run(Duration::ZERO, || true).await.context(KernelSnafu)
+}
+
+async fn serve<E: Engine>(state: Rc<State>, engine: E, kernel: Kernel, listener: TcpListener) {
+    let (_open, never) = watch::channel(false);
+    let handler = move |request: Request<Incoming>| {
+        let path = request.uri().path().to_owned();
+        let (state, engine, kernel) = (Rc::clone(&state), engine.clone(), kernel.clone());
+        async move {
+            match kernel.admin().serve(&path) {
+                Some(reply) => local::whole(reply),
+                None => door::serve(state, engine, path).await,
+            }
+        }
+    };
+    local::serve(listener, || PEER_LIMIT, never, handler).await;
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/src/roster.rs
@@ -0,0 +1,97 @@
+//! Agents of one service and the order in which they are asked for a piece.
+
+use std::net::SocketAddr;
+
+use pistachiolug_weights::order::Key;
+
+/// Agent of the service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Internal address.
+    pub address: SocketAddr,
+    /// Region.
+    pub region: String,
+}
+
+/// Where a piece may come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// Another agent.
+    Agent(SocketAddr),
+    /// The origin.
+    Origin,
+}
+
+/// Members of the service, this agent among them.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    /// Each with its key; sorted by address, without doubles.
+    members: Vec<(Key, Member)>,
+}
+
+/// Agents that are asked for a piece before the origin.
+const ASKED_MOST: usize = 3;
+
+impl Roster {
+    /// Builds a roster from members in any order.
+    pub fn new(mut members: Vec<Member>) -> Self {
+        members.sort_by_key(|member| member.address);
+        members.dedup_by_key(|member| member.address);
+        let keyed = members
+            .into_iter()
+            .map(|member| (Key::of(&member.address.to_string()), member));
+        Self {
+            members: keyed.collect(),
+        }
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().map(|(_, member)| member)
+    }
+
+    /// Returns the sources of a piece in the order in which `me` asks them.
+    ///
+    /// One member, the same for all, reads a piece from the origin; one member of each other region reads it from
+    /// there; all others ask the one of their own region. So one copy leaves the origin and one crosses each region's
+    /// link. Those next in the order stand in for members that do not answer.
+    pub fn sources(&self, me: &Member, piece: &str) -> Vec<Source> {
+        let object = Key::of(piece);
+        let all = self.ranked(object, |_| true);
+        let near = self.ranked(object, |member| member.region == me.region);
+        let first = |ranked: &[&Member]| ranked.first().is_none_or(|first| first.address == me.address);
+        let mut sources: Vec<Source> = Vec::new();
+        if first(&all) {
+            return vec![Source::Origin];
+        }
+        let asked = if first(&near) { &all } else { &near };
+        // Members behind this one in the order wait for it or for those before it.
+        let before = asked
+            .iter()
+            .take_while(|member| member.address != me.address);
+        sources.extend(
+            before
+                .take(ASKED_MOST)
+                .map(|member| Source::Agent(member.address)),
+        );
+        sources.push(Source::Origin);
+        sources
+    }
+
+    /// Returns the position of `me` among the members for a version, from 0.
+    pub fn position(&self, me: &Member, version: &str) -> usize {
+        let ranked = self.ranked(Key::of(version), |_| true);
+        let position = ranked.iter().position(|member| member.address == me.address);
+        position.unwrap_or_default()
+    }
+
+    fn ranked(&self, object: Key, keep: impl Fn(&Member) -> bool) -> Vec<&Member> {
+        let mut ranked: Vec<&(Key, Member)> = self
+            .members
+            .iter()
+            .filter(|(_, member)| keep(member))
+            .collect();
+        ranked.sort_by_key(|(key, _)| std::cmp::Reverse(key.score(object)));
+        ranked.into_iter().map(|(_, member)| member).collect()
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -0,0 +1,263 @@
+//! State of an agent, shared by its tasks on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use pistachiolug_kernel::clock::{Clock, System};
+use pistachiolug_platform::kv;
+use pistachiolug_replica::{
+    follow::Observer,
+    rows::{Change, Rows},
+};
+use tokio::sync::Notify;
+
+use crate::{
+    fact::{Decoder, Fact},
+    manifest::Manifest,
+    metrics::Metrics,
+    roster::{Member, Roster},
+};
+
+/// Version that every model starts with.
+const FIRST_VERSION: u64 = 1;
+
+/// Settings of an agent.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name.
+    pub name: String,
+    /// The agent itself.
+    pub me: Member,
+    /// Time after the naming of a version from which no other version may begin a request.
+    pub version_allowed: Duration,
+}
+
+/// Version that the engine should hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Want {
+    /// Model's name.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Number of pieces.
+    pub pieces: usize,
+    /// When the agent learned of it, since its start.
+    pub since: Duration,
+}
+
+/// Pieces of one version that are staged at the engine.
+#[derive(Debug)]
+pub struct Staged {
+    /// Model's name.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Digests.
+    pub manifest: Manifest,
+    /// Whether each piece was staged and found whole; as long as the manifest.
+    held: RefCell<Vec<bool>>,
+    /// Wakes those who wait for a piece.
+    added: Notify,
+}
+
+impl Staged {
+    /// Creates the record of a version none of whose pieces is staged.
+    pub fn new(want: &Want, manifest: Manifest) -> Self {
+        Self {
+            model: want.model.clone(),
+            version: want.version,
+            held: RefCell::new(vec![false; manifest.digests.len()]),
+            manifest,
+            added: Notify::new(),
+        }
+    }
+
+    /// Tells whether a piece is staged.
+    pub fn holds(&self, index: usize) -> bool {
+        self.held.borrow().get(index).copied().unwrap_or_default()
+    }
+
+    /// Notes whether a piece is staged and whole.
+    pub fn set(&self, index: usize, held: bool) {
+        if let Some(slot) = self.held.borrow_mut().get_mut(index) {
+            *slot = held;
+        }
+        if held {
+            self.added.notify_waiters();
+        }
+    }
+
+    /// Returns the pieces that are not staged.
+    pub fn missing(&self) -> Vec<usize> {
+        let held = self.held.borrow();
+        let missing = held.iter().enumerate().filter(|(_, held)| !**held);
+        missing.map(|(index, _)| index).collect()
+    }
+
+    /// Waits until a piece is staged.
+    pub async fn wait_for(&self, index: usize) {
+        loop {
+            let added = self.added.notified();
+            if self.holds(index) {
+                return;
+            }
+            added.await;
+        }
+    }
+}
+
+/// Agent's state.
+#[derive(Debug)]
+pub struct State {
+    /// Settings.
+    pub options: Options,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Wakes the loader when there may be something to do.
+    pub wake: Notify,
+    clock: System,
+    rows: RefCell<Rows>,
+    models: RefCell<Vec<(String, usize)>>,
+    origin: Cell<Option<SocketAddr>>,
+    /// Named versions by model, with the time at which each was learned.
+    versions: RefCell<Vec<(String, u64, Duration)>>,
+    roster: RefCell<Roster>,
+    staged: RefCell<Option<Rc<Staged>>>,
+    away: Cell<bool>,
+}
+
+impl State {
+    /// Creates the state of an agent that knows nothing yet.
+    pub fn new(options: Options, metrics: Metrics) -> Rc<Self> {
+        Rc::new(Self {
+            options,
+            metrics,
+            wake: Notify::new(),
+            clock: System::default(),
+            rows: RefCell::default(),
+            models: RefCell::default(),
+            origin: Cell::default(),
+            versions: RefCell::default(),
+            roster: RefCell::default(),
+            staged: RefCell::default(),
+            away: Cell::default(),
+        })
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns the version that the engine should hold; `None` before the first configuration.
+    pub fn want(&self) -> Option<Want> {
+        let models = self.models.borrow();
+        let (model, pieces) = models.first()?;
+        let versions = self.versions.borrow();
+        let named = versions.iter().find(|(name, _, _)| name == model);
+        let (version, since) = named.map_or((FIRST_VERSION, Duration::ZERO), |(_, version, since)| {
+            (*version, *since)
+        });
+        Some(Want {
+            model: model.clone(),
+            version,
+            pieces: *pieces,
+            since,
+        })
+    }
+
+    /// Learns of a named version; older ones are ignored.
+    pub fn name_version(&self, model: &str, version: u64, from: &str) {
+        let now = self.now();
+        let mut versions = self.versions.borrow_mut();
+        let known = versions.iter_mut().find(|(name, _, _)| name == model);
+        match known {
+            Some((_, known, _)) if *known >= version => return,
+            Some(known) => *known = (model.to_owned(), version, now),
+            None => versions.push((model.to_owned(), version, now)),
+        }
+        log::info!(model, version, from; "version named");
+        self.wake.notify_one();
+    }
+
+    /// Returns the origin of weights.
+    pub fn origin(&self) -> Option<SocketAddr> {
+        self.origin.get()
+    }
+
+    /// Returns the agents of the service.
+    pub fn roster(&self) -> Roster {
+        self.roster.borrow().clone()
+    }
+
+    /// Replaces the agents of the service.
+    pub fn set_roster(&self, roster: Roster) {
+        *self.roster.borrow_mut() = roster;
+    }
+
+    /// Returns the record of staged pieces of a version.
+    pub fn staged(&self, model: &str, version: u64) -> Option<Rc<Staged>> {
+        let staged = self.staged.borrow();
+        let staged = staged.as_ref()?;
+        (staged.model == model && staged.version == version).then(|| Rc::clone(staged))
+    }
+
+    /// Replaces the record of staged pieces.
+    pub fn set_staged(&self, staged: Option<Rc<Staged>>) {
+        *self.staged.borrow_mut() = staged;
+    }
+}
+
+/// Feeds an agent's state from rows.
+#[derive(Debug, Clone)]
+pub struct Intake<D> {
+    state: Rc<State>,
+    decoder: D,
+}
+
+impl<D: Decoder> Intake<D> {
+    /// Creates an intake.
+    pub fn new(state: Rc<State>, decoder: D) -> Self {
+        Self { state, decoder }
+    }
+}
+
+impl<D: Decoder> Observer for Intake<D> {
+    fn with_rows<T>(&self, act: impl FnOnce(&mut Rows) -> T) -> T {
+        act(&mut self.state.rows.borrow_mut())
+    }
+
+    fn changed(&self, changes: Vec<Change>) {
+        for change in changes {
+            let Change::Put(entry) = change else {
+                continue;
+            };
+            match self.decoder.decode(&entry.key, &entry.value) {
+                Fact::Weights { models, origin } => {
+                    *self.state.models.borrow_mut() = models;
+                    self.state.origin.set(origin);
+                    self.state.wake.notify_one();
+                }
+                Fact::Version { model, version } => {
+                    self.state.name_version(&model, version, "key-value service");
+                }
+                Fact::Member(_) | Fact::Other => {}
+            }
+        }
+    }
+
+    fn reached(&self, result: Result<(), &kv::Error>) {
+        let away = result.is_err();
+        if self.state.away.replace(away) == away {
+            return;
+        }
+        match result {
+            Ok(()) => log::info!("key-value service regained"),
+            Err(error) => log::warn!(error:%; "key-value service lost"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -0,0 +1,103 @@
+//! Follows a key-value service into [`Rows`].
+
+use std::time::Duration;
+
+use pistachiolug_platform::kv::{Error, Store};
+use rand::RngExt;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::rows::{Change, Rows};
+
+/// Pause after a watch that brought changes, so that changes in quick succession share a call.
+const BATCH_PAUSE: Duration = Duration::from_millis(150);
+
+/// First pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause after a failed call; a tenth of the seconds within which a change must be in force.
+const RETRY_PAUSE_MOST: Duration = Duration::from_millis(600);
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Longest time one read of all rows may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Receives what the follower learns.
+pub trait Observer {
+    /// Gives access to the rows, which peers may also bring up to date.
+    fn with_rows<T>(&self, act: impl FnOnce(&mut Rows) -> T) -> T;
+
+    /// Takes changes of rows, in order.
+    fn changed(&self, changes: Vec<Change>);
+
+    /// Notes that the service answers, or why it does not.
+    fn reached(&self, result: Result<(), &Error>);
+}
+
+/// Follows the rows under `prefix` for as long as the process runs.
+pub async fn run<S: Store, O: Observer>(store: S, prefix: &str, observer: O) {
+    let mut pause = RETRY_PAUSE;
+    let mut known = false;
+    loop {
+        let start = Instant::now();
+        let step = if known {
+            watch(&store, prefix, &observer).await
+        } else {
+            read(&store, prefix, &observer).await
+        };
+        match step {
+            Ok(changed) => {
+                known = true;
+                pause = RETRY_PAUSE;
+                observer.reached(Ok(()));
+                if changed {
+                    sleep(BATCH_PAUSE).await;
+                }
+            }
+            // The service has dropped the history that the watch asked for.
+            Err(Error::Compacted { .. }) => known = false,
+            Err(error) => {
+                observer.reached(Err(&error));
+                // A call that took its time has waited already.
+                if start.elapsed() < pause {
+                    sleep(jittered(pause)).await;
+                }
+                pause = (pause * 2).min(RETRY_PAUSE_MOST);
+            }
+        }
+    }
+}
+
+async fn read<S: Store, O: Observer>(
+    store: &S,
+    prefix: &str,
+    observer: &O,
+) -> Result<bool, Error> {
+    let range = timeout(READ_TIMEOUT, store.range(prefix)).await;
+    let range = range.unwrap_or_else(|_| {
+        Err(Error::Unavailable {
+            reason: "no answer in time".to_owned(),
+        })
+    })?;
+    let changes = observer.with_rows(|rows| rows.reset(range));
+    observer.changed(changes);
+    Ok(false)
+}
+
+async fn watch<S: Store, O: Observer>(
+    store: &S,
+    prefix: &str,
+    observer: &O,
+) -> Result<bool, Error> {
+    let after = observer.with_rows(|rows| rows.revision());
+    let events = store.watch(prefix, after, WATCH_WAIT).await?;
+    let changes = observer.with_rows(|rows| rows.apply(events));
+    let changed = !changes.is_empty();
+    observer.changed(changes);
+    Ok(changed)
+}
+
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.0))
+}
--- a/crates/pistachiolug_routing/src/retry.rs
+++ b/crates/pistachiolug_routing/src/retry.rs
@@ -9,20 +9,40 @@
 /// Token bucket that first attempts fill and retries empty.
 #[derive(Debug, Clone)]
 pub struct Budget {
-    /// Retries that may be made now; within `0.0..=BURST`.
+    /// Retries that may be made now; within `0.0..=burst`.
     saved: f64,
+    share: f64,
+    burst: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { saved: BURST }
+        Self::new(SHARE, BURST)
     }
 }
 
 impl Budget {
+    /// Creates a full budget.
+    ///
+    /// # Arguments
+    /// `share` is the retries that each first attempt earns, `burst` the largest number of saved ones.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self {
+            saved: burst,
+            share,
+            burst,
+        }
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + SHARE).min(BURST);
+        self.saved = (self.saved + self.share).min(self.burst);
+    }
+
+    /// Lowers the largest number of saved retries, as when more processes share it.
+    pub fn bound(&mut self, burst: f64) {
+        self.burst = burst;
+        self.saved = self.saved.min(burst);
     }
 
     /// Takes one retry, or returns `false` when the budget is used up.
