Ask for pieces early and read the origin one by one per agent

Cause: agents asked six pieces at a time, waited 0.9 s at most and then all read the origin, whose connections ran out. Change: pieces are asked for sixteen at a time with a longer wait, each agent reads its own pieces from the origin one by one, and a superseded version is dropped at once.

--- a/crates/pistachiolug_loader/src/door.rs
+++ b/crates/pistachiolug_loader/src/door.rs
@@ -12,8 +12,8 @@
     state::{Staged, State},
 };
 
-/// Longest wait for a piece that this agent is about to fetch; shorter than the asking agent's patience.
-const PIECE_WAIT: Duration = Duration::from_millis(900);
+/// Longest wait for a piece that this agent is about to fetch: twice the time in which the origin gives a whole version.
+const PIECE_WAIT: Duration = Duration::from_millis(2500);
 
 /// Interval at which a request for a version whose manifest is not here yet looks again.
 const MANIFEST_WAIT: Duration = Duration::from_millis(30);
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -15,11 +15,11 @@
     state::{Staged, State},
 };
 
-/// Pieces that are fetched at once: enough to keep the link busy over the delay between regions.
-const FETCHES: usize = 6;
+/// Pieces that are asked of other agents at once: most of them wait there until the piece has come from the origin.
+const FETCHES: usize = 16;
 
-/// Longest time one fetch from another agent may take; it may have to wait for the piece itself.
-const AGENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest time one fetch from another agent may take: its wait there and its share of a narrow link.
+const AGENT_TIMEOUT: Duration = Duration::from_millis(5000);
 
 /// Longest time one read from the origin may take; its link is shared by all that read at once.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -52,19 +52,33 @@
     /// Fetches and stages all missing pieces; returns `false` if some could not be had.
     pub async fn run(&self, staged: &Rc<Staged>) -> bool {
         let roster = self.state.roster();
-        let mut pieces: Vec<(Vec<Source>, usize)> = staged
-            .missing()
-            .into_iter()
+        let pieces = staged.missing().into_iter();
+        let mut pieces: Vec<(Vec<Source>, usize)> = pieces
             .map(|index| (self.sources(&roster, staged, index), index))
             .collect();
         pieces.shuffle(&mut rand::rng());
-        // Others wait for the pieces that this agent reads for them.
-        pieces.sort_by_key(|(sources, _)| sources.len());
+        let (own, others): (Vec<_>, Vec<_>) = pieces
+            .into_iter()
+            .partition(|(sources, _)| sources.first() == Some(&Source::Origin));
+        // The origin takes few connections, so each agent reads its own pieces one by one.
+        let (own, others) = tokio::join!(
+            self.pieces(staged, own, 1),
+            self.pieces(staged, others, FETCHES)
+        );
+        own && others
+    }
+
+    async fn pieces(
+        &self,
+        staged: &Rc<Staged>,
+        pieces: Vec<(Vec<Source>, usize)>,
+        at_once: usize,
+    ) -> bool {
         let fetches = pieces
             .into_iter()
             .map(|(sources, index)| self.piece(staged, sources, index));
         let done: Vec<bool> = stream::iter(fetches)
-            .buffer_unordered(FETCHES)
+            .buffer_unordered(at_once)
             .collect()
             .await;
         done.into_iter().all(|done| done)
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -51,7 +51,10 @@
         let mut reachable = true;
         loop {
             let looked = match self.state.want() {
-                Some(want) => self.look(&want).await,
+                Some(want) => tokio::select! {
+                    looked = self.look(&want) => looked,
+                    () = self.state.superseded(&want) => continue,
+                },
                 None => Ok(()),
             };
             if let Err(error) = &looked
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -119,6 +119,8 @@
     pub metrics: Metrics,
     /// Wakes the loader when there may be something to do.
     pub wake: Notify,
+    /// Wakes those who work on a version that may be superseded.
+    named: Notify,
     clock: System,
     rows: RefCell<Rows>,
     models: RefCell<Vec<(String, usize)>>,
@@ -137,6 +139,7 @@
             options,
             metrics,
             wake: Notify::new(),
+            named: Notify::new(),
             clock: System::default(),
             rows: RefCell::default(),
             models: RefCell::default(),
@@ -172,6 +175,9 @@
 
     /// Learns of a named version; older ones are ignored.
     pub fn name_version(&self, model: &str, version: u64, from: &str) {
+        if version <= FIRST_VERSION {
+            return;
+        }
         let now = self.now();
         let mut versions = self.versions.borrow_mut();
         let known = versions.iter_mut().find(|(name, _, _)| name == model);
@@ -182,6 +188,18 @@
         }
         log::info!(model, version, from; "version named");
         self.wake.notify_one();
+        self.named.notify_waiters();
+    }
+
+    /// Waits until the engine should hold another version.
+    pub async fn superseded(&self, want: &Want) {
+        loop {
+            let named = self.named.notified();
+            if self.want().as_ref() != Some(want) {
+                return;
+            }
+            named.await;
+        }
     }
 
     /// Returns the origin of weights.
