Tell entries of loads and send one piece at a time

Cause: entries learned of a load from refusals and of its end from the list, and transfers filled the agents' links. Change: agents send notices to all entries; a piece is awaited by HEAD and received two at a time, sent one at a time.

--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -2,14 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use pistachiolug_wire::datagram::{Change, Notice, Work};
 use rand::Rng;
 use rustc_hash::{FxHashMap, FxHasher};
 
 use crate::{
-    beacon::Work,
     catalog::Engine,
     place::{self, Candidate, Distance},
-    server::{Record, Version},
+    server::{Model, Record, Version},
 };
 
 /// First time for which a server that could not be reached is passed over.
@@ -56,6 +56,8 @@
     avoid_until: Duration,
     failures: f64,
     pace: f64,
+    /// Whether its agent has told of a version.
+    told: bool,
     /// When it is dropped, once the list does not name it any more.
     gone_at: Option<Duration>,
 }
@@ -67,8 +69,8 @@
     pub service: Arc<str>,
     /// Model, for requests to engines.
     pub model: Option<Arc<str>>,
-    /// Only version that may run it, if just one may.
-    pub version: Option<Version>,
+    /// Oldest version that may begin it, if there is a bound.
+    pub oldest: Option<Version>,
     /// Tokens of the prompt.
     pub prompt: u32,
     /// Servers that had the request already.
@@ -108,6 +110,18 @@
 }
 
 impl Server {
+    /// Takes a newer record; a version that the agent has told of is not taken back by a list that lags.
+    fn take(&mut self, record: Record) {
+        let told = std::mem::replace(&mut self.record, record);
+        for model in told.models {
+            let listed = self.record.version(&model.name);
+            if self.told && listed.is_none_or(|listed| listed < model.version) {
+                self.record.models.retain(|known| known.name != model.name);
+                self.record.models.push(model);
+            }
+        }
+    }
+
     /// Returns the list's record.
     pub fn record(&self) -> &Record {
         &self.record
@@ -125,11 +139,10 @@
     fn usable(&self, need: &Need, now: Duration) -> bool {
         let holds = match &need.model {
             None => true,
-            Some(model) => match (self.record.version(model), need.version) {
-                (Some(held), Some(only)) => held == only,
-                (held, None) => held.is_some(),
-                (None, Some(_)) => false,
-            },
+            Some(model) => {
+                let held = self.record.version(model);
+                held.is_some_and(|held| need.oldest.is_none_or(|oldest| held >= oldest))
+            }
         };
         holds
             && !self.record.leaving
@@ -163,7 +176,7 @@
                 && server.record.service == record.service
                 && server.record.address == record.address;
             if same {
-                server.record = record;
+                server.take(record);
                 server.gone_at = None;
                 return;
             }
@@ -181,6 +194,7 @@
                 avoid_until: Duration::ZERO,
                 failures: 0.0,
                 pace: PACE_RANGE.0,
+                told: false,
                 gone_at: None,
             },
         );
@@ -212,6 +226,32 @@
         }
     }
 
+    /// Takes what an agent says of its server; `false` if the server is not known.
+    pub fn notice(&mut self, notice: &Notice, now: Duration) -> bool {
+        let servers = self.servers.values_mut();
+        let mut servers = servers.filter(|server| server.gone_at.is_none());
+        let server = servers.find(|server| {
+            server.record.address == notice.server && server.record.started == notice.started
+        });
+        let Some(server) = server else {
+            return false;
+        };
+        match notice.change {
+            Change::Loading { for_ms } => {
+                server.avoid_until = now + Duration::from_millis(for_ms.into());
+            }
+            Change::Holds { version } => {
+                server.told = true;
+                server.avoid_until = now;
+                let name = Arc::from(notice.model.as_str());
+                let models = &mut server.record.models;
+                models.retain(|known| known.name != name);
+                models.push(Model { name, version });
+            }
+        }
+        true
+    }
+
     /// Finds a server.
     pub fn get(&self, id: &str) -> Option<&Server> {
         self.servers.get(id)
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -84,7 +84,7 @@
         let model = self.model.clone();
         Need {
             service: Arc::clone(&self.service),
-            version: model.as_deref().and_then(|model| state.only_version(model)),
+            oldest: model.as_deref().and_then(|model| state.oldest_version(model)),
             model,
             prompt: self.tokens.prompt,
             tried: tried.to_vec(),
@@ -128,7 +128,10 @@
             admitted: &self.admitted,
             choice: &ticket.choice,
             left: self.left(),
-            version: model.and_then(|model| state.only_version(model)),
+            // Only under a bound: a list that lags would turn sound sends away.
+            version: model
+                .filter(|model| state.oldest_version(model).is_some())
+                .and_then(|model| ticket.choice.record.version(model)),
             priority: self.engine_priority(),
             last_event,
         };
@@ -471,7 +474,7 @@
         log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh = call.fresh, servable; "no place in time");
         return Err(unplaced(servable));
     };
-    let version = need.version;
+    let oldest = need.oldest;
     let (place, turn) = state.join(need, rank);
     let until = call.deadline.min(Instant::now() + patience);
     let waiting = Waiting {
@@ -485,7 +488,7 @@
     state.metrics.waits.observe(waited.as_secs_f64());
     if let Ok(Ok(ticket)) = ticket {
         let need = Need {
-            version,
+            oldest,
             ..Need::default()
         };
         log_placed(call, &ticket, &need, ahead);
@@ -555,7 +558,7 @@
         expected_ms = choice.wait_ms as u64,
         calls = choice.calls,
         ahead,
-        only_version:? = need.version,
+        oldest_version:? = need.oldest,
         age_ms = call.age_ms();
         "request placed"
     );
--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -7,9 +7,10 @@
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
 use pistachiolug_replica::{follow::Observer, snapshot};
+use pistachiolug_wire::datagram::{self, Datagram};
 use tokio::net::UdpSocket;
 
-use crate::{beacon::Beacon, fact::Decoder, intake::Intake, state::State};
+use crate::{fact::Decoder, intake::Intake, state::State};
 
 /// Interval of beacons: about the time in which one entry places a few requests.
 pub const BEACON_INTERVAL: Duration = Duration::from_millis(50);
@@ -17,8 +18,8 @@
 /// Beacons that a peer may be ahead before its rows are read; the own watch usually brings them first.
 const BEHIND_MOST: u32 = 8;
 
-/// Largest beacon in bytes.
-const BEACON_BYTES: usize = 16 << 10;
+/// Largest datagram in bytes.
+const DATAGRAM_BYTES: usize = 16 << 10;
 
 /// Longest time that reading a peer's rows may take.
 const ROWS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -43,15 +44,17 @@
         ticks.next().await;
         state.refresh();
         let (beacon, peers) = state.beacon();
-        if let Ok(message) = postcard::to_stdvec(&beacon) {
-            for peer in peers {
-                // A beacon that is lost is replaced by the next one.
-                let _ = socket.try_send_to(&message, peer);
-            }
+        let revision = beacon.revision;
+        match datagram::encode(&Datagram::Beacon(beacon)) {
+            // A beacon that is lost is replaced by the next one.
+            Ok(message) => peers.iter().for_each(|peer| {
+                let _ = socket.try_send_to(&message, *peer);
+            }),
+            Err(error) => log::warn!(error:%; "beacon not encoded"),
         }
         let peer = state.better_informed();
-        let advanced = beacon.revision > known;
-        known = beacon.revision;
+        let advanced = revision > known;
+        known = revision;
         let Some(peer) = peer.filter(|_| !advanced) else {
             behind = 0;
             continue;
@@ -64,14 +67,15 @@
     }
 }
 
-/// Takes beacons.
+/// Takes datagrams of entries and agents.
 pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; BEACON_BYTES];
+    let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match postcard::from_bytes::<Beacon>(&buffer[..length]) {
-                Ok(beacon) => state.hear(beacon),
-                Err(error) => log::warn!(from:%, error:%; "malformed beacon"),
+            Ok((length, from)) => match datagram::decode(&buffer[..length]) {
+                Ok(Datagram::Beacon(beacon)) => state.hear(beacon),
+                Ok(Datagram::Notice(notice)) => state.notice(&notice),
+                Err(error) => log::warn!(from:%, error:%; "malformed datagram"),
             },
             Err(error) => log::debug!(error:%; "beacon not received"),
         }
--- a/crates/pistachiolug_gateway/src/head.rs
+++ b/crates/pistachiolug_gateway/src/head.rs
@@ -70,7 +70,7 @@
     pub choice: &'a Choice,
     /// Time until the request's deadline.
     pub left: Duration,
-    /// Version that must run the request, if just one may.
+    /// Only version that may run the request, if there is a bound.
     pub version: Option<Version>,
     /// Rank among the requests that wait at an engine, from 0 to 9.
     pub priority: Option<u8>,
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -11,11 +11,12 @@
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::retry::Budget;
+use pistachiolug_wire::datagram::{Beacon, Notice, Work};
 use rustc_hash::FxHashMap;
 use tokio::sync::oneshot;
 
 use crate::{
-    beacon::{Beacon, LOAD_AGE, PEER_AGE, Work},
+    beacon::{LOAD_AGE, PEER_AGE},
     board::{Board, Choice, Home, Need},
     catalog::{Catalog, Engine, Service},
     line::{Line, Place, Rank},
@@ -115,7 +116,8 @@
     rows: RefCell<Rows>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     board: RefCell<Board>,
-    wanted: RefCell<FxHashMap<String, Wanted>>,
+    /// Named versions by model, in order; those that a later one replaces in every respect are left out.
+    wanted: RefCell<FxHashMap<String, Vec<Wanted>>>,
     lines: RefCell<FxHashMap<Arc<str>, Line<Waiter>>>,
     rates: RefCell<FxHashMap<Arc<str>, Rate>>,
     budgets: RefCell<FxHashMap<Arc<str>, Budget>>,
@@ -264,23 +266,40 @@
         let now = self.now();
         let since = fresh.then_some(now);
         let mut wanted = self.wanted.borrow_mut();
-        let known = wanted.get(model).map_or(0, |known| known.version);
-        if version > known {
-            log::info!(model, version, before = known; "version named");
-            wanted.insert(model.to_owned(), Wanted { version, since });
+        let named = wanted.entry(model.to_owned()).or_default();
+        let known = named.last().map_or(0, |known| known.version);
+        if version <= known {
+            return;
         }
+        log::info!(model, version, before = known; "version named");
+        // Versions whose time has come are no less binding than the newest of them.
+        let due = named.iter().rposition(|known| self.is_due(known));
+        named.drain(..due.unwrap_or_default());
+        named.push(Wanted { version, since });
     }
 
-    /// Returns the only version of a model that may begin a request now; `None` if any may.
-    pub fn only_version(&self, model: &str) -> Option<Version> {
+    /// Returns the oldest version of a model that may begin a request now, if there is a bound.
+    pub fn oldest_version(&self, model: &str) -> Option<Version> {
         let wanted = self.wanted.borrow();
-        let wanted = wanted.get(model)?;
+        let named = wanted.get(model)?.iter().rev();
+        let mut due = named.filter(|known| self.is_due(known));
+        due.next().map(|known| known.version)
+    }
+
+    fn is_due(&self, wanted: &Wanted) -> bool {
         let due = match wanted.since {
             Some(since) => since + self.options.version_allowed,
             None => self.options.contact,
         };
-        let due = due.saturating_sub(VERSION_MARGIN);
-        (self.now() >= due).then_some(wanted.version)
+        self.now() >= due.saturating_sub(VERSION_MARGIN)
+    }
+
+    /// Takes what an agent says of its server.
+    pub fn notice(self: &Rc<Self>, notice: &Notice) {
+        let now = self.now();
+        let known = self.with_board(|board| board.notice(notice, now));
+        log::info!(server:% = notice.server, model = notice.model.as_str(), change:? = notice.change, known; "notice of an agent");
+        self.serve_lines();
     }
 
     /// Notes a caller's time limit and tells whether it is a first attempt, which names the longest of its route.
--- a/crates/pistachiolug_loader/src/fact.rs
+++ b/crates/pistachiolug_loader/src/fact.rs
@@ -23,6 +23,8 @@
     },
     /// An engine with an agent beside it.
     Member(Member),
+    /// Internal address of an entry.
+    Entry(SocketAddr),
     /// Nothing that an agent acts on.
     Other,
 }
@@ -34,7 +36,4 @@
 
     /// Returns the prefix of the rows with configuration and versions.
     fn orders_prefix(&self) -> &'static str;
-
-    /// Returns the prefix of the rows of engines.
-    fn members_prefix(&self) -> &'static str;
 }
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use pistachiolug_http::client::Client;
 use rand::seq::SliceRandom;
-use tokio::time::timeout;
+use tokio::{sync::Semaphore, time::timeout};
 
 use crate::{
     engine::{Engine, Error, Origin},
@@ -41,14 +41,30 @@
     pub origin: &'a O,
     /// Client for other agents.
     pub client: &'a Client,
+    /// Bounds the pieces that are received at once.
+    receiving: Semaphore,
 }
 
+/// Pieces that are received at once: the link carries the prompts of live requests as well.
+const RECEIVED: usize = 2;
+
 /// Internal path of a piece.
 pub fn path(model: &str, version: u64, index: usize) -> String {
     format!("/internal/piece/{model}/{version}/{index}")
 }
 
-impl<E: Engine, O: Origin> Fetcher<'_, E, O> {
+impl<'a, E: Engine, O: Origin> Fetcher<'a, E, O> {
+    /// Creates a fetcher.
+    pub fn new(state: &'a State, engine: &'a E, origin: &'a O, client: &'a Client) -> Self {
+        Self {
+            state,
+            engine,
+            origin,
+            client,
+            receiving: Semaphore::new(RECEIVED),
+        }
+    }
+
     /// Fetches and stages all missing pieces; returns `false` if some could not be had.
     pub async fn run(&self, staged: &Rc<Staged>) -> bool {
         let roster = self.state.roster();
@@ -148,7 +164,16 @@
 
     async fn ask(&self, agent: SocketAddr, staged: &Staged, index: usize) -> Result<Bytes, Error> {
         let path = path(&staged.model, staged.version, index);
-        let request = Request::get(format!("http://{agent}{path}"))
+        self.call(agent, Method::HEAD, &path).await?;
+        // The semaphore is never closed, so an error can only mean that there is nothing to wait for.
+        let _receiving = self.receiving.acquire().await;
+        self.call(agent, Method::GET, &path).await
+    }
+
+    async fn call(&self, agent: SocketAddr, method: Method, path: &str) -> Result<Bytes, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{agent}{path}"))
             .body(Bytes::new())
             .map_err(|error| failed(&error.to_string()))?;
         let response = self.client.fetch(request, PIECE_BYTES, AGENT_TIMEOUT).await;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -5,7 +5,11 @@
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
 use pistachiolug_platform::kv::Store;
-use tokio::time::{sleep, timeout};
+use pistachiolug_wire::datagram::{self, Change, Datagram, Notice};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
 
 use crate::{
     engine::{Engine, Error, Ordered, Origin, Report},
@@ -25,6 +29,9 @@
 /// Longest time a load may take before the engine is looked at anew: running requests end within their deadlines.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Time between the notice of a load and its order, in which requests that are on their way arrive.
+const NOTICE_LEAD: Duration = Duration::from_millis(15);
+
 /// Pause after a failure, before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -43,6 +50,8 @@
     pub decoder: D,
     /// Client for other agents.
     pub client: Client,
+    /// Socket for notices.
+    pub socket: UdpSocket,
 }
 
 impl<E: Engine, O: Origin, S: Store, D: Decoder> Loader<E, O, S, D> {
@@ -133,12 +142,7 @@
         }
         self.read_roster().await;
         let start = self.state.now();
-        let fetcher = Fetcher {
-            state: &self.state,
-            engine: &self.engine,
-            origin: &self.origin,
-            client: &self.client,
-        };
+        let fetcher = Fetcher::new(&self.state, &self.engine, &self.origin, &self.client);
         let whole = fetcher.run(staged).await;
         let taken_ms = (self.state.now().saturating_sub(start)).as_millis() as u64;
         log::info!(model = want.model.as_str(), version = want.version, missing, whole, taken_ms; "pieces fetched");
@@ -151,8 +155,7 @@
     }
 
     async fn read_roster(&self) {
-        let prefix = self.decoder.members_prefix();
-        let range = match timeout(ROSTER_TIMEOUT, self.store.range(prefix)).await {
+        let range = match timeout(ROSTER_TIMEOUT, self.store.range("")).await {
             Ok(Ok(range)) => range,
             Ok(Err(error)) => {
                 log::warn!(error:%; "members not read, those known before are asked");
@@ -167,14 +170,17 @@
             .entries
             .iter()
             .map(|entry| self.decoder.decode(&entry.key, &entry.value));
-        let mut members: Vec<_> = facts
-            .filter_map(|fact| match fact {
-                Fact::Member(member) => Some(member),
-                _ => None,
-            })
-            .collect();
-        members.push(self.state.options.me.clone());
+        let mut members = vec![self.state.options.me.clone()];
+        let mut entries = Vec::new();
+        for fact in facts {
+            match fact {
+                Fact::Member(member) => members.push(member),
+                Fact::Entry(address) => entries.push(address),
+                _ => {}
+            }
+        }
         self.state.set_roster(Roster::new(members));
+        self.state.set_entries(entries);
     }
 
     async fn wait_for_turn(&self, want: &Want) {
@@ -201,6 +207,11 @@
 
     async fn load(&self, want: &Want, report: &Report) -> Result<(), Error> {
         let model = want.model.as_str();
+        if report.version(model).is_some() {
+            let for_ms = LOAD_TIMEOUT.as_millis() as u32;
+            self.notify(want, report, Change::Loading { for_ms });
+            sleep(NOTICE_LEAD).await;
+        }
         let ordered = self.engine.load(model, want.version, report.orders).await?;
         let before = report.version(model);
         log::info!(model, version = want.version, before:?, orders = report.orders, ordered:?; "load ordered");
@@ -215,6 +226,8 @@
             let taken = self.state.now().saturating_sub(start);
             let taken_ms = taken.as_millis() as u64;
             if report.version(model) == Some(want.version) {
+                let version = want.version;
+                self.notify(want, &report, Change::Holds { version });
                 self.state.metrics.loads.inc();
                 log::info!(model, version = want.version, taken_ms; "version serves");
                 return Ok(());
@@ -227,6 +240,31 @@
     }
 }
 
+impl<E: Engine, O: Origin, S, D> Loader<E, O, S, D> {
+    /// Tells all entries of a change, ahead of the platform's list.
+    fn notify(&self, want: &Want, report: &Report, change: Change) {
+        let notice = Notice {
+            server: self.state.options.server,
+            started: report.started,
+            model: want.model.clone(),
+            change,
+        };
+        let message = match datagram::encode(&Datagram::Notice(notice)) {
+            Ok(message) => message,
+            Err(error) => {
+                log::warn!(error:%; "notice not encoded");
+                return;
+            }
+        };
+        for entry in self.state.entries() {
+            // A lost notice is made up for by the list, and by the server's own refusals.
+            if let Err(error) = self.socket.try_send_to(&message, entry) {
+                log::debug!(entry:%, error:%; "notice not sent");
+            }
+        }
+    }
+}
+
 fn failed(reason: &str) -> Error {
     Error::Failed {
         reason: reason.to_owned(),
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use http::Request;
+use http::{Method, Request};
 use hyper::body::Incoming;
 use pistachiolug_http::{
     client::Client,
@@ -15,7 +15,9 @@
 use pistachiolug_platform::kv::Store;
 use pistachiolug_replica::follow;
 use snafu::{ResultExt, Snafu};
-use tokio::{net::TcpListener, sync::watch, task::spawn_local};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch, task::spawn_local};
 
 use crate::{
     door,
@@ -91,6 +93,9 @@
         store,
         decoder,
         client: Client::new(KEPT_CONNECTIONS),
+        socket: UdpSocket::bind(SocketAddr::new(address.ip(), 0))
+            .await
+            .context(ListenSnafu { address })?,
     };
     let ticks = kernel.timer.subscribe(LOOK_INTERVAL, LOOK_INTERVAL / 4);
     spawn_local(loader.run(ticks));
@@ -102,11 +107,12 @@
     let (_open, never) = watch::channel(false);
     let handler = move |request: Request<Incoming>| {
         let path = request.uri().path().to_owned();
+        let head_only = request.method() == Method::HEAD;
         let (state, engine, kernel) = (Rc::clone(&state), engine.clone(), kernel.clone());
         async move {
             match kernel.admin().serve(&path) {
-                Some(reply) => local::whole(reply),
-                None => door::serve(state, engine, path).await,
+                Some(reply) => local::whole(reply).map(door::Piece::from),
+                None => door::serve(state, engine, head_only, path).await,
             }
         }
     };
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -13,7 +14,7 @@
     follow::Observer,
     rows::{Change, Rows},
 };
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::{
     fact::{Decoder, Fact},
@@ -25,6 +26,9 @@
 /// Version that every model starts with.
 const FIRST_VERSION: u64 = 1;
 
+/// Pieces that are sent at once; one more would delay a live event by the time that a piece takes on the link.
+const SENT_AT_ONCE: usize = 1;
+
 /// Settings of an agent.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -32,6 +36,8 @@
     pub name: String,
     /// The agent itself.
     pub me: Member,
+    /// Address at which the engine takes requests.
+    pub server: SocketAddr,
     /// Time after the naming of a version from which no other version may begin a request.
     pub version_allowed: Duration,
 }
@@ -119,6 +125,8 @@
     pub metrics: Metrics,
     /// Wakes the loader when there may be something to do.
     pub wake: Notify,
+    /// Bounds the pieces that are sent at once: the link carries the answers of live requests as well.
+    pub sending: Arc<Semaphore>,
     /// Wakes those who work on a version that may be superseded.
     named: Notify,
     clock: System,
@@ -128,6 +136,7 @@
     /// Named versions by model, with the time at which each was learned.
     versions: RefCell<Vec<(String, u64, Duration)>>,
     roster: RefCell<Roster>,
+    entries: RefCell<Vec<SocketAddr>>,
     staged: RefCell<Option<Rc<Staged>>>,
     away: Cell<bool>,
 }
@@ -139,6 +148,7 @@
             options,
             metrics,
             wake: Notify::new(),
+            sending: Arc::new(Semaphore::new(SENT_AT_ONCE)),
             named: Notify::new(),
             clock: System::default(),
             rows: RefCell::default(),
@@ -146,6 +156,7 @@
             origin: Cell::default(),
             versions: RefCell::default(),
             roster: RefCell::default(),
+            entries: RefCell::default(),
             staged: RefCell::default(),
             away: Cell::default(),
         })
@@ -217,6 +228,16 @@
         *self.roster.borrow_mut() = roster;
     }
 
+    /// Returns the internal addresses of the entries.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.entries.borrow().clone()
+    }
+
+    /// Replaces the internal addresses of the entries.
+    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
+        *self.entries.borrow_mut() = entries;
+    }
+
     /// Returns the record of staged pieces of a version.
     pub fn staged(&self, model: &str, version: u64) -> Option<Rc<Staged>> {
         let staged = self.staged.borrow();
@@ -263,7 +284,7 @@
                 Fact::Version { model, version } => {
                     self.state.name_version(&model, version, "key-value service");
                 }
-                Fact::Member(_) | Fact::Other => {}
+                Fact::Member(_) | Fact::Entry(_) | Fact::Other => {}
             }
         }
     }
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod codec;
 pub mod crash;
+pub mod datagram;
 pub mod digest;
 pub mod fault;
 pub mod instance;
