Pace pieces below the link's rate and spread loads over the time left

Cause: events queued behind buffered pieces; the list's holders were not preferred; all engines loaded at once. Change: token buckets at 0.8 of the link both ways, holders asked first, the origin read in its own region, loads one after the other until the version is due, near servers preferred.

--- a/crates/pistachiolug_gateway/src/place.rs
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, RngExt};
 
 /// Cost in milliseconds of leaving the region: its links are narrow.
-const REGION_COST_MS: f64 = 6.0;
+const REGION_COST_MS: f64 = 20.0;
 
 /// Cost in milliseconds of leaving the availability zone.
 const ZONE_COST_MS: f64 = 2.0;
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -46,7 +46,7 @@
 
 /// Time before a version's bound from which only it is accepted: a request may wait at its server, and the naming may
 /// have been learned of late.
-const VERSION_MARGIN: Duration = Duration::from_millis(1500);
+const VERSION_MARGIN: Duration = Duration::from_millis(800);
 
 /// Settings of an entry.
 #[derive(Debug, Clone)]
--- a/crates/pistachiolug_loader/src/door.rs
+++ b/crates/pistachiolug_loader/src/door.rs
@@ -1,19 +1,12 @@
 //! Gives staged pieces to other agents.
 
-use std::{
-    convert::Infallible,
-    pin::Pin,
-    rc::Rc,
-    sync::Arc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::{Body, Frame, SizeHint};
-use tokio::{sync::OwnedSemaphorePermit, time::timeout};
+use pistachiolug_http::pace::Pace;
+use tokio::time::timeout;
 
 use crate::{
     engine::Engine,
@@ -26,42 +19,6 @@
 /// Interval at which a request for a version whose manifest is not here yet looks again.
 const MANIFEST_WAIT: Duration = Duration::from_millis(30);
 
-/// Body of an answer; it counts as being sent until it is dropped.
-#[derive(Debug)]
-pub struct Piece {
-    bytes: Full<Bytes>,
-    _sending: Option<OwnedSemaphorePermit>,
-}
-
-impl From<Full<Bytes>> for Piece {
-    fn from(bytes: Full<Bytes>) -> Self {
-        Self {
-            bytes,
-            _sending: None,
-        }
-    }
-}
-
-impl Body for Piece {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.bytes).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.bytes.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.bytes.size_hint()
-    }
-}
-
 /// Answers a request for `/internal/piece/{model}/{version}/{index}`.
 ///
 /// A newer version than the known one counts as named: who asks for it has learned that from the service.
@@ -73,7 +30,7 @@
     engine: E,
     head_only: bool,
     path: String,
-) -> Response<Piece> {
+) -> Response<Full<Bytes>> {
     let Some((model, version, index)) = parse(&path) else {
         return reply(StatusCode::NOT_FOUND, Bytes::new());
     };
@@ -85,16 +42,12 @@
     if head_only {
         return reply(StatusCode::OK, Bytes::new());
     }
-    // The semaphore is never closed, so an error can only mean that there is no bound.
-    let sending = Arc::clone(&state.sending).acquire_owned().await.ok();
     let bytes = engine.staged(model, index).await.ok().flatten();
     match bytes {
         Some(bytes) if staged.manifest.fits(index, &bytes) => {
             state.metrics.given.inc();
-            reply(StatusCode::OK, bytes).map(|piece| Piece {
-                _sending: sending,
-                ..piece
-            })
+            state.up.take(bytes.len()).await;
+            reply(StatusCode::OK, bytes)
         }
         _ => {
             log::warn!(model, version, index; "staged piece is gone or spoilt");
@@ -128,8 +81,8 @@
     Some((parts.next()?, version, index))
 }
 
-fn reply(status: StatusCode, body: Bytes) -> Response<Piece> {
-    let mut response = Response::new(Piece::from(Full::new(body)));
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/pistachiolug_loader/src/fact.rs
+++ b/crates/pistachiolug_loader/src/fact.rs
@@ -4,15 +4,35 @@
 
 use crate::roster::Member;
 
+/// Model whose weights come in pieces.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Model {
+    /// Name.
+    pub name: String,
+    /// Number of pieces of each version.
+    pub pieces: usize,
+    /// Bytes of a piece; the last one may be shorter.
+    pub piece_bytes: usize,
+}
+
+/// Origin of weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Origin {
+    /// Address.
+    pub address: SocketAddr,
+    /// Region.
+    pub region: String,
+}
+
 /// Decoded row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fact {
     /// Configuration, as far as it concerns weights.
     Weights {
-        /// Models of the agent's service, with the number of pieces of each version.
-        models: Vec<(String, usize)>,
+        /// Models of the agent's service.
+        models: Vec<Model>,
         /// Origin of weights.
-        origin: Option<SocketAddr>,
+        origin: Option<Origin>,
     },
     /// The version that a model's engines should hold.
     Version {
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -7,12 +7,13 @@
 use http::{Method, Request, StatusCode};
 use pistachiolug_http::client::Client;
 use rand::seq::SliceRandom;
-use tokio::{sync::Semaphore, time::timeout};
+use pistachiolug_http::pace::Pace;
+use tokio::time::timeout;
 
 use crate::{
     engine::{Engine, Error, Origin},
     roster::{Roster, Source},
-    state::{Staged, State},
+    state::{Staged, State, Want},
 };
 
 /// Pieces that are asked of other agents at once: most of them wait there until the piece has come from the origin.
@@ -41,13 +42,10 @@
     pub origin: &'a O,
     /// Client for other agents.
     pub client: &'a Client,
-    /// Bounds the pieces that are received at once.
-    receiving: Semaphore,
+    /// Version that is fetched.
+    pub want: &'a Want,
 }
 
-/// Pieces that are received at once: the link carries the prompts of live requests as well.
-const RECEIVED: usize = 2;
-
 /// Internal path of a piece.
 pub fn path(model: &str, version: u64, index: usize) -> String {
     format!("/internal/piece/{model}/{version}/{index}")
@@ -55,13 +53,19 @@
 
 impl<'a, E: Engine, O: Origin> Fetcher<'a, E, O> {
     /// Creates a fetcher.
-    pub fn new(state: &'a State, engine: &'a E, origin: &'a O, client: &'a Client) -> Self {
+    pub fn new(
+        state: &'a State,
+        engine: &'a E,
+        origin: &'a O,
+        client: &'a Client,
+        want: &'a Want,
+    ) -> Self {
         Self {
             state,
             engine,
             origin,
             client,
-            receiving: Semaphore::new(RECEIVED),
+            want,
         }
     }
 
@@ -102,7 +106,9 @@
 
     fn sources(&self, roster: &Roster, staged: &Staged, index: usize) -> Vec<Source> {
         let name = path(&staged.model, staged.version, index);
-        roster.sources(&self.state.options.me, &name)
+        let origin = self.state.origin();
+        let home = origin.as_ref().map(|origin| origin.region.as_str());
+        roster.sources(&self.state.options.me, &name, self.want.version, home)
     }
 
     async fn piece(&self, staged: &Rc<Staged>, sources: Vec<Source>, index: usize) -> bool {
@@ -154,9 +160,10 @@
             Source::Agent(address) => within(AGENT_TIMEOUT, self.ask(address, staged, index)).await,
             Source::Origin => {
                 let origin = self.state.origin().ok_or_else(|| failed("no origin"))?;
+                self.state.down.take(self.want.piece_bytes).await;
                 let read = self
                     .origin
-                    .piece(origin, &staged.model, staged.version, index);
+                    .piece(origin.address, &staged.model, staged.version, index);
                 within(ORIGIN_TIMEOUT, read).await
             }
         }
@@ -165,8 +172,7 @@
     async fn ask(&self, agent: SocketAddr, staged: &Staged, index: usize) -> Result<Bytes, Error> {
         let path = path(&staged.model, staged.version, index);
         self.call(agent, Method::HEAD, &path).await?;
-        // The semaphore is never closed, so an error can only mean that there is nothing to wait for.
-        let _receiving = self.receiving.acquire().await;
+        self.state.down.take(self.want.piece_bytes).await;
         self.call(agent, Method::GET, &path).await
     }
 
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -88,6 +88,7 @@
     async fn look(&self, want: &Want) -> Result<(), Error> {
         let report = self.engine.report().await?;
         let held = report.version(&want.model);
+        self.state.set_held(held);
         let staged = self.staged(want).await?;
         if held.is_some_and(|held| held >= want.version) || report.busy {
             return Ok(());
@@ -117,7 +118,7 @@
         let origin = origin.ok_or_else(|| failed("no origin is configured"))?;
         let manifest = self
             .origin
-            .manifest(origin, &want.model, want.version)
+            .manifest(origin.address, &want.model, want.version)
             .await?;
         if manifest.digests.len() != want.pieces {
             return Err(failed("manifest has another number of pieces"));
@@ -142,7 +143,7 @@
         }
         self.read_roster().await;
         let start = self.state.now();
-        let fetcher = Fetcher::new(&self.state, &self.engine, &self.origin, &self.client);
+        let fetcher = Fetcher::new(&self.state, &self.engine, &self.origin, &self.client, want);
         let whole = fetcher.run(staged).await;
         let taken_ms = (self.state.now().saturating_sub(start)).as_millis() as u64;
         log::info!(model = want.model.as_str(), version = want.version, missing, whole, taken_ms; "pieces fetched");
@@ -187,8 +188,11 @@
         let roster = self.state.roster();
         let name = format!("{}/{}", want.model, want.version);
         let position = roster.position(&self.state.options.me, &name);
-        let due = want.since + turn::delay(position, self.state.options.version_allowed);
-        sleep(due.saturating_sub(self.state.now())).await;
+        let left = want.due.saturating_sub(self.state.now());
+        let wait = turn::wait(left, position, roster.members().count());
+        let (left_ms, wait_ms) = (left.as_millis() as u64, wait.as_millis() as u64);
+        log::info!(model = want.model.as_str(), version = want.version, position, left_ms, wait_ms; "load planned");
+        sleep(wait).await;
     }
 
     /// Reads all staged pieces again; those that have turned bad count as missing.
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -111,7 +111,7 @@
         let (state, engine, kernel) = (Rc::clone(&state), engine.clone(), kernel.clone());
         async move {
             match kernel.admin().serve(&path) {
-                Some(reply) => local::whole(reply).map(door::Piece::from),
+                Some(reply) => local::whole(reply),
                 None => door::serve(state, engine, head_only, path).await,
             }
         }
--- a/crates/pistachiolug_loader/src/roster.rs
+++ b/crates/pistachiolug_loader/src/roster.rs
@@ -11,6 +11,8 @@
     pub address: SocketAddr,
     /// Region.
     pub region: String,
+    /// Version that its engine holds, as far as the list says.
+    pub version: Option<u64>,
 }
 
 /// Where a piece may come from.
@@ -52,30 +54,54 @@
 
     /// Returns the sources of a piece in the order in which `me` asks them.
     ///
-    /// One member, the same for all, reads a piece from the origin; one member of each other region reads it from
-    /// there; all others ask the one of their own region. So one copy leaves the origin and one crosses each region's
-    /// link. Those next in the order stand in for members that do not answer.
-    pub fn sources(&self, me: &Member, piece: &str) -> Vec<Source> {
+    /// Members that hold the version already are asked first, near ones before others. Else one member, the same for
+    /// all, reads the piece from the origin; one member of each other region reads it from there; all others ask the
+    /// one of their own region. So one copy leaves the origin and one crosses each region's link. Those next in the
+    /// order stand in for members that do not answer.
+    ///
+    /// # Arguments
+    /// `home` is the origin's region, whose members read from it.
+    pub fn sources(
+        &self,
+        me: &Member,
+        piece: &str,
+        version: u64,
+        home: Option<&str>,
+    ) -> Vec<Source> {
         let object = Key::of(piece);
-        let all = self.ranked(object, |_| true);
-        let near = self.ranked(object, |member| member.region == me.region);
-        let first = |ranked: &[&Member]| ranked.first().is_none_or(|first| first.address == me.address);
-        let mut sources: Vec<Source> = Vec::new();
-        if first(&all) {
-            return vec![Source::Origin];
+        let holders = self.ranked(object, |member| {
+            member.address != me.address && member.version == Some(version)
+        });
+        let (near, far): (Vec<&Member>, Vec<&Member>) = holders
+            .into_iter()
+            .partition(|member| member.region == me.region);
+        let mut asked: Vec<&Member> = near.into_iter().chain(far).take(ASKED_MOST).collect();
+        if asked.is_empty() {
+            asked = self.before(me, object, home);
         }
-        let asked = if first(&near) { &all } else { &near };
-        // Members behind this one in the order wait for it or for those before it.
+        let agents = asked.iter().map(|member| Source::Agent(member.address));
+        agents.chain([Source::Origin]).collect()
+    }
+
+    /// Returns the members that `me` waits for when nobody holds a piece yet: those before it in the order.
+    fn before(&self, me: &Member, object: Key, home: Option<&str>) -> Vec<&Member> {
+        let readers = self.ranked(object, |member| home.is_none_or(|home| member.region == home));
+        let readers = if readers.is_empty() {
+            self.ranked(object, |_| true)
+        } else {
+            readers
+        };
+        let near = self.ranked(object, |member| member.region == me.region);
+        let is_first = |ranked: &[&Member]| {
+            ranked
+                .first()
+                .is_none_or(|first| first.address == me.address)
+        };
+        let asked = if is_first(&near) { readers } else { near };
         let before = asked
-            .iter()
+            .into_iter()
             .take_while(|member| member.address != me.address);
-        sources.extend(
-            before
-                .take(ASKED_MOST)
-                .map(|member| Source::Agent(member.address)),
-        );
-        sources.push(Source::Origin);
-        sources
+        before.take(ASKED_MOST).collect()
     }
 
     /// Returns the position of `me` among the members for a version, from 0.
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -4,20 +4,20 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
+use pistachiolug_http::pace::Bucket;
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_platform::kv;
 use pistachiolug_replica::{
     follow::Observer,
     rows::{Change, Rows},
 };
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
 use crate::{
-    fact::{Decoder, Fact},
+    fact::{Decoder, Fact, Model, Origin},
     manifest::Manifest,
     metrics::Metrics,
     roster::{Member, Roster},
@@ -26,8 +26,8 @@
 /// Version that every model starts with.
 const FIRST_VERSION: u64 = 1;
 
-/// Pieces that are sent at once; one more would delay a live event by the time that a piece takes on the link.
-const SENT_AT_ONCE: usize = 1;
+/// Share of the link that weights take in each direction; the rest is for live requests, whose events must not queue.
+const LINK_SHARE: f64 = 0.8;
 
 /// Settings of an agent.
 #[derive(Debug, Clone)]
@@ -38,6 +38,8 @@
     pub me: Member,
     /// Address at which the engine takes requests.
     pub server: SocketAddr,
+    /// Rate of the instance's link in bytes a second.
+    pub link_bytes: u64,
     /// Time after the naming of a version from which no other version may begin a request.
     pub version_allowed: Duration,
 }
@@ -51,8 +53,10 @@
     pub version: u64,
     /// Number of pieces.
     pub pieces: usize,
-    /// When the agent learned of it, since its start.
-    pub since: Duration,
+    /// Bytes of a piece; the last one may be shorter.
+    pub piece_bytes: usize,
+    /// When no older version may begin a request any more, since the agent's start.
+    pub due: Duration,
 }
 
 /// Pieces of one version that are staged at the engine.
@@ -125,16 +129,20 @@
     pub metrics: Metrics,
     /// Wakes the loader when there may be something to do.
     pub wake: Notify,
-    /// Bounds the pieces that are sent at once: the link carries the answers of live requests as well.
-    pub sending: Arc<Semaphore>,
+    /// Paces the pieces that are sent: the link carries the answers of live requests as well.
+    pub up: Bucket,
+    /// Paces the pieces that are received: the link carries live requests as well.
+    pub down: Bucket,
     /// Wakes those who work on a version that may be superseded.
     named: Notify,
     clock: System,
     rows: RefCell<Rows>,
-    models: RefCell<Vec<(String, usize)>>,
-    origin: Cell<Option<SocketAddr>>,
-    /// Named versions by model, with the time at which each was learned.
+    models: RefCell<Vec<Model>>,
+    origin: RefCell<Option<Origin>>,
+    /// Newest named version by model, and when the engine has to leave the version that it holds.
     versions: RefCell<Vec<(String, u64, Duration)>>,
+    /// Version that the engine holds.
+    held: Cell<Option<u64>>,
     roster: RefCell<Roster>,
     entries: RefCell<Vec<SocketAddr>>,
     staged: RefCell<Option<Rc<Staged>>>,
@@ -144,17 +152,20 @@
 impl State {
     /// Creates the state of an agent that knows nothing yet.
     pub fn new(options: Options, metrics: Metrics) -> Rc<Self> {
+        let rate = (options.link_bytes as f64 * LINK_SHARE) as u64;
         Rc::new(Self {
             options,
             metrics,
             wake: Notify::new(),
-            sending: Arc::new(Semaphore::new(SENT_AT_ONCE)),
+            up: Bucket::new(rate),
+            down: Bucket::new(rate),
             named: Notify::new(),
             clock: System::default(),
             rows: RefCell::default(),
             models: RefCell::default(),
-            origin: Cell::default(),
+            origin: RefCell::default(),
             versions: RefCell::default(),
+            held: Cell::default(),
             roster: RefCell::default(),
             entries: RefCell::default(),
             staged: RefCell::default(),
@@ -170,17 +181,18 @@
     /// Returns the version that the engine should hold; `None` before the first configuration.
     pub fn want(&self) -> Option<Want> {
         let models = self.models.borrow();
-        let (model, pieces) = models.first()?;
+        let model = models.first()?;
         let versions = self.versions.borrow();
-        let named = versions.iter().find(|(name, _, _)| name == model);
-        let (version, since) = named.map_or((FIRST_VERSION, Duration::ZERO), |(_, version, since)| {
-            (*version, *since)
+        let named = versions.iter().find(|(name, _, _)| *name == model.name);
+        let (version, due) = named.map_or((FIRST_VERSION, Duration::ZERO), |(_, version, due)| {
+            (*version, *due)
         });
         Some(Want {
-            model: model.clone(),
+            model: model.name.clone(),
             version,
-            pieces: *pieces,
-            since,
+            pieces: model.pieces,
+            piece_bytes: model.piece_bytes,
+            due,
         })
     }
 
@@ -189,19 +201,29 @@
         if version <= FIRST_VERSION {
             return;
         }
-        let now = self.now();
+        let due = self.now() + self.options.version_allowed;
         let mut versions = self.versions.borrow_mut();
         let known = versions.iter_mut().find(|(name, _, _)| name == model);
         match known {
             Some((_, known, _)) if *known >= version => return,
-            Some(known) => *known = (model.to_owned(), version, now),
-            None => versions.push((model.to_owned(), version, now)),
+            Some(known) => {
+                // An engine that has not loaded the version before still has to leave its own in that one's time.
+                let reached = self.held.get().is_some_and(|held| held >= known.1);
+                let due = if reached { due } else { due.min(known.2) };
+                *known = (model.to_owned(), version, due);
+            }
+            None => versions.push((model.to_owned(), version, due)),
         }
         log::info!(model, version, from; "version named");
         self.wake.notify_one();
         self.named.notify_waiters();
     }
 
+    /// Notes the version that the engine holds.
+    pub fn set_held(&self, held: Option<u64>) {
+        self.held.set(held);
+    }
+
     /// Waits until the engine should hold another version.
     pub async fn superseded(&self, want: &Want) {
         loop {
@@ -214,8 +236,8 @@
     }
 
     /// Returns the origin of weights.
-    pub fn origin(&self) -> Option<SocketAddr> {
-        self.origin.get()
+    pub fn origin(&self) -> Option<Origin> {
+        self.origin.borrow().clone()
     }
 
     /// Returns the agents of the service.
@@ -278,7 +300,7 @@
             match self.decoder.decode(&entry.key, &entry.value) {
                 Fact::Weights { models, origin } => {
                     *self.state.models.borrow_mut() = models;
-                    self.state.origin.set(origin);
+                    *self.state.origin.borrow_mut() = origin;
                     self.state.wake.notify_one();
                 }
                 Fact::Version { model, version } => {
