Pass pieces down a tree in each region

Cause: the first agents of a region waited for their own pieces behind others, so that theirs came last. Change: a tree of two copies a member within each region; pieces that others wait for are asked for first.

--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     engine::{Engine, Error, Origin},
-    roster::{Roster, Source},
+    roster::{Plan, Roster, Source},
     state::{Staged, State, Want},
 };
 
@@ -73,13 +73,15 @@
     pub async fn run(&self, staged: &Rc<Staged>) -> bool {
         let roster = self.state.roster();
         let pieces = staged.missing().into_iter();
-        let mut pieces: Vec<(Vec<Source>, usize)> = pieces
-            .map(|index| (self.sources(&roster, staged, index), index))
+        let mut pieces: Vec<(Plan, usize)> = pieces
+            .map(|index| (self.plan(&roster, staged, index), index))
             .collect();
         pieces.shuffle(&mut rand::rng());
+        // Others wait for the pieces that this agent passes on.
+        pieces.sort_by_key(|(plan, _)| plan.depth);
         let (own, others): (Vec<_>, Vec<_>) = pieces
             .into_iter()
-            .partition(|(sources, _)| sources.first() == Some(&Source::Origin));
+            .partition(|(plan, _)| plan.sources.first() == Some(&Source::Origin));
         // The origin takes few connections, so each agent reads its own pieces one by one.
         let (own, others) = tokio::join!(
             self.pieces(staged, own, 1),
@@ -91,12 +93,12 @@
     async fn pieces(
         &self,
         staged: &Rc<Staged>,
-        pieces: Vec<(Vec<Source>, usize)>,
+        pieces: Vec<(Plan, usize)>,
         at_once: usize,
     ) -> bool {
         let fetches = pieces
             .into_iter()
-            .map(|(sources, index)| self.piece(staged, sources, index));
+            .map(|(plan, index)| self.piece(staged, plan.sources, index));
         let done: Vec<bool> = stream::iter(fetches)
             .buffer_unordered(at_once)
             .collect()
@@ -104,11 +106,11 @@
         done.into_iter().all(|done| done)
     }
 
-    fn sources(&self, roster: &Roster, staged: &Staged, index: usize) -> Vec<Source> {
+    fn plan(&self, roster: &Roster, staged: &Staged, index: usize) -> Plan {
         let name = path(&staged.model, staged.version, index);
         let origin = self.state.origin();
         let home = origin.as_ref().map(|origin| origin.region.as_str());
-        roster.sources(&self.state.options.me, &name, self.want.version, home)
+        roster.plan(&self.state.options.me, &name, self.want.version, home)
     }
 
     async fn piece(&self, staged: &Rc<Staged>, sources: Vec<Source>, index: usize) -> bool {
--- a/crates/pistachiolug_loader/src/roster.rs
+++ b/crates/pistachiolug_loader/src/roster.rs
@@ -24,6 +24,15 @@
     Origin,
 }
 
+/// Way of one piece to one agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Position in the tree of the agent's region; those further down wait for it.
+    pub depth: usize,
+    /// Sources in the order in which they are asked; the origin comes last, or first where the agent reads it.
+    pub sources: Vec<Source>,
+}
+
 /// Members of the service, this agent among them.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
@@ -31,6 +40,14 @@
     members: Vec<(Key, Member)>,
 }
 
+/// Copies of a piece that a member passes on within its region.
+const FAN_OUT: usize = 2;
+
+/// Returns the position that the member at `position` gets a piece from.
+fn parent(position: usize) -> usize {
+    (position - 1) / FAN_OUT
+}
+
 /// Agents that are asked for a piece before the origin.
 const ASKED_MOST: usize = 3;
 
@@ -52,22 +69,16 @@
         self.members.iter().map(|(_, member)| member)
     }
 
-    /// Returns the sources of a piece in the order in which `me` asks them.
+    /// Returns where `me` gets a piece.
     ///
     /// Members that hold the version already are asked first, near ones before others. Else one member, the same for
-    /// all, reads the piece from the origin; one member of each other region reads it from there; all others ask the
-    /// one of their own region. So one copy leaves the origin and one crosses each region's link. Those next in the
-    /// order stand in for members that do not answer.
+    /// all, reads the piece from the origin; the first member of each other region gets it from there; within a region
+    /// it goes down a tree, so that no member's link carries more than a few copies. So one copy leaves the origin
+    /// and one crosses each region's link. Those above in the tree stand in for members that do not answer.
     ///
     /// # Arguments
     /// `home` is the origin's region, whose members read from it.
-    pub fn sources(
-        &self,
-        me: &Member,
-        piece: &str,
-        version: u64,
-        home: Option<&str>,
-    ) -> Vec<Source> {
+    pub fn plan(&self, me: &Member, piece: &str, version: u64, home: Option<&str>) -> Plan {
         let object = Key::of(piece);
         let holders = self.ranked(object, |member| {
             member.address != me.address && member.version == Some(version)
@@ -75,33 +86,39 @@
         let (near, far): (Vec<&Member>, Vec<&Member>) = holders
             .into_iter()
             .partition(|member| member.region == me.region);
-        let mut asked: Vec<&Member> = near.into_iter().chain(far).take(ASKED_MOST).collect();
-        if asked.is_empty() {
-            asked = self.before(me, object, home);
-        }
+        let holders: Vec<&Member> = near.into_iter().chain(far).take(ASKED_MOST).collect();
+        let (depth, asked) = if holders.is_empty() {
+            self.place(me, object, home)
+        } else {
+            (usize::MAX, holders)
+        };
         let agents = asked.iter().map(|member| Source::Agent(member.address));
-        agents.chain([Source::Origin]).collect()
+        Plan {
+            depth,
+            sources: agents.chain([Source::Origin]).collect(),
+        }
     }
 
-    /// Returns the members that `me` waits for when nobody holds a piece yet: those before it in the order.
-    fn before(&self, me: &Member, object: Key, home: Option<&str>) -> Vec<&Member> {
-        let readers = self.ranked(object, |member| home.is_none_or(|home| member.region == home));
-        let readers = if readers.is_empty() {
-            self.ranked(object, |_| true)
-        } else {
-            readers
-        };
+    /// Returns the place of `me` in the tree of its region for a piece that nobody holds yet, and whom it asks.
+    fn place(&self, me: &Member, object: Key, home: Option<&str>) -> (usize, Vec<&Member>) {
         let near = self.ranked(object, |member| member.region == me.region);
-        let is_first = |ranked: &[&Member]| {
-            ranked
-                .first()
-                .is_none_or(|first| first.address == me.address)
-        };
-        let asked = if is_first(&near) { readers } else { near };
-        let before = asked
+        let position = near.iter().position(|member| member.address == me.address);
+        let position = position.unwrap_or_default();
+        if position > 0 {
+            let above = std::iter::successors(Some(parent(position)), |above| {
+                (*above > 0).then(|| parent(*above))
+            });
+            let asked = above.take(ASKED_MOST).map(|above| near[above]);
+            return (position, asked.collect());
+        }
+        let mut readers = self.ranked(object, |member| home.is_none_or(|home| member.region == home));
+        if readers.is_empty() {
+            readers = self.ranked(object, |_| true);
+        }
+        let before = readers
             .into_iter()
             .take_while(|member| member.address != me.address);
-        before.take(ASKED_MOST).collect()
+        (position, before.take(ASKED_MOST).collect())
     }
 
     /// Returns the position of `me` among the members for a version, from 0.
