Keep asking for pieces, and keep serving while an entry stops

Cause: a stopping entry deadlocked on the value that closes its connections; a piece whose origin was away was given up with all others; a watch that was cut missed changes whose history was dropped. Change: no lock is held while a connection ends, and new connections of a stopping entry are answered once; pieces are asked for until they come; all rows are read again after a failed watch.

--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -158,9 +158,11 @@
     /// Tells whether a draining process may end.
     fn is_done(&self) -> bool {
         debug_assert!(self.kernel.control().now() >= Phase::Draining);
-        let since = self.since.get().unwrap_or_else(Instant::now);
+        let since = self.since.get().unwrap_or_else(|| {
+            self.closing.send_replace(true);
+            Instant::now()
+        });
         self.since.set(Some(since));
-        self.closing.send_replace(true);
         since.elapsed() >= LINGER && self.state.open_requests() == 0
     }
 }
--- a/crates/pistachiolug_http/src/local.rs
+++ b/crates/pistachiolug_http/src/local.rs
@@ -94,6 +94,13 @@
     }
 }
 
+/// Waits until a server closes; keeps no lock on the value, whose sender would wait for it.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn connection<H, F, B>(
     stream: TcpStream,
     limit: Limit,
@@ -113,8 +120,11 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let ends = *closing.borrow();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        // A new connection of a closing server still has its one request answered.
+        .keep_alive(!ends)
         .header_read_timeout(limit.head_timeout)
         .max_buf_size(limit.head_bytes.max(BUFFER_BYTES_LEAST))
         .auto_date_header(false)
@@ -122,7 +132,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
+        () = closed(&mut closing), if !ends => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/pistachiolug_loader/src/door.rs
+++ b/crates/pistachiolug_loader/src/door.rs
@@ -13,14 +13,16 @@
     state::{Staged, State},
 };
 
-/// Longest wait for a piece that this agent is about to fetch: twice the time in which the origin gives a whole version.
-const PIECE_WAIT: Duration = Duration::from_millis(2500);
+/// Longest wait for a piece that this agent is about to fetch: about the time in which the origin gives a version.
+const PIECE_WAIT: Duration = Duration::from_millis(1300);
 
 /// Interval at which a request for a version whose manifest is not here yet looks again.
 const MANIFEST_WAIT: Duration = Duration::from_millis(30);
 
 /// Answers a request for `/internal/piece/{model}/{version}/{index}`.
 ///
+/// The status is 202 if the piece is awaited here as well, and 404 if the version is not wanted.
+///
 /// A newer version than the known one counts as named: who asks for it has learned that from the service.
 ///
 /// # Arguments
@@ -36,8 +38,10 @@
     };
     state.name_version(model, version, "agent");
     let piece = timeout(PIECE_WAIT, wait(&state, model, version, index)).await;
-    let Ok(Some(staged)) = piece else {
-        return reply(StatusCode::NOT_FOUND, Bytes::new());
+    let staged = match piece {
+        Ok(Some(staged)) => staged,
+        Ok(None) => return reply(StatusCode::NOT_FOUND, Bytes::new()),
+        Err(_) => return reply(StatusCode::ACCEPTED, Bytes::new()),
     };
     if head_only {
         return reply(StatusCode::OK, Bytes::new());
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -6,9 +6,9 @@
 use futures_util::{StreamExt, stream};
 use http::{Method, Request, StatusCode};
 use pistachiolug_http::client::Client;
-use rand::seq::SliceRandom;
+use rand::{RngExt, seq::SliceRandom};
 use pistachiolug_http::pace::Pace;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     engine::{Engine, Error, Origin},
@@ -25,8 +25,14 @@
 /// Longest time one read from the origin may take; its link is shared by all that read at once.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Rounds over the sources of a piece before the manifest is read anew.
-const ROUNDS: usize = 2;
+/// Rounds in which an agent waits for others that wait for the piece themselves before it reads the origin.
+const WAITING_ROUNDS: usize = 3;
+
+/// Longest pause between two rounds over the sources of a piece.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+
+/// Spoilt copies of a piece after which its digest itself is read anew.
+const SPOILT_MOST: usize = 3;
 
 /// Largest piece that is accepted, in bytes.
 const PIECE_BYTES: usize = 16 << 20;
@@ -113,22 +119,36 @@
         roster.plan(&self.state.options.me, &name, self.want.version, home)
     }
 
+    /// Fetches one piece, as long as it takes; returns `false` if its digest does not seem to be right.
     async fn piece(&self, staged: &Rc<Staged>, sources: Vec<Source>, index: usize) -> bool {
-        for _ in 0..ROUNDS {
+        let mut spoilt = 0;
+        for round in 0.. {
+            let mut awaited = false;
             for source in &sources {
+                // Agents that wait for the piece themselves get it soon; the origin is for when they don't.
+                if *source == Source::Origin && awaited && round < WAITING_ROUNDS {
+                    break;
+                }
                 match self.read(*source, staged, index).await {
                     Ok(bytes) if staged.manifest.fits(index, &bytes) => {
                         return self.stage(staged, *source, index, bytes).await;
                     }
                     Ok(_) => {
+                        spoilt += 1;
                         self.state.metrics.pieces.of("spoilt").inc();
                         log::warn!(model = staged.model.as_str(), version = staged.version, index, source:?; "piece does not fit its digest");
                     }
                     Err(error) => {
+                        awaited |= error == Error::Waiting;
                         log::info!(model = staged.model.as_str(), version = staged.version, index, source:?, error:%; "piece not fetched");
                     }
                 }
             }
+            if spoilt >= SPOILT_MOST {
+                return false;
+            }
+            let pause = rand::rng().random_range(0.5..1.0);
+            sleep(ROUND_PAUSE.mul_f64(pause)).await;
         }
         false
     }
@@ -186,10 +206,11 @@
             .map_err(|error| failed(&error.to_string()))?;
         let response = self.client.fetch(request, PIECE_BYTES, AGENT_TIMEOUT).await;
         let response = response.map_err(|error| failed(&error.to_string()))?;
-        if response.status() != StatusCode::OK {
-            return Err(failed(response.status().as_str()));
+        match response.status() {
+            StatusCode::OK => Ok(response.into_body()),
+            StatusCode::ACCEPTED => Err(Error::Waiting),
+            status => Err(failed(status.as_str())),
         }
-        Ok(response.into_body())
     }
 }
 
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -58,6 +58,8 @@
             // The service has dropped the history that the watch asked for.
             Err(Error::Compacted { .. }) => known = false,
             Err(error) => {
+                // A watch that was cut may have missed changes that the history no longer holds.
+                known = false;
                 observer.reached(Err(&error));
                 // A call that took its time has waited already.
                 if start.elapsed() < pause {
