Plan the pieces by the product's planner

Cause: waits for pieces piled up and agents polled each other until their links were full; a tree waits for each of its members. Change: the product's planner decides what is fetched from where; agents tell what they have by datagrams; engines that serve nothing take their whole link. First attempts are told from returns by 0.84 of the longest limit seen.

--- a/crates/pistachiolug_gateway/src/admission.rs
+++ b/crates/pistachiolug_gateway/src/admission.rs
@@ -12,7 +12,7 @@
 const WAIT_SHARE_OF_REST: f64 = 0.25;
 
 /// Shortest time after which a refused caller is asked to come back, as a share of the time it has left.
-const RETURN_SHARE_LEAST: f64 = 0.15;
+const RETURN_SHARE_LEAST: f64 = 0.2;
 
 /// Longest such time as a share of the time left; callers honour no more than a third.
 const RETURN_SHARE_MOST: f64 = 0.32;
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -555,6 +555,8 @@
         call = call.id.as_str(),
         route = &*call.admitted.route.name,
         server = &*choice.record.id,
+        left_ms = call.left().as_millis() as u64,
+        fresh = call.fresh,
         expected_ms = choice.wait_ms as u64,
         calls = choice.calls,
         ahead,
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -39,6 +39,11 @@
     /// Servers that were sent the request.
     tried: Vec<Arc<str>>,
     splitter: Splitter,
+    /// Time to the first event.
+    first: Option<Duration>,
+    /// When the last events were passed on, and the longest pause between any two.
+    last: Option<Instant>,
+    longest_pause: Duration,
     ended: bool,
 }
 
@@ -78,6 +83,9 @@
         call,
         tried,
         splitter: Splitter::default(),
+        first: None,
+        last: None,
+        longest_pause: Duration::ZERO,
         ended: false,
     };
     unfold(relay, |mut relay| async move {
@@ -155,8 +163,14 @@
         }
     }
 
-    /// Notes the first event of a source.
+    /// Notes the times of events, and the first one of a source.
     fn note_events(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+        let age = self.call.arrived.elapsed();
+        self.first.get_or_insert(age);
         let Some(source) = self.source.as_mut() else {
             return;
         };
@@ -165,8 +179,7 @@
         }
         source.ticket.first_event(source.sent.elapsed());
         if source.before == 0 {
-            let age = self.call.arrived.elapsed().as_secs_f64();
-            self.state.metrics.first_events.observe(age);
+            self.state.metrics.first_events.observe(age.as_secs_f64());
         }
         source.before = u64::MAX;
     }
@@ -251,6 +264,9 @@
             server = server.map_or("", |ticket| &*ticket.choice.record.id),
             outcome,
             events = self.splitter.events(),
+            first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
+            fresh = call.fresh,
             sends = self.tried.len(),
             age_ms = call.age_ms();
             "stream ended"
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -48,6 +48,10 @@
 /// have been learned of late.
 const VERSION_MARGIN: Duration = Duration::from_millis(800);
 
+/// Share of the longest time limit seen on a route from which an attempt counts as the first: callers' own limits
+/// differ by up to 15 in 100, and an attempt that comes back after a refusal has lost more.
+const FIRST_ATTEMPT_SHARE: f64 = 0.84;
+
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -304,11 +308,10 @@
 
     /// Notes a caller's time limit and tells whether it is a first attempt, which names the longest of its route.
     pub fn is_fresh(&self, route: &Arc<str>, limit: Duration) -> bool {
-        const SHORTER_MOST: f64 = 0.97;
         let mut longest = self.longest.borrow_mut();
         let longest = longest.entry(Arc::clone(route)).or_default();
         *longest = limit.max(*longest);
-        limit >= longest.mul_f64(SHORTER_MOST)
+        limit >= longest.mul_f64(FIRST_ATTEMPT_SHARE)
     }
 
     /// Counts a first attempt for the retry budget.
--- a/crates/pistachiolug_loader/src/door.rs
+++ b/crates/pistachiolug_loader/src/door.rs
@@ -1,50 +1,31 @@
 //! Gives staged pieces to other agents.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use pistachiolug_http::pace::Pace;
-use tokio::time::timeout;
 
 use crate::{
     engine::Engine,
+    fetch::IDLE_HEADER,
     state::{Staged, State},
 };
 
-/// Longest wait for a piece that this agent is about to fetch: about the time in which the origin gives a version.
-const PIECE_WAIT: Duration = Duration::from_millis(1300);
-
-/// Interval at which a request for a version whose manifest is not here yet looks again.
-const MANIFEST_WAIT: Duration = Duration::from_millis(30);
-
-/// Answers a request for `/internal/piece/{model}/{version}/{index}`.
-///
-/// The status is 202 if the piece is awaited here as well, and 404 if the version is not wanted.
+/// Answers a request for `/internal/piece/{model}/{version}/{index}`; the status is 404 if the piece is not here.
 ///
 /// A newer version than the known one counts as named: who asks for it has learned that from the service.
-///
-/// # Arguments
-/// `head_only` asks just to wait until the piece is here.
-pub async fn serve<E: Engine>(
-    state: Rc<State>,
-    engine: E,
-    head_only: bool,
-    path: String,
-) -> Response<Full<Bytes>> {
+pub async fn serve<E: Engine>(state: Rc<State>, engine: E, path: String) -> Response<Full<Bytes>> {
     let Some((model, version, index)) = parse(&path) else {
         return reply(StatusCode::NOT_FOUND, Bytes::new());
     };
     state.name_version(model, version, "agent");
-    let piece = timeout(PIECE_WAIT, wait(&state, model, version, index)).await;
-    let staged = match piece {
-        Ok(Some(staged)) => staged,
-        Ok(None) => return reply(StatusCode::NOT_FOUND, Bytes::new()),
-        Err(_) => return reply(StatusCode::ACCEPTED, Bytes::new()),
+    let Some(staged) = state.staged(model, version) else {
+        return reply(StatusCode::NOT_FOUND, Bytes::new());
     };
-    if head_only {
-        return reply(StatusCode::OK, Bytes::new());
+    if !staged.holds(index) {
+        return absent(&state, &staged);
     }
     let bytes = engine.staged(model, index).await.ok().flatten();
     match bytes {
@@ -58,23 +39,8 @@
             state.metrics.pieces.of("spoilt").inc();
             staged.set(index, false);
             state.wake.notify_one();
-            reply(StatusCode::NOT_FOUND, Bytes::new())
-        }
-    }
-}
-
-/// Waits for a piece; `None` if the version is not the wanted one.
-async fn wait(state: &State, model: &str, version: u64, index: usize) -> Option<Rc<Staged>> {
-    loop {
-        let want = state.want()?;
-        if want.model != model || want.version != version {
-            return None;
+            absent(&state, &staged)
         }
-        if let Some(staged) = state.staged(model, version) {
-            staged.wait_for(index).await;
-            return Some(staged);
-        }
-        tokio::time::sleep(MANIFEST_WAIT).await;
     }
 }
 
@@ -85,6 +51,17 @@
     Some((parts.next()?, version, index))
 }
 
+/// Says that a piece is not here, and how long ago the transfer of its version last gained one.
+fn absent(state: &State, staged: &Staged) -> Response<Full<Bytes>> {
+    let mut response = reply(StatusCode::NOT_FOUND, Bytes::new());
+    if !staged.missing().is_empty() {
+        let idle = state.now().saturating_sub(staged.gained());
+        let value = HeaderValue::from(idle.as_millis() as u64);
+        response.headers_mut().insert(IDLE_HEADER, value);
+    }
+    response
+}
+
 fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/pistachiolug_loader/src/engine.rs
+++ b/crates/pistachiolug_loader/src/engine.rs
@@ -17,9 +17,6 @@
         /// Cause.
         reason: String,
     },
-    /// The piece is not there yet, but about to come.
-    #[snafu(display("piece is awaited"))]
-    Waiting,
     /// The version is not kept any more.
     #[snafu(display("version is gone"))]
     Gone,
--- /dev/null
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -0,0 +1,151 @@
+//! Datagrams by which agents tell each other what is staged.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use pistachiolug_weights::{bitmap::Bitmap, order::Key, planner::Have};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc::{self, error::TrySendError},
+};
+
+use crate::state::State;
+
+/// Largest datagram in bytes.
+const DATAGRAM_BYTES: usize = 16 << 10;
+
+/// Answers that may wait for the fetch; later ones repeat them.
+const WAITING: usize = 256;
+
+/// Datagram between agents.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Message {
+    /// Asks what is staged of a version.
+    Ask {
+        /// Internal address of the asking agent.
+        from: SocketAddr,
+        model: String,
+        version: u64,
+    },
+    /// Says what is staged of a version.
+    Have {
+        /// Internal address of the agent that has it.
+        from: SocketAddr,
+        model: String,
+        version: u64,
+        held: Bitmap,
+        /// Whether the engine serves the version already.
+        serving: bool,
+    },
+}
+
+/// What another agent has of the version that is fetched.
+#[derive(Debug)]
+pub struct Heard {
+    /// Key of the agent.
+    pub from: Key,
+    /// Its pieces.
+    pub have: Have,
+    /// Whether its engine serves the version already.
+    pub serving: bool,
+}
+
+/// Socket for datagrams of agents.
+#[derive(Debug, Clone)]
+pub struct Exchange {
+    socket: Rc<UdpSocket>,
+    state: Rc<State>,
+    heard: mpsc::Sender<Heard>,
+}
+
+impl Exchange {
+    /// Creates an exchange on a socket, and the receiver of what other agents say.
+    pub fn new(socket: UdpSocket, state: Rc<State>) -> (Self, mpsc::Receiver<Heard>) {
+        let (heard, receiver) = mpsc::channel(WAITING);
+        let exchange = Self {
+            socket: Rc::new(socket),
+            state,
+            heard,
+        };
+        (exchange, receiver)
+    }
+
+    /// Asks an agent what it has of a version.
+    pub fn ask(&self, agent: SocketAddr, model: &str, version: u64) {
+        let message = Message::Ask {
+            from: self.state.options.me.address,
+            model: model.to_owned(),
+            version,
+        };
+        self.send(agent, &message);
+    }
+
+    /// Takes datagrams until the process ends.
+    pub async fn run(self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                    Ok(message) => self.take(message),
+                    Err(error) => log::warn!(from:%, error:%; "malformed datagram"),
+                },
+                Err(error) => log::debug!(error:%; "datagram not received"),
+            }
+        }
+    }
+
+    fn take(&self, message: Message) {
+        match message {
+            Message::Ask {
+                from,
+                model,
+                version,
+            } => self.answer(from, model, version),
+            Message::Have {
+                from,
+                model,
+                version,
+                held,
+                serving,
+            } => {
+                let wanted = self.state.want();
+                if wanted.is_none_or(|want| want.model != model || want.version != version) {
+                    return;
+                }
+                let heard = Heard {
+                    from: Key::of(&from.to_string()),
+                    have: Have::Whole(held),
+                    serving,
+                };
+                if let Err(TrySendError::Closed(_)) = self.heard.try_send(heard) {
+                    log::debug!("nobody listens to what agents have");
+                }
+            }
+        }
+    }
+
+    /// Answers a question; a newer version than the known one counts as named, since who asks for it has learned that
+    /// from the service.
+    fn answer(&self, from: SocketAddr, model: String, version: u64) {
+        self.state.name_version(&model, version, "agent");
+        let Some(staged) = self.state.staged(&model, version) else {
+            return;
+        };
+        let message = Message::Have {
+            from: self.state.options.me.address,
+            held: staged.held(),
+            serving: self.state.serves(version),
+            model,
+            version,
+        };
+        self.send(from, &message);
+    }
+
+    fn send(&self, to: SocketAddr, message: &Message) {
+        match postcard::to_stdvec(message) {
+            // A lost datagram is made up for by the next question.
+            Ok(bytes) => drop(self.socket.try_send_to(&bytes, to)),
+            Err(error) => log::warn!(error:%; "datagram not encoded"),
+        }
+    }
+}
--- a/crates/pistachiolug_loader/src/fact.rs
+++ b/crates/pistachiolug_loader/src/fact.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::roster::Member;
+use pistachiolug_weights::roster::Member;
 
 /// Model whose weights come in pieces.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -1,41 +1,68 @@
-//! Fetches the missing pieces of a version.
+//! Fetches the missing pieces of a version as the planner decides.
 
-use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
-use http::{Method, Request, StatusCode};
-use pistachiolug_http::client::Client;
-use rand::{RngExt, seq::SliceRandom};
-use pistachiolug_http::pace::Pace;
-use tokio::time::{sleep, timeout};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use http::{Request, StatusCode};
+use pistachiolug_http::{client::Client, pace::Pace};
+use pistachiolug_weights::{
+    order::Key,
+    planner::{
+        Planner,
+        fetch::{Fetch, Outcome, Via},
+        policy::{Policy, Tuning},
+    },
+    roster::Roster,
+};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior, interval, timeout},
+};
 
 use crate::{
     engine::{Engine, Error, Origin},
-    roster::{Plan, Roster, Source},
+    exchange::{Exchange, Heard},
     state::{Staged, State, Want},
 };
 
-/// Pieces that are asked of other agents at once: most of them wait there until the piece has come from the origin.
-const FETCHES: usize = 16;
+/// Bounds of a transfer of a few megabytes that has to be over within seconds.
+const TUNING: Tuning = Tuning {
+    policy: Policy::BytesFirst,
+    slots: 4,
+    neighbour_slots: 1,
+    source_slots: 1,
+    neighbours: 6,
+    sources: 1,
+    stall: Duration::from_millis(1500),
+    ask_interval: Duration::from_millis(150),
+};
+
+/// Interval of questions to neighbours: about the time in which a link carries two pieces.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Questions without an answer after which a neighbour is taken for unreachable.
+const MISSES: u32 = 5;
 
-/// Longest time one fetch from another agent may take: its wait there and its share of a narrow link.
-const AGENT_TIMEOUT: Duration = Duration::from_millis(5000);
+/// Longest time one fetch from another agent may take, with its wait there and its share of a narrow link.
+const AGENT_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Longest time one read from the origin may take; its link is shared by all that read at once.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Rounds in which an agent waits for others that wait for the piece themselves before it reads the origin.
-const WAITING_ROUNDS: usize = 3;
+/// Largest piece that is accepted, in bytes.
+const PIECE_BYTES: usize = 16 << 20;
 
-/// Longest pause between two rounds over the sources of a piece.
-const ROUND_PAUSE: Duration = Duration::from_millis(250);
+/// Spoilt pieces after which the digests themselves are read anew.
+const SPOILT_MOST: u32 = 6;
 
-/// Spoilt copies of a piece after which its digest itself is read anew.
-const SPOILT_MOST: usize = 3;
+/// Header of an answer without a piece: milliseconds since the agent last gained one.
+pub const IDLE_HEADER: &str = "x-idle-ms";
 
-/// Largest piece that is accepted, in bytes.
-const PIECE_BYTES: usize = 16 << 20;
+/// Internal path of a piece.
+pub fn path(model: &str, version: u64, index: u32) -> String {
+    format!("/internal/piece/{model}/{version}/{index}")
+}
 
 /// Fetches pieces of one version.
 #[derive(Debug)]
@@ -48,183 +75,158 @@
     pub origin: &'a O,
     /// Client for other agents.
     pub client: &'a Client,
+    /// Questions to other agents.
+    pub exchange: &'a Exchange,
     /// Version that is fetched.
     pub want: &'a Want,
 }
 
-/// Internal path of a piece.
-pub fn path(model: &str, version: u64, index: usize) -> String {
-    format!("/internal/piece/{model}/{version}/{index}")
-}
+/// Questions that a neighbour has not answered.
+type Misses = rustc_hash::FxHashMap<Key, u32>;
 
-impl<'a, E: Engine, O: Origin> Fetcher<'a, E, O> {
-    /// Creates a fetcher.
-    pub fn new(
-        state: &'a State,
-        engine: &'a E,
-        origin: &'a O,
-        client: &'a Client,
-        want: &'a Want,
-    ) -> Self {
-        Self {
-            state,
-            engine,
-            origin,
-            client,
-            want,
+impl<E: Engine, O: Origin> Fetcher<'_, E, O> {
+    /// Fetches and stages all missing pieces; returns `false` if their digests do not seem to be right.
+    pub async fn run(&self, staged: &Rc<Staged>, heard: &mut mpsc::Receiver<Heard>) -> bool {
+        let start = Instant::now();
+        let roster = self.state.roster();
+        let mut planner = self.planner(staged, &roster);
+        let mut fetches = FuturesUnordered::new();
+        let mut asking = interval(ASK_INTERVAL);
+        asking.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut misses = Misses::default();
+        let mut spoilt = 0;
+        while !planner.complete() && spoilt < SPOILT_MOST {
+            while let Some(fetch) = planner.next(start.elapsed(), &mut rand::rng()) {
+                fetches.push(self.fetch(staged, &roster, fetch));
+            }
+            tokio::select! {
+                Some((fetch, outcome)) = fetches.next() => {
+                    spoilt += u32::from(outcome == Outcome::Corrupt);
+                    planner.finish(fetch, outcome, start.elapsed());
+                }
+                Some(heard) = heard.recv() => {
+                    misses.remove(&heard.from);
+                    planner.hear(heard.from, heard.have, heard.serving);
+                }
+                _ = asking.tick() => self.ask(&mut planner, &roster, &mut misses, start.elapsed()),
+            }
         }
+        planner.complete()
     }
 
-    /// Fetches and stages all missing pieces; returns `false` if some could not be had.
-    pub async fn run(&self, staged: &Rc<Staged>) -> bool {
-        let roster = self.state.roster();
-        let pieces = staged.missing().into_iter();
-        let mut pieces: Vec<(Plan, usize)> = pieces
-            .map(|index| (self.plan(&roster, staged, index), index))
-            .collect();
-        pieces.shuffle(&mut rand::rng());
-        // Others wait for the pieces that this agent passes on.
-        pieces.sort_by_key(|(plan, _)| plan.depth);
-        let (own, others): (Vec<_>, Vec<_>) = pieces
-            .into_iter()
-            .partition(|(plan, _)| plan.sources.first() == Some(&Source::Origin));
-        // The origin takes few connections, so each agent reads its own pieces one by one.
-        let (own, others) = tokio::join!(
-            self.pieces(staged, own, 1),
-            self.pieces(staged, others, FETCHES)
+    fn planner(&self, staged: &Staged, roster: &Roster) -> Planner {
+        let me = &self.state.options.me;
+        let pieces = 0..staged.manifest.digests.len() as u32;
+        let keys = pieces.map(|index| Key::of(&path(&staged.model, staged.version, index)));
+        let home = self.state.origin().map(|origin| origin.region);
+        let mut planner = Planner::new(
+            Key::of(&me.name),
+            &me.region,
+            &home.unwrap_or_default(),
+            roster,
+            keys.collect(),
+            TUNING,
+            Duration::ZERO,
         );
-        own && others
-    }
-
-    async fn pieces(
-        &self,
-        staged: &Rc<Staged>,
-        pieces: Vec<(Plan, usize)>,
-        at_once: usize,
-    ) -> bool {
-        let fetches = pieces
-            .into_iter()
-            .map(|(plan, index)| self.piece(staged, plan.sources, index));
-        let done: Vec<bool> = stream::iter(fetches)
-            .buffer_unordered(at_once)
-            .collect()
-            .await;
-        done.into_iter().all(|done| done)
-    }
-
-    fn plan(&self, roster: &Roster, staged: &Staged, index: usize) -> Plan {
-        let name = path(&staged.model, staged.version, index);
-        let origin = self.state.origin();
-        let home = origin.as_ref().map(|origin| origin.region.as_str());
-        roster.plan(&self.state.options.me, &name, self.want.version, home)
+        for piece in staged.held().iter() {
+            planner.hold(piece);
+        }
+        planner
     }
 
-    /// Fetches one piece, as long as it takes; returns `false` if its digest does not seem to be right.
-    async fn piece(&self, staged: &Rc<Staged>, sources: Vec<Source>, index: usize) -> bool {
-        let mut spoilt = 0;
-        for round in 0.. {
-            let mut awaited = false;
-            for source in &sources {
-                // Agents that wait for the piece themselves get it soon; the origin is for when they don't.
-                if *source == Source::Origin && awaited && round < WAITING_ROUNDS {
-                    break;
-                }
-                match self.read(*source, staged, index).await {
-                    Ok(bytes) if staged.manifest.fits(index, &bytes) => {
-                        return self.stage(staged, *source, index, bytes).await;
-                    }
-                    Ok(_) => {
-                        spoilt += 1;
-                        self.state.metrics.pieces.of("spoilt").inc();
-                        log::warn!(model = staged.model.as_str(), version = staged.version, index, source:?; "piece does not fit its digest");
-                    }
-                    Err(error) => {
-                        awaited |= error == Error::Waiting;
-                        log::info!(model = staged.model.as_str(), version = staged.version, index, source:?, error:%; "piece not fetched");
-                    }
-                }
+    fn ask(&self, planner: &mut Planner, roster: &Roster, misses: &mut Misses, now: Duration) {
+        let neighbours: Vec<Key> = planner.neighbours().collect();
+        for key in neighbours {
+            let missed = misses.entry(key).or_default();
+            *missed += 1;
+            if *missed > MISSES {
+                misses.remove(&key);
+                planner.miss(key, now);
             }
-            if spoilt >= SPOILT_MOST {
-                return false;
+            if let Some(member) = roster.find(key) {
+                self.exchange
+                    .ask(member.address, &self.want.model, self.want.version);
             }
-            let pause = rand::rng().random_range(0.5..1.0);
-            sleep(ROUND_PAUSE.mul_f64(pause)).await;
         }
-        false
     }
 
-    async fn stage(
+    async fn fetch(
         &self,
         staged: &Rc<Staged>,
-        source: Source,
-        index: usize,
-        bytes: Bytes,
-    ) -> bool {
-        let name = match source {
-            Source::Agent(_) => "agent",
-            Source::Origin => "origin",
+        roster: &Roster,
+        fetch: Fetch,
+    ) -> (Fetch, Outcome) {
+        let read = match fetch.via {
+            Via::Neighbour(key) | Via::Member(key) => match roster.find(key) {
+                Some(member) => self.ask_piece(member.address, staged, fetch.piece).await,
+                None => Err(Outcome::Failed),
+            },
+            Via::Source(_) => self.read_origin(staged, fetch.piece).await,
         };
-        self.state.metrics.pieces.of(name).inc();
-        match self.engine.stage(&staged.model, index, bytes).await {
-            Ok(()) => {
-                staged.set(index, true);
-                true
-            }
-            Err(error) => {
-                log::warn!(model = staged.model.as_str(), index, error:%; "piece not staged");
-                false
-            }
+        let outcome = match read {
+            Ok(bytes) => self.stage(staged, fetch, bytes).await,
+            Err(outcome) => outcome,
+        };
+        if outcome != Outcome::Arrived {
+            log::info!(model = staged.model.as_str(), version = staged.version, piece = fetch.piece, via:? = fetch.via, outcome:?; "piece not fetched");
         }
+        (fetch, outcome)
     }
 
-    async fn read(&self, source: Source, staged: &Staged, index: usize) -> Result<Bytes, Error> {
-        match source {
-            Source::Agent(address) => within(AGENT_TIMEOUT, self.ask(address, staged, index)).await,
-            Source::Origin => {
-                let origin = self.state.origin().ok_or_else(|| failed("no origin"))?;
-                self.state.down.take(self.want.piece_bytes).await;
-                let read = self
-                    .origin
-                    .piece(origin.address, &staged.model, staged.version, index);
-                within(ORIGIN_TIMEOUT, read).await
-            }
+    async fn stage(&self, staged: &Rc<Staged>, fetch: Fetch, bytes: Bytes) -> Outcome {
+        let index = fetch.piece as usize;
+        if !staged.manifest.fits(index, &bytes) {
+            self.state.metrics.pieces.of("spoilt").inc();
+            return Outcome::Corrupt;
         }
+        if let Err(error) = self.engine.stage(&staged.model, index, bytes).await {
+            log::warn!(model = staged.model.as_str(), index, error:%; "piece not staged");
+            return Outcome::Failed;
+        }
+        let source = match fetch.via {
+            Via::Source(_) => "origin",
+            Via::Neighbour(_) | Via::Member(_) => "agent",
+        };
+        self.state.metrics.pieces.of(source).inc();
+        staged.set(index, true);
+        Outcome::Arrived
     }
 
-    async fn ask(&self, agent: SocketAddr, staged: &Staged, index: usize) -> Result<Bytes, Error> {
-        let path = path(&staged.model, staged.version, index);
-        self.call(agent, Method::HEAD, &path).await?;
+    async fn read_origin(&self, staged: &Staged, piece: u32) -> Result<Bytes, Outcome> {
+        let origin = self.state.origin().ok_or(Outcome::Failed)?;
         self.state.down.take(self.want.piece_bytes).await;
-        self.call(agent, Method::GET, &path).await
+        let read = self
+            .origin
+            .piece(origin.address, &staged.model, staged.version, piece as usize);
+        match timeout(ORIGIN_TIMEOUT, read).await {
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(Error::Gone)) => Err(Outcome::Absent { idle: None }),
+            Ok(Err(Error::Failed { .. })) | Err(_) => Err(Outcome::Failed),
+        }
     }
 
-    async fn call(&self, agent: SocketAddr, method: Method, path: &str) -> Result<Bytes, Error> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{agent}{path}"))
-            .body(Bytes::new())
-            .map_err(|error| failed(&error.to_string()))?;
+    async fn ask_piece(
+        &self,
+        agent: SocketAddr,
+        staged: &Staged,
+        piece: u32,
+    ) -> Result<Bytes, Outcome> {
+        self.state.down.take(self.want.piece_bytes).await;
+        let path = path(&staged.model, staged.version, piece);
+        let request = Request::get(format!("http://{agent}{path}")).body(Bytes::new());
+        let request = request.map_err(|_| Outcome::Failed)?;
         let response = self.client.fetch(request, PIECE_BYTES, AGENT_TIMEOUT).await;
-        let response = response.map_err(|error| failed(&error.to_string()))?;
+        let response = response.map_err(|_| Outcome::Failed)?;
         match response.status() {
             StatusCode::OK => Ok(response.into_body()),
-            StatusCode::ACCEPTED => Err(Error::Waiting),
-            status => Err(failed(status.as_str())),
+            StatusCode::NOT_FOUND => {
+                let idle = response.headers().get(IDLE_HEADER);
+                let millis = idle.and_then(|idle| idle.to_str().ok()?.parse().ok());
+                Err(Outcome::Absent {
+                    idle: millis.map(Duration::from_millis),
+                })
+            }
+            _ => Err(Outcome::Failed),
         }
     }
 }
-
-fn failed(reason: &str) -> Error {
-    Error::Failed {
-        reason: reason.to_owned(),
-    }
-}
-
-async fn within(
-    time: Duration,
-    read: impl Future<Output = Result<Bytes, Error>>,
-) -> Result<Bytes, Error> {
-    timeout(time, read)
-        .await
-        .unwrap_or_else(|_| Err(failed("no answer in time")))
-}
--- a/crates/pistachiolug_loader/src/lib.rs
+++ b/crates/pistachiolug_loader/src/lib.rs
@@ -3,12 +3,12 @@
 
 pub mod door;
 pub mod engine;
+pub mod exchange;
 pub mod fact;
 pub mod fetch;
 pub mod load;
 pub mod manifest;
 pub mod metrics;
 pub mod process;
-pub mod roster;
 pub mod state;
 pub mod turn;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -4,18 +4,20 @@
 
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
+use pistachiolug_weights::roster::Roster;
 use pistachiolug_platform::kv::Store;
 use pistachiolug_wire::datagram::{self, Change, Datagram, Notice};
 use tokio::{
     net::UdpSocket,
+    sync::mpsc,
     time::{sleep, timeout},
 };
 
 use crate::{
     engine::{Engine, Error, Ordered, Origin, Report},
+    exchange::{Exchange, Heard},
     fact::{Decoder, Fact},
     fetch::Fetcher,
-    roster::Roster,
     state::{Staged, State, Want},
     turn,
 };
@@ -52,17 +54,22 @@
     pub client: Client,
     /// Socket for notices.
     pub socket: UdpSocket,
+    /// Questions to other agents.
+    pub exchange: Exchange,
+    /// What other agents say.
+    pub heard: mpsc::Receiver<Heard>,
 }
 
 impl<E: Engine, O: Origin, S: Store, D: Decoder> Loader<E, O, S, D> {
     /// Runs until the process ends; looks at the engine at each tick and whenever a version is named.
-    pub async fn run(self, mut ticks: Ticks) {
+    pub async fn run(mut self, mut ticks: Ticks) {
+        let state = Rc::clone(&self.state);
         let mut reachable = true;
         loop {
             let looked = match self.state.want() {
                 Some(want) => tokio::select! {
                     looked = self.look(&want) => looked,
-                    () = self.state.superseded(&want) => continue,
+                    () = state.superseded(&want) => continue,
                 },
                 None => Ok(()),
             };
@@ -85,7 +92,7 @@
     }
 
     /// Takes the steps that bring the engine to a version.
-    async fn look(&self, want: &Want) -> Result<(), Error> {
+    async fn look(&mut self, want: &Want) -> Result<(), Error> {
         let report = self.engine.report().await?;
         let held = report.version(&want.model);
         self.state.set_held(held);
@@ -123,7 +130,7 @@
         if manifest.digests.len() != want.pieces {
             return Err(failed("manifest has another number of pieces"));
         }
-        let staged = Rc::new(Staged::new(want, manifest));
+        let staged = Rc::new(Staged::new(want, manifest, self.state.clock()));
         for index in 0..want.pieces {
             let bytes = self.engine.staged(&want.model, index).await?;
             if bytes.is_some_and(|bytes| staged.manifest.fits(index, &bytes)) {
@@ -136,15 +143,29 @@
         Ok(staged)
     }
 
-    async fn fetch(&self, want: &Want, staged: &Rc<Staged>) -> Result<(), Error> {
+    async fn fetch(&mut self, want: &Want, staged: &Rc<Staged>) -> Result<(), Error> {
         let missing = staged.missing().len();
         if missing == 0 {
             return Ok(());
         }
         self.read_roster().await;
         let start = self.state.now();
-        let fetcher = Fetcher::new(&self.state, &self.engine, &self.origin, &self.client, want);
-        let whole = fetcher.run(staged).await;
+        // An engine that serves nothing yet leaves its link to the weights.
+        let rate = if self.state.is_empty() {
+            0
+        } else {
+            self.state.up.rate()
+        };
+        self.state.down.set_rate(rate);
+        let fetcher = Fetcher {
+            state: &self.state,
+            engine: &self.engine,
+            origin: &self.origin,
+            client: &self.client,
+            exchange: &self.exchange,
+            want,
+        };
+        let whole = fetcher.run(staged, &mut self.heard).await;
         let taken_ms = (self.state.now().saturating_sub(start)).as_millis() as u64;
         log::info!(model = want.model.as_str(), version = want.version, missing, whole, taken_ms; "pieces fetched");
         if whole {
@@ -185,11 +206,9 @@
     }
 
     async fn wait_for_turn(&self, want: &Want) {
-        let roster = self.state.roster();
-        let name = format!("{}/{}", want.model, want.version);
-        let position = roster.position(&self.state.options.me, &name);
+        let (position, members) = self.state.position(&format!("{}/{}", want.model, want.version));
         let left = want.due.saturating_sub(self.state.now());
-        let wait = turn::wait(left, position, roster.members().count());
+        let wait = turn::wait(left, position, members);
         let (left_ms, wait_ms) = (left.as_millis() as u64, wait.as_millis() as u64);
         log::info!(model = want.model.as_str(), version = want.version, position, left_ms, wait_ms; "load planned");
         sleep(wait).await;
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use http::{Method, Request};
+use http::Request;
 use hyper::body::Incoming;
 use pistachiolug_http::{
     client::Client,
@@ -22,6 +22,7 @@
 use crate::{
     door,
     engine::{Engine, Origin},
+    exchange::Exchange,
     fact::Decoder,
     load::Loader,
     metrics::Metrics,
@@ -86,6 +87,10 @@
     spawn_local(follow::run(store.clone(), prefix, intake));
     let door = Rc::clone(&state);
     spawn_local(serve(door, engine.clone(), kernel.clone(), listener));
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.context(ListenSnafu { address })?;
+    let (exchange, heard) = Exchange::new(socket, Rc::clone(&state));
+    spawn_local(exchange.clone().run());
     let loader = Loader {
         state,
         engine,
@@ -96,6 +101,8 @@
         socket: UdpSocket::bind(SocketAddr::new(address.ip(), 0))
             .await
             .context(ListenSnafu { address })?,
+        exchange,
+        heard,
     };
     let ticks = kernel.timer.subscribe(LOOK_INTERVAL, LOOK_INTERVAL / 4);
     spawn_local(loader.run(ticks));
@@ -107,12 +114,11 @@
     let (_open, never) = watch::channel(false);
     let handler = move |request: Request<Incoming>| {
         let path = request.uri().path().to_owned();
-        let head_only = request.method() == Method::HEAD;
         let (state, engine, kernel) = (Rc::clone(&state), engine.clone(), kernel.clone());
         async move {
             match kernel.admin().serve(&path) {
                 Some(reply) => local::whole(reply),
-                None => door::serve(state, engine, head_only, path).await,
+                None => door::serve(state, engine, path).await,
             }
         }
     };
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -14,13 +14,17 @@
     follow::Observer,
     rows::{Change, Rows},
 };
+use pistachiolug_weights::{
+    bitmap::Bitmap,
+    order::Key,
+    roster::{Member, Roster},
+};
 use tokio::sync::Notify;
 
 use crate::{
     fact::{Decoder, Fact, Model, Origin},
     manifest::Manifest,
     metrics::Metrics,
-    roster::{Member, Roster},
 };
 
 /// Version that every model starts with.
@@ -68,55 +72,56 @@
     pub version: u64,
     /// Digests.
     pub manifest: Manifest,
-    /// Whether each piece was staged and found whole; as long as the manifest.
-    held: RefCell<Vec<bool>>,
-    /// Wakes those who wait for a piece.
-    added: Notify,
+    /// Pieces that were staged and found whole; as long as the manifest.
+    held: RefCell<Bitmap>,
+    /// When a piece was gained last, since the agent's start.
+    gained: Cell<Duration>,
+    clock: System,
 }
 
 impl Staged {
     /// Creates the record of a version none of whose pieces is staged.
-    pub fn new(want: &Want, manifest: Manifest) -> Self {
+    pub fn new(want: &Want, manifest: Manifest, clock: System) -> Self {
         Self {
             model: want.model.clone(),
             version: want.version,
-            held: RefCell::new(vec![false; manifest.digests.len()]),
+            held: RefCell::new(Bitmap::new(manifest.digests.len())),
             manifest,
-            added: Notify::new(),
+            gained: Cell::new(clock.now()),
+            clock,
         }
     }
 
     /// Tells whether a piece is staged.
     pub fn holds(&self, index: usize) -> bool {
-        self.held.borrow().get(index).copied().unwrap_or_default()
+        self.held.borrow().has(index as u32)
     }
 
     /// Notes whether a piece is staged and whole.
     pub fn set(&self, index: usize, held: bool) {
-        if let Some(slot) = self.held.borrow_mut().get_mut(index) {
-            *slot = held;
-        }
         if held {
-            self.added.notify_waiters();
+            self.held.borrow_mut().add(index as u32);
+            self.gained.set(self.clock.now());
+        } else {
+            self.held.borrow_mut().remove(index as u32);
         }
     }
 
+    /// Returns the pieces that are staged.
+    pub fn held(&self) -> Bitmap {
+        self.held.borrow().clone()
+    }
+
+    /// Returns when a piece was gained last, since the agent's start.
+    pub fn gained(&self) -> Duration {
+        self.gained.get()
+    }
+
     /// Returns the pieces that are not staged.
     pub fn missing(&self) -> Vec<usize> {
         let held = self.held.borrow();
-        let missing = held.iter().enumerate().filter(|(_, held)| !**held);
-        missing.map(|(index, _)| index).collect()
-    }
-
-    /// Waits until a piece is staged.
-    pub async fn wait_for(&self, index: usize) {
-        loop {
-            let added = self.added.notified();
-            if self.holds(index) {
-                return;
-            }
-            added.await;
-        }
+        let pieces = 0..held.length();
+        pieces.filter(|index| !held.has(*index as u32)).collect()
     }
 }
 
@@ -224,6 +229,33 @@
         self.held.set(held);
     }
 
+    /// Tells whether the engine holds a version.
+    pub fn serves(&self, version: u64) -> bool {
+        self.held.get() == Some(version)
+    }
+
+    /// Tells whether the engine holds no version.
+    pub fn is_empty(&self) -> bool {
+        self.held.get().is_none()
+    }
+
+    /// Returns the clock of the agent.
+    pub fn clock(&self) -> System {
+        self.clock
+    }
+
+    /// Returns the agent's position among those of the service in an order of `name`'s own, and their number.
+    pub fn position(&self, name: &str) -> (usize, usize) {
+        let roster = self.roster.borrow();
+        let object = Key::of(name);
+        let own = Key::of(&self.options.me.name).score(object);
+        let members = roster.members();
+        let scores = members
+            .iter()
+            .map(|member| Key::of(&member.name).score(object));
+        (scores.filter(|score| *score > own).count(), members.len())
+    }
+
     /// Waits until the engine should hold another version.
     pub async fn superseded(&self, want: &Want) {
         loop {
