Cut streams at a load and let them go on elsewhere

Cause: an engine that waits for its running requests before a load stands half empty for a second or two. Change: loads cut; a version half staged is finished before a newer one; retries are counted over a sliding window; the receipt of pieces is paid for afterwards and busy agents say so; engines with the newest version are preferred.

--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -71,6 +71,8 @@
     pub model: Option<Arc<str>>,
     /// Oldest version that may begin it, if there is a bound.
     pub oldest: Option<Version>,
+    /// Newest version, which is preferred: its engines need not load soon.
+    pub newest: Option<Version>,
     /// Tokens of the prompt.
     pub prompt: u32,
     /// Servers that had the request already.
@@ -150,6 +152,14 @@
             && !need.tried.contains(&self.record.id)
     }
 
+    fn outdated(&self, need: &Need) -> bool {
+        let held = need
+            .model
+            .as_ref()
+            .and_then(|model| self.record.version(model));
+        need.newest.is_some_and(|newest| held != Some(newest))
+    }
+
     fn has_room(&self, engine: Option<&Engine>) -> bool {
         let most = match engine {
             Some(engine) => engine.slots,
@@ -288,6 +298,7 @@
             .map(|server| Candidate {
                 wait_ms: server.wait_ms(need.prompt, engine),
                 failures: server.failures,
+                outdated: server.outdated(need),
                 distance: home.distance(&server.record.zone),
             })
             .collect();
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -84,6 +84,7 @@
         let model = self.model.clone();
         Need {
             service: Arc::clone(&self.service),
+            newest: model.as_deref().and_then(|model| state.newest_version(model)),
             oldest: model.as_deref().and_then(|model| state.oldest_version(model)),
             model,
             prompt: self.tokens.prompt,
--- a/crates/pistachiolug_gateway/src/place.rs
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -14,6 +14,9 @@
 /// Cost in milliseconds of a server all of whose recent answers were failures.
 const FAILURE_COST_MS: f64 = 2000.0;
 
+/// Cost in milliseconds of a server that has to load soon: a stream that it breaks off is read again elsewhere.
+const OUTDATED_COST_MS: f64 = 15.0;
+
 /// Distance between an entry and a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Distance {
@@ -32,6 +35,8 @@
     pub wait_ms: f64,
     /// Share of failures among recent answers, in 0..=1.
     pub failures: f64,
+    /// Whether it holds an older version than the newest one and has to load soon, which breaks its streams off.
+    pub outdated: bool,
     /// Distance.
     pub distance: Distance,
 }
@@ -53,5 +58,10 @@
         Distance::Region => ZONE_COST_MS,
         Distance::Far => REGION_COST_MS,
     };
-    candidate.wait_ms + distance + candidate.failures * FAILURE_COST_MS
+    let outdated = if candidate.outdated {
+        OUTDATED_COST_MS
+    } else {
+        0.0
+    };
+    candidate.wait_ms + outdated + distance + candidate.failures * FAILURE_COST_MS
 }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -10,7 +10,7 @@
 
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
-use pistachiolug_routing::retry::Budget;
+use pistachiolug_routing::retry::Window;
 use pistachiolug_wire::datagram::{Beacon, Notice, Work};
 use rustc_hash::FxHashMap;
 use tokio::sync::oneshot;
@@ -48,6 +48,9 @@
 /// have been learned of late.
 const VERSION_MARGIN: Duration = Duration::from_millis(800);
 
+/// Part of the retry allowance that is used; the rest covers what entries learn late of each other.
+const BUDGET_USED: f64 = 0.88;
+
 /// Share of the longest time limit seen on a route from which an attempt counts as the first: callers' own limits
 /// differ by up to 15 in 100, and an attempt that comes back after a refusal has lost more.
 const FIRST_ATTEMPT_SHARE: f64 = 0.84;
@@ -67,6 +70,8 @@
     pub retry_share: f64,
     /// Retries over all entries beyond that share.
     pub retry_slack: f64,
+    /// Time over which both are counted.
+    pub retry_window: Duration,
     /// Time after the naming of a version from which no older one may begin a request.
     pub version_allowed: Duration,
     /// Time after its start from which a process is held to such times.
@@ -124,7 +129,7 @@
     wanted: RefCell<FxHashMap<String, Vec<Wanted>>>,
     lines: RefCell<FxHashMap<Arc<str>, Line<Waiter>>>,
     rates: RefCell<FxHashMap<Arc<str>, Rate>>,
-    budgets: RefCell<FxHashMap<Arc<str>, Budget>>,
+    budgets: RefCell<FxHashMap<Arc<str>, Window>>,
     peers: RefCell<FxHashMap<String, Peer>>,
     /// Longest time that callers of a route have named as theirs.
     longest: RefCell<FxHashMap<Arc<str>, Duration>>,
@@ -282,6 +287,12 @@
         named.push(Wanted { version, since });
     }
 
+    /// Returns the newest version of a model that was named; `None` if none was.
+    pub fn newest_version(&self, model: &str) -> Option<Version> {
+        let wanted = self.wanted.borrow();
+        wanted.get(model)?.last().map(|known| known.version)
+    }
+
     /// Returns the oldest version of a model that may begin a request now, if there is a bound.
     pub fn oldest_version(&self, model: &str) -> Option<Version> {
         let wanted = self.wanted.borrow();
@@ -316,23 +327,23 @@
 
     /// Counts a first attempt for the retry budget.
     pub fn earn(&self, service: &Arc<str>) {
-        self.with_budget(service, Budget::earn);
+        let now = self.now();
+        self.with_budget(service, |budget| budget.earn(now));
     }
 
     /// Takes one retry from the budget; `false` if there is none.
     pub fn spend(&self, service: &Arc<str>) -> bool {
-        self.with_budget(service, Budget::spend)
+        let now = self.now();
+        let share = self.options.retry_share * BUDGET_USED;
+        let slack = self.options.retry_slack * BUDGET_USED / self.entries() as f64;
+        self.with_budget(service, |budget| budget.spend(share, slack, now))
     }
 
-    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut Budget) -> T) -> T {
-        /// Part of the allowance that is used; the rest covers what entries learn late of each other.
-        const USED: f64 = 0.7;
-        let burst = self.options.retry_slack * USED / self.entries() as f64;
+    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut Window) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(Arc::clone(service))
-            .or_insert_with(|| Budget::new(self.options.retry_share * USED, burst));
-        budget.bound(burst);
+            .or_insert_with(|| Window::new(self.options.retry_window));
         act(budget)
     }
 
--- a/crates/pistachiolug_http/src/pace.rs
+++ b/crates/pistachiolug_http/src/pace.rs
@@ -55,6 +55,12 @@
         self.rate.load(Ordering::Relaxed)
     }
 
+    /// Returns the time until all bytes taken so far have passed.
+    pub fn backlog(&self) -> Duration {
+        let free = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+        free.saturating_duration_since(Instant::now())
+    }
+
     /// Returns the bytes taken so far.
     pub fn taken(&self) -> u64 {
         self.taken.load(Ordering::Relaxed)
--- a/crates/pistachiolug_loader/src/door.rs
+++ b/crates/pistachiolug_loader/src/door.rs
@@ -1,6 +1,6 @@
 //! Gives staged pieces to other agents.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode};
@@ -9,10 +9,14 @@
 
 use crate::{
     engine::Engine,
-    fetch::IDLE_HEADER,
+    fetch::{BUSY_HEADER, IDLE_HEADER},
     state::{Staged, State},
 };
 
+/// Longest backlog of pieces to send at which another one is taken on: about two pieces on a narrow link. An agent that
+/// asks in vain finds one that is less busy.
+const BACKLOG_MOST: Duration = Duration::from_millis(110);
+
 /// Answers a request for `/internal/piece/{model}/{version}/{index}`; the status is 404 if the piece is not here.
 ///
 /// A newer version than the known one counts as named: who asks for it has learned that from the service.
@@ -27,6 +31,13 @@
     if !staged.holds(index) {
         return absent(&state, &staged);
     }
+    let backlog = state.up.backlog();
+    if backlog > BACKLOG_MOST {
+        let after = HeaderValue::from(backlog.as_millis() as u64);
+        let mut response = reply(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
+        response.headers_mut().insert(BUSY_HEADER, after);
+        return response;
+    }
     let bytes = engine.staged(model, index).await.ok().flatten();
     match bytes {
         Some(bytes) if staged.manifest.fits(index, &bytes) => {
--- a/crates/pistachiolug_loader/src/engine.rs
+++ b/crates/pistachiolug_loader/src/engine.rs
@@ -72,7 +72,7 @@
         index: usize,
     ) -> impl Future<Output = Result<Option<Bytes>, Error>>;
 
-    /// Orders the engine to load what is staged once its running requests have ended.
+    /// Orders the engine to load what is staged at once; it breaks its running requests off.
     ///
     /// # Arguments
     /// `orders` is the number of orders that the engine must have accepted so far.
--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -108,7 +108,7 @@
                 held,
                 serving,
             } => {
-                let wanted = self.state.want();
+                let wanted = self.state.target();
                 if wanted.is_none_or(|want| want.model != model || want.version != version) {
                     return;
                 }
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use pistachiolug_http::{client::Client, pace::Pace};
 use pistachiolug_weights::{
     order::Key,
@@ -30,16 +30,16 @@
 const TUNING: Tuning = Tuning {
     policy: Policy::BytesFirst,
     slots: 4,
-    neighbour_slots: 1,
+    neighbour_slots: 2,
     source_slots: 1,
     neighbours: 6,
     sources: 1,
     stall: Duration::from_millis(1500),
-    ask_interval: Duration::from_millis(150),
+    ask_interval: Duration::from_millis(100),
 };
 
 /// Interval of questions to neighbours: about the time in which a link carries two pieces.
-const ASK_INTERVAL: Duration = Duration::from_millis(100);
+const ASK_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Questions without an answer after which a neighbour is taken for unreachable.
 const MISSES: u32 = 5;
@@ -59,6 +59,9 @@
 /// Header of an answer without a piece: milliseconds since the agent last gained one.
 pub const IDLE_HEADER: &str = "x-idle-ms";
 
+/// Header of an answer of a busy agent: milliseconds until it has sent what it has taken on.
+pub const BUSY_HEADER: &str = "x-busy-ms";
+
 /// Internal path of a piece.
 pub fn path(model: &str, version: u64, index: u32) -> String {
     format!("/internal/piece/{model}/{version}/{index}")
@@ -167,7 +170,7 @@
             Ok(bytes) => self.stage(staged, fetch, bytes).await,
             Err(outcome) => outcome,
         };
-        if outcome != Outcome::Arrived {
+        if matches!(outcome, Outcome::Corrupt | Outcome::Failed) {
             log::info!(model = staged.model.as_str(), version = staged.version, piece = fetch.piece, via:? = fetch.via, outcome:?; "piece not fetched");
         }
         (fetch, outcome)
@@ -175,6 +178,8 @@
 
     async fn stage(&self, staged: &Rc<Staged>, fetch: Fetch, bytes: Bytes) -> Outcome {
         let index = fetch.piece as usize;
+        // Paid for afterwards, since an agent that has nothing to give costs the link nothing.
+        self.state.down.take(bytes.len()).await;
         if !staged.manifest.fits(index, &bytes) {
             self.state.metrics.pieces.of("spoilt").inc();
             return Outcome::Corrupt;
@@ -194,7 +199,6 @@
 
     async fn read_origin(&self, staged: &Staged, piece: u32) -> Result<Bytes, Outcome> {
         let origin = self.state.origin().ok_or(Outcome::Failed)?;
-        self.state.down.take(self.want.piece_bytes).await;
         let read = self
             .origin
             .piece(origin.address, &staged.model, staged.version, piece as usize);
@@ -211,7 +215,6 @@
         staged: &Staged,
         piece: u32,
     ) -> Result<Bytes, Outcome> {
-        self.state.down.take(self.want.piece_bytes).await;
         let path = path(&staged.model, staged.version, piece);
         let request = Request::get(format!("http://{agent}{path}")).body(Bytes::new());
         let request = request.map_err(|_| Outcome::Failed)?;
@@ -219,14 +222,18 @@
         let response = response.map_err(|_| Outcome::Failed)?;
         match response.status() {
             StatusCode::OK => Ok(response.into_body()),
-            StatusCode::NOT_FOUND => {
-                let idle = response.headers().get(IDLE_HEADER);
-                let millis = idle.and_then(|idle| idle.to_str().ok()?.parse().ok());
-                Err(Outcome::Absent {
-                    idle: millis.map(Duration::from_millis),
-                })
-            }
+            StatusCode::NOT_FOUND => Err(Outcome::Absent {
+                idle: millis(response.headers(), IDLE_HEADER),
+            }),
+            StatusCode::TOO_MANY_REQUESTS => Err(Outcome::Busy {
+                after: millis(response.headers(), BUSY_HEADER).unwrap_or_default(),
+            }),
             _ => Err(Outcome::Failed),
         }
     }
 }
+
+fn millis(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    let millis = headers.get(name)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -66,7 +66,7 @@
         let state = Rc::clone(&self.state);
         let mut reachable = true;
         loop {
-            let looked = match self.state.want() {
+            let looked = match self.state.aim() {
                 Some(want) => tokio::select! {
                     looked = self.look(&want) => looked,
                     () = state.superseded(&want) => continue,
@@ -104,10 +104,6 @@
         if held.is_some() {
             self.wait_for_turn(want).await;
         }
-        if self.state.want().as_ref() != Some(want) {
-            // A newer version was named; its pieces replace these.
-            return Ok(());
-        }
         self.verify(&staged).await?;
         if !staged.missing().is_empty() {
             self.state.wake.notify_one();
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -19,6 +19,7 @@
     order::Key,
     roster::{Member, Roster},
 };
+use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
 use crate::{
@@ -31,7 +32,7 @@
 const FIRST_VERSION: u64 = 1;
 
 /// Share of the link that weights take in each direction; the rest is for live requests, whose events must not queue.
-const LINK_SHARE: f64 = 0.8;
+const LINK_SHARE: f64 = 0.88;
 
 /// Settings of an agent.
 #[derive(Debug, Clone)]
@@ -63,6 +64,21 @@
     pub due: Duration,
 }
 
+impl Want {
+    /// Tells whether this is the same version of the same model.
+    pub fn is(&self, other: &Self) -> bool {
+        self.model == other.model && self.version == other.version
+    }
+}
+
+/// Version that was named.
+#[derive(Debug, Clone, Copy)]
+struct Named {
+    version: u64,
+    /// When no older version may begin a request any more, since the agent's start.
+    due: Duration,
+}
+
 /// Pieces of one version that are staged at the engine.
 #[derive(Debug)]
 pub struct Staged {
@@ -144,8 +160,10 @@
     rows: RefCell<Rows>,
     models: RefCell<Vec<Model>>,
     origin: RefCell<Option<Origin>>,
-    /// Newest named version by model, and when the engine has to leave the version that it holds.
-    versions: RefCell<Vec<(String, u64, Duration)>>,
+    /// Named versions by model, in order.
+    versions: RefCell<FxHashMap<String, Vec<Named>>>,
+    /// What the loader works on.
+    target: RefCell<Option<Want>>,
     /// Version that the engine holds.
     held: Cell<Option<u64>>,
     roster: RefCell<Roster>,
@@ -170,6 +188,7 @@
             models: RefCell::default(),
             origin: RefCell::default(),
             versions: RefCell::default(),
+            target: RefCell::default(),
             held: Cell::default(),
             roster: RefCell::default(),
             entries: RefCell::default(),
@@ -183,47 +202,66 @@
         self.clock.now()
     }
 
-    /// Returns the version that the engine should hold; `None` before the first configuration.
-    pub fn want(&self) -> Option<Want> {
+    /// Returns the newest version that the engine should hold; `None` before the first configuration.
+    pub fn newest(&self) -> Option<Want> {
         let models = self.models.borrow();
         let model = models.first()?;
         let versions = self.versions.borrow();
-        let named = versions.iter().find(|(name, _, _)| *name == model.name);
-        let (version, due) = named.map_or((FIRST_VERSION, Duration::ZERO), |(_, version, due)| {
-            (*version, *due)
-        });
+        let named = versions.get(&model.name).map_or(&[][..], Vec::as_slice);
+        let held = self.held.get().unwrap_or_default();
+        let ahead = named.iter().filter(|named| named.version > held);
         Some(Want {
             model: model.name.clone(),
-            version,
+            version: named.last().map_or(FIRST_VERSION, |named| named.version),
             pieces: model.pieces,
             piece_bytes: model.piece_bytes,
-            due,
+            due: ahead.map(|named| named.due).min().unwrap_or_default(),
         })
     }
 
+    /// Returns the version that the loader works on, or worked on last.
+    pub fn target(&self) -> Option<Want> {
+        self.target.borrow().clone()
+    }
+
+    /// Takes the newest version as the one to work on.
+    pub fn aim(&self) -> Option<Want> {
+        let newest = self.newest();
+        self.target.borrow_mut().clone_from(&newest);
+        newest
+    }
+
     /// Learns of a named version; older ones are ignored.
     pub fn name_version(&self, model: &str, version: u64, from: &str) {
-        if version <= FIRST_VERSION {
-            return;
-        }
         let due = self.now() + self.options.version_allowed;
         let mut versions = self.versions.borrow_mut();
-        let known = versions.iter_mut().find(|(name, _, _)| name == model);
-        match known {
-            Some((_, known, _)) if *known >= version => return,
-            Some(known) => {
-                // An engine that has not loaded the version before still has to leave its own in that one's time.
-                let reached = self.held.get().is_some_and(|held| held >= known.1);
-                let due = if reached { due } else { due.min(known.2) };
-                *known = (model.to_owned(), version, due);
-            }
-            None => versions.push((model.to_owned(), version, due)),
+        let named = versions.entry(model.to_owned()).or_default();
+        let known = named.last().map_or(FIRST_VERSION, |named| named.version);
+        if version <= known {
+            return;
         }
-        log::info!(model, version, from; "version named");
+        named.push(Named { version, due });
+        log::info!(model, version, before = known, from; "version named");
         self.wake.notify_one();
         self.named.notify_waiters();
     }
 
+    /// Waits until work on a version should be dropped for a newer one.
+    ///
+    /// A version half of which is staged is finished first: its engine then has the newer one's whole time for that.
+    pub async fn superseded(&self, want: &Want) {
+        loop {
+            let named = self.named.notified();
+            let newer = self.newest().is_some_and(|newest| !newest.is(want));
+            let staged = self.staged(&want.model, want.version);
+            let far = staged.is_some_and(|staged| staged.missing().len() * 2 <= want.pieces);
+            if newer && !far {
+                return;
+            }
+            named.await;
+        }
+    }
+
     /// Notes the version that the engine holds.
     pub fn set_held(&self, held: Option<u64>) {
         self.held.set(held);
@@ -256,17 +294,6 @@
         (scores.filter(|score| *score > own).count(), members.len())
     }
 
-    /// Waits until the engine should hold another version.
-    pub async fn superseded(&self, want: &Want) {
-        loop {
-            let named = self.named.notified();
-            if self.want().as_ref() != Some(want) {
-                return;
-            }
-            named.await;
-        }
-    }
-
     /// Returns the origin of weights.
     pub fn origin(&self) -> Option<Origin> {
         self.origin.borrow().clone()
--- a/crates/pistachiolug_loader/src/turn.rs
+++ b/crates/pistachiolug_loader/src/turn.rs
@@ -1,12 +1,12 @@
 //! When an engine loads a new version, so that its service keeps capacity.
 //!
-//! An engine that loads finishes what it runs and takes nothing new meanwhile. Engines load one after the other over
-//! the time that is left; one that serves nothing yet loads at once.
+//! An engine that loads breaks its streams off, which go on elsewhere, and takes nothing new meanwhile. Engines load one
+//! after the other over the time that is left; one that serves nothing yet loads at once.
 
 use std::time::Duration;
 
-/// Time that is kept for the last engine's running requests to end and for its load itself.
-const LOAD_TIME: Duration = Duration::from_millis(2800);
+/// Time that is kept for the last engine's load, and for entries that hold the version to be due a little earlier.
+const LOAD_TIME: Duration = Duration::from_millis(1400);
 
 /// Returns how long an engine that has all pieces waits before it loads.
 ///
