Let streams that were cut go on at engines of the newest version

Cause: a stream that went on at an engine with an old version was cut a second time and could not go on again. Change: such streams prefer engines of the newest version; a load is noticed 300 ms ahead.

--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     catalog::Engine,
-    place::{self, Candidate, Distance},
+    place::{self, Candidate, Distance, LoadAhead},
     server::{Model, Record, Version},
 };
 
@@ -152,12 +152,18 @@
             && !need.tried.contains(&self.record.id)
     }
 
-    fn outdated(&self, need: &Need) -> bool {
+    fn load_ahead(&self, need: &Need) -> LoadAhead {
         let held = need
             .model
             .as_ref()
             .and_then(|model| self.record.version(model));
-        need.newest.is_some_and(|newest| held != Some(newest))
+        if need.newest.is_none_or(|newest| held == Some(newest)) {
+            LoadAhead::No
+        } else if need.tried.is_empty() {
+            LoadAhead::Once
+        } else {
+            LoadAhead::Twice
+        }
     }
 
     fn has_room(&self, engine: Option<&Engine>) -> bool {
@@ -298,7 +304,7 @@
             .map(|server| Candidate {
                 wait_ms: server.wait_ms(need.prompt, engine),
                 failures: server.failures,
-                outdated: server.outdated(need),
+                load_ahead: server.load_ahead(need),
                 distance: home.distance(&server.record.zone),
             })
             .collect();
--- a/crates/pistachiolug_gateway/src/place.rs
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -15,7 +15,31 @@
 const FAILURE_COST_MS: f64 = 2000.0;
 
 /// Cost in milliseconds of a server that has to load soon: a stream that it breaks off is read again elsewhere.
-const OUTDATED_COST_MS: f64 = 15.0;
+const LOAD_COST_MS: f64 = 15.0;
+
+/// The same for a stream that was broken off before and could not go on a second time.
+const SECOND_LOAD_COST_MS: f64 = 150.0;
+
+/// Whether a server has to load a newer version soon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadAhead {
+    /// It holds the newest version.
+    No,
+    /// It has to, and the request could go on elsewhere.
+    Once,
+    /// It has to, and the request has gone on elsewhere before.
+    Twice,
+}
+
+impl LoadAhead {
+    fn cost_ms(self) -> f64 {
+        match self {
+            Self::No => 0.0,
+            Self::Once => LOAD_COST_MS,
+            Self::Twice => SECOND_LOAD_COST_MS,
+        }
+    }
+}
 
 /// Distance between an entry and a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,8 +59,8 @@
     pub wait_ms: f64,
     /// Share of failures among recent answers, in 0..=1.
     pub failures: f64,
-    /// Whether it holds an older version than the newest one and has to load soon, which breaks its streams off.
-    pub outdated: bool,
+    /// Whether it has to load a newer version soon, which breaks its streams off.
+    pub load_ahead: LoadAhead,
     /// Distance.
     pub distance: Distance,
 }
@@ -58,10 +82,5 @@
         Distance::Region => ZONE_COST_MS,
         Distance::Far => REGION_COST_MS,
     };
-    let outdated = if candidate.outdated {
-        OUTDATED_COST_MS
-    } else {
-        0.0
-    };
-    candidate.wait_ms + outdated + distance + candidate.failures * FAILURE_COST_MS
+    candidate.wait_ms + candidate.load_ahead.cost_ms() + distance + candidate.failures * FAILURE_COST_MS
 }
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -31,8 +31,8 @@
 /// Longest time a load may take before the engine is looked at anew: running requests end within their deadlines.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Time between the notice of a load and its order, in which requests that are on their way arrive.
-const NOTICE_LEAD: Duration = Duration::from_millis(15);
+/// Time between the notice of a load and its order, in which short streams end and nothing new is sent.
+const NOTICE_LEAD: Duration = Duration::from_millis(300);
 
 /// Pause after a failure, before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
