--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -84,8 +84,12 @@
         let model = self.model.clone();
         Need {
             service: Arc::clone(&self.service),
-            newest: model.as_deref().and_then(|model| state.newest_version(model)),
-            oldest: model.as_deref().and_then(|model| state.oldest_version(model)),
+            newest: model
+                .as_deref()
+                .and_then(|model| state.newest_version(model)),
+            oldest: model
+                .as_deref()
+                .and_then(|model| state.oldest_version(model)),
             model,
             prompt: self.tokens.prompt,
             tried: tried.to_vec(),
@@ -148,7 +152,6 @@
     }
 }
 
-
 /// What came of one send.
 #[derive(Debug)]
 pub enum Outcome {
@@ -313,7 +316,10 @@
         progress.tried.push(Arc::clone(&ticket.choice.record.id));
         progress.may_have_run = true;
         ticket.answered(!status.is_server_error());
-        state.metrics.heads.observe(call.arrived.elapsed().as_secs_f64());
+        state
+            .metrics
+            .heads
+            .observe(call.arrived.elapsed().as_secs_f64());
         if status.is_server_error() && may_repeat(&state, &call, &progress) {
             log_retry(&call, &ticket, "failed", status.as_str());
             state.metrics.retries.of("failed").inc();
@@ -460,7 +466,11 @@
     }
     let servable = state.with_board(|board| board.serves(&need, state.now()));
     let applicant = Applicant {
-        aim: call.admitted.route.aim.saturating_sub(call.arrived.elapsed()),
+        aim: call
+            .admitted
+            .route
+            .aim
+            .saturating_sub(call.arrived.elapsed()),
         fresh: call.fresh,
         left: call.left(),
         ahead,
--- a/crates/pistachiolug_gateway/src/head.rs
+++ b/crates/pistachiolug_gateway/src/head.rs
@@ -92,11 +92,7 @@
     if let Some(workspace) = &send.admitted.workspace {
         insert_text(&mut headers, &names.workspace, &workspace.name);
     }
-    insert_text(
-        &mut headers,
-        &names.expected_server,
-        &send.choice.record.id,
-    );
+    insert_text(&mut headers, &names.expected_server, &send.choice.record.id);
     if let Some(version) = send.version {
         headers.insert(names.expected_version.clone(), version.into());
     }
--- a/crates/pistachiolug_gateway/src/place.rs
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -82,5 +82,8 @@
         Distance::Region => ZONE_COST_MS,
         Distance::Far => REGION_COST_MS,
     };
-    candidate.wait_ms + candidate.load_ahead.cost_ms() + distance + candidate.failures * FAILURE_COST_MS
+    candidate.wait_ms
+        + candidate.load_ahead.cost_ms()
+        + distance
+        + candidate.failures * FAILURE_COST_MS
 }
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -10,7 +10,11 @@
     client::Client,
     local::{self, Limit},
 };
-use pistachiolug_kernel::{kernel::{self, Kernel}, metric, phase::Phase};
+use pistachiolug_kernel::{
+    kernel::{self, Kernel},
+    metric,
+    phase::Phase,
+};
 use pistachiolug_platform::kv::{Expect, Store};
 use pistachiolug_replica::{follow, snapshot};
 use snafu::{ResultExt, Snafu};
@@ -110,8 +114,16 @@
     let ticks = kernel.timer.subscribe(BEACON_INTERVAL, Duration::ZERO);
     spawn_local(follow::run(store.clone(), "", intake.clone()));
     spawn_local(gossip::receive(Rc::clone(&state), Rc::clone(&socket)));
-    spawn_local(gossip::send(Rc::clone(&state), intake, socket, client, ticks));
-    let ticks = kernel.timer.subscribe(REGISTER_INTERVAL, REGISTER_INTERVAL / 4);
+    spawn_local(gossip::send(
+        Rc::clone(&state),
+        intake,
+        socket,
+        client,
+        ticks,
+    ));
+    let ticks = kernel
+        .timer
+        .subscribe(REGISTER_INTERVAL, REGISTER_INTERVAL / 4);
     spawn_local(register(Rc::clone(&state), store, decoder, ticks));
     spawn_local(serve_ready(Rc::clone(&state), kernel.clone(), ready));
     spawn_local(serve_internal(Rc::clone(&state), kernel.clone(), internal));
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -426,7 +426,9 @@
     /// Returns the rate at which places come free, per second.
     pub fn places(&self, service: &str) -> f64 {
         let rates = self.rates.borrow();
-        rates.get(service).map_or(FIRST_RATE, |rate| rate.per_second)
+        rates
+            .get(service)
+            .map_or(FIRST_RATE, |rate| rate.per_second)
     }
 
     fn count_freed(&self, service: &Arc<str>) {
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -57,8 +57,7 @@
         return Err(Failure::Unsent(error.to_string()));
     }
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) =
-        handshake.map_err(|error| Failure::Unsent(error.to_string()))?;
+    let (mut sender, connection) = handshake.map_err(|error| Failure::Unsent(error.to_string()))?;
     let task = spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!(error:%; "connection to a server broke");
--- /dev/null
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -0,0 +1,147 @@
+//! What an entry believes of versions, servers and other entries.
+
+mod support;
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use pistachiolug_gateway::{
+    catalog::{Catalog, Kind},
+    state::{Options, State},
+};
+use pistachiolug_wire::datagram::{Beacon, Work};
+
+use support::{metrics, options, parts, route};
+
+fn state(options: Options) -> Rc<State> {
+    State::new(options, metrics())
+}
+
+fn at_once() -> Options {
+    Options {
+        version_allowed: Duration::ZERO,
+        contact: Duration::ZERO,
+        ..options()
+    }
+}
+
+#[test]
+fn a_configuration_never_steps_back() {
+    let state = state(options());
+    let mut newer = parts(route(Kind::Once, 1));
+    newer.version = 7;
+
+    state.set_catalog(Catalog::new(newer));
+    state.set_catalog(Catalog::new(parts(route(Kind::Once, 1))));
+
+    assert_eq!(state.catalog().unwrap().version(), 7);
+}
+
+#[test]
+fn a_named_version_binds_once_its_time_has_come() {
+    let waiting = state(options());
+    let due = state(at_once());
+    for state in [&waiting, &due] {
+        state.set_wanted("m", 2, true);
+    }
+
+    assert_eq!(waiting.oldest_version("m"), None);
+    assert_eq!(waiting.newest_version("m"), Some(2));
+    assert_eq!(due.oldest_version("m"), Some(2));
+    assert_eq!(due.oldest_version("other"), None);
+}
+
+#[test]
+fn a_version_binds_although_a_newer_one_is_named_before_it_is_due() {
+    // A version that stood there at the start is due at once, a fresh one later.
+    let state = state(Options {
+        contact: Duration::ZERO,
+        ..options()
+    });
+    state.set_wanted("m", 2, false);
+    state.set_wanted("m", 3, true);
+    state.set_wanted("m", 2, true);
+
+    assert_eq!(state.oldest_version("m"), Some(2));
+    assert_eq!(state.newest_version("m"), Some(3));
+}
+
+#[test]
+fn servers_that_vanish_together_or_with_the_service_away_are_kept() {
+    let calm = state(options());
+    let away = state(options());
+    away.reached(true, "");
+    away.reached(false, "gone");
+    let back = state(options());
+    back.reached(false, "gone");
+    back.reached(true, "");
+
+    let one = calm.removal_time(1, 8);
+    let most = calm.removal_time(5, 8);
+
+    assert!(one <= calm.now());
+    for (time, state) in [
+        (most, &calm),
+        (away.removal_time(1, 8), &away),
+        (back.removal_time(1, 8), &back),
+    ] {
+        assert!(time > state.now() + Duration::from_secs(2));
+    }
+}
+
+#[test]
+fn first_attempts_are_told_from_returns() {
+    let state = state(options());
+    let route = Arc::from("r");
+    let limits = [
+        (6000, true),
+        (5150, true),
+        (4700, false),
+        (5900, true),
+        (2500, false),
+    ];
+
+    for (millis, fresh) in limits {
+        let told = state.is_fresh(&route, Duration::from_millis(millis));
+        assert_eq!(told, fresh, "{millis}");
+    }
+}
+
+#[test]
+fn retries_of_all_entries_stay_within_the_allowance() {
+    let state = state(options());
+    let service = Arc::from("s");
+    let peer = |name: &str| Beacon {
+        name: name.to_owned(),
+        address: "10.0.0.9:1".parse().unwrap(),
+        revision: 1,
+        work: Vec::<(u32, Work)>::new(),
+    };
+    for name in ["entry-2", "entry-3", "entry-4"] {
+        state.hear(peer(name));
+    }
+    for _ in 0..100 {
+        state.earn(&service);
+    }
+
+    let spent = (0..1000).filter(|_| state.spend(&service)).count();
+
+    // A quarter of the slack and a fifth of the own requests.
+    assert!((30..=45).contains(&spent), "{spent}");
+}
+
+#[test]
+fn the_best_informed_entry_is_known() {
+    let state = state(options());
+    let beacon = |name: &str, port: u16, revision| Beacon {
+        name: name.to_owned(),
+        address: ([10, 0, 0, 1], port).into(),
+        revision,
+        work: Vec::new(),
+    };
+
+    assert_eq!(state.better_informed(), None);
+    state.hear(beacon("entry-2", 2, 5));
+    state.hear(beacon("entry-3", 3, 9));
+
+    assert_eq!(state.better_informed().unwrap().port(), 3);
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -0,0 +1,418 @@
+//! Pure decisions: routes, events, places, lines, waits.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use pistachiolug_gateway::{
+    admission::{self, Applicant, Verdict},
+    board::{Board, Need},
+    catalog::{Catalog, Denial, Kind, Target},
+    event::Splitter,
+    line::{Line, Rank},
+    place::{self, Candidate, Distance, LoadAhead},
+    server::Record,
+};
+use pistachiolug_wire::datagram::{Change, Notice};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use support::{MODEL, SERVICE, engine, home, parts, record, route};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn random() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+fn board(records: Vec<Record>) -> Board {
+    let mut board = Board::default();
+    for record in records {
+        board.put(record);
+    }
+    board
+}
+
+fn numbered(index: u8) -> Record {
+    record(
+        &format!("i-{index}"),
+        format!("10.0.0.{index}:80").parse().unwrap(),
+    )
+}
+
+fn need() -> Need {
+    Need {
+        service: Arc::from(SERVICE),
+        model: Some(Arc::from(MODEL)),
+        prompt: 900,
+        ..Need::default()
+    }
+}
+
+fn chosen(board: &Board, need: &Need, now: Duration) -> Option<String> {
+    let choice = board.choose(need, Some(&engine()), &home(), now, &mut random());
+    choice.map(|choice| choice.record.id.to_string())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let mut long = route(Kind::Once, 1);
+    long.name = Arc::from("long");
+    long.prefix = "/book/late/".to_owned();
+    let mut parts = parts(route(Kind::Once, 1));
+    parts.routes.push(long);
+    let catalog = Catalog::new(parts);
+    let rows = [
+        ("desk.example", "/book/late/1", Some("long")),
+        ("DESK.example:8000", "/book/1", Some("r")),
+        ("desk.example", "/bookings", None),
+        ("other.example", "/book/1", None),
+    ];
+    for (host, path, name) in rows {
+        let admitted = catalog.admit(host, path, Some("key-1"));
+
+        let found = admitted
+            .ok()
+            .map(|admitted| admitted.route.name.to_string());
+        assert_eq!(found.as_deref(), name, "{host}{path}");
+    }
+}
+
+#[test]
+fn keys_are_needed_unless_the_route_is_anonymous() {
+    let mut open = parts(route(Kind::Once, 1));
+    open.routes[0].anonymous = true;
+    let closed = Catalog::new(parts(route(Kind::Once, 1)));
+    let open = Catalog::new(open);
+
+    let denied = closed.admit("desk.example", "/book/1", Some("key-9"));
+    let without = closed.admit("desk.example", "/book/1", None);
+    let anonymous = open.admit("desk.example", "/book/1", None);
+
+    assert_eq!(denied.unwrap_err(), Denial::BadKey);
+    assert_eq!(without.unwrap_err(), Denial::BadKey);
+    assert!(anonymous.unwrap().workspace.is_none());
+}
+
+#[test]
+fn a_split_route_draws_by_weight() {
+    let mut split = route(Kind::Once, 1);
+    split.targets = [("a", 900), ("b", 100)]
+        .map(|(service, weight)| Target {
+            service: Arc::from(service),
+            weight,
+        })
+        .to_vec();
+    let mut random = random();
+
+    let drawn = (0..10_000)
+        .filter(|_| &**split.draw(&mut random) == "b")
+        .count();
+
+    assert!((800..1200).contains(&drawn), "{drawn}");
+}
+
+#[test]
+fn events_are_whole_however_the_bytes_arrive() {
+    let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda";
+    bolero::check!().with_type::<Vec<u8>>().for_each(|lengths| {
+        let mut splitter = Splitter::default();
+        let mut passed = Vec::new();
+        let mut rest = &text[..];
+        let mut lengths = lengths.iter().copied().chain(std::iter::repeat(1));
+        while !rest.is_empty() {
+            let length = usize::from(lengths.next().unwrap()).clamp(1, rest.len());
+            let (piece, tail) = rest.split_at(length);
+            rest = tail;
+            let events = splitter.push(piece).unwrap();
+            passed.extend_from_slice(&events.unwrap_or_default());
+            assert!(passed.is_empty() || passed.ends_with(b"\n\n") || passed.ends_with(b"\r\n"));
+        }
+        assert_eq!(passed, text[..text.len() - 8]);
+        assert_eq!(splitter.last_id(), Some(3));
+        assert_eq!(splitter.events(), 4);
+        assert!(splitter.partial());
+    });
+}
+
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut splitter = Splitter::default();
+
+    let result = splitter.push(&vec![b'x'; (1 << 20) + 1]);
+
+    assert!(result.is_err());
+}
+
+fn candidate(wait_ms: f64) -> Candidate {
+    Candidate {
+        wait_ms,
+        failures: 0.0,
+        load_ahead: LoadAhead::No,
+        distance: Distance::Zone,
+    }
+}
+
+#[test]
+fn the_server_that_answers_soonest_is_chosen() {
+    let far = Candidate {
+        distance: Distance::Far,
+        ..candidate(50.0)
+    };
+    let failing = Candidate {
+        failures: 0.5,
+        ..candidate(10.0)
+    };
+    let loading = Candidate {
+        load_ahead: LoadAhead::Twice,
+        ..candidate(10.0)
+    };
+    let rows = [
+        (vec![candidate(200.0), candidate(50.0)], 1),
+        (vec![far, candidate(50.0)], 1),
+        (vec![candidate(300.0), far], 1),
+        (vec![failing, candidate(200.0)], 1),
+        (vec![loading, candidate(100.0)], 1),
+    ];
+    for (candidates, index) in rows {
+        for seed in 0..20 {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+
+            assert_eq!(
+                place::choose(&candidates, &mut random),
+                Some(index),
+                "{candidates:?}"
+            );
+        }
+    }
+    assert_eq!(place::choose(&[], &mut random()), None);
+}
+
+#[test]
+fn a_full_engine_takes_nothing() {
+    let mut board = board(vec![numbered(1)]);
+    for _ in 0..engine().slots {
+        assert!(chosen(&board, &need(), NOW).is_some());
+        board.begin("i-1", 900);
+    }
+
+    assert_eq!(chosen(&board, &need(), NOW), None);
+    board.end("i-1", 900);
+    assert!(chosen(&board, &need(), NOW).is_some());
+}
+
+#[test]
+fn servers_that_may_not_take_a_request_are_passed_over() {
+    let mut leaving = numbered(1);
+    leaving.leaving = true;
+    let mut empty = numbered(2);
+    empty.models.clear();
+    let board = board(vec![leaving, empty, numbered(3), numbered(4)]);
+    let tried = Need {
+        tried: vec![Arc::from("i-3")],
+        ..need()
+    };
+    let newer = Need {
+        oldest: Some(2),
+        ..need()
+    };
+
+    assert_eq!(chosen(&board, &tried, NOW).as_deref(), Some("i-4"));
+    assert_eq!(chosen(&board, &newer, NOW), None);
+}
+
+#[test]
+fn a_struck_server_is_passed_over_for_a_while() {
+    let mut board = board(vec![numbered(1)]);
+
+    board.strike("i-1", NOW);
+
+    assert_eq!(chosen(&board, &need(), NOW), None);
+    assert!(!board.serves(&need(), NOW));
+    assert!(chosen(&board, &need(), NOW + Duration::from_secs(4)).is_some());
+}
+
+#[test]
+fn a_new_start_under_a_known_id_is_a_new_server() {
+    let mut board = board(vec![numbered(1)]);
+    board.begin("i-1", 900);
+    board.strike("i-1", NOW);
+    let mut restarted = numbered(1);
+    restarted.started = 2;
+
+    board.put(restarted);
+
+    assert_eq!(board.get("i-1").unwrap().own().calls, 0);
+    assert!(chosen(&board, &need(), NOW).is_some());
+}
+
+#[test]
+fn a_notice_goes_before_the_lagging_list() {
+    let mut board = board(vec![numbered(1)]);
+    let notice = |change| Notice {
+        server: numbered(1).address,
+        started: 1,
+        model: MODEL.to_owned(),
+        change,
+    };
+    let newer = Need {
+        oldest: Some(2),
+        ..need()
+    };
+
+    board.notice(&notice(Change::Loading { for_ms: 8000 }), NOW);
+    let loading = chosen(&board, &need(), NOW);
+    board.notice(&notice(Change::Holds { version: 2 }), NOW);
+    // The list still names the version of before.
+    board.put(numbered(1));
+
+    assert_eq!(loading, None);
+    assert_eq!(chosen(&board, &newer, NOW).as_deref(), Some("i-1"));
+}
+
+#[test]
+fn a_notice_of_another_start_is_ignored() {
+    let mut board = board(vec![numbered(1)]);
+    let notice = Notice {
+        server: numbered(1).address,
+        started: 9,
+        model: MODEL.to_owned(),
+        change: Change::Loading { for_ms: 8000 },
+    };
+
+    assert!(!board.notice(&notice, NOW));
+    assert!(chosen(&board, &need(), NOW).is_some());
+}
+
+#[test]
+fn a_removed_server_is_used_until_its_time() {
+    let mut board = board(vec![numbered(1)]);
+
+    board.remove("i-1", NOW + Duration::from_secs(2));
+
+    assert!(board.expire(NOW).is_empty());
+    assert!(chosen(&board, &need(), NOW).is_some());
+    assert_eq!(board.expire(NOW + Duration::from_secs(2)).len(), 1);
+    assert_eq!(chosen(&board, &need(), NOW), None);
+}
+
+#[test]
+fn a_slow_server_is_chosen_less() {
+    let mut board = board(vec![numbered(1), numbered(2)]);
+    for _ in 0..20 {
+        board.pace("i-1", 100.0, 500.0);
+    }
+
+    assert_eq!(chosen(&board, &need(), NOW).as_deref(), Some("i-2"));
+}
+
+#[test]
+fn the_line_goes_by_rank_then_by_arrival() {
+    let rank = |late, priority| Rank { late, priority };
+    let mut line = Line::default();
+    for (name, rank) in [
+        ("late", rank(true, 0)),
+        ("second", rank(false, 1)),
+        ("third", rank(false, 1)),
+        ("first", rank(false, 0)),
+    ] {
+        line.join(rank, name);
+    }
+    let place = line.join(rank(false, 0), "left");
+    line.leave(place);
+
+    assert_eq!(line.ahead(rank(false, 1)), 3);
+    let order: Vec<&str> = std::iter::from_fn(|| line.call()).collect();
+    assert_eq!(order, ["first", "second", "third", "late"]);
+}
+
+fn applicant(ahead: usize) -> Applicant {
+    Applicant {
+        aim: Duration::from_millis(400),
+        fresh: true,
+        left: Duration::from_secs(5),
+        ahead,
+    }
+}
+
+#[test]
+fn who_cannot_be_served_in_time_is_refused_at_once() {
+    let rows = [
+        (applicant(0), 50.0, true),
+        (applicant(5), 50.0, true),
+        (applicant(30), 50.0, false),
+        (applicant(0), 1.0, false),
+        // A late one may wait longer for less.
+        (
+            Applicant {
+                fresh: false,
+                ..applicant(30)
+            },
+            50.0,
+            true,
+        ),
+    ];
+    for (applicant, places, waits) in rows {
+        let verdict = admission::decide(&applicant, places);
+
+        assert_eq!(
+            verdict != Verdict::Refuse,
+            waits,
+            "{applicant:?} at {places}"
+        );
+    }
+}
+
+/// Plays a load on one engine slot pool and returns how many of `callers` begin within their aim.
+///
+/// Every caller needs a slot for `busy`; callers arrive every `gap`.
+fn play(callers: usize, gap: Duration, busy: Duration, admit: bool) -> usize {
+    const SLOTS: usize = 8;
+    let places = SLOTS as f64 / busy.as_secs_f64();
+    let aim = Duration::from_millis(400);
+    let mut free = vec![Duration::ZERO; SLOTS];
+    let mut starts: Vec<Duration> = Vec::new();
+    let mut on_time = 0;
+    for caller in 0..callers {
+        let now = gap * caller as u32;
+        let ahead = starts.iter().filter(|start| **start > now).count();
+        let slot = free.iter_mut().min().unwrap();
+        let wait = slot.saturating_sub(now);
+        // Who waits in line leaves it when its patience ends.
+        let patience = match admission::decide(&applicant(ahead), places) {
+            Verdict::Wait(patience) => patience,
+            Verdict::Refuse => Duration::ZERO,
+        };
+        if admit && wait > patience {
+            continue;
+        }
+        let start = now + wait;
+        starts.push(start);
+        *slot = start + busy;
+        on_time += usize::from(wait < aim);
+    }
+    on_time
+}
+
+#[test]
+fn under_twice_the_load_those_admitted_are_served_on_time() {
+    let busy = Duration::from_millis(1200);
+    let gap = Duration::from_millis(75);
+
+    let admitted = play(400, gap, busy, true);
+    let queued = play(400, gap, busy, false);
+
+    // Half of the load fits; a queue serves almost nobody on time.
+    assert!(admitted >= 180, "{admitted}");
+    assert!(queued < admitted / 4, "{queued}");
+}
+
+#[test]
+fn the_refused_are_spread_over_the_time_that_callers_honour() {
+    let left = Duration::from_secs(6);
+
+    let soonest = admission::come_back(left, 0.0);
+    let latest = admission::come_back(left, 1.0);
+
+    assert!(soonest >= left / 10 && soonest < latest && latest <= left / 3);
+}
--- /dev/null
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -0,0 +1,336 @@
+//! Entry on loopback before scripted backend servers.
+
+#![allow(dead_code)]
+
+use std::{
+    cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
+
+use http::HeaderName;
+use pistachiolug_gateway::{
+    board::Home,
+    catalog::{Catalog, Engine, Kind, Limits, Parts, Route, Service, Target, Workspace},
+    forward,
+    metrics::Metrics,
+    names::Names,
+    server::{Model, Record},
+    state::{Options, State},
+};
+use pistachiolug_http::local::{self, Limit};
+use rustc_hash::FxHashMap;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::{LocalSet, spawn_local},
+};
+
+/// Service of all routes.
+pub const SERVICE: &str = "desk";
+
+/// Model that the engines hold.
+pub const MODEL: &str = "tagliatelle";
+
+/// What a scripted server does with one request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Writes these bytes and closes the connection in order.
+    Write(String),
+    /// Writes these bytes and resets the connection.
+    Reset(String),
+    /// Never answers; notes when the peer leaves.
+    Hang,
+    /// Writes these bytes, then hangs.
+    Stall(String),
+}
+
+/// Server that follows a script.
+#[derive(Debug, Clone)]
+pub struct Server {
+    pub address: SocketAddr,
+    acts: Rc<RefCell<VecDeque<Act>>>,
+    /// Whole requests as they arrived.
+    pub arrived: Rc<RefCell<Vec<String>>>,
+    /// Requests whose sender left while the server hung.
+    pub left: Rc<RefCell<usize>>,
+}
+
+impl Server {
+    /// Starts a server; needs a local task set.
+    pub async fn start(acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = Self {
+            address: listener.local_addr().unwrap(),
+            acts: Rc::new(RefCell::new(acts.into())),
+            arrived: Rc::default(),
+            left: Rc::default(),
+        };
+        let serving = server.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(serving.clone().serve(stream));
+            }
+        });
+        server
+    }
+
+    pub fn arrivals(&self) -> usize {
+        self.arrived.borrow().len()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let request = read_request(&mut stream).await;
+        self.arrived.borrow_mut().push(request);
+        let act = self.acts.borrow_mut().pop_front();
+        match act {
+            Some(Act::Write(bytes)) => {
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                let _ = stream.shutdown().await;
+            }
+            Some(Act::Reset(bytes)) => {
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                // The bytes have to arrive before the reset drops them.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stream.set_zero_linger().unwrap();
+            }
+            Some(Act::Stall(bytes)) => {
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                self.hang(stream).await;
+            }
+            Some(Act::Hang) | None => self.hang(stream).await,
+        }
+    }
+
+    async fn hang(&self, mut stream: TcpStream) {
+        let mut rest = [0; 64];
+        // Both an end and a reset mean that the peer has left.
+        let _ = stream.read(&mut rest).await;
+        *self.left.borrow_mut() += 1;
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let read = stream.read(&mut buffer).await.unwrap_or(0);
+        bytes.extend_from_slice(&buffer[..read]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if read == 0 || is_whole(&text) {
+            return text;
+        }
+    }
+}
+
+fn is_whole(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("content-length")
+            .then(|| value.trim().parse::<usize>().unwrap())
+    });
+    body.len() >= length.unwrap_or(0)
+}
+
+/// Entry on loopback.
+pub struct Entry {
+    pub state: Rc<State>,
+    pub address: SocketAddr,
+    pub closing: watch::Sender<bool>,
+}
+
+impl Entry {
+    /// Starts an entry before servers that all serve the same service.
+    pub async fn start(parts: Parts, servers: &[&Server]) -> Self {
+        let state = State::new(options(), metrics());
+        state.set_catalog(Catalog::new(parts));
+        for (index, server) in servers.iter().enumerate() {
+            let record = record(&format!("i-{index}"), server.address);
+            state.with_board(|board| board.put(record));
+        }
+        let listener = local::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (closing, closed) = watch::channel(false);
+        let serving = Rc::clone(&state);
+        let handler = move |request| forward::serve(Rc::clone(&serving), request);
+        spawn_local(local::serve(listener, || LIMIT, closed, handler));
+        Self {
+            state,
+            address,
+            closing,
+        }
+    }
+
+    /// Sends a request on a connection of its own and returns all bytes of the answer.
+    pub async fn call(&self, request: &str) -> String {
+        let mut stream = self.open(request).await;
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Sends a request and returns the connection.
+    pub async fn open(&self, request: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        stream
+    }
+}
+
+const LIMIT: Limit = Limit {
+    head_bytes: 16 << 10,
+    head_timeout: Duration::from_secs(10),
+};
+
+/// Runs a test on a local task set.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+pub fn names() -> Names {
+    let name = |name| HeaderName::from_static(name);
+    Names {
+        attempt: name("x-attempt"),
+        deadline: name("x-deadline"),
+        key: name("x-key"),
+        workspace: name("x-workspace"),
+        expected_server: name("x-server"),
+        expected_version: name("x-version"),
+        priority: name("x-priority"),
+        model: name("x-model"),
+        tokens: name("x-tokens"),
+        last_event: name("last-event-id"),
+        signature: name("x-signature"),
+        not_run: name("x-not-run"),
+        version: name("x-held"),
+    }
+}
+
+pub fn options() -> Options {
+    Options {
+        name: "entry-1".to_owned(),
+        home: home(),
+        internal: "127.0.0.1:1".parse().unwrap(),
+        names: names(),
+        retry_share: 0.2,
+        retry_slack: 100.0,
+        retry_window: Duration::from_secs(10),
+        version_allowed: Duration::from_secs(8),
+        contact: Duration::from_secs(3),
+    }
+}
+
+pub fn metrics() -> Metrics {
+    Metrics::register(&prometheus::Registry::new()).unwrap()
+}
+
+pub fn home() -> Home {
+    let zones = [("north", "inland"), ("south", "inland"), ("coast", "sea")];
+    let regions = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    Home {
+        zone: Arc::from("north"),
+        regions: FxHashMap::from_iter(regions),
+    }
+}
+
+pub fn record(id: &str, address: SocketAddr) -> Record {
+    Record {
+        id: Arc::from(id),
+        service: Arc::from(SERVICE),
+        address,
+        zone: Arc::from("north"),
+        slots: 8,
+        leaving: false,
+        models: vec![Model {
+            name: Arc::from(MODEL),
+            version: 1,
+        }],
+        started: 1,
+    }
+}
+
+pub fn engine() -> Engine {
+    Engine {
+        slots: 8,
+        read_per_ms: 30.0,
+        step_ms: 8.0,
+        step_ms_per_call: 0.04,
+        usual_prompt: 1000.0,
+        usual_answer: 100.0,
+        stride: 6.0,
+    }
+}
+
+pub fn route(kind: Kind, attempts: u32) -> Route {
+    Route {
+        name: Arc::from("r"),
+        host: "desk.example".to_owned(),
+        prefix: "/book/".to_owned(),
+        kind,
+        timeout: Duration::from_secs(4),
+        aim: Duration::from_millis(400),
+        pause: Duration::from_millis(300),
+        attempts,
+        priority: 1,
+        targets: vec![Target {
+            service: Arc::from(SERVICE),
+            weight: 1,
+        }],
+        anonymous: false,
+        resumable: kind == Kind::Stream,
+    }
+}
+
+/// Returns a configuration of one route; the key of its workspace is `key-1`.
+pub fn parts(route: Route) -> Parts {
+    let engine = (route.kind == Kind::Stream).then(engine);
+    let workspace = Workspace {
+        name: Arc::from("delis"),
+        priority: None,
+    };
+    Parts {
+        version: 1,
+        routes: vec![route],
+        services: vec![Service {
+            name: Arc::from(SERVICE),
+            engine,
+        }],
+        workspaces: Some(vec![(workspace, vec!["key-1".to_owned()])]),
+        limits: Limits::default(),
+    }
+}
+
+/// Returns a request that closes its connection afterwards.
+pub fn request(id: &str) -> String {
+    format!(
+        "POST /book/1?day=2 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt: {id}\r\nX-Deadline: 3000\r\n\
+         X-Key: key-1\r\nX-Model: {MODEL}\r\nX-Tokens: 900,80\r\nConnection: close\r\nContent-Length: 5\r\n\r\nplate"
+    )
+}
+
+/// Returns a server's signed answer to the request with an id.
+pub fn answer(id: &str, status: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nX-Attempt: {id}\r\nX-Signature: s1\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Returns the head of a server's stream.
+pub fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt: {id}\r\nX-Signature: s1\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Returns events as one chunk.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -153,12 +153,7 @@
         }
     }
 
-    async fn fetch(
-        &self,
-        staged: &Rc<Staged>,
-        roster: &Roster,
-        fetch: Fetch,
-    ) -> (Fetch, Outcome) {
+    async fn fetch(&self, staged: &Rc<Staged>, roster: &Roster, fetch: Fetch) -> (Fetch, Outcome) {
         let read = match fetch.via {
             Via::Neighbour(key) | Via::Member(key) => match roster.find(key) {
                 Some(member) => self.ask_piece(member.address, staged, fetch.piece).await,
@@ -199,9 +194,12 @@
 
     async fn read_origin(&self, staged: &Staged, piece: u32) -> Result<Bytes, Outcome> {
         let origin = self.state.origin().ok_or(Outcome::Failed)?;
-        let read = self
-            .origin
-            .piece(origin.address, &staged.model, staged.version, piece as usize);
+        let read = self.origin.piece(
+            origin.address,
+            &staged.model,
+            staged.version,
+            piece as usize,
+        );
         match timeout(ORIGIN_TIMEOUT, read).await {
             Ok(Ok(bytes)) => Ok(bytes),
             Ok(Err(Error::Gone)) => Err(Outcome::Absent { idle: None }),
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -4,8 +4,8 @@
 
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
-use pistachiolug_weights::roster::Roster;
 use pistachiolug_platform::kv::Store;
+use pistachiolug_weights::roster::Roster;
 use pistachiolug_wire::datagram::{self, Change, Datagram, Notice};
 use tokio::{
     net::UdpSocket,
@@ -202,7 +202,9 @@
     }
 
     async fn wait_for_turn(&self, want: &Want) {
-        let (position, members) = self.state.position(&format!("{}/{}", want.model, want.version));
+        let (position, members) = self
+            .state
+            .position(&format!("{}/{}", want.model, want.version));
         let left = want.due.saturating_sub(self.state.now());
         let wait = turn::wait(left, position, members);
         let (left_ms, wait_ms) = (left.as_millis() as u64, wait.as_millis() as u64);
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -17,7 +17,9 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::watch, task::spawn_local};
+    sync::watch,
+    task::spawn_local,
+};
 
 use crate::{
     door,
@@ -107,7 +109,10 @@
     let ticks = kernel.timer.subscribe(LOOK_INTERVAL, LOOK_INTERVAL / 4);
     spawn_local(loader.run(ticks));
     // Others who ask for a piece go to the next source, so nothing has to be finished.
-    kernel.run(Duration::ZERO, || true).await.context(KernelSnafu)
+    kernel
+        .run(Duration::ZERO, || true)
+        .await
+        .context(KernelSnafu)
 }
 
 async fn serve<E: Engine>(state: Rc<State>, engine: E, kernel: Kernel, listener: TcpListener) {
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -363,7 +363,8 @@
                     self.state.wake.notify_one();
                 }
                 Fact::Version { model, version } => {
-                    self.state.name_version(&model, version, "key-value service");
+                    self.state
+                        .name_version(&model, version, "key-value service");
                 }
                 Fact::Member(_) | Fact::Entry(_) | Fact::Other => {}
             }
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -71,11 +71,7 @@
     }
 }
 
-async fn read<S: Store, O: Observer>(
-    store: &S,
-    prefix: &str,
-    observer: &O,
-) -> Result<bool, Error> {
+async fn read<S: Store, O: Observer>(store: &S, prefix: &str, observer: &O) -> Result<bool, Error> {
     let range = timeout(READ_TIMEOUT, store.range(prefix)).await;
     let range = range.unwrap_or_else(|_| {
         Err(Error::Unavailable {
--- a/crates/pistachiolug_routing/src/retry.rs
+++ b/crates/pistachiolug_routing/src/retry.rs
@@ -79,9 +79,10 @@
     /// `share` is the retries allowed per first attempt, `slack` this process's part of those allowed beyond.
     pub fn spend(&mut self, share: f64, slack: f64, now: Duration) -> bool {
         self.part(now);
-        let sums = self.parts.iter().fold((0, 0), |sums, part| {
-            (sums.0 + part.0, sums.1 + part.1)
-        });
+        let sums = self
+            .parts
+            .iter()
+            .fold((0, 0), |sums, part| (sums.0 + part.0, sums.1 + part.1));
         let allowed = f64::from(sums.1) + 1.0 <= share * f64::from(sums.0) + slack;
         if allowed {
             self.part(now).1 += 1;
