Watch in short waits and let entries tell agents of versions

Change: entries watch for 1.2 s at a time; agents keep long watches, and entries tell them of named versions; connections between agents open within 0.3 s.

--- a/crates/pistachiolug_gateway/src/intake.rs
+++ b/crates/pistachiolug_gateway/src/intake.rs
@@ -7,6 +7,8 @@
     follow::Observer,
     rows::{Change, Rows},
 };
+use pistachiolug_wire::datagram::{self, AgentDatagram};
+use tokio::net::UdpSocket;
 
 use crate::{
     catalog::Catalog,
@@ -19,20 +21,30 @@
 #[derive(Debug, Clone)]
 pub struct Intake<D> {
     state: Rc<State>,
+    /// Socket for datagrams to agents.
+    socket: Rc<UdpSocket>,
     decoder: D,
 }
 
 impl<D: Decoder> Intake<D> {
     /// Creates an intake.
-    pub fn new(state: Rc<State>, decoder: D) -> Self {
-        Self { state, decoder }
+    pub fn new(state: Rc<State>, socket: Rc<UdpSocket>, decoder: D) -> Self {
+        Self {
+            state,
+            socket,
+            decoder,
+        }
     }
 
     fn put(&self, entry: &kv::Entry, first: bool) {
         match self.decoder.decode(&entry.key, &entry.value) {
             Fact::Catalog(parts) => self.state.set_catalog(Catalog::new(parts)),
             Fact::Server(record) => self.put_server(record, entry.revision),
-            Fact::Version { model, version } => self.state.set_wanted(&model, version, !first),
+            Fact::Version { model, version } => {
+                if self.state.set_wanted(&model, version, !first) {
+                    self.tell_agents(model, version);
+                }
+            }
             Fact::Entry { name, address } => self.state.meet(&name, address),
             Fact::Other => {}
             Fact::Unreadable { reason } => {
@@ -45,6 +57,18 @@
         }
     }
 
+    /// Tells the agents of a named version, whose own watch may have missed it.
+    fn tell_agents(&self, model: String, version: u64) {
+        let agents = self.state.agents(&model);
+        match datagram::encode(&AgentDatagram::Named { model, version }) {
+            // Each entry tells them, and so does the service.
+            Ok(message) => agents.iter().for_each(|agent| {
+                let _ = self.socket.try_send_to(&message, *agent);
+            }),
+            Err(error) => log::warn!(error:%; "datagram not encoded"),
+        }
+    }
+
     fn put_server(&self, record: Record, revision: u64) {
         let known = self.state.with_board(|board| {
             let known = board.get(&record.id);
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -42,6 +42,9 @@
 /// Time that is kept of the allowance for a stop, for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest wait of one watch: with the time for its answer, within the seconds in which a change has to be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(1200);
+
 /// Interval at which an entry looks whether it is known to the others.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -101,7 +104,6 @@
     let kernel = Kernel::start(&options.name);
     let metrics = Metrics::register(&kernel.metrics).context(MetricSnafu)?;
     let state = State::new(options, metrics);
-    let intake = Intake::new(Rc::clone(&state), decoder.clone());
     let (closing, closed) = watch::channel(false);
     let front = listen(addresses.front)?;
     let ready = listen(addresses.ready)?;
@@ -110,9 +112,10 @@
     let socket = Rc::new(socket.context(ListenSnafu {
         address: addresses.internal,
     })?);
+    let intake = Intake::new(Rc::clone(&state), Rc::clone(&socket), decoder.clone());
     let client = Client::new(KEPT_CONNECTIONS);
     let ticks = kernel.timer.subscribe(BEACON_INTERVAL, Duration::ZERO);
-    spawn_local(follow::run(store.clone(), "", intake.clone()));
+    spawn_local(follow::run(store.clone(), "", WATCH_WAIT, intake.clone()));
     spawn_local(gossip::receive(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(gossip::send(
         Rc::clone(&state),
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     beacon::{LOAD_AGE, PEER_AGE},
-    board::{Board, Choice, Home, Need},
+    board::{Board, Choice, Home, Need, Server},
     catalog::{Catalog, Engine, Service},
     line::{Line, Place, Rank},
     metrics::Metrics,
@@ -267,24 +267,25 @@
         act(&mut self.board.borrow_mut())
     }
 
-    /// Notes the version that a model's servers should hold.
+    /// Notes the version that a model's servers should hold; `false` if it is known or older than a known one.
     ///
     /// # Arguments
     /// `fresh` tells that the naming was seen as it happened.
-    pub fn set_wanted(&self, model: &str, version: Version, fresh: bool) {
+    pub fn set_wanted(&self, model: &str, version: Version, fresh: bool) -> bool {
         let now = self.now();
         let since = fresh.then_some(now);
         let mut wanted = self.wanted.borrow_mut();
         let named = wanted.entry(model.to_owned()).or_default();
         let known = named.last().map_or(0, |known| known.version);
         if version <= known {
-            return;
+            return false;
         }
         log::info!(model, version, before = known; "version named");
         // Versions whose time has come are no less binding than the newest of them.
         let due = named.iter().rposition(|known| self.is_due(known));
         named.drain(..due.unwrap_or_default());
         named.push(Wanted { version, since });
+        true
     }
 
     /// Returns the newest version of a model that was named; `None` if none was.
@@ -552,6 +553,19 @@
         self.serve_lines();
     }
 
+    /// Returns the internal addresses of the agents beside the engines of a model.
+    ///
+    /// Agents use the same port as entries.
+    pub fn agents(&self, model: &str) -> Vec<SocketAddr> {
+        let port = self.options.internal.port();
+        let board = self.board.borrow();
+        let engines = board.servers().map(Server::record);
+        let engines = engines.filter(|record| record.version(model).is_some());
+        engines
+            .map(|record| SocketAddr::new(record.address.ip(), port))
+            .collect()
+    }
+
     /// Returns the address of the live entry whose rows are the newest, if they are newer than this one's.
     pub fn better_informed(&self) -> Option<SocketAddr> {
         let now = self.now();
--- a/crates/pistachiolug_http/src/client.rs
+++ b/crates/pistachiolug_http/src/client.rs
@@ -74,9 +74,14 @@
 impl Client {
     /// Creates a client that keeps up to `idle` connections per peer; 0 opens one per request.
     pub fn new(idle: usize) -> Self {
+        Self::with_connect_timeout(idle, CONNECT_TIMEOUT)
+    }
+
+    /// Creates a client as [`Client::new`] does, whose connections have to open within a time.
+    pub fn with_connect_timeout(idle: usize, within: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_connect_timeout(Some(within));
         connector.set_keepalive(Some(PROBE_INTERVAL));
         connector.set_keepalive_interval(Some(PROBE_INTERVAL));
         connector.set_keepalive_retries(Some(PROBES));
--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use pistachiolug_weights::{bitmap::Bitmap, order::Key, planner::Have};
-use serde::{Deserialize, Serialize};
+use pistachiolug_wire::datagram::{self, AgentDatagram};
 use tokio::{
     net::UdpSocket,
     sync::mpsc::{self, error::TrySendError},
@@ -17,28 +17,6 @@
 /// Answers that may wait for the fetch; later ones repeat them.
 const WAITING: usize = 256;
 
-/// Datagram between agents.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-enum Message {
-    /// Asks what is staged of a version.
-    Ask {
-        /// Internal address of the asking agent.
-        from: SocketAddr,
-        model: String,
-        version: u64,
-    },
-    /// Says what is staged of a version.
-    Have {
-        /// Internal address of the agent that has it.
-        from: SocketAddr,
-        model: String,
-        version: u64,
-        held: Bitmap,
-        /// Whether the engine serves the version already.
-        serving: bool,
-    },
-}
-
 /// What another agent has of the version that is fetched.
 #[derive(Debug)]
 pub struct Heard {
@@ -72,7 +50,7 @@
 
     /// Asks an agent what it has of a version.
     pub fn ask(&self, agent: SocketAddr, model: &str, version: u64) {
-        let message = Message::Ask {
+        let message = AgentDatagram::Ask {
             from: self.state.options.me.address,
             model: model.to_owned(),
             version,
@@ -85,7 +63,7 @@
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                Ok((length, from)) => match datagram::decode(&buffer[..length]) {
                     Ok(message) => self.take(message),
                     Err(error) => log::warn!(from:%, error:%; "malformed datagram"),
                 },
@@ -94,17 +72,21 @@
         }
     }
 
-    fn take(&self, message: Message) {
+    fn take(&self, message: AgentDatagram) {
         match message {
-            Message::Ask {
+            AgentDatagram::Named { model, version } => {
+                self.state.name_version(&model, version, "entry");
+            }
+            AgentDatagram::Ask {
                 from,
                 model,
                 version,
             } => self.answer(from, model, version),
-            Message::Have {
+            AgentDatagram::Have {
                 from,
                 model,
                 version,
+                pieces,
                 held,
                 serving,
             } => {
@@ -114,7 +96,7 @@
                 }
                 let heard = Heard {
                     from: Key::of(&from.to_string()),
-                    have: Have::Whole(held),
+                    have: Have::Whole(Bitmap::from_words(pieces as usize, &held)),
                     serving,
                 };
                 if let Err(TrySendError::Closed(_)) = self.heard.try_send(heard) {
@@ -131,9 +113,11 @@
         let Some(staged) = self.state.staged(&model, version) else {
             return;
         };
-        let message = Message::Have {
+        let held = staged.held();
+        let message = AgentDatagram::Have {
             from: self.state.options.me.address,
-            held: staged.held(),
+            pieces: held.length() as u32,
+            held: held.words().to_vec(),
             serving: self.state.serves(version),
             model,
             version,
@@ -141,8 +125,8 @@
         self.send(from, &message);
     }
 
-    fn send(&self, to: SocketAddr, message: &Message) {
-        match postcard::to_stdvec(message) {
+    fn send(&self, to: SocketAddr, message: &AgentDatagram) {
+        match datagram::encode(message) {
             // A lost datagram is made up for by the next question.
             Ok(bytes) => drop(self.socket.try_send_to(&bytes, to)),
             Err(error) => log::warn!(error:%; "datagram not encoded"),
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -34,9 +34,15 @@
 /// Interval of looks at the engine: a restarted one is noticed within it.
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Longest wait of one watch; entries and other agents tell of new versions as well.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
 /// Connections kept to each other agent.
 const KEPT_CONNECTIONS: usize = 2;
 
+/// Longest time a connection to another agent may take to open; a hundred times the delay between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Bounds of connections from other agents.
 const PEER_LIMIT: Limit = Limit {
     head_bytes: 8192,
@@ -86,7 +92,7 @@
     let listener = local::bind(address).context(ListenSnafu { address })?;
     let intake = Intake::new(Rc::clone(&state), decoder.clone());
     let prefix = decoder.orders_prefix();
-    spawn_local(follow::run(store.clone(), prefix, intake));
+    spawn_local(follow::run(store.clone(), prefix, WATCH_WAIT, intake));
     let door = Rc::clone(&state);
     spawn_local(serve(door, engine.clone(), kernel.clone(), listener));
     let socket = UdpSocket::bind(address).await;
@@ -99,7 +105,7 @@
         origin,
         store,
         decoder,
-        client: Client::new(KEPT_CONNECTIONS),
+        client: Client::with_connect_timeout(KEPT_CONNECTIONS, CONNECT_TIMEOUT),
         socket: UdpSocket::bind(SocketAddr::new(address.ip(), 0))
             .await
             .context(ListenSnafu { address })?,
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -17,9 +17,6 @@
 /// Longest pause after a failed call; a tenth of the seconds within which a change must be in force.
 const RETRY_PAUSE_MOST: Duration = Duration::from_millis(600);
 
-/// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-
 /// Longest time one read of all rows may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -36,13 +33,17 @@
 }
 
 /// Follows the rows under `prefix` for as long as the process runs.
-pub async fn run<S: Store, O: Observer>(store: S, prefix: &str, observer: O) {
+///
+/// # Arguments
+/// `wait` is the longest wait of one watch. A watch that the service has swallowed is noticed only when it is over, so
+/// this bounds how long changes may stay unseen.
+pub async fn run<S: Store, O: Observer>(store: S, prefix: &str, wait: Duration, observer: O) {
     let mut pause = RETRY_PAUSE;
     let mut known = false;
     loop {
         let start = Instant::now();
         let step = if known {
-            watch(&store, prefix, &observer).await
+            watch(&store, prefix, wait, &observer).await
         } else {
             read(&store, prefix, &observer).await
         };
@@ -86,10 +87,11 @@
 async fn watch<S: Store, O: Observer>(
     store: &S,
     prefix: &str,
+    wait: Duration,
     observer: &O,
 ) -> Result<bool, Error> {
     let after = observer.with_rows(|rows| rows.revision());
-    let events = store.watch(prefix, after, WATCH_WAIT).await?;
+    let events = store.watch(prefix, after, wait).await?;
     let changes = observer.with_rows(|rows| rows.apply(events));
     let changed = !changes.is_empty();
     observer.changed(changes);
--- a/crates/pistachiolug_replica/tests/follow.rs
+++ b/crates/pistachiolug_replica/tests/follow.rs
@@ -122,7 +122,7 @@
         .start_paused(true)
         .build()
         .unwrap();
-    let follow = follow::run(store, "", seen.clone());
+    let follow = follow::run(store, "", Duration::from_secs(1), seen.clone());
     let _ = runtime.block_on(async { tokio::time::timeout(Duration::from_secs(30), follow).await });
     seen
 }
--- a/crates/pistachiolug_weights/src/bitmap.rs
+++ b/crates/pistachiolug_weights/src/bitmap.rs
@@ -22,6 +22,18 @@
         }
     }
 
+    /// Creates a set from the words of another one; bits at and above `length` are dropped.
+    pub fn from_words(length: usize, words: &[u64]) -> Self {
+        let mut set = Self::new(length);
+        for index in 0..length as u32 {
+            let word = words.get(index as usize / WORD_BITS);
+            if word.is_some_and(|word| word >> (index as usize % WORD_BITS) & 1 == 1) {
+                set.add(index);
+            }
+        }
+        set
+    }
+
     /// Returns the bound of the indices.
     pub fn length(&self) -> usize {
         self.length as usize
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -63,18 +63,54 @@
     Notice(Notice),
 }
 
+/// Datagram to an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AgentDatagram {
+    /// From an entry: a version was named.
+    Named {
+        /// Model's name.
+        model: String,
+        /// Version.
+        version: u64,
+    },
+    /// From another agent: asks what is staged of a version.
+    Ask {
+        /// Internal address of the asking agent.
+        from: SocketAddr,
+        /// Model's name.
+        model: String,
+        /// Version.
+        version: u64,
+    },
+    /// From another agent: says what is staged of a version.
+    Have {
+        /// Internal address of the agent that has it.
+        from: SocketAddr,
+        /// Model's name.
+        model: String,
+        /// Version.
+        version: u64,
+        /// Number of pieces of the version.
+        pieces: u32,
+        /// Bits of the staged pieces, lowest indices first.
+        held: Vec<u64>,
+        /// Whether the engine serves the version already.
+        serving: bool,
+    },
+}
+
 /// Encodes a datagram.
 ///
 /// # Errors
 /// Returns the codec's error, as for a message beyond its bounds.
-pub fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode(datagram: &impl Serialize) -> Result<Vec<u8>, postcard::Error> {
     postcard::to_stdvec(datagram)
 }
 
 /// Decodes what [`encode`] made.
 ///
 /// # Errors
-/// Returns the codec's error for bytes that are no datagram.
-pub fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
+/// Returns the codec's error for bytes that are no such datagram.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, postcard::Error> {
     postcard::from_bytes(bytes)
 }
