Pass rows on within regions and let agents learn from entries

Change: two entries of a region follow the store, the others read changes from them; agents ask an entry for what concerns them and watch the named versions only.

--- a/crates/pistachiolug_gateway/src/catalog.rs
+++ b/crates/pistachiolug_gateway/src/catalog.rs
@@ -1,6 +1,6 @@
 //! Configuration in force: routes, services, workspaces and limits.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{Rng, RngExt};
 use rustc_hash::FxHashMap;
@@ -95,6 +95,28 @@
     pub usual_answer: f64,
     /// Steps between two looks at waiting work.
     pub stride: f64,
+    /// Models that the engines hold.
+    pub models: Vec<Weights>,
+}
+
+/// Weights of a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Weights {
+    /// Model's name.
+    pub model: String,
+    /// Number of pieces of each version.
+    pub pieces: usize,
+    /// Bytes of a piece; the last one may be shorter.
+    pub piece_bytes: usize,
+}
+
+/// Origin of weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Origin {
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
 }
 
 /// Group of backend servers.
@@ -180,6 +202,8 @@
     pub workspaces: Option<Vec<(Workspace, Vec<String>)>>,
     /// Bounds.
     pub limits: Limits,
+    /// Origin of weights.
+    pub origin: Option<Origin>,
 }
 
 /// Configuration, indexed.
@@ -191,6 +215,7 @@
     services: FxHashMap<Arc<str>, Service>,
     keys: Option<FxHashMap<String, Arc<Workspace>>>,
     limits: Limits,
+    origin: Option<Origin>,
 }
 
 impl Catalog {
@@ -213,6 +238,7 @@
                 .collect(),
             keys: parts.workspaces.map(index_keys),
             limits: parts.limits,
+            origin: parts.origin,
         }
     }
 
@@ -226,6 +252,11 @@
         self.limits
     }
 
+    /// Returns the origin of weights.
+    pub fn origin(&self) -> Option<&Origin> {
+        self.origin.as_ref()
+    }
+
     /// Finds a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -60,7 +60,7 @@
             continue;
         };
         behind += 1;
-        if behind >= BEHIND_MOST {
+        if behind >= BEHIND_MOST || !state.is_active() {
             behind = 0;
             catch_up(&intake, &client, peer).await;
         }
@@ -83,18 +83,22 @@
 }
 
 async fn catch_up<D: Decoder>(intake: &Intake<D>, client: &Client, peer: SocketAddr) {
-    let request = Request::get(format!("http://{peer}{ROWS_PATH}")).body(Bytes::new());
+    let after = intake.with_rows(|rows| rows.revision());
+    let url = format!("http://{peer}{ROWS_PATH}?after={after}");
+    let request = Request::get(url).body(Bytes::new());
     let Ok(request) = request else {
         return;
     };
     let rows = match client.fetch(request, ROWS_BYTES, ROWS_TIMEOUT).await {
-        Ok(response) => snapshot::decode(response.body()).map_err(|error| error.to_string()),
+        Ok(response) => intake
+            .with_rows(|rows| snapshot::take(response.body(), rows))
+            .map_err(|error| error.to_string()),
         Err(error) => Err(error.to_string()),
     };
     match rows {
-        Ok(rows) => {
-            log::info!(peer:%, revision = rows.revision; "rows read from another entry");
-            let changes = intake.with_rows(|known| known.reset(rows));
+        Ok(changes) => {
+            let revision = intake.with_rows(|rows| rows.revision());
+            log::info!(peer:%, after, revision, changes = changes.len(); "rows read from another entry");
             intake.changed(changes);
         }
         Err(error) => log::warn!(peer:%, error = error.as_str(); "rows of another entry not read"),
--- a/crates/pistachiolug_gateway/src/intake.rs
+++ b/crates/pistachiolug_gateway/src/intake.rs
@@ -134,6 +134,10 @@
         self.state.refresh();
     }
 
+    fn is_active(&self) -> bool {
+        self.state.is_active()
+    }
+
     fn reached(&self, result: Result<(), &kv::Error>) {
         match result {
             Ok(()) => self.state.reached(true, ""),
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use pistachiolug_http::{
@@ -17,6 +17,7 @@
 };
 use pistachiolug_platform::kv::{Expect, Store};
 use pistachiolug_replica::{follow, snapshot};
+use pistachiolug_wire::{codec, weights};
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -217,7 +218,8 @@
     let dump = Rc::clone(&state);
     let handler = move |request: Request<Incoming>| {
         let response = match request.uri().path() {
-            ROWS_PATH => match state.with_rows(|rows| snapshot::encode(rows)) {
+            ROWS_PATH => match state.with_rows(|rows| snapshot::encode(rows, after(request.uri())))
+            {
                 Ok(rows) => content("application/octet-stream", rows),
                 Err(error) => {
                     log::warn!(error:%; "rows not encoded");
@@ -225,6 +227,7 @@
                 }
             },
             "/debug/state" => content("application/json", dump.dump().to_string().into_bytes()),
+            path if path.starts_with(&weights::path("")) => weights_view(&state, path),
             path => match kernel.admin().serve(path) {
                 Some(reply) => local::whole(reply),
                 None => plain(StatusCode::NOT_FOUND),
@@ -247,6 +250,22 @@
     local::serve(listener, || limit, never, handler).await;
 }
 
+/// Returns the revision that a peer asks for changes after; 0 asks for all rows.
+fn after(uri: &Uri) -> u64 {
+    let after = uri.query().and_then(|query| query.strip_prefix("after="));
+    after
+        .and_then(|after| after.parse().ok())
+        .unwrap_or_default()
+}
+
+fn weights_view(state: &State, path: &str) -> Response<Full<Bytes>> {
+    let service = path.strip_prefix(&weights::path("")).unwrap_or_default();
+    match state.weights(service) {
+        Some(view) => content("application/octet-stream", codec::encode(&view).into()),
+        None => plain(StatusCode::NOT_FOUND),
+    }
+}
+
 fn plain(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -11,12 +11,16 @@
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::retry::Window;
-use pistachiolug_wire::datagram::{Beacon, Notice, Work};
+use pistachiolug_weights::order::Key;
+use pistachiolug_wire::{
+    datagram::{Beacon, Notice, Work},
+    weights,
+};
 use rustc_hash::FxHashMap;
 use tokio::sync::oneshot;
 
 use crate::{
-    beacon::{LOAD_AGE, PEER_AGE},
+    beacon::{FOLLOWER_AGE, LOAD_AGE, PEER_AGE},
     board::{Board, Choice, Home, Need, Server},
     catalog::{Catalog, Engine, Service},
     line::{Line, Place, Rank},
@@ -35,6 +39,9 @@
 /// Share of a service's servers whose removal at one time looks like lapsed leases rather than a change of the fleet.
 const LAPSE_SHARE: f64 = 0.5;
 
+/// Entries of a region that follow the key-value service: a second one covers what the first one misses.
+const FOLLOWERS: usize = 2;
+
 /// Window over which the rate of freed places is measured.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
 
@@ -90,6 +97,9 @@
 struct Peer {
     address: SocketAddr,
     heard: Option<Duration>,
+    region: String,
+    /// Whether the key-value service answers it.
+    in_touch: bool,
     revision: u64,
     work: Vec<(u32, Work)>,
 }
@@ -497,6 +507,8 @@
             Peer {
                 address,
                 heard: None,
+                region: String::new(),
+                in_touch: false,
                 revision: 0,
                 work: Vec::new(),
             }
@@ -514,6 +526,8 @@
         self.meet(&beacon.name, beacon.address);
         if let Some(peer) = self.peers.borrow_mut().get_mut(&beacon.name) {
             peer.heard = Some(self.now());
+            peer.region = beacon.region;
+            peer.in_touch = beacon.in_touch;
             peer.revision = beacon.revision;
             peer.work = beacon.work;
         }
@@ -524,6 +538,8 @@
         let beacon = Beacon {
             name: self.options.name.clone(),
             address: self.options.internal,
+            region: self.region().to_owned(),
+            in_touch: self.link.borrow().away_since.is_none(),
             revision: self.rows.borrow().revision(),
             work: self.board.borrow().own_work(),
         };
@@ -566,7 +582,7 @@
             .collect()
     }
 
-    /// Returns the address of the live entry whose rows are the newest, if they are newer than this one's.
+    /// Returns the address of a live entry whose rows are newer than this one's, in the own region if there is one.
     pub fn better_informed(&self) -> Option<SocketAddr> {
         let now = self.now();
         let own = self.rows.borrow().revision();
@@ -574,8 +590,67 @@
         let live = peers
             .values()
             .filter(|peer| peer.heard.is_some_and(|heard| now < heard + PEER_AGE));
-        let newest = live.max_by_key(|peer| peer.revision)?;
-        (newest.revision > own).then_some(newest.address)
+        let newer = live.filter(|peer| peer.revision > own);
+        let best = newer.max_by_key(|peer| (peer.region == self.region(), peer.revision));
+        best.map(|peer| peer.address)
+    }
+
+    /// Tells whether this entry follows the key-value service itself.
+    ///
+    /// A few entries of each region do, in an order that all compute alike from who is alive and in touch with the
+    /// service; the others read the rows from them. So calls and bytes between regions do not grow with the entries.
+    pub fn is_active(&self) -> bool {
+        if self.rows.borrow().revision() == 0 {
+            return true;
+        }
+        let now = self.now();
+        let own = Key::of(&self.options.name);
+        let peers = self.peers.borrow();
+        let before = peers.iter().filter(|(name, peer)| {
+            peer.in_touch
+                && peer.region == self.region()
+                && peer.heard.is_some_and(|heard| now < heard + FOLLOWER_AGE)
+                && Key::of(name) > own
+        });
+        before.count() < FOLLOWERS
+    }
+
+    fn region(&self) -> &str {
+        let home = &self.options.home;
+        home.regions.get(&*home.zone).map_or("", String::as_str)
+    }
+
+    /// Returns what agents of a service have to know of its weights and of each other.
+    pub fn weights(&self, service: &str) -> Option<weights::View> {
+        let catalog = self.catalog()?;
+        let engine = engine(&catalog, service)?;
+        let regions = &self.options.home.regions;
+        let region = |zone: &str| regions.get(zone).cloned().unwrap_or_default();
+        let models = engine.models.iter().map(|held| weights::Model {
+            name: held.model.clone(),
+            pieces: held.pieces,
+            piece_bytes: held.piece_bytes,
+            version: self.newest_version(&held.model).unwrap_or(1),
+        });
+        let port = self.options.internal.port();
+        let board = self.board.borrow();
+        let records = board.servers().map(Server::record);
+        let engines = records.filter(|record| &*record.service == service);
+        let agents = engines.map(|record| weights::Place {
+            address: SocketAddr::new(record.address.ip(), port),
+            region: region(&record.zone),
+        });
+        let peers = self.peers.borrow();
+        let entries = peers.values().map(|peer| peer.address);
+        Some(weights::View {
+            models: models.collect(),
+            origin: catalog.origin().map(|origin| weights::Place {
+                address: origin.address,
+                region: region(&origin.zone),
+            }),
+            agents: agents.collect(),
+            entries: entries.chain([self.options.internal]).collect(),
+        })
     }
 
     /// Returns the state for a dump, without callers' content.
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -113,6 +113,8 @@
     let peer = |name: &str| Beacon {
         name: name.to_owned(),
         address: "10.0.0.9:1".parse().unwrap(),
+        region: "inland".to_owned(),
+        in_touch: true,
         revision: 1,
         work: Vec::<(u32, Work)>::new(),
     };
@@ -135,6 +137,8 @@
     let beacon = |name: &str, port: u16, revision| Beacon {
         name: name.to_owned(),
         address: ([10, 0, 0, 1], port).into(),
+        region: "inland".to_owned(),
+        in_touch: true,
         revision,
         work: Vec::new(),
     };
@@ -145,3 +149,36 @@
 
     assert_eq!(state.better_informed().unwrap().port(), 3);
 }
+
+#[test]
+fn two_entries_of_a_region_follow_the_service_for_the_others() {
+    let follows = |name: &str, in_touch: bool| {
+        let state = state(Options {
+            name: name.to_owned(),
+            ..options()
+        });
+        state.with_rows(|rows| {
+            rows.reset(pistachiolug_platform::kv::Range {
+                entries: Vec::new(),
+                revision: 1,
+            })
+        });
+        for peer in ["a", "b", "c", "d"].iter().filter(|peer| **peer != name) {
+            state.hear(Beacon {
+                name: (*peer).to_owned(),
+                address: "10.0.0.9:1".parse().unwrap(),
+                region: "inland".to_owned(),
+                in_touch,
+                revision: 1,
+                work: Vec::new(),
+            });
+        }
+        state.is_active()
+    };
+
+    let active = ["a", "b", "c", "d"].map(|name| follows(name, true));
+    let alone = ["a", "b", "c", "d"].map(|name| follows(name, false));
+
+    assert_eq!(active.iter().filter(|active| **active).count(), 2);
+    assert_eq!(alone, [true; 4]);
+}
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Entry on loopback before scripted backend servers.
 
-#![allow(dead_code)]
+#![allow(dead_code, unreachable_pub)]
 
 use std::{
     cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
@@ -264,6 +264,7 @@
         usual_prompt: 1000.0,
         usual_answer: 100.0,
         stride: 6.0,
+        models: Vec::new(),
     }
 }
 
@@ -303,6 +304,7 @@
         }],
         workspaces: Some(vec![(workspace, vec!["key-1".to_owned()])]),
         limits: Limits::default(),
+        origin: None,
     }
 }
 
--- a/crates/pistachiolug_loader/src/fact.rs
+++ b/crates/pistachiolug_loader/src/fact.rs
@@ -2,38 +2,13 @@
 
 use std::net::SocketAddr;
 
-use pistachiolug_weights::roster::Member;
-
-/// Model whose weights come in pieces.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Model {
-    /// Name.
-    pub name: String,
-    /// Number of pieces of each version.
-    pub pieces: usize,
-    /// Bytes of a piece; the last one may be shorter.
-    pub piece_bytes: usize,
-}
-
-/// Origin of weights.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Origin {
-    /// Address.
-    pub address: SocketAddr,
-    /// Region.
-    pub region: String,
-}
+use pistachiolug_wire::weights::View;
 
 /// Decoded row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fact {
-    /// Configuration, as far as it concerns weights.
-    Weights {
-        /// Models of the agent's service.
-        models: Vec<Model>,
-        /// Origin of weights.
-        origin: Option<Origin>,
-    },
+    /// Configuration, as far as it concerns the weights of the agent's service; agents and entries are left out.
+    Weights(View),
     /// The version that a model's engines should hold.
     Version {
         /// Model's name.
@@ -41,8 +16,6 @@
         /// Version.
         version: u64,
     },
-    /// An engine with an agent beside it.
-    Member(Member),
     /// Internal address of an entry.
     Entry(SocketAddr),
     /// Nothing that an agent acts on.
@@ -54,6 +27,12 @@
     /// Decodes a row.
     fn decode(&self, key: &str, value: &[u8]) -> Fact;
 
-    /// Returns the prefix of the rows with configuration and versions.
-    fn orders_prefix(&self) -> &'static str;
+    /// Returns the prefix of the rows that name versions.
+    fn versions_prefix(&self) -> &'static str;
+
+    /// Returns the prefix of the entries' rows.
+    fn entries_prefix(&self) -> &'static str;
+
+    /// Returns the key of the configuration.
+    fn configuration_key(&self) -> &'static str;
 }
--- a/crates/pistachiolug_loader/src/lib.rs
+++ b/crates/pistachiolug_loader/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod exchange;
 pub mod fact;
 pub mod fetch;
+pub mod learn;
 pub mod load;
 pub mod manifest;
 pub mod metrics;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -5,26 +5,19 @@
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
 use pistachiolug_platform::kv::Store;
-use pistachiolug_weights::roster::Roster;
 use pistachiolug_wire::datagram::{self, Change, Datagram, Notice};
-use tokio::{
-    net::UdpSocket,
-    sync::mpsc,
-    time::{sleep, timeout},
-};
+use tokio::{net::UdpSocket, sync::mpsc, time::sleep};
 
 use crate::{
     engine::{Engine, Error, Ordered, Origin, Report},
     exchange::{Exchange, Heard},
-    fact::{Decoder, Fact},
+    fact::Decoder,
     fetch::Fetcher,
+    learn::Teacher,
     state::{Staged, State, Want},
     turn,
 };
 
-/// Longest time the list of members may take to read.
-const ROSTER_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Interval of looks at an engine that loads.
 const LOAD_LOOK: Duration = Duration::from_millis(100);
 
@@ -46,10 +39,8 @@
     pub engine: E,
     /// Origin.
     pub origin: O,
-    /// Key-value service, for the list of members.
-    pub store: S,
-    /// Format of the rows.
-    pub decoder: D,
+    /// Ways to learn of weights and agents.
+    pub teacher: Teacher<S, D>,
     /// Client for other agents.
     pub client: Client,
     /// Socket for notices.
@@ -71,7 +62,12 @@
                     looked = self.look(&want) => looked,
                     () = state.superseded(&want) => continue,
                 },
-                None => Ok(()),
+                None => {
+                    if self.teacher.teach(&self.state).await {
+                        continue;
+                    }
+                    Err(failed("weights are not known"))
+                }
             };
             if let Err(error) = &looked
                 && reachable
@@ -144,7 +140,7 @@
         if missing == 0 {
             return Ok(());
         }
-        self.read_roster().await;
+        self.teacher.teach(&self.state).await;
         let start = self.state.now();
         // An engine that serves nothing yet leaves its link to the weights.
         let rate = if self.state.is_empty() {
@@ -172,35 +168,6 @@
         Err(failed("pieces are missing"))
     }
 
-    async fn read_roster(&self) {
-        let range = match timeout(ROSTER_TIMEOUT, self.store.range("")).await {
-            Ok(Ok(range)) => range,
-            Ok(Err(error)) => {
-                log::warn!(error:%; "members not read, those known before are asked");
-                return;
-            }
-            Err(_) => {
-                log::warn!("members not read in time, those known before are asked");
-                return;
-            }
-        };
-        let facts = range
-            .entries
-            .iter()
-            .map(|entry| self.decoder.decode(&entry.key, &entry.value));
-        let mut members = vec![self.state.options.me.clone()];
-        let mut entries = Vec::new();
-        for fact in facts {
-            match fact {
-                Fact::Member(member) => members.push(member),
-                Fact::Entry(address) => entries.push(address),
-                _ => {}
-            }
-        }
-        self.state.set_roster(Roster::new(members));
-        self.state.set_entries(entries);
-    }
-
     async fn wait_for_turn(&self, want: &Want) {
         let (position, members) = self
             .state
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -26,6 +26,7 @@
     engine::{Engine, Origin},
     exchange::Exchange,
     fact::Decoder,
+    learn::Teacher,
     load::Loader,
     metrics::Metrics,
     state::{Intake, Options, State},
@@ -91,7 +92,7 @@
     let state = State::new(options, metrics);
     let listener = local::bind(address).context(ListenSnafu { address })?;
     let intake = Intake::new(Rc::clone(&state), decoder.clone());
-    let prefix = decoder.orders_prefix();
+    let prefix = decoder.versions_prefix();
     spawn_local(follow::run(store.clone(), prefix, WATCH_WAIT, intake));
     let door = Rc::clone(&state);
     spawn_local(serve(door, engine.clone(), kernel.clone(), listener));
@@ -103,8 +104,11 @@
         state,
         engine,
         origin,
-        store,
-        decoder,
+        teacher: Teacher {
+            store,
+            decoder,
+            client: Client::with_connect_timeout(0, CONNECT_TIMEOUT),
+        },
         client: Client::with_connect_timeout(KEPT_CONNECTIONS, CONNECT_TIMEOUT),
         socket: UdpSocket::bind(SocketAddr::new(address.ip(), 0))
             .await
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -19,11 +19,12 @@
     order::Key,
     roster::{Member, Roster},
 };
+use pistachiolug_wire::weights;
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
 use crate::{
-    fact::{Decoder, Fact, Model, Origin},
+    fact::{Decoder, Fact},
     manifest::Manifest,
     metrics::Metrics,
 };
@@ -39,6 +40,8 @@
 pub struct Options {
     /// Name.
     pub name: String,
+    /// Service of the engine.
+    pub service: String,
     /// The agent itself.
     pub me: Member,
     /// Address at which the engine takes requests.
@@ -158,8 +161,9 @@
     named: Notify,
     clock: System,
     rows: RefCell<Rows>,
-    models: RefCell<Vec<Model>>,
-    origin: RefCell<Option<Origin>>,
+    /// Models of the service.
+    models: RefCell<Vec<weights::Model>>,
+    origin: RefCell<Option<weights::Place>>,
     /// Named versions by model, in order.
     versions: RefCell<FxHashMap<String, Vec<Named>>>,
     /// What the loader works on.
@@ -295,7 +299,7 @@
     }
 
     /// Returns the origin of weights.
-    pub fn origin(&self) -> Option<Origin> {
+    pub fn origin(&self) -> Option<weights::Place> {
         self.origin.borrow().clone()
     }
 
@@ -304,9 +308,26 @@
         self.roster.borrow().clone()
     }
 
-    /// Replaces the agents of the service.
-    pub fn set_roster(&self, roster: Roster) {
-        *self.roster.borrow_mut() = roster;
+    /// Takes what an entry, or the key-value service, says of the weights; what it leaves out stays as it was.
+    pub fn take_view(&self, view: weights::View) {
+        for model in &view.models {
+            self.name_version(&model.name, model.version, "view");
+        }
+        *self.models.borrow_mut() = view.models;
+        *self.origin.borrow_mut() = view.origin;
+        let members = view.agents.into_iter().map(|agent| Member {
+            name: agent.address.to_string(),
+            address: agent.address,
+            region: agent.region,
+        });
+        let mut members: Vec<Member> = members.collect();
+        if !members.is_empty() {
+            members.push(self.options.me.clone());
+            *self.roster.borrow_mut() = Roster::new(members);
+        }
+        if !view.entries.is_empty() {
+            *self.entries.borrow_mut() = view.entries;
+        }
     }
 
     /// Returns the internal addresses of the entries.
@@ -314,9 +335,9 @@
         self.entries.borrow().clone()
     }
 
-    /// Replaces the internal addresses of the entries.
-    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
-        *self.entries.borrow_mut() = entries;
+    /// Forgets the entries, none of which answers.
+    pub fn forget_entries(&self) {
+        self.entries.borrow_mut().clear();
     }
 
     /// Returns the record of staged pieces of a version.
@@ -357,20 +378,19 @@
                 continue;
             };
             match self.decoder.decode(&entry.key, &entry.value) {
-                Fact::Weights { models, origin } => {
-                    *self.state.models.borrow_mut() = models;
-                    *self.state.origin.borrow_mut() = origin;
-                    self.state.wake.notify_one();
-                }
                 Fact::Version { model, version } => {
                     self.state
                         .name_version(&model, version, "key-value service");
                 }
-                Fact::Member(_) | Fact::Entry(_) | Fact::Other => {}
+                Fact::Weights(_) | Fact::Entry(_) | Fact::Other => {}
             }
         }
     }
 
+    fn is_active(&self) -> bool {
+        true
+    }
+
     fn reached(&self, result: Result<(), &kv::Error>) {
         let away = result.is_err();
         if self.state.away.replace(away) == away {
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -17,8 +17,11 @@
 /// Longest pause after a failed call; a tenth of the seconds within which a change must be in force.
 const RETRY_PAUSE_MOST: Duration = Duration::from_millis(600);
 
-/// Longest time one read of all rows may take.
-const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Interval at which a passive follower looks whether it has to become active.
+const PASSIVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest time one read of all rows may take; they may have to share a narrow link with those of others.
+const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Receives what the follower learns.
 pub trait Observer {
@@ -28,6 +31,9 @@
     /// Takes changes of rows, in order.
     fn changed(&self, changes: Vec<Change>);
 
+    /// Tells whether to ask the service now; others may follow it in this process's place.
+    fn is_active(&self) -> bool;
+
     /// Notes that the service answers, or why it does not.
     fn reached(&self, result: Result<(), &Error>);
 }
@@ -41,6 +47,10 @@
     let mut pause = RETRY_PAUSE;
     let mut known = false;
     loop {
+        if !observer.is_active() {
+            sleep(PASSIVE_PAUSE).await;
+            continue;
+        }
         let start = Instant::now();
         let step = if known {
             watch(&store, prefix, wait, &observer).await
--- a/crates/pistachiolug_replica/src/rows.rs
+++ b/crates/pistachiolug_replica/src/rows.rs
@@ -1,9 +1,12 @@
 //! Rows under one prefix as of one revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use pistachiolug_platform::kv::{Entry, Event, Range};
 
+/// Removals that are remembered, so that others can be told of them.
+const REMOVALS: usize = 1000;
+
 /// Row that changed, and whether it is still there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -22,6 +25,23 @@
     rows: BTreeMap<String, Entry>,
     /// Revision up to which all changes are contained; 0 before the first read.
     revision: u64,
+    /// Removals with their revisions, in order.
+    removals: VecDeque<(String, u64)>,
+    /// Revision from which `removals` is complete.
+    removals_since: u64,
+}
+
+/// Changes between two revisions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delta {
+    /// Revision that the changes build on.
+    pub after: u64,
+    /// Revision that they lead to.
+    pub revision: u64,
+    /// Rows that were stored.
+    pub entries: Vec<Entry>,
+    /// Keys that were removed.
+    pub removed: Vec<String>,
 }
 
 impl Rows {
@@ -40,6 +60,9 @@
         if range.revision < self.revision {
             return Vec::new();
         }
+        if self.revision == 0 {
+            self.removals_since = range.revision;
+        }
         let mut old = std::mem::take(&mut self.rows);
         let mut changes = Vec::new();
         for entry in range.entries {
@@ -49,9 +72,11 @@
             }
             self.rows.insert(entry.key.clone(), entry);
         }
-        let gone = old.into_keys().map(|key| Change::Gone { key });
-        changes.extend(gone);
         self.revision = range.revision;
+        for key in old.into_keys() {
+            self.note_removal(&key, range.revision);
+            changes.push(Change::Gone { key });
+        }
         changes
     }
 
@@ -67,17 +92,61 @@
             }
             self.revision = self.revision.max(revision);
             match event {
-                Event::Put(entry) => {
-                    self.rows.insert(entry.key.clone(), entry.clone());
-                    changes.push(Change::Put(entry));
-                }
-                Event::Delete { key, .. } => {
-                    if self.rows.remove(&key).is_some() {
-                        changes.push(Change::Gone { key });
-                    }
-                }
+                Event::Put(entry) => changes.push(self.put(entry)),
+                Event::Delete { key, revision } => changes.extend(self.remove(key, revision)),
             }
         }
         changes
     }
+
+    /// Returns the changes after a revision; `None` if the removals since then are not all known.
+    pub fn delta(&self, after: u64) -> Option<Delta> {
+        if after == 0 || after < self.removals_since {
+            return None;
+        }
+        let entries = self.rows.values().filter(|entry| entry.revision > after);
+        let removed = self.removals.iter().filter(|(_, at)| *at > after);
+        Some(Delta {
+            after,
+            revision: self.revision,
+            entries: entries.cloned().collect(),
+            removed: removed.map(|(key, _)| key.clone()).collect(),
+        })
+    }
+
+    /// Takes changes that build on the revision of now; others change nothing.
+    pub fn merge(&mut self, delta: Delta) -> Vec<Change> {
+        if delta.after != self.revision || delta.revision <= self.revision {
+            return Vec::new();
+        }
+        self.revision = delta.revision;
+        let mut changes = Vec::new();
+        for key in delta.removed {
+            changes.extend(self.remove(key, delta.revision));
+        }
+        for entry in delta.entries {
+            changes.push(self.put(entry));
+        }
+        changes
+    }
+
+    fn put(&mut self, entry: Entry) -> Change {
+        self.rows.insert(entry.key.clone(), entry.clone());
+        Change::Put(entry)
+    }
+
+    fn remove(&mut self, key: String, revision: u64) -> Option<Change> {
+        self.rows.remove(&key)?;
+        self.note_removal(&key, revision);
+        Some(Change::Gone { key })
+    }
+
+    fn note_removal(&mut self, key: &str, revision: u64) {
+        self.removals.push_back((key.to_owned(), revision));
+        if self.removals.len() > REMOVALS
+            && let Some((_, forgotten)) = self.removals.pop_front()
+        {
+            self.removals_since = forgotten;
+        }
+    }
 }
--- a/crates/pistachiolug_replica/tests/follow.rs
+++ b/crates/pistachiolug_replica/tests/follow.rs
@@ -80,6 +80,10 @@
         self.changes.borrow_mut().extend(changes);
     }
 
+    fn is_active(&self) -> bool {
+        true
+    }
+
     fn reached(&self, result: Result<(), &Error>) {
         self.reached.borrow_mut().push(result.is_ok());
     }
@@ -196,14 +200,52 @@
     assert_eq!(changes.len(), 2);
 }
 
+fn all(rows: &Rows) -> Vec<Entry> {
+    rows.entries().cloned().collect()
+}
+
 #[test]
-fn a_snapshot_reads_back() {
+fn rows_reach_another_process_whole_or_as_changes() {
     let mut rows = Rows::default();
     rows.reset(range(9, vec![entry("a", 2), entry("b", 9)]));
+    let mut fresh = Rows::default();
+    let mut behind = rows.clone();
+    rows.apply(vec![Event::Put(entry("c", 10)), delete("a", 11)]);
+
+    let whole = snapshot::encode(&rows, 0).unwrap();
+    let changed = snapshot::encode(&rows, 9).unwrap();
+    snapshot::take(&whole, &mut fresh).unwrap();
+    let changes = snapshot::take(&changed, &mut behind).unwrap();
+
+    assert!(changed.len() < whole.len());
+    assert_eq!(changes.len(), 2);
+    for other in [&fresh, &behind] {
+        assert_eq!(all(other), [entry("b", 9), entry("c", 10)]);
+        assert_eq!(other.revision(), 11);
+    }
+}
 
-    let bytes = snapshot::encode(&rows).unwrap();
-    let read = snapshot::decode(&bytes).unwrap();
+#[test]
+fn changes_that_do_not_build_on_the_rows_are_not_taken() {
+    let mut rows = Rows::default();
+    rows.reset(range(9, vec![entry("a", 2)]));
+    rows.apply(vec![delete("a", 10)]);
+    let changed = snapshot::encode(&rows, 9).unwrap();
+    let mut other = Rows::default();
+    other.reset(range(8, vec![entry("a", 2)]));
+
+    let changes = snapshot::take(&changed, &mut other).unwrap();
+
+    assert!(changes.is_empty());
+    assert_eq!(other.revision(), 8);
+    assert!(snapshot::take(&changed[..changed.len() - 1], &mut other).is_err());
+}
+
+#[test]
+fn removals_from_before_the_first_read_are_not_claimed_to_be_known() {
+    let mut rows = Rows::default();
+    rows.reset(range(9, vec![entry("a", 2)]));
 
-    assert_eq!(read, range(9, vec![entry("a", 2), entry("b", 9)]));
-    assert!(snapshot::decode(&bytes[..bytes.len() - 1]).is_err());
+    assert_eq!(rows.delta(8), None);
+    assert!(rows.delta(9).is_some());
 }
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -20,6 +20,10 @@
     pub name: String,
     /// Sender's internal address, where its rows can be read.
     pub address: SocketAddr,
+    /// Sender's region.
+    pub region: String,
+    /// Whether the key-value service answers the sender.
+    pub in_touch: bool,
     /// Revision of the sender's rows.
     pub revision: u64,
     /// Work by short hash of the server's id; servers without work are left out.
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod notice;
 pub mod outcome;
 pub mod revoke;
+pub mod weights;
