Test the spread of weights; tell agents of other regions of a version

Cause: an agent that was the only one to learn of a version told those of its own region only (found by the new test an_agent_without_the_service_learns_of_a_version_from_the_others, which failed first). Change: an agent that begins a version tells three others of any region.

--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use pistachiolug_weights::{bitmap::Bitmap, order::Key, planner::Have};
 use pistachiolug_wire::datagram::{self, AgentDatagram};
+use rand::seq::IndexedRandom;
 use tokio::{
     net::UdpSocket,
     sync::mpsc::{self, error::TrySendError},
@@ -14,6 +15,9 @@
 /// Largest datagram in bytes.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
+/// Agents that are told of a version by each that learns of it.
+const TOLD: usize = 3;
+
 /// Answers that may wait for the fetch; later ones repeat them.
 const WAITING: usize = 256;
 
@@ -58,6 +62,21 @@
         self.send(agent, &message);
     }
 
+    /// Tells a few agents of any region of a version, which do the same, so that all learn of it.
+    pub fn tell(&self, model: &str, version: u64) {
+        let message = AgentDatagram::Named {
+            model: model.to_owned(),
+            version,
+        };
+        let roster = self.state.roster();
+        let own = self.state.options.me.address;
+        let others = roster.members().iter().map(|member| member.address);
+        let others: Vec<SocketAddr> = others.filter(|address| *address != own).collect();
+        for agent in others.sample(&mut rand::rng(), TOLD) {
+            self.send(*agent, &message);
+        }
+    }
+
     /// Takes datagrams until the process ends.
     pub async fn run(self) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -75,7 +94,7 @@
     fn take(&self, message: AgentDatagram) {
         match message {
             AgentDatagram::Named { model, version } => {
-                self.state.name_version(&model, version, "entry");
+                self.state.name_version(&model, version, "datagram");
             }
             AgentDatagram::Ask {
                 from,
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -113,6 +113,7 @@
         if let Some(staged) = self.state.staged(&want.model, want.version) {
             return Ok(staged);
         }
+        self.exchange.tell(&want.model, want.version);
         let origin = self.state.origin();
         let origin = origin.ok_or_else(|| failed("no origin is configured"))?;
         let manifest = self
--- /dev/null
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -0,0 +1,535 @@
+//! Agents on loopback bring their engines to named versions, whatever fails.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::Request;
+use hyper::body::Incoming;
+use pistachiolug_http::{
+    client::Client,
+    local::{self, Limit},
+};
+use pistachiolug_kernel::timer::Timer;
+use pistachiolug_loader::{
+    door,
+    engine::{Engine, Error, Ordered, Origin, Report},
+    exchange::Exchange,
+    fact::{Decoder, Fact},
+    learn::Teacher,
+    load::Loader,
+    manifest::Manifest,
+    metrics::Metrics,
+    state::{Intake, Options, State},
+};
+use pistachiolug_platform::kv::memory::Memory;
+use pistachiolug_replica::follow;
+use pistachiolug_weights::roster::Member;
+use pistachiolug_wire::weights::{Model, Place, View};
+use sha2::{Digest, Sha256};
+use tokio::{
+    net::UdpSocket,
+    sync::watch,
+    task::{LocalSet, spawn_local},
+    time::{sleep, timeout},
+};
+
+const MODEL: &str = "tagliatelle";
+const PIECES: usize = 24;
+const PIECE_BYTES: usize = 2000;
+
+fn piece(version: u64, index: usize) -> Bytes {
+    let byte = (version as usize * 31 + index) as u8;
+    Bytes::from(vec![byte; PIECE_BYTES])
+}
+
+/// Engine in memory.
+#[derive(Clone, Default)]
+struct FakeEngine {
+    inner: Rc<RefCell<EngineState>>,
+}
+
+#[derive(Default)]
+struct EngineState {
+    staged: BTreeMap<usize, Bytes>,
+    held: Option<u64>,
+    orders: u64,
+    started: u64,
+    /// Versions that were loaded although a piece was missing or wrong.
+    torn: Vec<u64>,
+    loads: Vec<u64>,
+    /// Index of a staged piece that turns bad once all are staged.
+    rots: Option<usize>,
+    conflicts: u32,
+}
+
+impl FakeEngine {
+    fn holding(version: u64) -> Self {
+        let engine = Self::default();
+        let mut inner = engine.inner.borrow_mut();
+        inner.held = Some(version);
+        inner.staged = (0..PIECES)
+            .map(|index| (index, piece(version, index)))
+            .collect();
+        drop(inner);
+        engine
+    }
+
+    fn held(&self) -> Option<u64> {
+        self.inner.borrow().held
+    }
+
+    fn restart(&self) {
+        let mut inner = self.inner.borrow_mut();
+        inner.held = None;
+        inner.orders = 0;
+        inner.started += 1;
+    }
+}
+
+impl Engine for FakeEngine {
+    async fn report(&self) -> Result<Report, Error> {
+        let inner = self.inner.borrow();
+        let held = inner.held.map(|version| (MODEL.to_owned(), version));
+        Ok(Report {
+            models: held.into_iter().collect(),
+            busy: false,
+            orders: inner.orders,
+            started: inner.started,
+        })
+    }
+
+    async fn stage(&self, _: &str, index: usize, bytes: Bytes) -> Result<(), Error> {
+        let mut inner = self.inner.borrow_mut();
+        inner.staged.insert(index, bytes);
+        if inner.staged.len() == PIECES
+            && let Some(index) = inner.rots.take()
+        {
+            inner.staged.insert(index, Bytes::from_static(b"rot"));
+        }
+        Ok(())
+    }
+
+    async fn staged(&self, _: &str, index: usize) -> Result<Option<Bytes>, Error> {
+        Ok(self.inner.borrow().staged.get(&index).cloned())
+    }
+
+    async fn load(&self, _: &str, version: u64, orders: u64) -> Result<Ordered, Error> {
+        let mut inner = self.inner.borrow_mut();
+        if inner.conflicts > 0 || inner.orders != orders {
+            inner.conflicts = inner.conflicts.saturating_sub(1);
+            return Ok(Ordered::Conflict);
+        }
+        let whole =
+            (0..PIECES).all(|index| inner.staged.get(&index) == Some(&piece(version, index)));
+        if !whole {
+            inner.torn.push(version);
+        }
+        inner.orders += 1;
+        inner.loads.push(version);
+        inner.held = Some(version);
+        Ok(Ordered::Accepted)
+    }
+}
+
+/// Origin in memory.
+#[derive(Clone, Default)]
+struct FakeOrigin {
+    inner: Rc<RefCell<OriginState>>,
+}
+
+#[derive(Default)]
+struct OriginState {
+    reads: usize,
+    /// Reads that give wrong bytes.
+    spoil: usize,
+    /// Reads of manifests that give wrong digests.
+    spoil_manifests: usize,
+    away: bool,
+}
+
+impl Origin for FakeOrigin {
+    async fn manifest(&self, _: SocketAddr, _: &str, version: u64) -> Result<Manifest, Error> {
+        let mut inner = self.inner.borrow_mut();
+        if inner.away {
+            return Err(away());
+        }
+        let wrong = inner.spoil_manifests > 0;
+        inner.spoil_manifests = inner.spoil_manifests.saturating_sub(1);
+        let digests = (0..PIECES).map(|index| {
+            let version = if wrong { version + 100 } else { version };
+            Sha256::digest(piece(version, index)).into()
+        });
+        Ok(Manifest {
+            digests: digests.collect(),
+        })
+    }
+
+    async fn piece(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        version: u64,
+        index: usize,
+    ) -> Result<Bytes, Error> {
+        let mut inner = self.inner.borrow_mut();
+        if inner.away {
+            return Err(away());
+        }
+        inner.reads += 1;
+        if inner.spoil > 0 {
+            inner.spoil -= 1;
+            return Ok(Bytes::from_static(b"spoilt"));
+        }
+        Ok(piece(version, index))
+    }
+}
+
+fn away() -> Error {
+    Error::Failed {
+        reason: "away".to_owned(),
+    }
+}
+
+/// Rows whose values are versions.
+#[derive(Clone)]
+struct Rows;
+
+impl Decoder for Rows {
+    fn decode(&self, key: &str, value: &[u8]) -> Fact {
+        if !key.starts_with(self.versions_prefix()) {
+            return Fact::Other;
+        }
+        Fact::Version {
+            model: MODEL.to_owned(),
+            version: String::from_utf8_lossy(value).parse().unwrap(),
+        }
+    }
+
+    fn versions_prefix(&self) -> &'static str {
+        "version/"
+    }
+
+    fn entries_prefix(&self) -> &'static str {
+        "entry/"
+    }
+
+    fn configuration_key(&self) -> &'static str {
+        "configuration"
+    }
+}
+
+/// Agents with their engines.
+struct Rig {
+    engines: Vec<FakeEngine>,
+    origin: FakeOrigin,
+    /// Key-value services of the agents; all the same or one each.
+    stores: Vec<Memory>,
+}
+
+const REGIONS: [&str; 2] = ["inland", "sea"];
+
+impl Rig {
+    /// Starts an agent beside each engine; `dead` further agents are listed and do not run.
+    async fn start(engines: Vec<FakeEngine>, stores: Vec<Memory>, dead: usize) -> Self {
+        let origin = FakeOrigin::default();
+        let mut sockets = Vec::new();
+        for _ in 0..engines.len() + dead {
+            let listener = local::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            let address = listener.local_addr().unwrap();
+            let socket = UdpSocket::bind(address).await.unwrap();
+            sockets.push((listener, socket, address));
+        }
+        let agents: Vec<Place> = sockets
+            .iter()
+            .enumerate()
+            .map(|(index, (_, _, address))| Place {
+                address: *address,
+                region: REGIONS[index % 2].to_owned(),
+            })
+            .collect();
+        let view = view(agents.clone());
+        for (index, (listener, socket, address)) in sockets.into_iter().enumerate() {
+            if index >= engines.len() {
+                continue;
+            }
+            let options = options(&agents[index], address);
+            let state = State::new(options, metrics());
+            state.take_view(view.clone());
+            let store = stores[index % stores.len()].clone();
+            let engine = engines[index].clone();
+            let intake = Intake::new(Rc::clone(&state), Rows);
+            let wait = Duration::from_secs(5);
+            spawn_local(follow::run(store.clone(), "version/", wait, intake));
+            spawn_local(serve(Rc::clone(&state), engine.clone(), listener));
+            let (exchange, heard) = Exchange::new(socket, Rc::clone(&state));
+            spawn_local(exchange.clone().run());
+            let loader = Loader {
+                state,
+                engine,
+                origin: origin.clone(),
+                teacher: Teacher {
+                    store,
+                    decoder: Rows,
+                    client: Client::new(0),
+                },
+                client: Client::new(2),
+                socket: UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+                exchange,
+                heard,
+            };
+            let timer: Timer = Timer::default();
+            let ticks = timer.subscribe(Duration::from_millis(20), Duration::ZERO);
+            spawn_local(timer.run());
+            spawn_local(loader.run(ticks));
+        }
+        Self {
+            engines,
+            origin,
+            stores,
+        }
+    }
+
+    fn name_version(&self, version: u64) {
+        self.stores[0].put("version/m", version.to_string().as_bytes());
+    }
+
+    /// Waits until all engines hold a version.
+    async fn reach(&self, version: u64) {
+        let reached = async {
+            while !self
+                .engines
+                .iter()
+                .all(|engine| engine.held() == Some(version))
+            {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let held: Vec<_> = self.engines.iter().map(FakeEngine::held).collect();
+        timeout(Duration::from_secs(60), reached)
+            .await
+            .unwrap_or_else(|_| panic!("{held:?}"));
+    }
+
+    fn torn(&self) -> usize {
+        let torn = self
+            .engines
+            .iter()
+            .map(|engine| engine.inner.borrow().torn.len());
+        torn.sum()
+    }
+}
+
+fn view(agents: Vec<Place>) -> View {
+    View {
+        models: vec![Model {
+            name: MODEL.to_owned(),
+            pieces: PIECES,
+            piece_bytes: PIECE_BYTES,
+            version: 1,
+        }],
+        origin: Some(Place {
+            address: "127.0.0.1:1".parse().unwrap(),
+            region: REGIONS[0].to_owned(),
+        }),
+        agents,
+        entries: Vec::new(),
+    }
+}
+
+fn options(place: &Place, address: SocketAddr) -> Options {
+    Options {
+        name: address.to_string(),
+        service: "desk".to_owned(),
+        me: Member {
+            name: address.to_string(),
+            address,
+            region: place.region.clone(),
+        },
+        server: address,
+        link_bytes: 100_000_000,
+        version_allowed: Duration::from_millis(500),
+    }
+}
+
+fn metrics() -> Metrics {
+    Metrics::register(&prometheus::Registry::new()).unwrap()
+}
+
+async fn serve(state: Rc<State>, engine: FakeEngine, listener: tokio::net::TcpListener) {
+    const LIMIT: Limit = Limit {
+        head_bytes: 8192,
+        head_timeout: Duration::from_secs(20),
+    };
+    let (_open, never) = watch::channel(false);
+    let handler = move |request: Request<Incoming>| {
+        let path = request.uri().path().to_owned();
+        door::serve(Rc::clone(&state), engine.clone(), path)
+    };
+    local::serve(listener, || LIMIT, never, handler).await;
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn engines(count: usize) -> Vec<FakeEngine> {
+    (0..count).map(|_| FakeEngine::holding(1)).collect()
+}
+
+fn one_store() -> Vec<Memory> {
+    vec![Memory::new(1)]
+}
+
+#[test]
+fn a_named_version_reaches_every_engine_whole() {
+    run(async {
+        let rig = Rig::start(engines(8), one_store(), 0).await;
+
+        rig.name_version(2);
+        rig.reach(2).await;
+
+        assert_eq!(rig.torn(), 0);
+        // Each agent by itself would read the version once.
+        assert!(rig.origin.inner.borrow().reads < 4 * PIECES);
+    });
+}
+
+#[test]
+fn an_engine_that_holds_nothing_gets_the_first_version_from_the_others() {
+    run(async {
+        let mut engines = engines(4);
+        engines.push(FakeEngine::default());
+        let rig = Rig::start(engines, one_store(), 0).await;
+
+        rig.reach(1).await;
+
+        assert_eq!(rig.torn(), 0);
+        assert!(rig.origin.inner.borrow().reads < PIECES);
+    });
+}
+
+#[test]
+fn wrong_pieces_and_digests_are_never_loaded() {
+    for (spoil, spoil_manifests) in [(PIECES, 0), (0, 3), (5, 1)] {
+        run(async move {
+            let rig = Rig::start(engines(4), one_store(), 0).await;
+            rig.origin.inner.borrow_mut().spoil = spoil;
+            rig.origin.inner.borrow_mut().spoil_manifests = spoil_manifests;
+
+            rig.name_version(2);
+            rig.reach(2).await;
+
+            assert_eq!(rig.torn(), 0, "{spoil} {spoil_manifests}");
+        });
+    }
+}
+
+#[test]
+fn a_staged_piece_that_turns_bad_is_replaced_before_the_load() {
+    run(async {
+        let engines = engines(3);
+        for (index, engine) in engines.iter().enumerate() {
+            engine.inner.borrow_mut().rots = Some(index);
+            engine.inner.borrow_mut().staged.clear();
+        }
+        let rig = Rig::start(engines, one_store(), 0).await;
+
+        rig.name_version(2);
+        rig.reach(2).await;
+
+        assert_eq!(rig.torn(), 0);
+    });
+}
+
+#[test]
+fn agents_that_do_not_answer_are_done_without() {
+    run(async {
+        let rig = Rig::start(engines(5), one_store(), 3).await;
+
+        rig.name_version(2);
+        rig.reach(2).await;
+
+        assert_eq!(rig.torn(), 0);
+    });
+}
+
+#[test]
+fn a_restarted_engine_loads_what_is_still_staged() {
+    run(async {
+        let rig = Rig::start(engines(3), one_store(), 0).await;
+        rig.name_version(2);
+        rig.reach(2).await;
+        let before = rig.origin.inner.borrow().reads;
+
+        rig.engines[1].restart();
+        rig.reach(2).await;
+
+        assert_eq!(rig.origin.inner.borrow().reads, before);
+        assert_eq!(rig.torn(), 0);
+    });
+}
+
+#[test]
+fn a_version_that_is_named_during_another_is_reached() {
+    run(async {
+        let rig = Rig::start(engines(5), one_store(), 0).await;
+
+        rig.name_version(2);
+        sleep(Duration::from_millis(30)).await;
+        rig.name_version(3);
+        rig.reach(3).await;
+
+        assert_eq!(rig.torn(), 0);
+        let steps_back = rig
+            .engines
+            .iter()
+            .any(|engine| !engine.inner.borrow().loads.is_sorted());
+        assert!(!steps_back);
+    });
+}
+
+#[test]
+fn an_agent_without_the_service_learns_of_a_version_from_the_others() {
+    run(async {
+        let stores = (0..4).map(Memory::new).collect();
+        let rig = Rig::start(engines(4), stores, 0).await;
+
+        rig.name_version(2);
+        rig.reach(2).await;
+
+        assert_eq!(rig.torn(), 0);
+    });
+}
+
+#[test]
+fn an_origin_that_comes_back_is_read_again() {
+    run(async {
+        let rig = Rig::start(engines(4), one_store(), 0).await;
+        rig.origin.inner.borrow_mut().away = true;
+        rig.name_version(2);
+        sleep(Duration::from_millis(300)).await;
+
+        rig.origin.inner.borrow_mut().away = false;
+        rig.reach(2).await;
+
+        assert_eq!(rig.torn(), 0);
+    });
+}
+
+#[test]
+fn an_order_that_does_not_fit_the_engine_is_given_again() {
+    run(async {
+        let engines = engines(2);
+        engines[0].inner.borrow_mut().conflicts = 2;
+        let rig = Rig::start(engines, one_store(), 0).await;
+
+        rig.name_version(2);
+        rig.reach(2).await;
+
+        assert_eq!(rig.engines[0].inner.borrow().loads, [2]);
+    });
+}
--- /dev/null
+++ b/crates/pistachiolug_loader/tests/turn.rs
@@ -0,0 +1,32 @@
+//! Turns of engines that load.
+
+use std::time::Duration;
+
+use pistachiolug_loader::turn;
+
+const MEMBERS: usize = 24;
+
+#[test]
+fn loads_are_spread_and_end_before_the_version_is_due() {
+    let left = Duration::from_millis(4500);
+
+    let waits: Vec<Duration> = (0..MEMBERS)
+        .map(|position| turn::wait(left, position, MEMBERS))
+        .collect();
+
+    assert_eq!(waits[0], Duration::ZERO);
+    assert!(waits.is_sorted());
+    assert!(waits[MEMBERS - 1] < left - Duration::from_secs(1));
+    assert!(waits[MEMBERS / 2] > left / 4);
+}
+
+#[test]
+fn a_version_that_is_due_is_loaded_at_once() {
+    for position in 0..MEMBERS {
+        assert_eq!(
+            turn::wait(Duration::ZERO, position, MEMBERS),
+            Duration::ZERO
+        );
+    }
+    assert_eq!(turn::wait(Duration::from_secs(5), 0, 0), Duration::ZERO);
+}
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -70,7 +70,7 @@
 /// Datagram to an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AgentDatagram {
-    /// From an entry: a version was named.
+    /// From an entry or another agent: a version was named.
     Named {
         /// Model's name.
         model: String,
