--- a/crates/pistachiolug_routing/tests/decisions.rs
+++ b/crates/pistachiolug_routing/tests/decisions.rs
@@ -5,7 +5,7 @@
 use pistachiolug_routing::{
     affinity,
     choice::{self, Candidate, Gauge},
-    retry::{BURST, Budget},
+    retry::{BURST, Budget, Window},
     subset,
 };
 use pistachiolug_wire::load::Load;
@@ -255,3 +255,42 @@
     assert!(shipped.hits > least.hits, "{shipped:?} {least:?}");
     assert!(shipped.evenness < random.evenness, "{shipped:?} {random:?}");
 }
+
+#[test]
+fn a_window_allows_a_share_of_what_it_has_seen() {
+    let second = Duration::from_secs(1);
+    let mut window = Window::new(10 * second);
+    let spent =
+        |window: &mut Window, now| (0..1000).filter(|_| window.spend(0.2, 5.0, now)).count();
+    for _ in 0..100 {
+        window.earn(second);
+    }
+
+    let at_once = spent(&mut window, 2 * second);
+    let again = spent(&mut window, 8 * second);
+    // Requests and retries have left the window; only the slack remains.
+    let later = spent(&mut window, 30 * second);
+
+    assert_eq!((at_once, again, later), (25, 0, 5));
+}
+
+#[test]
+fn no_span_of_a_window_holds_more_retries_than_allowed() {
+    let mut window = Window::new(Duration::from_secs(10));
+    let mut retries: Vec<Duration> = Vec::new();
+    for tick in 0..6000_u32 {
+        let now = Duration::from_millis(10) * tick;
+        window.earn(now);
+        if window.spend(0.2, 5.0, now) {
+            retries.push(now);
+        }
+    }
+
+    for (index, first) in retries.iter().enumerate() {
+        let within = retries[index..]
+            .iter()
+            .take_while(|at| **at < *first + Duration::from_secs(10));
+        // One request every 10 ms makes 1000 in the window.
+        assert!(within.count() <= 205 + 11, "from {first:?}");
+    }
+}
