Take requests back before their version is due; spread placements

Change: a request that has not begun 250 ms before its server's version is due goes elsewhere; a few random candidates are compared and one place is left for unseen requests; manifests come from three readers and from any agent; a version under way for a second is finished before a newer one.

--- a/crates/pistachiolug_gateway/src/admission.rs
+++ b/crates/pistachiolug_gateway/src/admission.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Share of the aim that a request may spend waiting, so that the rest is left for its first token.
-const WAIT_SHARE_OF_AIM: f64 = 0.5;
+const WAIT_SHARE_OF_AIM: f64 = 0.4;
 
 /// Share of the time left that a late request may spend waiting: it earns less, and its answer takes its own time.
 const WAIT_SHARE_OF_REST: f64 = 0.25;
--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -33,6 +33,10 @@
 /// Milliseconds of a call at a plain service, for comparing loads only.
 const PLAIN_CALL_MS: f64 = 15.0;
 
+/// Places of an engine that are left for requests that other entries have sent since their last beacons: one too many
+/// waits at the engine, where none more urgent can pass it.
+const UNSEEN_CALLS: u32 = 1;
+
 /// Requests per slot that a plain server may have open; it queues a few times its slots.
 const PLAIN_CALLS_PER_SLOT: u32 = 3;
 
@@ -77,6 +81,8 @@
     pub prompt: u32,
     /// Servers that had the request already.
     pub tried: Vec<Arc<str>>,
+    /// Server at which this entry has just freed a place, which it may fill up to the last one.
+    pub freed: Option<Arc<str>>,
 }
 
 /// Place of the choosing entry.
@@ -166,12 +172,13 @@
         }
     }
 
-    fn has_room(&self, engine: Option<&Engine>) -> bool {
-        let most = match engine {
-            Some(engine) => engine.slots,
-            None => self.record.slots.max(1) * PLAIN_CALLS_PER_SLOT,
+    fn has_room(&self, need: &Need, engine: Option<&Engine>) -> bool {
+        let Some(engine) = engine else {
+            return self.calls() < self.record.slots.max(1) * PLAIN_CALLS_PER_SLOT;
         };
-        self.calls() < most
+        let freed = need.freed.as_ref() == Some(&self.record.id);
+        let reserve = if freed { 0 } else { UNSEEN_CALLS };
+        self.calls() + reserve < engine.slots
     }
 
     fn wait_ms(&self, prompt: u32, engine: Option<&Engine>) -> f64 {
@@ -297,7 +304,7 @@
         let ids = self.services.get(&need.service)?;
         let servers = ids.iter().map(|id| &self.servers[id]);
         let able: Vec<&Server> = servers
-            .filter(|server| server.usable(need, now) && server.has_room(engine))
+            .filter(|server| server.usable(need, now) && server.has_room(need, engine))
             .collect();
         let candidates: Vec<Candidate> = able
             .iter()
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -93,6 +93,7 @@
             model,
             prompt: self.tokens.prompt,
             tried: tried.to_vec(),
+            freed: None,
         }
     }
 
@@ -165,6 +166,8 @@
     Lost(String),
     /// The server stayed silent for as long as it was given.
     Silent,
+    /// The request had not begun when its server's version could no longer begin it.
+    Outdated,
 }
 
 /// Sends a request to the server of a ticket and judges the head of its answer.
@@ -177,10 +180,13 @@
 ) -> Outcome {
     let request = call.outgoing(state, ticket, last_event);
     let exchange = upstream::exchange(ticket.choice.record.address, request);
-    let (response, link) = match timeout_at(until, exchange).await {
+    let outdated = outdated(state, call, ticket);
+    let bound = outdated.map_or(until, |outdated| outdated.min(until));
+    let (response, link) = match timeout_at(bound, exchange).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
         Ok(Err(Failure::Lost(reason))) => return Outcome::Lost(reason),
+        Err(_) if bound < until => return Outcome::Outdated,
         Err(_) => return Outcome::Silent,
     };
     let names = &state.options.names;
@@ -199,6 +205,14 @@
     Outcome::Answer(response, link)
 }
 
+/// Returns when a request that has not begun at its server is taken back, because the server's version could begin it too
+/// late.
+pub fn outdated(state: &State, call: &Call, ticket: &Ticket) -> Option<Instant> {
+    let model = call.model.as_deref()?;
+    let held = ticket.choice.record.version(model)?;
+    Some(Instant::now() + state.begin_within(model, held)?)
+}
+
 /// Body of a stream that is passed on.
 type Answer<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
 
@@ -426,9 +440,12 @@
         }
         Outcome::Lost(reason) => ("lost", reason),
         Outcome::Silent => ("silent", String::new()),
+        Outcome::Outdated => ("outdated", String::new()),
     };
-    ticket.strike();
-    ticket.answered(false);
+    if cause != "outdated" {
+        ticket.strike();
+        ticket.answered(false);
+    }
     progress.tried.push(server);
     progress.may_have_run = true;
     log_retry(call, ticket, cause, &detail);
--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -13,10 +13,10 @@
 use crate::{fact::Decoder, intake::Intake, state::State};
 
 /// Interval of beacons: about the time in which one entry places a few requests.
-pub const BEACON_INTERVAL: Duration = Duration::from_millis(50);
+pub const BEACON_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Beacons that a peer may be ahead before its rows are read; the own watch usually brings them first.
-const BEHIND_MOST: u32 = 8;
+const BEHIND_MOST: u32 = 13;
 
 /// Largest datagram in bytes.
 const DATAGRAM_BYTES: usize = 16 << 10;
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -66,7 +66,7 @@
                 "pistachiolug_gateway_retries_total",
                 "Further sends of a request by cause.",
                 "cause",
-                &["unsent", "not-run", "lost", "failed", "silent"],
+                &["unsent", "not-run", "lost", "failed", "silent", "outdated"],
             )?,
             heads: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_events: histogram(registry, "first_event", "Time to a stream's first event.")?,
--- a/crates/pistachiolug_gateway/src/place.rs
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// Part of the candidates that is looked at, as a divisor.
+const PART: usize = 4;
+
+/// Smallest number of candidates that are looked at.
+const LOOKED_AT_LEAST: usize = 4;
+
 /// Distance between an entry and a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Distance {
@@ -65,11 +71,17 @@
     pub distance: Distance,
 }
 
-/// Chooses the candidate that answers soonest and returns its index; `None` without candidates.
+/// Chooses the candidate that answers soonest among a random part of them and returns its index; `None` without
+/// candidates.
+///
+/// Answers bursts: between two beacons many entries see the same loads, and if all took the best server its queue would
+/// grow long (the power of a few random choices, Mitzenmacher 2001).
 pub fn choose(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
-    let costs = candidates.iter().enumerate().map(|(index, candidate)| {
+    let looked_at = (candidates.len() / PART).max(LOOKED_AT_LEAST);
+    let drawn = rand::seq::index::sample(random, candidates.len(), looked_at.min(candidates.len()));
+    let costs = drawn.into_iter().map(|index| {
         let jitter = random.random_range(0.0..JITTER_MS);
-        (index, cost(candidate) + jitter)
+        (index, cost(&candidates[index]) + jitter)
     });
     costs
         .min_by(|(_, left), (_, right)| left.total_cmp(right))
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -54,6 +54,8 @@
     /// Closes the connection when dropped.
     _link: Link,
     sent: Instant,
+    /// When the request is taken back if it has not begun.
+    outdated: Option<Instant>,
     /// Events seen before this source.
     before: u64,
     heard: Instant,
@@ -77,9 +79,10 @@
     body: Incoming,
     link: Link,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> {
+    let outdated = forward::outdated(&state, &call, &ticket);
     let relay = Relay {
         state,
-        source: Some(Source::new(ticket, body, link, call.arrived, 0)),
+        source: Some(Source::new(ticket, body, link, call.arrived, outdated, 0)),
         call,
         tried,
         splitter: Splitter::default(),
@@ -95,8 +98,16 @@
 }
 
 impl Source {
-    fn new(ticket: Ticket, body: Incoming, link: Link, sent: Instant, before: u64) -> Self {
+    fn new(
+        ticket: Ticket,
+        body: Incoming,
+        link: Link,
+        sent: Instant,
+        outdated: Option<Instant>,
+        before: u64,
+    ) -> Self {
         Self {
+            outdated,
             ticket,
             body,
             _link: link,
@@ -185,15 +196,18 @@
     }
 
     fn patience(&self) -> Instant {
-        let route = &self.call.admitted.route;
-        let heard = self.source.as_ref().map(|source| source.heard);
-        match heard {
-            Some(heard) if self.may_resume() => {
-                let silence = route.pause.mul_f64(SILENCE_PER_PAUSE);
-                self.call.deadline.min(heard + silence)
-            }
-            _ => self.call.deadline,
+        let deadline = self.call.deadline;
+        let Some(source) = &self.source else {
+            return deadline;
+        };
+        let begun = source.before == u64::MAX;
+        let bound = source.outdated.filter(|_| !begun);
+        let bound = bound.map_or(deadline, |outdated| outdated.min(deadline));
+        if !self.may_resume() {
+            return bound;
         }
+        let pause = self.call.admitted.route.pause;
+        bound.min(source.heard + pause.mul_f64(SILENCE_PER_PAUSE))
     }
 
     fn may_resume(&self) -> bool {
@@ -229,7 +243,9 @@
             Outcome::Answer(response, link) if response.status() == StatusCode::OK => {
                 log::info!(call = call.id.as_str(), server = &*server, last_event:? = last, age_ms = call.age_ms(); "stream goes on");
                 let body = response.into_body();
-                self.source = Some(Source::new(ticket, body, link, sent, events));
+                let outdated = forward::outdated(&self.state, call, &ticket);
+                let source = Source::new(ticket, body, link, sent, outdated, events);
+                self.source = Some(source);
                 true
             }
             outcome => {
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -62,6 +62,9 @@
 /// differ by up to 15 in 100, and an attempt that comes back after a refusal has lost more.
 const FIRST_ATTEMPT_SHARE: f64 = 0.84;
 
+/// Time before a version's bound at which requests that have not begun on an older one are taken back.
+const BEGIN_MARGIN: Duration = Duration::from_millis(250);
+
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -194,7 +197,7 @@
         let state = Rc::clone(&self.state);
         state.board.borrow_mut().end(id, self.prompt.get());
         state.count_freed(&self.service);
-        state.serve_line(&self.service);
+        state.serve_line(&self.service, Some(id));
     }
 }
 
@@ -312,12 +315,24 @@
         due.next().map(|known| known.version)
     }
 
+    /// Returns the time until a request that has not begun on a version of a model may not begin on it any more.
+    pub fn begin_within(&self, model: &str, held: Version) -> Option<Duration> {
+        let wanted = self.wanted.borrow();
+        let newer = wanted.get(model)?.iter();
+        let newer = newer.filter(|known| known.version > held);
+        let due = newer.map(|known| self.due(known)).min()?;
+        Some(due.saturating_sub(self.now() + BEGIN_MARGIN))
+    }
+
     fn is_due(&self, wanted: &Wanted) -> bool {
-        let due = match wanted.since {
+        self.now() >= self.due(wanted).saturating_sub(VERSION_MARGIN)
+    }
+
+    fn due(&self, wanted: &Wanted) -> Duration {
+        match wanted.since {
             Some(since) => since + self.options.version_allowed,
             None => self.options.contact,
-        };
-        self.now() >= due.saturating_sub(VERSION_MARGIN)
+        }
     }
 
     /// Takes what an agent says of its server.
@@ -401,8 +416,11 @@
     }
 
     /// Calls waiting requests to the servers that have room.
-    pub fn serve_line(self: &Rc<Self>, service: &Arc<str>) {
-        while let Some((need, sender)) = self.call(service) {
+    ///
+    /// # Arguments
+    /// `freed` is a server at which this entry has just freed a place.
+    pub fn serve_line(self: &Rc<Self>, service: &Arc<str>, freed: Option<&Arc<str>>) {
+        while let Some((need, sender)) = self.call(service, freed) {
             let Some(ticket) = self.reserve(&need) else {
                 return;
             };
@@ -411,16 +429,20 @@
         }
     }
 
-    fn call(&self, service: &Arc<str>) -> Option<Waiter> {
+    fn call(&self, service: &Arc<str>, freed: Option<&Arc<str>>) -> Option<Waiter> {
         let mut lines = self.lines.borrow_mut();
         let line = lines.get_mut(service)?;
         let catalog = self.catalog()?;
         let engine = engine(&catalog, service);
         let (need, _) = line.first()?;
+        let need = Need {
+            freed: freed.cloned(),
+            ..need.clone()
+        };
         let board = self.board.borrow();
         let home = &self.options.home;
-        board.choose(need, engine, home, self.now(), &mut rand::rng())?;
-        line.call()
+        board.choose(&need, engine, home, self.now(), &mut rand::rng())?;
+        line.call().map(|(_, sender)| (need, sender))
     }
 
     /// Calls waiting requests of all services.
@@ -430,7 +452,7 @@
         let services: Vec<Arc<str>> = waiting.map(|(service, _)| Arc::clone(service)).collect();
         drop(lines);
         for service in &services {
-            self.serve_line(service);
+            self.serve_line(service, None);
         }
     }
 
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -184,3 +184,17 @@
     assert_eq!(active.iter().filter(|active| **active).count(), 2);
     assert_eq!(alone, [true; 4]);
 }
+
+#[test]
+fn a_request_may_begin_on_an_old_version_only_until_the_new_one_is_due() {
+    let state = state(options());
+    state.set_wanted("m", 2, true);
+    state.set_wanted("m", 3, true);
+
+    let old = state.begin_within("m", 1).unwrap();
+    let newest = state.begin_within("m", 3);
+
+    assert!(old < options().version_allowed);
+    assert!(old > options().version_allowed / 2);
+    assert_eq!(newest, None);
+}
--- a/crates/pistachiolug_gateway/tests/forward.rs
+++ b/crates/pistachiolug_gateway/tests/forward.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use pistachiolug_gateway::catalog::Kind;
+use pistachiolug_gateway::{catalog::Kind, state::Options};
 use tokio::io::AsyncReadExt;
 
 use support::{Act, Entry, Server, answer, chunk, parts, request, route, run, stream_head};
@@ -360,3 +360,36 @@
         drop(open);
     });
 }
+
+/// Returns settings under which a named version is due half a second later.
+fn due_soon() -> Options {
+    Options {
+        version_allowed: Duration::from_millis(1200),
+        ..support::options()
+    }
+}
+
+#[test]
+fn a_request_that_waits_at_an_old_version_is_taken_back_when_the_new_one_is_due() {
+    run(async {
+        let old = Server::start(vec![Act::Hang]).await;
+        let rest = stream_head("a1") + &chunk("id: 1\n\n") + "0\r\n\r\n";
+        let new = Server::start(vec![Act::Write(rest)]).await;
+        let entry = Entry::start_with(due_soon(), parts(route(Kind::Stream, 2)), &[&old]);
+        let state = std::rc::Rc::clone(&entry.state);
+        state.set_wanted(support::MODEL, 2, true);
+        let mut stream = entry.open(&request("a1")).await;
+        while old.arrivals() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let mut record = support::record("i-new", new.address);
+        record.models[0].version = 2;
+        state.with_board(|board| board.put(record));
+
+        let mut got = String::new();
+        let _ = stream.read_to_string(&mut got).await;
+
+        assert!(got.starts_with("HTTP/1.1 200"), "{got}");
+        assert_eq!((old.arrivals(), new.arrivals()), (1, 1));
+    });
+}
--- a/crates/pistachiolug_loader/src/door.rs
+++ b/crates/pistachiolug_loader/src/door.rs
@@ -13,6 +13,9 @@
     state::{Staged, State},
 };
 
+/// Prefix of the paths of manifests.
+pub const MANIFEST_PATH: &str = "/internal/manifest/";
+
 /// Longest backlog of pieces to send at which another one is taken on: about two pieces on a narrow link. An agent that
 /// asks in vain finds one that is less busy.
 const BACKLOG_MOST: Duration = Duration::from_millis(110);
@@ -55,6 +58,19 @@
     }
 }
 
+/// Answers a request for `/internal/manifest/{model}/{version}` with the digests one after the other; the status is 404 if
+/// they are not known here.
+pub fn serve_manifest(state: &State, path: &str) -> Response<Full<Bytes>> {
+    let staged = path
+        .strip_prefix(MANIFEST_PATH)
+        .and_then(|rest| rest.rsplit_once('/'))
+        .and_then(|(model, version)| state.staged(model, version.parse().ok()?));
+    match staged {
+        Some(staged) => reply(StatusCode::OK, staged.manifest.digests.concat().into()),
+        None => reply(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
 fn parse(path: &str) -> Option<(&str, u64, usize)> {
     let mut parts = path.strip_prefix("/internal/piece/")?.rsplitn(3, '/');
     let index = parts.next()?.parse().ok()?;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -14,6 +14,7 @@
     fact::Decoder,
     fetch::Fetcher,
     learn::Teacher,
+    manifest::ManifestSource,
     state::{Staged, State, Want},
     turn,
 };
@@ -114,13 +115,14 @@
         self.exchange.tell(&want.model, want.version);
         let origin = self.state.origin();
         let origin = origin.ok_or_else(|| failed("no origin is configured"))?;
-        let manifest = self
-            .origin
-            .manifest(origin.address, &want.model, want.version)
-            .await?;
-        if manifest.digests.len() != want.pieces {
-            return Err(failed("manifest has another number of pieces"));
-        }
+        self.teacher.teach(&self.state).await;
+        let source = ManifestSource {
+            state: &self.state,
+            origin: &self.origin,
+            client: &self.client,
+            address: origin.address,
+        };
+        let manifest = source.read(want).await?;
         let staged = Rc::new(Staged::new(want, manifest, self.state.clock()));
         for index in 0..want.pieces {
             let bytes = self.engine.staged(&want.model, index).await?;
@@ -139,7 +141,6 @@
         if missing == 0 {
             return Ok(());
         }
-        self.teacher.teach(&self.state).await;
         let start = self.state.now();
         // An engine that serves nothing yet leaves its link to the weights.
         let rate = if self.state.is_empty() {
@@ -172,7 +173,7 @@
             .state
             .position(&format!("{}/{}", want.model, want.version));
         let left = want.due.saturating_sub(self.state.now());
-        let wait = turn::wait(left, position, members);
+        let wait = turn::wait(left, position, members, self.state.is_awaited(want));
         let (left_ms, wait_ms) = (left.as_millis() as u64, wait.as_millis() as u64);
         log::info!(model = want.model.as_str(), version = want.version, position, left_ms, wait_ms; "load planned");
         sleep(wait).await;
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    door,
+    door::{self, MANIFEST_PATH},
     engine::{Engine, Origin},
     exchange::Exchange,
     fact::Decoder,
@@ -133,6 +133,7 @@
         async move {
             match kernel.admin().serve(&path) {
                 Some(reply) => local::whole(reply),
+                None if path.starts_with(MANIFEST_PATH) => door::serve_manifest(&state, &path),
                 None => door::serve(state, engine, path).await,
             }
         }
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -21,7 +21,7 @@
 };
 use pistachiolug_wire::weights;
 use rustc_hash::FxHashMap;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     fact::{Decoder, Fact},
@@ -29,6 +29,13 @@
     metrics::Metrics,
 };
 
+/// Time after its naming from which a version is finished although a newer one is named: about the time in which the
+/// origin gives half of its pieces.
+const FINISHED_AFTER: Duration = Duration::from_secs(1);
+
+/// Interval of looks whether the time of a version is over.
+const SUPERSEDED_LOOK: Duration = Duration::from_millis(250);
+
 /// Version that every model starts with.
 const FIRST_VERSION: u64 = 1;
 
@@ -63,6 +70,8 @@
     pub pieces: usize,
     /// Bytes of a piece; the last one may be shorter.
     pub piece_bytes: usize,
+    /// When the agent learned of it, since its start.
+    pub named: Duration,
     /// When no older version may begin a request any more, since the agent's start.
     pub due: Duration,
 }
@@ -78,6 +87,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Named {
     version: u64,
+    /// When the agent learned of it, since its start.
+    at: Duration,
     /// When no older version may begin a request any more, since the agent's start.
     due: Duration,
 }
@@ -217,6 +228,7 @@
         Some(Want {
             model: model.name.clone(),
             version: named.last().map_or(FIRST_VERSION, |named| named.version),
+            named: named.last().map_or(Duration::ZERO, |named| named.at),
             pieces: model.pieces,
             piece_bytes: model.piece_bytes,
             due: ahead.map(|named| named.due).min().unwrap_or_default(),
@@ -244,7 +256,8 @@
         if version <= known {
             return;
         }
-        named.push(Named { version, due });
+        let at = self.now();
+        named.push(Named { version, at, due });
         log::info!(model, version, before = known, from; "version named");
         self.wake.notify_one();
         self.named.notify_waiters();
@@ -252,20 +265,27 @@
 
     /// Waits until work on a version should be dropped for a newer one.
     ///
-    /// A version half of which is staged is finished first: its engine then has the newer one's whole time for that.
+    /// A version that has been under way for a while is finished first, unless it takes longer than its time: its
+    /// pieces have left the origin, which may fail, and its engine then has the newer one's whole time for that.
     pub async fn superseded(&self, want: &Want) {
-        loop {
-            let named = self.named.notified();
-            let newer = self.newest().is_some_and(|newest| !newest.is(want));
-            let staged = self.staged(&want.model, want.version);
-            let far = staged.is_some_and(|staged| staged.missing().len() * 2 <= want.pieces);
-            if newer && !far {
-                return;
-            }
-            named.await;
+        while !self.is_superseded(want) {
+            // A newer version is named seldom; the time of this one is looked at in between.
+            let _ = timeout(SUPERSEDED_LOOK, self.named.notified()).await;
         }
     }
 
+    fn is_superseded(&self, want: &Want) -> bool {
+        let now = self.now();
+        let newer = self.newest().is_some_and(|newest| !newest.is(want));
+        let early = now < want.named + FINISHED_AFTER;
+        newer && (early || now >= want.due)
+    }
+
+    /// Tells whether a newer version waits for one to be finished.
+    pub fn is_awaited(&self, want: &Want) -> bool {
+        self.newest().is_some_and(|newest| !newest.is(want))
+    }
+
     /// Notes the version that the engine holds.
     pub fn set_held(&self, held: Option<u64>) {
         self.held.set(held);
@@ -286,6 +306,16 @@
         self.clock
     }
 
+    /// Returns the addresses of the first agents of the service in an order of `name`'s own.
+    pub fn first_members(&self, name: &str, count: usize) -> Vec<SocketAddr> {
+        let roster = self.roster.borrow();
+        let object = Key::of(name);
+        let mut members: Vec<&Member> = roster.members().iter().collect();
+        members.sort_by_key(|member| std::cmp::Reverse(Key::of(&member.name).score(object)));
+        let first = members.into_iter().take(count);
+        first.map(|member| member.address).collect()
+    }
+
     /// Returns the agent's position among those of the service in an order of `name`'s own, and their number.
     pub fn position(&self, name: &str) -> (usize, usize) {
         let roster = self.roster.borrow();
--- a/crates/pistachiolug_loader/src/turn.rs
+++ b/crates/pistachiolug_loader/src/turn.rs
@@ -8,11 +8,16 @@
 /// Time that is kept for the last engine's load, and for entries that hold the version to be due a little earlier.
 const LOAD_TIME: Duration = Duration::from_millis(1400);
 
+/// Longest time over which loads are spread while a newer version waits for them.
+const AWAITED_SPREAD: Duration = Duration::from_millis(2500);
+
 /// Returns how long an engine that has all pieces waits before it loads.
 ///
 /// # Arguments
-/// `left` is the time until no older version may begin a request, `position` the agent's among `members`.
-pub fn wait(left: Duration, position: usize, members: usize) -> Duration {
-    let spread = left.saturating_sub(LOAD_TIME);
+/// `left` is the time until no older version may begin a request, `position` the agent's among `members`. `awaited`
+/// tells that a newer version waits for this one.
+pub fn wait(left: Duration, position: usize, members: usize, awaited: bool) -> Duration {
+    let most = if awaited { AWAITED_SPREAD } else { left };
+    let spread = left.saturating_sub(LOAD_TIME).min(most);
     spread.mul_f64(position as f64 / members.max(1) as f64)
 }
