--- a/crates/pistachiolug/src/exit.rs
+++ b/crates/pistachiolug/src/exit.rs
@@ -1,4 +1,4 @@
-//! Exit codes of the program; they are stable and documented in docs/OPERATING.md.
+//! Exit codes of the program; they are stable and documented in docs/OPERATIONS.md.
 
 use std::process::ExitCode;
 
--- a/crates/pistachiolug/tests/product_docs.rs
+++ b/crates/pistachiolug/tests/product_docs.rs
@@ -82,7 +82,7 @@
     let pages = [
         "README.md",
         "CONTRIBUTING.md",
-        "docs/OPERATING.md",
+        "docs/OPERATIONS.md",
         "docs/GLOSSARY.md",
     ];
     for page in pages {
@@ -100,7 +100,7 @@
 
 #[test]
 fn exit_codes_are_documented() {
-    let page = read(&root().join("docs/OPERATING.md"));
+    let page = read(&root().join("docs/OPERATIONS.md"));
     for exit in [
         Exit::Done,
         Exit::Findings,
@@ -112,6 +112,6 @@
         Exit::Broken,
     ] {
         let row = format!("| {} | `{exit:?}` |", exit as u8);
-        assert!(page.contains(&row), "docs/OPERATING.md lacks `{row}`");
+        assert!(page.contains(&row), "docs/OPERATIONS.md lacks `{row}`");
     }
 }
--- a/crates/pistachiolug/tests/product_operator.rs
+++ b/crates/pistachiolug/tests/product_operator.rs
@@ -219,7 +219,7 @@
 
 /// Checks that the operators' page has each metric of a text in Prometheus' format.
 fn assert_documented(metrics: &str) {
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = fs::read_to_string(page).expect("the page is there");
     let types = metrics
         .lines()
@@ -231,7 +231,7 @@
     assert_eq!(
         missing,
         Vec::<&str>::new(),
-        "docs/OPERATING.md lacks these metrics"
+        "docs/OPERATIONS.md lacks these metrics"
     );
 }
 
--- a/crates/pistachiolug_settings/tests/files.rs
+++ b/crates/pistachiolug_settings/tests/files.rs
@@ -82,13 +82,13 @@
 
 #[test]
 fn operators_page_lists_every_field() {
-    let page = read("docs/OPERATING.md");
+    let page = read("docs/OPERATIONS.md");
     let mut missing = Vec::new();
     list(DAEMON, "", &page, &mut missing);
     assert_eq!(
         missing,
         Vec::<String>::new(),
-        "docs/OPERATING.md lacks these rows"
+        "docs/OPERATIONS.md lacks these rows"
     );
 }
 
