Stop taking connections once the balancer has had time to notice a stop

Change: 2.6 s after the signal the listener is closed and open requests are finished; candidates of the own region and of others are drawn apart, so that a random part holds both.

--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod reply;
 pub mod server;
 pub mod state;
+pub mod stop;
 pub mod upstream;
--- a/crates/pistachiolug_gateway/src/place.rs
+++ b/crates/pistachiolug_gateway/src/place.rs
@@ -1,6 +1,6 @@
 //! Choice of the backend server for one request.
 
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, seq::IndexedRandom};
 
 /// Cost in milliseconds of leaving the region: its links are narrow.
 const REGION_COST_MS: f64 = 20.0;
@@ -71,23 +71,35 @@
     pub distance: Distance,
 }
 
-/// Chooses the candidate that answers soonest among a random part of them and returns its index; `None` without
-/// candidates.
+/// Chooses the candidate that answers soonest among a random part of those in the own region and of those elsewhere, and
+/// returns its index; `None` without candidates.
 ///
 /// Answers bursts: between two beacons many entries see the same loads, and if all took the best server its queue would
 /// grow long (the power of a few random choices, Mitzenmacher 2001).
 pub fn choose(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
-    let looked_at = (candidates.len() / PART).max(LOOKED_AT_LEAST);
-    let drawn = rand::seq::index::sample(random, candidates.len(), looked_at.min(candidates.len()));
-    let costs = drawn.into_iter().map(|index| {
-        let jitter = random.random_range(0.0..JITTER_MS);
-        (index, cost(&candidates[index]) + jitter)
-    });
+    let indices = 0..candidates.len();
+    let (near, far): (Vec<usize>, Vec<usize>) =
+        indices.partition(|index| candidates[*index].distance != Distance::Far);
+    let near = draw(&near, random);
+    let drawn = near.into_iter().chain(draw(&far, random));
+    let costs: Vec<(usize, f64)> = drawn
+        .map(|index| {
+            let jitter = random.random_range(0.0..JITTER_MS);
+            (index, cost(&candidates[index]) + jitter)
+        })
+        .collect();
     costs
+        .into_iter()
         .min_by(|(_, left), (_, right)| left.total_cmp(right))
         .map(|(index, _)| index)
 }
 
+/// Draws a part of the candidates.
+fn draw(indices: &[usize], random: &mut impl Rng) -> Vec<usize> {
+    let looked_at = (indices.len() / PART).max(LOOKED_AT_LEAST);
+    indices.sample(random, looked_at).copied().collect()
+}
+
 fn cost(candidate: &Candidate) -> f64 {
     let distance = match candidate.distance {
         Distance::Zone => 0.0,
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and stop of an entry.
 
-use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri, header};
@@ -22,7 +22,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::watch,
-    task::spawn_local,
+    task::{JoinHandle, spawn_local},
     time::{Instant, sleep},
 };
 
@@ -34,12 +34,9 @@
     intake::Intake,
     metrics::Metrics,
     state::{Options, State},
+    stop::{self, Stage},
 };
 
-/// Time after a stop signal for which new connections are still taken: the balancer looks once a second and needs two
-/// looks to notice.
-const LINGER: Duration = Duration::from_millis(2600);
-
 /// Time that is kept of the allowance for a stop, for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -131,9 +128,14 @@
     spawn_local(register(Rc::clone(&state), store, decoder, ticks));
     spawn_local(serve_ready(Rc::clone(&state), kernel.clone(), ready));
     spawn_local(serve_internal(Rc::clone(&state), kernel.clone(), internal));
-    spawn_local(serve_front(Rc::clone(&state), front, closed));
+    let front = spawn_local(serve_front(Rc::clone(&state), front, closed));
     let known = wait_for_catalog(Rc::clone(&state));
-    let stop = Stop::new(&kernel, &state, closing);
+    let stop = Stop {
+        state,
+        closing,
+        front,
+        since: Cell::new(None),
+    };
     let drain = grace.saturating_sub(STOP_MARGIN);
     kernel
         .run_after(known, drain, || stop.is_done())
@@ -153,33 +155,29 @@
     }
 }
 
-/// Order of a stop: unready at once, idle connections closed, gone when the last request has ended.
+/// Carries out a stop.
 struct Stop {
-    kernel: Kernel,
     state: Rc<State>,
     closing: watch::Sender<bool>,
-    since: std::cell::Cell<Option<Instant>>,
+    /// Takes connections of callers.
+    front: JoinHandle<()>,
+    since: Cell<Option<Instant>>,
 }
 
 impl Stop {
-    fn new(kernel: &Kernel, state: &Rc<State>, closing: watch::Sender<bool>) -> Self {
-        Self {
-            kernel: kernel.clone(),
-            state: Rc::clone(state),
-            closing,
-            since: std::cell::Cell::new(None),
-        }
-    }
-
     /// Tells whether a draining process may end.
     fn is_done(&self) -> bool {
-        debug_assert!(self.kernel.control().now() >= Phase::Draining);
         let since = self.since.get().unwrap_or_else(|| {
             self.closing.send_replace(true);
             Instant::now()
         });
         self.since.set(Some(since));
-        since.elapsed() >= LINGER && self.state.open_requests() == 0
+        let stage = stop::stage(since.elapsed(), self.state.open_requests());
+        if stage != Stage::Lingering {
+            // Drops the listener; connections are tasks of their own.
+            self.front.abort();
+        }
+        stage == Stage::Done
     }
 }
 
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -14,6 +14,7 @@
     line::{Line, Rank},
     place::{self, Candidate, Distance, LoadAhead},
     server::Record,
+    stop::{self, Stage},
 };
 use pistachiolug_wire::datagram::{Change, Notice};
 use rand::SeedableRng;
@@ -190,6 +191,37 @@
     assert_eq!(place::choose(&[], &mut random()), None);
 }
 
+#[test]
+fn among_many_alike_those_of_the_own_region_are_taken() {
+    let far = Candidate {
+        distance: Distance::Far,
+        ..candidate(50.0)
+    };
+    // One server of the own region among many others, first in turn.
+    let mut candidates = vec![far; 40];
+    candidates[17] = candidate(50.0);
+    let mut random = random();
+
+    let near = (0..200).filter(|_| place::choose(&candidates, &mut random) == Some(17));
+
+    assert_eq!(near.count(), 200);
+}
+
+#[test]
+fn a_burst_that_sees_the_same_loads_is_spread() {
+    // Forty entries choose between two beacons: one server is the best by a little.
+    let mut candidates = vec![candidate(50.0); 24];
+    candidates[3] = candidate(30.0);
+    let mut random = random();
+    let mut taken = [0; 24];
+
+    for _ in 0..40 {
+        taken[place::choose(&candidates, &mut random).unwrap()] += 1;
+    }
+
+    assert!(taken.iter().all(|taken| *taken <= 16), "{taken:?}");
+}
+
 #[test]
 fn a_full_engine_takes_nothing() {
     let mut board = board(vec![numbered(1)]);
@@ -427,3 +459,20 @@
 
     assert!(soonest >= left / 10 && soonest < latest && latest <= left / 3);
 }
+
+#[test]
+fn a_stop_takes_connections_for_a_while_and_then_finishes() {
+    let rows = [
+        (0, 0, Stage::Lingering),
+        (2100, 0, Stage::Lingering),
+        (2100, 5, Stage::Lingering),
+        // What is sent later than three seconds after the signal could be cut by the end of the process.
+        (3000, 5, Stage::Finishing),
+        (3000, 0, Stage::Done),
+    ];
+    for (millis, open, expected) in rows {
+        let stage = stop::stage(Duration::from_millis(millis), open);
+
+        assert_eq!(stage, expected, "{millis} ms, {open} open");
+    }
+}
