--- a/crates/pistachiolug_gateway/src/catalog.rs
+++ b/crates/pistachiolug_gateway/src/catalog.rs
@@ -89,10 +89,6 @@
     pub step_ms: f64,
     /// Milliseconds that each writing request adds to a step.
     pub step_ms_per_call: f64,
-    /// Mean tokens of a prompt.
-    pub usual_prompt: f64,
-    /// Mean tokens of an answer.
-    pub usual_answer: f64,
     /// Steps between two looks at waiting work.
     pub stride: f64,
     /// Models that the engines hold.
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -19,7 +19,8 @@
     metrics::ANSWERED,
     relay,
     reply::{self, Broken, Reason},
-    state::{Open, State, Ticket, engine},
+    state::{State, engine},
+    ticket::{Open, Ticket},
     upstream::{self, Failure, Link},
 };
 
--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -73,7 +73,10 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match datagram::decode(&buffer[..length]) {
-                Ok(Datagram::Beacon(beacon)) => state.hear(beacon),
+                Ok(Datagram::Beacon(beacon)) => {
+                    let now = state.now();
+                    state.with_peers(|peers| peers.hear(beacon, now));
+                }
                 Ok(Datagram::Notice(notice)) => state.notice(&notice),
                 Err(error) => log::warn!(from:%, error:%; "malformed datagram"),
             },
--- a/crates/pistachiolug_gateway/src/intake.rs
+++ b/crates/pistachiolug_gateway/src/intake.rs
@@ -45,7 +45,9 @@
                     self.tell_agents(model, version);
                 }
             }
-            Fact::Entry { name, address } => self.state.meet(&name, address),
+            Fact::Entry { name, address } => {
+                self.state.with_peers(|peers| peers.meet(&name, address));
+            }
             Fact::Other => {}
             Fact::Unreadable { reason } => {
                 log::warn!(key = entry.key.as_str(), revision = entry.revision, reason = reason.as_str(); "row not readable");
@@ -102,9 +104,12 @@
         }
         for (service, ids) in services {
             let listed = self.state.with_board(|board| board.listed(&service));
-            let until = self.state.removal_time(ids.len(), listed);
+            let now = self.state.now();
+            let until = self
+                .state
+                .with_link(|link| link.removal_time(ids.len(), listed, now));
             for id in ids {
-                let kept_ms = until.saturating_sub(self.state.now()).as_millis() as u64;
+                let kept_ms = until.saturating_sub(now).as_millis() as u64;
                 log::info!(server = id.as_str(), service = service.as_str(), kept_ms; "server not listed any more");
                 self.state.with_board(|board| board.remove(id, until));
             }
@@ -125,7 +130,7 @@
                 Change::Put(entry) => self.put(&entry, first),
                 Change::Gone { key } => match self.decoder.subject(&key) {
                     Subject::Server(id) => removed.push(id),
-                    Subject::Entry(name) => self.state.part(&name),
+                    Subject::Entry(name) => self.state.with_peers(|peers| peers.part(&name)),
                     Subject::Other => {}
                 },
             }
@@ -139,9 +144,12 @@
     }
 
     fn reached(&self, result: Result<(), &kv::Error>) {
+        let now = self.state.now();
         match result {
-            Ok(()) => self.state.reached(true, ""),
-            Err(error) => self.state.reached(false, &error.to_string()),
+            Ok(()) => self.state.with_link(|link| link.answered(now)),
+            Err(error) => self
+                .state
+                .with_link(|link| link.failed(&error.to_string(), now)),
         }
     }
 }
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -3,7 +3,6 @@
 //! Decisions ([`admission`], [`board`], [`place`]) are pure: they take time and randomness as arguments and do no I/O.
 
 pub mod admission;
-pub mod beacon;
 pub mod board;
 pub mod catalog;
 pub mod event;
@@ -13,13 +12,18 @@
 pub mod head;
 pub mod intake;
 pub mod line;
+pub mod link;
 pub mod metrics;
 pub mod names;
+pub mod peers;
 pub mod place;
 pub mod process;
+pub mod rate;
 pub mod relay;
 pub mod reply;
 pub mod server;
 pub mod state;
 pub mod stop;
+pub mod ticket;
 pub mod upstream;
+pub mod versions;
--- a/crates/pistachiolug_gateway/src/names.rs
+++ b/crates/pistachiolug_gateway/src/names.rs
@@ -29,6 +29,4 @@
     pub signature: HeaderName,
     /// Says that the backend server did not run the request.
     pub not_run: HeaderName,
-    /// Version of the weights that made the answer.
-    pub version: HeaderName,
 }
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -15,7 +15,8 @@
     line::Rank,
     metrics::{ANSWERED, BROKEN, LEFT},
     reply::Broken,
-    state::{State, Ticket},
+    state::State,
+    ticket::Ticket,
     upstream::Link,
 };
 
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -11,50 +11,27 @@
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::retry::Window;
-use pistachiolug_weights::order::Key;
 use pistachiolug_wire::{
-    datagram::{Beacon, Notice, Work},
+    datagram::{Beacon, Notice},
     weights,
 };
 use rustc_hash::FxHashMap;
 use tokio::sync::oneshot;
 
 use crate::{
-    beacon::{FOLLOWER_AGE, LOAD_AGE, PEER_AGE},
-    board::{Board, Choice, Home, Need, Server},
+    board::{Board, Home, Need, Server},
     catalog::{Catalog, Engine, Service},
     line::{Line, Place, Rank},
+    link::Link,
     metrics::Metrics,
     names::Names,
+    peers::Peers,
+    rate::{self, Rate},
     server::Version,
+    ticket::{Open, Ticket},
+    versions::Versions,
 };
 
-/// Time for which servers that vanished while the service was away are still used: those that live are back in the
-/// list within two seconds of its return.
-const RETURN_GRACE: Duration = Duration::from_millis(2500);
-
-/// Time for which one removed server is still used; a removal without notice is an order to stop sending.
-const REMOVAL_GRACE: Duration = Duration::ZERO;
-
-/// Share of a service's servers whose removal at one time looks like lapsed leases rather than a change of the fleet.
-const LAPSE_SHARE: f64 = 0.5;
-
-/// Entries of a region that follow the key-value service: a second one covers what the first one misses.
-const FOLLOWERS: usize = 2;
-
-/// Window over which the rate of freed places is measured.
-const RATE_WINDOW: Duration = Duration::from_millis(500);
-
-/// Weight of a new window in the rate.
-const RATE_WEIGHT: f64 = 0.4;
-
-/// Rate of freed places that is assumed at first, per second.
-const FIRST_RATE: f64 = 20.0;
-
-/// Time before a version's bound from which only it is accepted: a request may wait at its server, and the naming may
-/// have been learned of late.
-const VERSION_MARGIN: Duration = Duration::from_millis(800);
-
 /// Part of the retry allowance that is used; the rest covers what entries learn late of each other.
 const BUDGET_USED: f64 = 0.88;
 
@@ -62,9 +39,6 @@
 /// differ by up to 15 in 100, and an attempt that comes back after a refusal has lost more.
 const FIRST_ATTEMPT_SHARE: f64 = 0.84;
 
-/// Time before a version's bound at which requests that have not begun on an older one are taken back.
-const BEGIN_MARGIN: Duration = Duration::from_millis(250);
-
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -88,43 +62,6 @@
     pub contact: Duration,
 }
 
-/// Version that a model's servers should hold.
-#[derive(Debug, Clone, Copy)]
-struct Wanted {
-    version: Version,
-    /// When this process learned of it; `None` for what stood there at its start.
-    since: Option<Duration>,
-}
-
-#[derive(Debug)]
-struct Peer {
-    address: SocketAddr,
-    heard: Option<Duration>,
-    region: String,
-    /// Whether the key-value service answers it.
-    in_touch: bool,
-    revision: u64,
-    work: Vec<(u32, Work)>,
-}
-
-/// Rate at which places come free.
-#[derive(Debug)]
-struct Rate {
-    per_second: f64,
-    freed: u32,
-    since: Duration,
-}
-
-#[derive(Debug, Default)]
-struct Link {
-    /// When the service answered last.
-    answered: Option<Duration>,
-    /// Since when it does not answer.
-    away_since: Option<Duration>,
-    /// When it came back.
-    back_at: Option<Duration>,
-}
-
 type Waiter = (Need, oneshot::Sender<Ticket>);
 
 /// Entry's state.
@@ -138,84 +75,24 @@
     rows: RefCell<Rows>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     board: RefCell<Board>,
-    /// Named versions by model, in order; those that a later one replaces in every respect are left out.
-    wanted: RefCell<FxHashMap<String, Vec<Wanted>>>,
+    versions: RefCell<Versions>,
     lines: RefCell<FxHashMap<Arc<str>, Line<Waiter>>>,
     rates: RefCell<FxHashMap<Arc<str>, Rate>>,
     budgets: RefCell<FxHashMap<Arc<str>, Window>>,
-    peers: RefCell<FxHashMap<String, Peer>>,
+    peers: RefCell<Peers>,
     /// Longest time that callers of a route have named as theirs.
     longest: RefCell<FxHashMap<Arc<str>, Duration>>,
     link: RefCell<Link>,
     open: Cell<usize>,
 }
 
-/// Place of one request at a server; dropping it frees the place.
-#[derive(Debug)]
-pub struct Ticket {
-    /// Chosen server.
-    pub choice: Choice,
-    service: Arc<str>,
-    /// Prompt tokens that the server has not read yet.
-    prompt: Cell<u32>,
-    state: Rc<State>,
-}
-
-impl Ticket {
-    /// Notes the first event after `taken`.
-    pub fn first_event(&self, taken: Duration) {
-        let mut board = self.state.board.borrow_mut();
-        let id = &self.choice.record.id;
-        board.read(id, self.prompt.replace(0));
-        board.pace(id, self.choice.wait_ms, taken.as_secs_f64() * 1000.0);
-    }
-
-    /// Notes that the server could not be reached or broke off.
-    pub fn strike(&self) {
-        let now = self.state.now();
-        let id = &self.choice.record.id;
-        self.state.board.borrow_mut().strike(id, now);
-    }
-
-    /// Notes that the server had no room.
-    pub fn full(&self) {
-        let now = self.state.now();
-        let id = &self.choice.record.id;
-        self.state.board.borrow_mut().full(id, now);
-    }
-
-    /// Notes how the server answered.
-    pub fn answered(&self, well: bool) {
-        let id = &self.choice.record.id;
-        self.state.board.borrow_mut().answered(id, well);
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let id = &self.choice.record.id;
-        let state = Rc::clone(&self.state);
-        state.board.borrow_mut().end(id, self.prompt.get());
-        state.count_freed(&self.service);
-        state.serve_line(&self.service, Some(id));
-    }
-}
-
-/// Counts an open request until it is dropped.
-#[derive(Debug)]
-pub struct Open {
-    state: Rc<State>,
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.state.open.set(self.state.open.get() - 1);
-    }
-}
-
 impl State {
     /// Creates the state of an entry that knows nothing yet.
     pub fn new(options: Options, metrics: Metrics) -> Rc<Self> {
+        let versions = Versions::new(options.version_allowed, options.contact);
+        let home = &options.home;
+        let region = home.regions.get(&*home.zone).map_or("", String::as_str);
+        let peers = Peers::new(&options.name, region);
         Rc::new(Self {
             options,
             metrics,
@@ -223,11 +100,11 @@
             rows: RefCell::default(),
             catalog: RefCell::default(),
             board: RefCell::default(),
-            wanted: RefCell::default(),
+            versions: RefCell::new(versions),
             lines: RefCell::default(),
             rates: RefCell::default(),
             budgets: RefCell::default(),
-            peers: RefCell::default(),
+            peers: RefCell::new(peers),
             longest: RefCell::default(),
             link: RefCell::default(),
             open: Cell::new(0),
@@ -247,6 +124,11 @@
         }
     }
 
+    /// Counts the end of an open request.
+    pub(crate) fn close(&self) {
+        self.open.set(self.open.get() - 1);
+    }
+
     /// Returns the number of open requests.
     pub fn open_requests(&self) -> usize {
         self.open.get()
@@ -286,53 +168,24 @@
     /// `fresh` tells that the naming was seen as it happened.
     pub fn set_wanted(&self, model: &str, version: Version, fresh: bool) -> bool {
         let now = self.now();
-        let since = fresh.then_some(now);
-        let mut wanted = self.wanted.borrow_mut();
-        let named = wanted.entry(model.to_owned()).or_default();
-        let known = named.last().map_or(0, |known| known.version);
-        if version <= known {
-            return false;
-        }
-        log::info!(model, version, before = known; "version named");
-        // Versions whose time has come are no less binding than the newest of them.
-        let due = named.iter().rposition(|known| self.is_due(known));
-        named.drain(..due.unwrap_or_default());
-        named.push(Wanted { version, since });
-        true
+        let mut versions = self.versions.borrow_mut();
+        versions.name(model, version, fresh, now)
     }
 
     /// Returns the newest version of a model that was named; `None` if none was.
     pub fn newest_version(&self, model: &str) -> Option<Version> {
-        let wanted = self.wanted.borrow();
-        wanted.get(model)?.last().map(|known| known.version)
+        self.versions.borrow().newest(model)
     }
 
     /// Returns the oldest version of a model that may begin a request now, if there is a bound.
     pub fn oldest_version(&self, model: &str) -> Option<Version> {
-        let wanted = self.wanted.borrow();
-        let named = wanted.get(model)?.iter().rev();
-        let mut due = named.filter(|known| self.is_due(known));
-        due.next().map(|known| known.version)
+        self.versions.borrow().oldest(model, self.now())
     }
 
     /// Returns the time until a request that has not begun on a version of a model may not begin on it any more.
     pub fn begin_within(&self, model: &str, held: Version) -> Option<Duration> {
-        let wanted = self.wanted.borrow();
-        let newer = wanted.get(model)?.iter();
-        let newer = newer.filter(|known| known.version > held);
-        let due = newer.map(|known| self.due(known)).min()?;
-        Some(due.saturating_sub(self.now() + BEGIN_MARGIN))
-    }
-
-    fn is_due(&self, wanted: &Wanted) -> bool {
-        self.now() >= self.due(wanted).saturating_sub(VERSION_MARGIN)
-    }
-
-    fn due(&self, wanted: &Wanted) -> Duration {
-        match wanted.since {
-            Some(since) => since + self.options.version_allowed,
-            None => self.options.contact,
-        }
+        let versions = self.versions.borrow();
+        versions.begin_within(model, held, self.now())
     }
 
     /// Takes what an agent says of its server.
@@ -361,7 +214,7 @@
     pub fn spend(&self, service: &Arc<str>) -> bool {
         let now = self.now();
         let share = self.options.retry_share * BUDGET_USED;
-        let slack = self.options.retry_slack * BUDGET_USED / self.entries() as f64;
+        let slack = self.options.retry_slack * BUDGET_USED / self.peers.borrow().count() as f64;
         self.with_budget(service, |budget| budget.spend(share, slack, now))
     }
 
@@ -373,11 +226,6 @@
         act(budget)
     }
 
-    /// Returns the number of entries that are known, with this one.
-    fn entries(&self) -> usize {
-        self.peers.borrow().len() + 1
-    }
-
     /// Reserves a place at a server, or returns `None` if none has room.
     pub fn reserve(self: &Rc<Self>, need: &Need) -> Option<Ticket> {
         let catalog = self.catalog()?;
@@ -459,128 +307,44 @@
     /// Returns the rate at which places come free, per second.
     pub fn places(&self, service: &str) -> f64 {
         let rates = self.rates.borrow();
-        rates
-            .get(service)
-            .map_or(FIRST_RATE, |rate| rate.per_second)
+        rates.get(service).map_or(rate::FIRST, Rate::per_second)
     }
 
-    fn count_freed(&self, service: &Arc<str>) {
+    pub(crate) fn count_freed(&self, service: &Arc<str>) {
         let now = self.now();
         let mut rates = self.rates.borrow_mut();
-        let rate = rates.entry(Arc::clone(service)).or_insert(Rate {
-            per_second: FIRST_RATE,
-            freed: 0,
-            since: now,
-        });
-        rate.freed += 1;
-        let window = now.saturating_sub(rate.since);
-        if window >= RATE_WINDOW {
-            let sample = f64::from(rate.freed) / window.as_secs_f64();
-            rate.per_second += RATE_WEIGHT * (sample - rate.per_second);
-            rate.freed = 0;
-            rate.since = now;
-        }
-    }
-
-    /// Notes that the key-value service answered, or that it did not.
-    pub fn reached(&self, reached: bool, reason: &str) {
-        let now = self.now();
-        let mut link = self.link.borrow_mut();
-        if reached {
-            link.answered = Some(now);
-            if let Some(since) = link.away_since.take() {
-                let away_ms = now.saturating_sub(since).as_millis() as u64;
-                log::info!(away_ms; "key-value service regained");
-                link.back_at = Some(now);
-            }
-        } else if link.away_since.is_none() {
-            log::warn!(reason; "key-value service lost");
-            link.away_since = Some(now);
-        }
-    }
-
-    /// Returns until when servers that the list has just dropped are still used.
-    ///
-    /// # Arguments
-    /// `dropped` of the `listed` servers of a service vanished together.
-    pub fn removal_time(&self, dropped: usize, listed: usize) -> Duration {
-        let now = self.now();
-        let link = self.link.borrow();
-        if link.away_since.is_some() {
-            return now + RETURN_GRACE;
-        }
-        if let Some(back_at) = link.back_at
-            && now < back_at + RETURN_GRACE
-        {
-            return back_at + RETURN_GRACE;
-        }
-        let lapse = dropped > 1 && dropped as f64 >= listed as f64 * LAPSE_SHARE;
-        now + if lapse { RETURN_GRACE } else { REMOVAL_GRACE }
-    }
-
-    /// Learns of another entry.
-    pub fn meet(&self, name: &str, address: SocketAddr) {
-        if name == self.options.name {
-            return;
-        }
-        let mut peers = self.peers.borrow_mut();
-        let peer = peers.entry(name.to_owned()).or_insert_with(|| {
-            log::info!(peer = name, address:%; "entry seen");
-            Peer {
-                address,
-                heard: None,
-                region: String::new(),
-                in_touch: false,
-                revision: 0,
-                work: Vec::new(),
-            }
-        });
-        peer.address = address;
+        let rate = rates.entry(Arc::clone(service));
+        rate.or_insert_with(|| Rate::new(now)).count(now);
     }
 
-    /// Forgets an entry whose row is gone.
-    pub fn part(&self, name: &str) {
-        self.peers.borrow_mut().remove(name);
+    /// Gives access to what is known of the key-value service's reach.
+    pub fn with_link<T>(&self, act: impl FnOnce(&mut Link) -> T) -> T {
+        act(&mut self.link.borrow_mut())
     }
 
-    /// Takes another entry's beacon.
-    pub fn hear(&self, beacon: Beacon) {
-        self.meet(&beacon.name, beacon.address);
-        if let Some(peer) = self.peers.borrow_mut().get_mut(&beacon.name) {
-            peer.heard = Some(self.now());
-            peer.region = beacon.region;
-            peer.in_touch = beacon.in_touch;
-            peer.revision = beacon.revision;
-            peer.work = beacon.work;
-        }
+    /// Gives access to what is known of other entries.
+    pub fn with_peers<T>(&self, act: impl FnOnce(&mut Peers) -> T) -> T {
+        act(&mut self.peers.borrow_mut())
     }
 
     /// Returns the beacon of now and the addresses it goes to.
     pub fn beacon(&self) -> (Beacon, Vec<SocketAddr>) {
+        let peers = self.peers.borrow();
         let beacon = Beacon {
             name: self.options.name.clone(),
             address: self.options.internal,
-            region: self.region().to_owned(),
-            in_touch: self.link.borrow().away_since.is_none(),
+            region: peers.region().to_owned(),
+            in_touch: self.link.borrow().is_in_touch(),
             revision: self.rows.borrow().revision(),
             work: self.board.borrow().own_work(),
         };
-        let peers = self.peers.borrow();
-        (beacon, peers.values().map(|peer| peer.address).collect())
+        (beacon, peers.addresses().collect())
     }
 
     /// Adds up the other entries' work and drops servers and requests whose time is over.
     pub fn refresh(self: &Rc<Self>) {
         let now = self.now();
-        let mut work: FxHashMap<u32, Work> = FxHashMap::default();
-        for peer in self.peers.borrow().values() {
-            let fresh = peer.heard.is_some_and(|heard| now < heard + LOAD_AGE);
-            for (server, open) in peer.work.iter().filter(|_| fresh) {
-                let sum = work.entry(*server).or_default();
-                sum.calls += open.calls;
-                sum.prompt += open.prompt;
-            }
-        }
+        let work = self.peers.borrow().work(now);
         let gone = self.with_board(|board| {
             board.set_others(&work);
             board.expire(now)
@@ -606,40 +370,15 @@
 
     /// Returns the address of a live entry whose rows are newer than this one's, in the own region if there is one.
     pub fn better_informed(&self) -> Option<SocketAddr> {
-        let now = self.now();
-        let own = self.rows.borrow().revision();
+        let revision = self.rows.borrow().revision();
         let peers = self.peers.borrow();
-        let live = peers
-            .values()
-            .filter(|peer| peer.heard.is_some_and(|heard| now < heard + PEER_AGE));
-        let newer = live.filter(|peer| peer.revision > own);
-        let best = newer.max_by_key(|peer| (peer.region == self.region(), peer.revision));
-        best.map(|peer| peer.address)
+        peers.better_informed(revision, self.now())
     }
 
     /// Tells whether this entry follows the key-value service itself.
-    ///
-    /// A few entries of each region do, in an order that all compute alike from who is alive and in touch with the
-    /// service; the others read the rows from them. So calls and bytes between regions do not grow with the entries.
     pub fn is_active(&self) -> bool {
-        if self.rows.borrow().revision() == 0 {
-            return true;
-        }
-        let now = self.now();
-        let own = Key::of(&self.options.name);
-        let peers = self.peers.borrow();
-        let before = peers.iter().filter(|(name, peer)| {
-            peer.in_touch
-                && peer.region == self.region()
-                && peer.heard.is_some_and(|heard| now < heard + FOLLOWER_AGE)
-                && Key::of(name) > own
-        });
-        before.count() < FOLLOWERS
-    }
-
-    fn region(&self) -> &str {
-        let home = &self.options.home;
-        home.regions.get(&*home.zone).map_or("", String::as_str)
+        let unread = self.rows.borrow().revision() == 0;
+        unread || self.peers.borrow().is_follower(self.now())
     }
 
     /// Returns what agents of a service have to know of its weights and of each other.
@@ -663,7 +402,6 @@
             region: region(&record.zone),
         });
         let peers = self.peers.borrow();
-        let entries = peers.values().map(|peer| peer.address);
         Some(weights::View {
             models: models.collect(),
             origin: catalog.origin().map(|origin| weights::Place {
@@ -671,7 +409,7 @@
                 region: region(&origin.zone),
             }),
             agents: agents.collect(),
-            entries: entries.chain([self.options.internal]).collect(),
+            entries: peers.addresses().chain([self.options.internal]).collect(),
         })
     }
 
@@ -691,7 +429,7 @@
             "revision": self.rows.borrow().revision(),
             "configuration": self.catalog().map(|catalog| catalog.version()),
             "servers": servers.collect::<Vec<_>>(),
-            "entries": self.entries(),
+            "entries": self.peers.borrow().count(),
             "open": self.open.get(),
         })
     }
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -18,6 +18,11 @@
     State::new(options, metrics())
 }
 
+fn hear(state: &State, beacon: Beacon) {
+    let now = state.now();
+    state.with_peers(|peers| peers.hear(beacon, now));
+}
+
 fn at_once() -> Options {
     Options {
         version_allowed: Duration::ZERO,
@@ -71,20 +76,23 @@
 fn servers_that_vanish_together_or_with_the_service_away_are_kept() {
     let calm = state(options());
     let away = state(options());
-    away.reached(true, "");
-    away.reached(false, "gone");
+    away.with_link(|link| link.failed("gone", away.now()));
     let back = state(options());
-    back.reached(false, "gone");
-    back.reached(true, "");
+    back.with_link(|link| link.failed("gone", back.now()));
+    back.with_link(|link| link.answered(back.now()));
 
-    let one = calm.removal_time(1, 8);
-    let most = calm.removal_time(5, 8);
+    let removal = |state: &State, dropped| {
+        let now = state.now();
+        state.with_link(|link| link.removal_time(dropped, 8, now))
+    };
+    let one = removal(&calm, 1);
+    let most = removal(&calm, 5);
 
     assert!(one <= calm.now());
     for (time, state) in [
         (most, &calm),
-        (away.removal_time(1, 8), &away),
-        (back.removal_time(1, 8), &back),
+        (removal(&away, 1), &away),
+        (removal(&back, 1), &back),
     ] {
         assert!(time > state.now() + Duration::from_secs(2));
     }
@@ -121,7 +129,7 @@
         work: Vec::<(u32, Work)>::new(),
     };
     for name in ["entry-2", "entry-3", "entry-4"] {
-        state.hear(peer(name));
+        hear(&state, peer(name));
     }
     for _ in 0..100 {
         state.earn(&service);
@@ -146,8 +154,8 @@
     };
 
     assert_eq!(state.better_informed(), None);
-    state.hear(beacon("entry-2", 2, 5));
-    state.hear(beacon("entry-3", 3, 9));
+    hear(&state, beacon("entry-2", 2, 5));
+    hear(&state, beacon("entry-3", 3, 9));
 
     assert_eq!(state.better_informed().unwrap().port(), 3);
 }
@@ -166,14 +174,17 @@
             })
         });
         for peer in ["a", "b", "c", "d"].iter().filter(|peer| **peer != name) {
-            state.hear(Beacon {
-                name: (*peer).to_owned(),
-                address: "10.0.0.9:1".parse().unwrap(),
-                region: "inland".to_owned(),
-                in_touch,
-                revision: 1,
-                work: Vec::new(),
-            });
+            hear(
+                &state,
+                Beacon {
+                    name: (*peer).to_owned(),
+                    address: "10.0.0.9:1".parse().unwrap(),
+                    region: "inland".to_owned(),
+                    in_touch,
+                    revision: 1,
+                    work: Vec::new(),
+                },
+            );
         }
         state.is_active()
     };
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -213,7 +213,6 @@
         last_event: name("last-event-id"),
         signature: name("x-signature"),
         not_run: name("x-not-run"),
-        version: name("x-held"),
     }
 }
 
@@ -266,8 +265,6 @@
         read_per_ms: 30.0,
         step_ms: 8.0,
         step_ms_per_call: 0.04,
-        usual_prompt: 1000.0,
-        usual_answer: 100.0,
         stride: 6.0,
         models: Vec::new(),
     }
