Mend the rig's start: port probes, a wait that ended early, lost logs

Cause: three faults of the test rig, found by starting it again and again on a busy machine. 1. `port::free` probed a port with a listening socket. A process that another thread starts holds a copy of that socket between its fork and its exec, so the program the port was meant for could find it in use and end: the rig's key-value stand-in did, and the agent was then not ready at /readyz within 60 s. `wait_serving` looked at the engine only; its agent learns a little later, and refused calls until then. 3. A start that failed removed its logs. Change: the probe binds and does not listen; the wait looks at the agent's state too; logs of a failed start are kept.

--- a/crates/pistachiolug_bench/src/rig/deployment.rs
+++ b/crates/pistachiolug_bench/src/rig/deployment.rs
@@ -9,6 +9,7 @@
 
 use http::Method;
 use pistachiolug_wire::instance::{Instance, Place, Role, State};
+use serde_json::Value;
 use tokio::time::sleep;
 
 use super::{client::Http, port, process::Process};
@@ -111,6 +112,8 @@
     /// Calls that each backend server runs at once.
     pub(super) slots: u32,
     pub(super) folder: PathBuf,
+    /// Whether the folder outlives the deployment, because its logs tell why the start failed.
+    keep_logs: bool,
 }
 
 impl Deployment {
@@ -136,6 +139,7 @@
             weights_bytes: size.weights_bytes,
             slots: size.slots,
             folder,
+            keep_logs: false,
         };
         deployment.start_platform(size)?;
         for index in 0..size.models {
@@ -152,11 +156,18 @@
             let entry = deployment.start_entry(&format!("entry-{index}"))?;
             deployment.entries.push(entry);
         }
-        deployment.wait_ready().await?;
-        deployment.publish_instances().await?;
+        if let Err(error) = deployment.wait_started().await {
+            deployment.keep_logs = true;
+            return Err(error);
+        }
         Ok(deployment)
     }
 
+    async fn wait_started(&self) -> io::Result<()> {
+        self.wait_ready().await?;
+        self.publish_instances().await
+    }
+
     /// Returns the folder with the processes' settings and logs.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -186,7 +197,7 @@
         sent.map(drop).map_err(io::Error::other)
     }
 
-    /// Waits until an engine of the service serves a version, at every agent of the service.
+    /// Waits until every engine of the service holds a version and its agent knows it, which it learns a little later.
     ///
     /// # Errors
     /// `TimedOut` when one does not in time.
@@ -202,6 +213,10 @@
                 String::from_utf8_lossy(body).contains(&needle)
             })
             .await?;
+            self.poll(agent.internal, "/debug/state", |body| {
+                serves(body, version).unwrap_or_default()
+            })
+            .await?;
         }
         Ok(())
     }
@@ -236,7 +251,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if self.keep_logs || std::thread::panicking() {
             return;
         }
         // Left-over logs do no harm.
@@ -244,6 +259,13 @@
     }
 }
 
+/// Tells whether an agent's state says that its engine serves a version; `None` if it says nothing of versions.
+fn serves(state: &[u8], version: &str) -> Option<bool> {
+    let state: Value = serde_json::from_slice(state).ok()?;
+    let mut versions = state["weights"]["versions"].as_array()?.iter();
+    Some(versions.any(|held| held["version"] == version && held["state"] == "serving"))
+}
+
 fn instance(daemon: &Daemon, role: Role) -> Instance {
     Instance {
         name: daemon.name.clone(),
--- a/crates/pistachiolug_bench/src/rig/port.rs
+++ b/crates/pistachiolug_bench/src/rig/port.rs
@@ -2,11 +2,12 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, UdpSocket},
     sync::{Mutex, PoisonError},
 };
 
 use rand::RngExt;
+use tokio::net::TcpSocket;
 
 /// First port handed out; below the range from which the system takes ports of outgoing connections.
 const FIRST: u16 = 10_240;
@@ -31,7 +32,7 @@
         let Ok(reservation) = UdpSocket::bind(address) else {
             continue;
         };
-        if TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
             reserved.push(reservation);
             return Ok(address);
@@ -39,3 +40,15 @@
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
+
+/// Tells whether nobody listens on an address.
+///
+/// The socket is bound and does not listen: another thread may start a process meanwhile, which holds a copy of it for a
+/// moment, and only a listening copy would keep the port taken.
+fn is_free(address: SocketAddr) -> bool {
+    let bound = TcpSocket::new_v4().and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)
+    });
+    bound.is_ok()
+}
