Split the life of a request at an entry, and drop four doublings

Change: call.rs (request), entrance.rs (admission), turn.rs (wait for a place), send.rs (one send), forward.rs (the rest); the line reserves once and then calls; `kernel::process::Error`; constructors of `kv::Error`; `Loader::check`.

--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -4,29 +4,26 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
-use http::{Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    admission::{self, Applicant, Verdict},
-    board::Need,
-    catalog::{Admitted, Catalog, Denial, Kind},
-    head::{self, Send, Tokens},
-    line::Rank,
+    admission,
+    call::Call,
+    entrance, head,
     metrics::ANSWERED,
     relay,
     reply::{self, Broken, Reason},
-    state::{State, engine},
-    ticket::{Open, Ticket},
-    upstream::{self, Failure, Link},
+    send::{Outcome, send},
+    state::State,
+    ticket::Ticket,
+    turn,
+    upstream::Link,
 };
 
-/// Time before the deadline at which the entry answers by itself, so that the answer arrives in time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(25);
-
 /// Largest number of servers that could not be reached for one request; nothing was sent to them.
 const MOST_UNSENT: u32 = 4;
 
@@ -36,184 +33,6 @@
 /// Shortest silence before a stream's first event after which it is begun elsewhere.
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1200);
 
-/// Added to the priority of requests that are late already.
-const LATE_PRIORITY: u8 = 4;
-
-/// Largest priority that engines know.
-const PRIORITY_MOST: u8 = 9;
-
-/// One request of a caller.
-#[derive(Debug)]
-pub struct Call {
-    /// Id of the caller's attempt.
-    pub id: String,
-    /// Head as the caller sent it.
-    pub head: request::Parts,
-    /// Whole body.
-    pub body: Bytes,
-    /// Route and workspace.
-    pub admitted: Admitted,
-    /// Service that was drawn for the request.
-    pub service: Arc<str>,
-    /// Model, for requests to engines.
-    pub model: Option<Arc<str>>,
-    /// Size, for requests to engines.
-    pub tokens: Tokens,
-    /// When the request arrived.
-    pub arrived: Instant,
-    /// When the caller has to have an answer.
-    pub deadline: Instant,
-    /// Whether it can be on time still.
-    pub fresh: bool,
-    /// Counts the request while it lives.
-    pub open: Open,
-}
-
-impl Call {
-    /// Returns the time until the deadline.
-    pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    /// Returns the milliseconds since the request arrived.
-    pub fn age_ms(&self) -> u64 {
-        self.arrived.elapsed().as_millis() as u64
-    }
-
-    /// Returns what the request needs of its server now.
-    pub fn need(&self, state: &State, tried: &[Arc<str>]) -> Need {
-        let model = self.model.clone();
-        Need {
-            service: Arc::clone(&self.service),
-            newest: model
-                .as_deref()
-                .and_then(|model| state.newest_version(model)),
-            oldest: model
-                .as_deref()
-                .and_then(|model| state.oldest_version(model)),
-            model,
-            prompt: self.tokens.prompt,
-            tried: tried.to_vec(),
-            freed: None,
-        }
-    }
-
-    fn is_stream(&self) -> bool {
-        self.admitted.route.kind == Kind::Stream
-    }
-
-    fn rank(&self) -> Rank {
-        Rank {
-            late: !self.fresh,
-            priority: self.admitted.priority(),
-        }
-    }
-
-    fn engine_priority(&self) -> Option<u8> {
-        self.model.as_ref()?;
-        let late = if self.fresh { 0 } else { LATE_PRIORITY };
-        Some(
-            self.admitted
-                .priority()
-                .saturating_add(late)
-                .min(PRIORITY_MOST),
-        )
-    }
-
-    /// Builds what is sent to a server.
-    ///
-    /// # Arguments
-    /// `last_event` is the id of the last event that the caller has, when a stream goes on.
-    pub fn outgoing(
-        &self,
-        state: &State,
-        ticket: &Ticket,
-        last_event: Option<u64>,
-    ) -> Request<Full<Bytes>> {
-        let model = self.model.as_deref();
-        let send = Send {
-            admitted: &self.admitted,
-            choice: &ticket.choice,
-            left: self.left(),
-            // Only under a bound: a list that lags would turn sound sends away.
-            version: model
-                .filter(|model| state.oldest_version(model).is_some())
-                .and_then(|model| ticket.choice.record.version(model)),
-            priority: self.engine_priority(),
-            last_event,
-        };
-        let headers = head::outgoing(&self.head, &state.options.names, &send);
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        // Servers are addressed by path; the host stands in its header.
-        if let Some(path) = self.head.uri.path_and_query() {
-            *request.uri_mut() = path.as_str().parse().unwrap_or_default();
-        }
-        *request.headers_mut() = headers;
-        request
-    }
-}
-
-/// What came of one send.
-#[derive(Debug)]
-pub enum Outcome {
-    /// A server's signed answer.
-    Answer(Response<Incoming>, Link),
-    /// The server did not run the request.
-    NotRun(StatusCode),
-    /// Nothing was sent.
-    Unsent(String),
-    /// The request may have run and there is no answer to pass on.
-    Lost(String),
-    /// The server stayed silent for as long as it was given.
-    Silent,
-    /// The request had not begun when its server's version could no longer begin it.
-    Outdated,
-}
-
-/// Sends a request to the server of a ticket and judges the head of its answer.
-pub async fn send(
-    state: &State,
-    call: &Call,
-    ticket: &Ticket,
-    last_event: Option<u64>,
-    until: Instant,
-) -> Outcome {
-    let request = call.outgoing(state, ticket, last_event);
-    let exchange = upstream::exchange(ticket.choice.record.address, request);
-    let outdated = outdated(state, call, ticket);
-    let bound = outdated.map_or(until, |outdated| outdated.min(until));
-    let (response, link) = match timeout_at(bound, exchange).await {
-        Ok(Ok(exchange)) => exchange,
-        Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
-        Ok(Err(Failure::Lost(reason))) => return Outcome::Lost(reason),
-        Err(_) if bound < until => return Outcome::Outdated,
-        Err(_) => return Outcome::Silent,
-    };
-    let names = &state.options.names;
-    let headers = response.headers();
-    let status = response.status();
-    let echoed = head::text(headers, &names.attempt);
-    if echoed.is_some_and(|echoed| echoed != call.id) {
-        return Outcome::Lost("answer of another request".to_owned());
-    }
-    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
-        return Outcome::NotRun(status);
-    }
-    if !headers.contains_key(&names.signature) {
-        return Outcome::Lost(format!("unsigned answer {status}"));
-    }
-    Outcome::Answer(response, link)
-}
-
-/// Returns when a request that has not begun at its server is taken back, because the server's version could begin it too
-/// late.
-pub fn outdated(state: &State, call: &Call, ticket: &Ticket) -> Option<Instant> {
-    let model = call.model.as_deref()?;
-    let held = ticket.choice.record.version(model)?;
-    Some(Instant::now() + state.begin_within(model, held)?)
-}
-
 /// Body of a stream that is passed on.
 type Answer<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
 
@@ -226,7 +45,7 @@
     let (head, body) = request.into_parts();
     let id = head::text(&head.headers, &state.options.names.attempt);
     let id = id.unwrap_or_default().to_owned();
-    match admit(&state, head, body, &id, arrived).await {
+    match entrance::admit(&state, head, body, &id, arrived).await {
         Ok(call) => forward(state, Rc::new(call)).await,
         Err(denied) => {
             let age_ms = arrived.elapsed().as_millis() as u64;
@@ -242,61 +61,6 @@
 /// When callers come back to an entry that knows no configuration yet.
 const STARTING_RETURN: Duration = Duration::from_millis(300);
 
-async fn admit(
-    state: &Rc<State>,
-    head: request::Parts,
-    body: Incoming,
-    id: &str,
-    arrived: Instant,
-) -> Result<Call, Reason> {
-    let open = state.open();
-    let catalog = state.catalog().ok_or(Reason::Starting)?;
-    let admitted = look_up(&catalog, state, &head)?;
-    let names = &state.options.names;
-    let route = &admitted.route;
-    let limit = head::deadline(&head.headers, names).unwrap_or(route.timeout);
-    let deadline = arrived + limit.min(route.timeout).saturating_sub(ANSWER_MARGIN);
-    let body = read_body(body, catalog.limits().body_bytes, deadline).await?;
-    let fresh = state.is_fresh(&route.name, limit);
-    let service = Arc::clone(route.draw(&mut rand::rng()));
-    let model = engine(&catalog, &service)
-        .and_then(|_| head::text(&head.headers, &names.model))
-        .map(Arc::from);
-    let tokens = head::tokens(&head.headers, names);
-    state.earn(&service);
-    Ok(Call {
-        id: id.to_owned(),
-        head,
-        body,
-        admitted,
-        service,
-        model,
-        tokens,
-        arrived,
-        deadline,
-        fresh,
-        open,
-    })
-}
-
-fn look_up(catalog: &Catalog, state: &State, head: &request::Parts) -> Result<Admitted, Reason> {
-    let host = head::text(&head.headers, &header::HOST).or(head.uri.host());
-    let key = head::text(&head.headers, &state.options.names.key);
-    let admitted = catalog.admit(host.unwrap_or_default(), head.uri.path(), key);
-    admitted.map_err(|denial| match denial {
-        Denial::NoRoute => Reason::NoRoute,
-        Denial::BadKey => Reason::BadKey,
-    })
-}
-
-async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Reason> {
-    match timeout_at(deadline, Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(Reason::BadBody),
-    }
-}
-
 /// Progress of a request over its sends.
 #[derive(Debug, Default)]
 struct Progress {
@@ -314,7 +78,7 @@
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
     let mut progress = Progress::default();
     let reason = loop {
-        let ticket = match place(&state, &call, &progress).await {
+        let ticket = match turn::wait(&state, &call, &progress.tried).await {
             Ok(ticket) => ticket,
             Err(reason) => break reason,
         };
@@ -465,90 +229,6 @@
     }
 }
 
-/// Finds a place at a server, waiting in line if that promises a place in time.
-async fn place(state: &Rc<State>, call: &Call, progress: &Progress) -> Result<Ticket, Reason> {
-    if call.left().is_zero() {
-        return Err(Reason::Overloaded);
-    }
-    let need = call.need(state, &progress.tried);
-    let rank = call.rank();
-    let ahead = state.ahead(&call.service, rank);
-    let ticket = if ahead == 0 {
-        state.reserve(&need)
-    } else {
-        None
-    };
-    if let Some(ticket) = ticket {
-        log_placed(call, &ticket, &need, ahead);
-        return Ok(ticket);
-    }
-    let servable = state.with_board(|board| board.serves(&need, state.now()));
-    let applicant = Applicant {
-        aim: call
-            .admitted
-            .route
-            .aim
-            .saturating_sub(call.arrived.elapsed()),
-        fresh: call.fresh,
-        left: call.left(),
-        ahead,
-    };
-    let places = state.places(&call.service);
-    let verdict = if servable || progress.tried.is_empty() {
-        admission::decide(&applicant, places)
-    } else {
-        Verdict::Refuse
-    };
-    let Verdict::Wait(patience) = verdict else {
-        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh = call.fresh, servable; "no place in time");
-        return Err(unplaced(servable));
-    };
-    let oldest = need.oldest;
-    let (place, turn) = state.join(need, rank);
-    let until = call.deadline.min(Instant::now() + patience);
-    let waiting = Waiting {
-        state,
-        service: &call.service,
-        place,
-    };
-    let ticket = timeout_at(until, turn).await;
-    drop(waiting);
-    let waited = call.arrived.elapsed();
-    state.metrics.waits.observe(waited.as_secs_f64());
-    if let Ok(Ok(ticket)) = ticket {
-        let need = Need {
-            oldest,
-            ..Need::default()
-        };
-        log_placed(call, &ticket, &need, ahead);
-        return Ok(ticket);
-    }
-    let patience_ms = patience.as_millis() as u64;
-    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, patience_ms, servable; "no place came free");
-    Err(unplaced(servable))
-}
-
-fn unplaced(servable: bool) -> Reason {
-    if servable {
-        Reason::Overloaded
-    } else {
-        Reason::Unavailable
-    }
-}
-
-/// Leaves the line when the wait ends, also when the caller leaves.
-struct Waiting<'a> {
-    state: &'a State,
-    service: &'a Arc<str>,
-    place: crate::line::Place,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.state.leave(self.service, self.place);
-    }
-}
-
 fn refuse<S>(state: &State, call: &Call, reason: Reason, progress: &Progress) -> Answer<S> {
     // A promise that the request did not run must be true.
     let reason = match reason {
@@ -578,23 +258,6 @@
     reply::own(reason, come_back)
 }
 
-fn log_placed(call: &Call, ticket: &Ticket, need: &Need, ahead: usize) {
-    let choice = &ticket.choice;
-    log::info!(
-        call = call.id.as_str(),
-        route = &*call.admitted.route.name,
-        server = &*choice.record.id,
-        left_ms = call.left().as_millis() as u64,
-        fresh = call.fresh,
-        expected_ms = choice.wait_ms as u64,
-        calls = choice.calls,
-        ahead,
-        oldest_version:? = need.oldest,
-        age_ms = call.age_ms();
-        "request placed"
-    );
-}
-
 fn log_retry(call: &Call, ticket: &Ticket, cause: &'static str, detail: &str) {
     log::info!(
         call = call.id.as_str(),
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod admission;
 pub mod board;
+pub mod call;
 pub mod catalog;
+pub mod entrance;
 pub mod event;
 pub mod fact;
 pub mod forward;
@@ -21,9 +23,11 @@
 pub mod rate;
 pub mod relay;
 pub mod reply;
+pub mod send;
 pub mod server;
 pub mod state;
 pub mod stop;
 pub mod ticket;
+pub mod turn;
 pub mod upstream;
 pub mod versions;
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and stop of an entry.
 
-use std::{cell::Cell, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri, header};
@@ -11,14 +11,14 @@
     local::{self, Limit},
 };
 use pistachiolug_kernel::{
-    kernel::{self, Kernel},
-    metric,
+    kernel::Kernel,
     phase::Phase,
+    process::{Error, KernelSnafu, ListenSnafu, MetricSnafu},
 };
 use pistachiolug_platform::kv::{Expect, Store};
 use pistachiolug_replica::{follow, snapshot};
 use pistachiolug_wire::{codec, weights};
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::watch,
@@ -60,35 +60,10 @@
     pub internal: SocketAddr,
 }
 
-/// Reports why an entry could not run.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// An address could not be bound.
-    #[snafu(display("could not listen on {address}: {source}"))]
-    Listen {
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// A metric could not be made.
-    #[snafu(display("metrics: {source}"))]
-    Metric {
-        /// Cause.
-        source: metric::Error,
-    },
-    /// The process failed.
-    #[snafu(display("{source}"))]
-    Kernel {
-        /// Cause.
-        source: kernel::Error,
-    },
-}
-
 /// Runs an entry until it is told to stop; needs a local task set.
 ///
 /// # Arguments
-/// `prefix` is that of all rows that an entry follows; `grace` is the time allowed for a stop.
+/// `grace` is the time allowed for a stop.
 ///
 /// # Errors
 /// [`Error`] when it can't start or fails.
@@ -237,7 +212,7 @@
 }
 
 /// Serves an internal address, whose connections live as long as the process.
-pub async fn serve_small<F>(
+async fn serve_small<F>(
     listener: TcpListener,
     handler: impl Fn(Request<Incoming>) -> F + Clone + 'static,
 ) where
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -10,11 +10,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    call::Call,
     event::Splitter,
-    forward::{self, Call, Outcome},
     line::Rank,
     metrics::{ANSWERED, BROKEN, LEFT},
     reply::Broken,
+    send::{self, Outcome},
     state::State,
     ticket::Ticket,
     upstream::Link,
@@ -80,7 +81,7 @@
     body: Incoming,
     link: Link,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> {
-    let outdated = forward::outdated(&state, &call, &ticket);
+    let outdated = send::outdated(&state, &call, &ticket);
     let relay = Relay {
         state,
         source: Some(Source::new(ticket, body, link, call.arrived, outdated, 0)),
@@ -239,12 +240,12 @@
         self.tried.push(Arc::clone(&server));
         let sent = Instant::now();
         let last = self.splitter.last_id();
-        let outcome = forward::send(&self.state, call, &ticket, last, call.deadline).await;
+        let outcome = send::send(&self.state, call, &ticket, last, call.deadline).await;
         match outcome {
             Outcome::Answer(response, link) if response.status() == StatusCode::OK => {
                 log::info!(call = call.id.as_str(), server = &*server, last_event:? = last, age_ms = call.age_ms(); "stream goes on");
                 let body = response.into_body();
-                let outdated = forward::outdated(&self.state, call, &ticket);
+                let outdated = send::outdated(&self.state, call, &ticket);
                 let source = Source::new(ticket, body, link, sent, outdated, events);
                 self.source = Some(source);
                 true
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -64,6 +64,8 @@
 
 type Waiter = (Need, oneshot::Sender<Ticket>);
 
+type Called = (Ticket, oneshot::Sender<Ticket>);
+
 /// Entry's state.
 #[derive(Debug)]
 pub struct State {
@@ -268,29 +270,25 @@
     /// # Arguments
     /// `freed` is a server at which this entry has just freed a place.
     pub fn serve_line(self: &Rc<Self>, service: &Arc<str>, freed: Option<&Arc<str>>) {
-        while let Some((need, sender)) = self.call(service, freed) {
-            let Some(ticket) = self.reserve(&need) else {
-                return;
-            };
+        while let Some((ticket, sender)) = self.call(service, freed) {
             // A request that has left drops its ticket, which frees the place.
             drop(sender.send(ticket));
         }
     }
 
-    fn call(&self, service: &Arc<str>, freed: Option<&Arc<str>>) -> Option<Waiter> {
-        let mut lines = self.lines.borrow_mut();
-        let line = lines.get_mut(service)?;
-        let catalog = self.catalog()?;
-        let engine = engine(&catalog, service);
-        let (need, _) = line.first()?;
-        let need = Need {
-            freed: freed.cloned(),
-            ..need.clone()
+    fn call(self: &Rc<Self>, service: &Arc<str>, freed: Option<&Arc<str>>) -> Option<Called> {
+        let need = {
+            let lines = self.lines.borrow();
+            let (need, _) = lines.get(service)?.first()?;
+            Need {
+                freed: freed.cloned(),
+                ..need.clone()
+            }
         };
-        let board = self.board.borrow();
-        let home = &self.options.home;
-        board.choose(&need, engine, home, self.now(), &mut rand::rng())?;
-        line.call().map(|(_, sender)| (need, sender))
+        let ticket = self.reserve(&need)?;
+        let mut lines = self.lines.borrow_mut();
+        let (_, sender) = lines.get_mut(service)?.call()?;
+        Some((ticket, sender))
     }
 
     /// Calls waiting requests of all services.
--- a/crates/pistachiolug_kernel/src/lib.rs
+++ b/crates/pistachiolug_kernel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod logs;
 pub mod metric;
 pub mod phase;
+pub mod process;
 pub mod registry;
 pub mod signal;
 pub mod supervisor;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -99,7 +99,7 @@
         if held.is_some() {
             self.wait_for_turn(want).await;
         }
-        self.verify(&staged).await?;
+        self.check(&staged).await?;
         if !staged.missing().is_empty() {
             self.state.wake.notify_one();
             return Ok(());
@@ -124,13 +124,7 @@
         };
         let manifest = source.read(want).await?;
         let staged = Rc::new(Staged::new(want, manifest, self.state.clock()));
-        for index in 0..want.pieces {
-            let bytes = self.engine.staged(&want.model, index).await?;
-            if bytes.is_some_and(|bytes| staged.manifest.fits(index, &bytes)) {
-                self.state.metrics.pieces.of("staged").inc();
-                staged.set(index, true);
-            }
-        }
+        self.check(&staged).await?;
         log::info!(model = want.model.as_str(), version = want.version, missing = staged.missing().len(); "staged pieces checked");
         self.state.set_staged(Some(Rc::clone(&staged)));
         Ok(staged)
@@ -179,15 +173,22 @@
         sleep(wait).await;
     }
 
-    /// Reads all staged pieces again; those that have turned bad count as missing.
-    async fn verify(&self, staged: &Rc<Staged>) -> Result<(), Error> {
+    /// Reads all staged pieces and notes which are whole; those that have turned bad count as missing.
+    async fn check(&self, staged: &Staged) -> Result<(), Error> {
         for index in 0..staged.manifest.digests.len() {
             let bytes = self.engine.staged(&staged.model, index).await?;
             let whole = bytes.is_some_and(|bytes| staged.manifest.fits(index, &bytes));
-            if !whole {
-                self.state.metrics.pieces.of("spoilt").inc();
-                log::warn!(model = staged.model.as_str(), version = staged.version, index; "staged piece has turned bad");
-                staged.set(index, false);
+            match (staged.holds(index), whole) {
+                (true, false) => {
+                    self.state.metrics.pieces.of("spoilt").inc();
+                    log::warn!(model = staged.model.as_str(), version = staged.version, index; "staged piece has turned bad");
+                    staged.set(index, false);
+                }
+                (false, true) => {
+                    self.state.metrics.pieces.of("staged").inc();
+                    staged.set(index, true);
+                }
+                (true, true) | (false, false) => {}
             }
         }
         Ok(())
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and stop of an agent that keeps an engine's weights.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use http::Request;
 use hyper::body::Incoming;
@@ -9,12 +9,12 @@
     local::{self, Limit},
 };
 use pistachiolug_kernel::{
-    kernel::{self, Kernel},
-    metric,
+    kernel::Kernel,
+    process::{Error, KernelSnafu, ListenSnafu, MetricSnafu},
 };
 use pistachiolug_platform::kv::Store;
 use pistachiolug_replica::follow;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::watch,
@@ -50,31 +50,6 @@
     head_timeout: Duration::from_secs(20),
 };
 
-/// Reports why an agent could not run.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The internal address could not be bound.
-    #[snafu(display("could not listen on {address}: {source}"))]
-    Listen {
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// A metric could not be made.
-    #[snafu(display("metrics: {source}"))]
-    Metric {
-        /// Cause.
-        source: metric::Error,
-    },
-    /// The process failed.
-    #[snafu(display("{source}"))]
-    Kernel {
-        /// Cause.
-        source: kernel::Error,
-    },
-}
-
 /// Runs an agent until it is told to stop; needs a local task set.
 ///
 /// # Errors
--- a/crates/pistachiolug_platform/src/kv.rs
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -10,6 +10,7 @@
 use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
+use pistachiolug_http::client;
 use snafu::Snafu;
 
 /// One stored value.
@@ -123,6 +124,41 @@
     },
 }
 
+/// How a call whose answer was lost is judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// The call only reads.
+    Read,
+    /// The call may change the service's state.
+    Write,
+}
+
+impl Error {
+    /// Creates the error of a call that surely had no effect.
+    pub fn unavailable(cause: impl ToString) -> Self {
+        Self::Unavailable {
+            reason: cause.to_string(),
+        }
+    }
+
+    /// Creates the error of an answer that breaks the protocol.
+    pub fn malformed(cause: impl ToString) -> Self {
+        Self::Malformed {
+            reason: cause.to_string(),
+        }
+    }
+
+    /// Creates the error of a call without an answer.
+    pub fn lost(error: &client::Error, effect: Effect) -> Self {
+        if error.unsent() || effect == Effect::Read {
+            return Self::unavailable(error);
+        }
+        Self::Unknown {
+            reason: error.to_string(),
+        }
+    }
+}
+
 /// Key-value service of the platform; every method is one call of its rate budget.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads one key.
--- a/crates/pistachiolug_platform/src/kv/etcd.rs
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -6,14 +6,11 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use pistachiolug_http::{
-    client::{self, Client},
-    traffic,
-};
+use pistachiolug_http::{client::Client, traffic};
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout_at};
 
-use super::{Entry, Error, Event, Expect, Lease, Range, Store, Swap};
+use super::{Effect, Entry, Error, Event, Expect, Lease, Range, Store, Swap};
 
 /// Longest time a call other than a watch may take.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -31,15 +28,6 @@
     base: String,
 }
 
-/// Tells how a lost answer to a call is judged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Effect {
-    /// The call only reads.
-    Read,
-    /// The call may change the service's state.
-    Write,
-}
-
 impl Etcd {
     /// Creates an adapter for the service at `base`, such as `http://127.0.0.1:2379`.
     pub fn new(client: Client, base: &str) -> Self {
@@ -53,7 +41,7 @@
         Request::post(format!("{}{path}", self.base))
             .header("content-type", "application/json")
             .body(body.to_string().into())
-            .map_err(malformed)
+            .map_err(Error::malformed)
     }
 
     async fn post(&self, path: &str, body: &Value, effect: Effect) -> Result<Value, Error> {
@@ -62,7 +50,7 @@
             .client
             .fetch(request, ANSWER_BYTES, TIMEOUT)
             .await
-            .map_err(|error| failure(&error, effect))?;
+            .map_err(|error| Error::lost(&error, effect))?;
         accept(&response, effect)
     }
 }
@@ -115,7 +103,7 @@
             .client
             .send(self.request("/v3/watch", &body)?, TIMEOUT)
             .await
-            .map_err(|error| failure(&error, Effect::Read))?;
+            .map_err(|error| Error::lost(&error, Effect::Read))?;
         if response.status() != StatusCode::OK {
             return Err(refusal(response.status(), Effect::Read));
         }
@@ -125,10 +113,10 @@
         loop {
             let until = if created { deadline } else { confirm };
             let frame = match timeout_at(until, body.frame()).await {
-                Ok(Some(frame)) => frame.map_err(unavailable)?,
-                Ok(None) => return Err(unavailable("watch ended")),
+                Ok(Some(frame)) => frame.map_err(Error::unavailable)?,
+                Ok(None) => return Err(Error::unavailable("watch ended")),
                 Err(_) if created => return Ok(Vec::new()),
-                Err(_) => return Err(unavailable("watch gave no sign")),
+                Err(_) => return Err(Error::unavailable("watch gave no sign")),
             };
             if let Ok(data) = frame.into_data() {
                 traffic::count_received(data.len());
@@ -193,7 +181,7 @@
     let mut report = Report::default();
     while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
         let line = buffer.split_to(end + 1);
-        let message: Value = serde_json::from_slice(&line).map_err(malformed)?;
+        let message: Value = serde_json::from_slice(&line).map_err(Error::malformed)?;
         let result = &message["result"];
         let oldest = number(&result["compact_revision"]);
         if oldest > 0 {
@@ -226,7 +214,7 @@
 fn read_entry(row: &Value) -> Result<Entry, Error> {
     let key = decode(&row["key"])?;
     Ok(Entry {
-        key: String::from_utf8(key).map_err(malformed)?,
+        key: String::from_utf8(key).map_err(Error::malformed)?,
         value: decode(&row["value"])?.into(),
         revision: number(&row["mod_revision"]),
     })
@@ -247,7 +235,7 @@
 
 fn decode(value: &Value) -> Result<Vec<u8>, Error> {
     let text = value.as_str().unwrap_or_default();
-    BASE64.decode(text).map_err(malformed)
+    BASE64.decode(text).map_err(Error::malformed)
 }
 
 /// Reads a number that the gateway renders as a string or leaves out for 0.
@@ -262,7 +250,7 @@
     if response.status() != StatusCode::OK {
         return Err(refusal(response.status(), effect));
     }
-    serde_json::from_slice(response.body()).map_err(malformed)
+    serde_json::from_slice(response.body()).map_err(Error::malformed)
 }
 
 fn refusal(status: StatusCode, effect: Effect) -> Error {
@@ -277,23 +265,3 @@
         (_, Effect::Write) => Error::Unknown { reason },
     }
 }
-
-fn failure(error: &client::Error, effect: Effect) -> Error {
-    let reason = error.to_string();
-    if error.unsent() || effect == Effect::Read {
-        return Error::Unavailable { reason };
-    }
-    Error::Unknown { reason }
-}
-
-fn unavailable(cause: impl ToString) -> Error {
-    Error::Unavailable {
-        reason: cause.to_string(),
-    }
-}
-
-fn malformed(cause: impl ToString) -> Error {
-    Error::Malformed {
-        reason: cause.to_string(),
-    }
-}
