Replace the row of an address by the latest one and pass over servers that are others

Cause: after a loss of power the servers come back at their addresses under new ids, and the old rows lapse only 2 s later. Entries went on choosing the old rows, which looked idle: each send was answered 421 at once, was passed over for 80 ms, and used up the request's attempts. Change: `Board::put` drops the older row of an address, whichever order they come in; a 421 sets its server aside for 500 ms; the manifest's reading is logged with its source and time.

--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -1,6 +1,6 @@
 //! What an entry believes of each backend server: the list's record, open work, failures and pace.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use pistachiolug_wire::datagram::{Change, Notice, Work};
 use rand::Rng;
@@ -21,6 +21,10 @@
 /// Time for which a server that refused for want of room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(80);
 
+/// Time for which a server that turned out to be another, or to hold another version, is passed over: the list or its
+/// agent says so within that time.
+const MISTAKEN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Weight of one answer in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -64,6 +68,8 @@
     told: bool,
     /// When it is dropped, once the list does not name it any more.
     gone_at: Option<Duration>,
+    /// Revision of its row.
+    revision: u64,
 }
 
 /// What a request needs of its server.
@@ -193,7 +199,13 @@
 
 impl Board {
     /// Takes a record of the list; a new start under a known id is a new server.
-    pub fn put(&mut self, record: Record) {
+    ///
+    /// The latest row of an address is that of the server which has it now: the rows of servers that have ended lapse
+    /// only later. Returns the server that has lost the address, which is the recorded one if its row is the older.
+    ///
+    /// # Arguments
+    /// `revision` is that of the record's row.
+    pub fn put(&mut self, record: Record, revision: u64) -> Option<Arc<str>> {
         if let Some(server) = self.servers.get_mut(&record.id) {
             let same = server.record.started == record.started
                 && server.record.service == record.service
@@ -201,10 +213,19 @@
             if same {
                 server.take(record);
                 server.gone_at = None;
-                return;
+                server.revision = revision;
+                return None;
             }
             self.drop_server(&record.id.clone());
         }
+        let before = self.at(record.address);
+        if before.is_some_and(|before| before.revision > revision) {
+            return Some(record.id);
+        }
+        let before = before.map(|before| Arc::clone(&before.record.id));
+        if let Some(before) = &before {
+            self.drop_server(before);
+        }
         let ids = self.services.entry(Arc::clone(&record.service));
         ids.or_default().push(Arc::clone(&record.id));
         self.servers.insert(
@@ -219,8 +240,15 @@
                 pace: PACE_RANGE.0,
                 told: false,
                 gone_at: None,
+                revision,
             },
         );
+        before
+    }
+
+    fn at(&self, address: SocketAddr) -> Option<&Server> {
+        let mut servers = self.servers.values();
+        servers.find(|server| server.record.address == address)
     }
 
     /// Notes that the list does not name a server any more; it is used until `at`.
@@ -379,6 +407,13 @@
         }
     }
 
+    /// Notes a server that is not what it is believed to be.
+    pub fn mistaken(&mut self, id: &str, now: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.avoid_until = server.avoid_until.max(now + MISTAKEN_PAUSE);
+        }
+    }
+
     /// Notes how a server answered.
     pub fn answered(&mut self, id: &str, well: bool) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -194,7 +194,11 @@
             return (progress.unsent >= MOST_UNSENT).then_some(Reason::Unavailable);
         }
         Outcome::NotRun(status) => {
-            ticket.full();
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                ticket.mistaken();
+            } else {
+                ticket.full();
+            }
             progress.tried.push(server);
             log_retry(call, ticket, "not-run", status.as_str());
             let again = (progress.tried.len() as u32) < call.admitted.route.attempts
--- a/crates/pistachiolug_gateway/src/intake.rs
+++ b/crates/pistachiolug_gateway/src/intake.rs
@@ -88,7 +88,11 @@
                 "server listed"
             );
         }
-        self.state.with_board(|board| board.put(record));
+        let address = record.address;
+        let replaced = self.state.with_board(|board| board.put(record, revision));
+        if let Some(server) = replaced {
+            log::info!(server = &*server, address:%, revision; "address has another server");
+        }
     }
 
     fn remove(&self, ids: &[String]) {
--- a/crates/pistachiolug_gateway/src/ticket.rs
+++ b/crates/pistachiolug_gateway/src/ticket.rs
@@ -40,6 +40,13 @@
         self.state.with_board(|board| board.full(id, now));
     }
 
+    /// Notes that the server is not the one, or does not hold the version, that was believed.
+    pub fn mistaken(&self) {
+        let now = self.state.now();
+        let id = &self.choice.record.id;
+        self.state.with_board(|board| board.mistaken(id, now));
+    }
+
     /// Notes how the server answered.
     pub fn answered(&self, well: bool) {
         let id = &self.choice.record.id;
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -31,7 +31,7 @@
 fn board(records: Vec<Record>) -> Board {
     let mut board = Board::default();
     for record in records {
-        board.put(record);
+        board.put(record, 1);
     }
     board
 }
@@ -283,7 +283,7 @@
     let mut restarted = numbered(1);
     restarted.started = 2;
 
-    board.put(restarted);
+    board.put(restarted, 2);
 
     assert_eq!(board.get("i-1").unwrap().own().calls, 0);
     assert!(chosen(&board, &need(), NOW).is_some());
@@ -307,7 +307,7 @@
     let loading = chosen(&board, &need(), NOW);
     board.notice(&notice(Change::Holds { version: 2 }), NOW);
     // The list still names the version of before.
-    board.put(numbered(1));
+    board.put(numbered(1), 1);
 
     assert_eq!(loading, None);
     assert_eq!(chosen(&board, &newer, NOW).as_deref(), Some("i-1"));
@@ -476,3 +476,20 @@
         assert_eq!(stage, expected, "{millis} ms, {open} open");
     }
 }
+
+#[test]
+fn the_latest_row_of_an_address_is_that_of_its_server() {
+    let rows = [("i-old", 5), ("i-new", 9)];
+    for order in [[0, 1], [1, 0]] {
+        let mut board = Board::default();
+        let replaced = order.map(|index| {
+            let (id, revision) = rows[index];
+            let record = record(id, "10.0.0.1:80".parse().unwrap());
+            board.put(record, revision)
+        });
+
+        assert_eq!(replaced, [None, Some(Arc::from("i-old"))]);
+        assert_eq!(chosen(&board, &need(), NOW), Some("i-new".to_owned()));
+        assert_eq!(board.servers().count(), 1);
+    }
+}
--- a/crates/pistachiolug_gateway/tests/forward.rs
+++ b/crates/pistachiolug_gateway/tests/forward.rs
@@ -4,12 +4,14 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use pistachiolug_gateway::{catalog::Kind, state::Options};
+use pistachiolug_gateway::{board::Need, catalog::Kind, state::Options};
 use tokio::io::AsyncReadExt;
 
-use support::{Act, Entry, Server, answer, chunk, parts, request, route, run, stream_head};
+use support::{
+    Act, Entry, SERVICE, Server, answer, chunk, parts, request, route, run, stream_head,
+};
 
 /// Fault of the first server of a route with two attempts, and what follows.
 struct Case {
@@ -136,7 +138,7 @@
                     tokio::task::yield_now().await;
                 }
                 let record = support::record("i-second", address);
-                state.with_board(|board| board.put(record));
+                state.with_board(|board| board.put(record, 1));
             });
 
             let got = entry.call(&request("a1")).await;
@@ -163,7 +165,7 @@
         let entry = Entry::start(parts(route(Kind::Once, 1)), &[&sound]);
         for index in 0..3 {
             let record = support::record(&format!("i-dead-{index}"), dead);
-            entry.state.with_board(|board| board.put(record));
+            entry.state.with_board(|board| board.put(record, 1));
         }
 
         let got = entry.call(&request("a1")).await;
@@ -257,7 +259,7 @@
         while first.arrivals() == 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        entry.state.with_board(|board| board.put(record));
+        entry.state.with_board(|board| board.put(record, 1));
 
         let mut got = String::new();
         let ended = stream.read_to_string(&mut got).await;
@@ -300,7 +302,7 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         let record = support::record("i-sound", sound.address);
-        entry.state.with_board(|board| board.put(record));
+        entry.state.with_board(|board| board.put(record, 1));
 
         let mut got = String::new();
         let _ = stream.read_to_string(&mut got).await;
@@ -384,7 +386,7 @@
         }
         let mut record = support::record("i-new", new.address);
         record.models[0].version = 2;
-        state.with_board(|board| board.put(record));
+        state.with_board(|board| board.put(record, 1));
 
         let mut got = String::new();
         let _ = stream.read_to_string(&mut got).await;
@@ -393,3 +395,24 @@
         assert_eq!((old.arrivals(), new.arrivals()), (1, 1));
     });
 }
+
+#[test]
+fn a_server_that_is_another_than_believed_is_passed_over_until_the_list_may_say_so() {
+    let misdirected = "HTTP/1.1 421 Other\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    run(async {
+        let server = Server::start(vec![Act::Write(misdirected.to_owned())]).await;
+        let entry = Entry::start(parts(route(Kind::Idempotent, 1)), &[&server]);
+        let before = entry.state.now();
+
+        let answer = entry.call(&request("a1")).await;
+
+        let need = Need {
+            service: Arc::from(SERVICE),
+            ..Need::default()
+        };
+        let soon = before + Duration::from_millis(400);
+        let serves = entry.state.with_board(|board| board.serves(&need, soon));
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(!serves);
+    });
+}
--- a/crates/pistachiolug_loader/src/manifest.rs
+++ b/crates/pistachiolug_loader/src/manifest.rs
@@ -69,9 +69,11 @@
     pub async fn read(&self, want: &Want) -> Result<Manifest, Error> {
         let name = format!("{}/{}", want.model, want.version);
         let (position, _) = self.state.position(&name);
+        let start = self.state.now();
         if position >= READERS {
             for _ in 0..ROUNDS {
                 if let Some(manifest) = self.ask(&name, want).await {
+                    self.log_read(want, "agent", start);
                     return Ok(manifest);
                 }
                 sleep(ROUND_PAUSE).await;
@@ -82,6 +84,7 @@
             .manifest(self.address, &want.model, want.version)
             .await?;
         if manifest.digests.len() == want.pieces {
+            self.log_read(want, "origin", start);
             return Ok(manifest);
         }
         Err(Error::Failed {
@@ -89,6 +92,11 @@
         })
     }
 
+    fn log_read(&self, want: &Want, from: &'static str, start: Duration) {
+        let taken_ms = self.state.now().saturating_sub(start).as_millis() as u64;
+        log::info!(model = want.model.as_str(), version = want.version, from, taken_ms; "manifest read");
+    }
+
     /// Asks one of those that read the origin, and any other agent.
     async fn ask(&self, name: &str, want: &Want) -> Option<Manifest> {
         let readers = self.state.first_members(name, READERS);
