Ask three agents at once for a version's digests, and the origin after a bounded time

Cause: after a loss of power agents held all pieces and lacked the digests; they asked two agents one after the other, up to 16 rounds of as much as 0.8 s, since many listed agents do not answer then: 0.5 to 3.6 s until the digests were there. Change: three agents are asked at once; the time before an agent reads the origin itself is 0.3 to 0.8 s by its position (`manifest::head_start`, tested by itself).

--- a/crates/pistachiolug_loader/src/manifest.rs
+++ b/crates/pistachiolug_loader/src/manifest.rs
@@ -3,11 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Request, StatusCode};
 use pistachiolug_http::client::Client;
 use rand::seq::IndexedRandom;
 use sha2::{Digest as _, Sha256};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     door::MANIFEST_PATH,
@@ -18,10 +19,19 @@
 /// Agents that read a manifest from the origin, which takes fewer connections than there are agents.
 const READERS: usize = 3;
 
-/// Rounds in which the others ask each other before they read the origin as well.
-const ROUNDS: usize = 16;
+/// Agents that are asked at once; some may not answer.
+const ASKED: usize = 3;
 
-/// Pause between two rounds.
+/// Time for which the first of the others ask each other before they read the origin as well.
+const HEAD_START: Duration = Duration::from_millis(300);
+
+/// Time by which each further agent asks longer: about that in which the origin gives one manifest.
+const HEAD_START_STEP: Duration = Duration::from_millis(5);
+
+/// Longest time for which an agent asks others: its engine may have everything but the digests, and serve nothing.
+const HEAD_START_MOST: Duration = Duration::from_millis(800);
+
+/// Pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
 /// Longest time an agent may take to answer.
@@ -48,6 +58,20 @@
     }
 }
 
+/// Returns how long an agent asks others before it reads the origin; `None` if it reads the origin at once.
+///
+/// Answers the load of a return of all agents at once, when many of those that are listed do not answer: an agent must
+/// not wait for the few that read first, and the origin must not be read by all together.
+///
+/// # Arguments
+/// `position` is the agent's place in the order of its service for this version.
+pub fn head_start(position: usize) -> Option<Duration> {
+    let later = position.checked_sub(READERS)?;
+    let steps = u32::try_from(later).unwrap_or(u32::MAX);
+    let head_start = HEAD_START.saturating_add(HEAD_START_STEP.saturating_mul(steps));
+    Some(head_start.min(HEAD_START_MOST))
+}
+
 /// Ways to a manifest.
 #[derive(Debug)]
 pub struct ManifestSource<'a, O> {
@@ -70,14 +94,11 @@
         let name = format!("{}/{}", want.model, want.version);
         let (position, _) = self.state.position(&name);
         let start = self.state.now();
-        if position >= READERS {
-            for _ in 0..ROUNDS {
-                if let Some(manifest) = self.ask(&name, want).await {
-                    self.log_read(want, "agent", start);
-                    return Ok(manifest);
-                }
-                sleep(ROUND_PAUSE).await;
-            }
+        if let Some(head_start) = head_start(position)
+            && let Ok(manifest) = timeout(head_start, self.ask_until(&name, want)).await
+        {
+            self.log_read(want, "agent", start);
+            return Ok(manifest);
         }
         let manifest = self
             .origin
@@ -97,18 +118,28 @@
         log::info!(model = want.model.as_str(), version = want.version, from, taken_ms; "manifest read");
     }
 
-    /// Asks one of those that read the origin, and any other agent.
+    async fn ask_until(&self, name: &str, want: &Want) -> Manifest {
+        loop {
+            if let Some(manifest) = self.ask(name, want).await {
+                return manifest;
+            }
+            sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Asks one of those that read the origin and other agents at once, and takes the first manifest.
     async fn ask(&self, name: &str, want: &Want) -> Option<Manifest> {
         let readers = self.state.first_members(name, READERS);
-        let members = self.state.roster();
-        let any = members.members().choose(&mut rand::rng());
-        let asked = [
-            readers.choose(&mut rand::rng()).copied(),
-            any.map(|member| member.address),
-        ];
-        for agent in asked.into_iter().flatten() {
-            if let Some(manifest) = self.ask_agent(agent, name, want).await {
-                return Some(manifest);
+        let roster = self.state.roster();
+        let others = roster.members().sample(&mut rand::rng(), ASKED - 1);
+        let reader = readers.choose(&mut rand::rng()).copied();
+        let asked = reader.into_iter().chain(others.map(|other| other.address));
+        let mut answers: FuturesUnordered<_> = asked
+            .map(|agent| self.ask_agent(agent, name, want))
+            .collect();
+        while let Some(answer) = answers.next().await {
+            if answer.is_some() {
+                return answer;
             }
         }
         None
--- a/crates/pistachiolug_loader/tests/turn.rs
+++ b/crates/pistachiolug_loader/tests/turn.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use pistachiolug_loader::turn;
+use pistachiolug_loader::{manifest, turn};
 
 const MEMBERS: usize = 24;
 
@@ -46,3 +46,21 @@
 
     assert!(awaited < alone / 2 && awaited > Duration::from_secs(2));
 }
+
+#[test]
+fn an_agent_asks_others_for_digests_for_a_bounded_time_and_its_own() {
+    let head_starts: Vec<_> = (0..200).map(manifest::head_start).collect();
+
+    let readers = head_starts.iter().filter(|start| start.is_none()).count();
+    let others: Vec<Duration> = head_starts.into_iter().flatten().collect();
+    assert!(
+        (1..=5).contains(&readers),
+        "{readers} read the origin at once"
+    );
+    assert!(others.is_sorted());
+    assert!(
+        others[0] < others[20],
+        "they would read the origin together"
+    );
+    assert!(others.iter().all(|start| *start < Duration::from_secs(1)));
+}
