Leave the configuration to the entries after a loss of power

Cause: an agent that no entry answered read the whole configuration (266 KB) from the store. After a loss of power dozens did so at once, in every region, again after each time-out; the links between regions were full for 2 s, and entries' rows and the digests of the origin waited behind that. Change: agents ask only entries for the first 4 s (`learn::is_configuration_due`); reads of rows are logged with their size and time. The new test counts the reads: one now, two before.

--- a/crates/pistachiolug_loader/src/learn.rs
+++ b/crates/pistachiolug_loader/src/learn.rs
@@ -31,6 +31,21 @@
 /// Largest accepted answer in bytes.
 const VIEW_BYTES: usize = 1 << 20;
 
+/// Time for which only entries are asked. They read the configuration once a region, and come back within seconds after
+/// a loss of power.
+const ENTRIES_ONLY: Duration = Duration::from_secs(4);
+
+/// Tells whether an agent that no entry has answered reads the configuration itself.
+///
+/// Answers the load of a return of all agents at once: the configurations that each would read fill the links between
+/// regions for seconds, and the entries' own reads wait behind them.
+///
+/// # Arguments
+/// `waited` is the time since the first question that no entry answered.
+pub fn is_configuration_due(waited: Duration) -> bool {
+    waited >= ENTRIES_ONLY
+}
+
 /// Ways to learn.
 #[derive(Debug)]
 pub struct Teacher<S, D> {
@@ -43,7 +58,7 @@
 }
 
 impl<S: Store, D: Decoder> Teacher<S, D> {
-    /// Learns what there is to know now; `false` if nobody answered.
+    /// Learns what there is to know now; `false` if there was no answer.
     pub async fn teach(&self, state: &State) -> bool {
         let mut entries = state.entries();
         if entries.is_empty() {
@@ -61,6 +76,12 @@
         }
         // Perhaps the entries that were known are all gone.
         state.forget_entries();
+        let waited = state.untaught();
+        if !is_configuration_due(waited) {
+            let waited_ms = waited.as_millis() as u64;
+            log::info!(waited_ms; "no entry answers yet");
+            return false;
+        }
         self.read_configuration(state).await
     }
 
@@ -115,7 +136,7 @@
         };
         match self.decoder.decode(&row.key, &row.value) {
             Fact::Weights(view) => {
-                log::info!(revision = row.revision; "weights learned of without an entry");
+                log::info!(revision = row.revision, bytes = row.value.len(); "weights learned of without an entry");
                 state.take_view(view);
                 true
             }
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -185,6 +185,8 @@
     entries: RefCell<Vec<SocketAddr>>,
     staged: RefCell<Option<Rc<Staged>>>,
     away: Cell<bool>,
+    /// Since when nobody has told of the weights, since the agent's start.
+    untaught: Cell<Option<Duration>>,
 }
 
 impl State {
@@ -209,6 +211,7 @@
             entries: RefCell::default(),
             staged: RefCell::default(),
             away: Cell::default(),
+            untaught: Cell::default(),
         })
     }
 
@@ -338,8 +341,17 @@
         self.roster.borrow().clone()
     }
 
+    /// Notes that nobody has told of the weights and returns the time since that was first so.
+    pub fn untaught(&self) -> Duration {
+        let now = self.now();
+        let since = self.untaught.get().unwrap_or(now);
+        self.untaught.set(Some(since));
+        now.saturating_sub(since)
+    }
+
     /// Takes what an entry, or the key-value service, says of the weights; what it leaves out stays as it was.
     pub fn take_view(&self, view: weights::View) {
+        self.untaught.set(None);
         for model in &view.models {
             self.name_version(&model.name, model.version, "view");
         }
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -17,7 +17,7 @@
     engine::{Engine, Error, Ordered, Origin, Report},
     exchange::Exchange,
     fact::{Decoder, Fact},
-    learn::Teacher,
+    learn::{self, Teacher},
     load::Loader,
     manifest::Manifest,
     metrics::Metrics,
@@ -541,3 +541,29 @@
         assert_eq!(rig.engines[0].inner.borrow().loads, [2]);
     });
 }
+
+#[test]
+fn agents_leave_the_configuration_to_entries_that_may_be_back_soon() {
+    run(async {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let place = Place {
+            address,
+            region: REGIONS[0].to_owned(),
+        };
+        let state = State::new(options(&place, address), metrics());
+        let store = Memory::new(1);
+        let teacher = Teacher {
+            store: store.clone(),
+            decoder: Rows,
+            client: Client::new(0),
+        };
+
+        let taught = teacher.teach(&state).await;
+
+        assert!(!taught);
+        // The read of the entries' rows is the only one.
+        assert_eq!(store.counts().reads, 1);
+        assert!(!learn::is_configuration_due(Duration::from_secs(2)));
+        assert!(learn::is_configuration_due(Duration::from_secs(6)));
+    });
+}
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -83,12 +83,16 @@
 }
 
 async fn read<S: Store, O: Observer>(store: &S, prefix: &str, observer: &O) -> Result<bool, Error> {
+    let start = Instant::now();
     let range = timeout(READ_TIMEOUT, store.range(prefix)).await;
     let range = range.unwrap_or_else(|_| {
         Err(Error::Unavailable {
             reason: "no answer in time".to_owned(),
         })
     })?;
+    let bytes: usize = range.entries.iter().map(|entry| entry.value.len()).sum();
+    let taken_ms = start.elapsed().as_millis() as u64;
+    log::info!(prefix, revision = range.revision, rows = range.entries.len(), bytes, taken_ms; "rows read");
     let changes = observer.with_rows(|rows| rows.reset(range));
     observer.changed(changes);
     Ok(false)
