Fill engines that come up by shares of the entries

Cause: an engine that comes up, or has loaded, looks empty to all entries at the same moment; each filled it by itself, up to 11 requests from each of 15 entries for 12 slots. Change: for 0.3 s after that an entry sends an engine its own share only (`Board`, tested by a load of 15 entries); pieces read from the origin are logged.

--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -41,6 +41,10 @@
 /// waits at the engine, where none more urgent can pass it.
 const UNSEEN_CALLS: u32 = 1;
 
+/// Time after an engine has come up, or has loaded, in which each entry sends it its own share only: all entries see it
+/// empty at the same moment, and hear of each other's requests within this time.
+const FILL_TIME: Duration = Duration::from_millis(300);
+
 /// Requests per slot that a plain server may have open; it queues a few times its slots.
 const PLAIN_CALLS_PER_SLOT: u32 = 3;
 
@@ -50,6 +54,8 @@
     servers: FxHashMap<Arc<str>, Server>,
     /// Ids by service, each server once.
     services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
+    /// Other entries.
+    peers: u32,
 }
 
 /// One incarnation of a backend server.
@@ -70,6 +76,8 @@
     gone_at: Option<Duration>,
     /// Revision of its row.
     revision: u64,
+    /// When it came up, or when the models that it holds changed last.
+    opened: Duration,
 }
 
 /// What a request needs of its server.
@@ -125,15 +133,18 @@
 
 impl Server {
     /// Takes a newer record; a version that the agent has told of is not taken back by a list that lags.
-    fn take(&mut self, record: Record) {
-        let told = std::mem::replace(&mut self.record, record);
-        for model in told.models {
+    fn take(&mut self, record: Record, now: Duration) {
+        let before = std::mem::replace(&mut self.record, record);
+        for model in &before.models {
             let listed = self.record.version(&model.name);
             if self.told && listed.is_none_or(|listed| listed < model.version) {
                 self.record.models.retain(|known| known.name != model.name);
-                self.record.models.push(model);
+                self.record.models.push(model.clone());
             }
         }
+        if self.record.models != before.models {
+            self.opened = now;
+        }
     }
 
     /// Returns the list's record.
@@ -178,10 +189,15 @@
         }
     }
 
-    fn has_room(&self, need: &Need, engine: Option<&Engine>) -> bool {
+    /// Tells whether a request may be sent; `peers` is the number of other entries.
+    fn has_room(&self, need: &Need, engine: Option<&Engine>, peers: u32, now: Duration) -> bool {
         let Some(engine) = engine else {
             return self.calls() < self.record.slots.max(1) * PLAIN_CALLS_PER_SLOT;
         };
+        let share = engine.slots.div_ceil(peers + 1);
+        if now < self.opened + FILL_TIME && self.own.calls >= share {
+            return false;
+        }
         let freed = need.freed.as_ref() == Some(&self.record.id);
         let reserve = if freed { 0 } else { UNSEEN_CALLS };
         self.calls() + reserve < engine.slots
@@ -205,13 +221,13 @@
     ///
     /// # Arguments
     /// `revision` is that of the record's row.
-    pub fn put(&mut self, record: Record, revision: u64) -> Option<Arc<str>> {
+    pub fn put(&mut self, record: Record, revision: u64, now: Duration) -> Option<Arc<str>> {
         if let Some(server) = self.servers.get_mut(&record.id) {
             let same = server.record.started == record.started
                 && server.record.service == record.service
                 && server.record.address == record.address;
             if same {
-                server.take(record);
+                server.take(record, now);
                 server.gone_at = None;
                 server.revision = revision;
                 return None;
@@ -241,6 +257,7 @@
                 told: false,
                 gone_at: None,
                 revision,
+                opened: now,
             },
         );
         before
@@ -294,6 +311,7 @@
             Change::Holds { version } => {
                 server.told = true;
                 server.avoid_until = now;
+                server.opened = now;
                 let name = Arc::from(notice.model.as_str());
                 let models = &mut server.record.models;
                 models.retain(|known| known.name != name);
@@ -332,7 +350,9 @@
         let ids = self.services.get(&need.service)?;
         let servers = ids.iter().map(|id| &self.servers[id]);
         let able: Vec<&Server> = servers
-            .filter(|server| server.usable(need, now) && server.has_room(need, engine))
+            .filter(|server| {
+                server.usable(need, now) && server.has_room(need, engine, self.peers, now)
+            })
             .collect();
         let candidates: Vec<Candidate> = able
             .iter()
@@ -425,8 +445,9 @@
         }
     }
 
-    /// Replaces what is known of the other entries' work.
-    pub fn set_others(&mut self, work: &FxHashMap<u32, Work>) {
+    /// Replaces what is known of the other entries, of which there are `peers`, and of their work.
+    pub fn set_others(&mut self, peers: u32, work: &FxHashMap<u32, Work>) {
+        self.peers = peers;
         for server in self.servers.values_mut() {
             let others = work.get(&short(&server.record.id));
             server.others = others.copied().unwrap_or_default();
--- a/crates/pistachiolug_gateway/src/intake.rs
+++ b/crates/pistachiolug_gateway/src/intake.rs
@@ -89,7 +89,10 @@
             );
         }
         let address = record.address;
-        let replaced = self.state.with_board(|board| board.put(record, revision));
+        let now = self.state.now();
+        let replaced = self
+            .state
+            .with_board(|board| board.put(record, revision, now));
         if let Some(server) = replaced {
             log::info!(server = &*server, address:%, revision; "address has another server");
         }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -342,9 +342,11 @@
     /// Adds up the other entries' work and drops servers and requests whose time is over.
     pub fn refresh(self: &Rc<Self>) {
         let now = self.now();
-        let work = self.peers.borrow().work(now);
+        let peers = self.peers.borrow();
+        let (count, work) = (peers.count() as u32 - 1, peers.work(now));
+        drop(peers);
         let gone = self.with_board(|board| {
-            board.set_others(&work);
+            board.set_others(count, &work);
             board.expire(now)
         });
         for server in gone {
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -19,6 +19,7 @@
 use pistachiolug_wire::datagram::{Change, Notice};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
 
 use support::{MODEL, SERVICE, engine, home, parts, record, route};
 
@@ -31,7 +32,7 @@
 fn board(records: Vec<Record>) -> Board {
     let mut board = Board::default();
     for record in records {
-        board.put(record, 1);
+        board.put(record, 1, Duration::ZERO);
     }
     board
 }
@@ -283,7 +284,7 @@
     let mut restarted = numbered(1);
     restarted.started = 2;
 
-    board.put(restarted, 2);
+    board.put(restarted, 2, Duration::ZERO);
 
     assert_eq!(board.get("i-1").unwrap().own().calls, 0);
     assert!(chosen(&board, &need(), NOW).is_some());
@@ -307,7 +308,7 @@
     let loading = chosen(&board, &need(), NOW);
     board.notice(&notice(Change::Holds { version: 2 }), NOW);
     // The list still names the version of before.
-    board.put(numbered(1), 1);
+    board.put(numbered(1), 1, Duration::ZERO);
 
     assert_eq!(loading, None);
     assert_eq!(chosen(&board, &newer, NOW).as_deref(), Some("i-1"));
@@ -485,7 +486,7 @@
         let replaced = order.map(|index| {
             let (id, revision) = rows[index];
             let record = record(id, "10.0.0.1:80".parse().unwrap());
-            board.put(record, revision)
+            board.put(record, revision, Duration::ZERO)
         });
 
         assert_eq!(replaced, [None, Some(Arc::from("i-old"))]);
@@ -493,3 +494,38 @@
         assert_eq!(board.servers().count(), 1);
     }
 }
+
+/// Sends requests of an endless line at one moment, as one of `boards` that see the same empty engine.
+fn fill(board: &mut Board, now: Duration) -> u32 {
+    let mut sent = 0;
+    while let Some(id) = chosen(board, &need(), now) {
+        board.begin(&id, need().prompt);
+        sent += 1;
+    }
+    sent
+}
+
+#[test]
+fn an_engine_that_comes_up_under_load_is_not_sent_many_times_its_slots() {
+    const ENTRIES: u32 = 15;
+    let slots = engine().slots;
+    let mut boards: Vec<Board> = (0..ENTRIES)
+        .map(|_| {
+            let mut board = Board::default();
+            board.set_others(ENTRIES - 1, &FxHashMap::default());
+            board.put(numbered(1), 1, NOW);
+            board
+        })
+        .collect();
+
+    let at_once: u32 = boards.iter_mut().map(|board| fill(board, NOW)).sum();
+    let alone = {
+        let mut board = Board::default();
+        board.put(numbered(1), 1, NOW);
+        fill(&mut board, NOW)
+    };
+
+    assert!(at_once >= slots, "{at_once} sent to {slots} slots");
+    assert!(at_once < 2 * slots, "{at_once} sent to {slots} slots");
+    assert!(alone + 1 >= slots, "an entry alone fills it");
+}
--- a/crates/pistachiolug_gateway/tests/forward.rs
+++ b/crates/pistachiolug_gateway/tests/forward.rs
@@ -138,7 +138,7 @@
                     tokio::task::yield_now().await;
                 }
                 let record = support::record("i-second", address);
-                state.with_board(|board| board.put(record, 1));
+                state.with_board(|board| board.put(record, 1, Duration::ZERO));
             });
 
             let got = entry.call(&request("a1")).await;
@@ -165,7 +165,9 @@
         let entry = Entry::start(parts(route(Kind::Once, 1)), &[&sound]);
         for index in 0..3 {
             let record = support::record(&format!("i-dead-{index}"), dead);
-            entry.state.with_board(|board| board.put(record, 1));
+            entry
+                .state
+                .with_board(|board| board.put(record, 1, Duration::ZERO));
         }
 
         let got = entry.call(&request("a1")).await;
@@ -259,7 +261,9 @@
         while first.arrivals() == 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        entry.state.with_board(|board| board.put(record, 1));
+        entry
+            .state
+            .with_board(|board| board.put(record, 1, Duration::ZERO));
 
         let mut got = String::new();
         let ended = stream.read_to_string(&mut got).await;
@@ -302,7 +306,9 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         let record = support::record("i-sound", sound.address);
-        entry.state.with_board(|board| board.put(record, 1));
+        entry
+            .state
+            .with_board(|board| board.put(record, 1, Duration::ZERO));
 
         let mut got = String::new();
         let _ = stream.read_to_string(&mut got).await;
@@ -386,7 +392,7 @@
         }
         let mut record = support::record("i-new", new.address);
         record.models[0].version = 2;
-        state.with_board(|board| board.put(record, 1));
+        state.with_board(|board| board.put(record, 1, Duration::ZERO));
 
         let mut got = String::new();
         let _ = stream.read_to_string(&mut got).await;
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -153,7 +153,7 @@
         state.set_catalog(Catalog::new(parts));
         for (index, server) in servers.iter().enumerate() {
             let record = record(&format!("i-{index}"), server.address);
-            state.with_board(|board| board.put(record, 1));
+            state.with_board(|board| board.put(record, 1, Duration::ZERO));
         }
         let listener = local::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -200,8 +200,13 @@
             staged.version,
             piece as usize,
         );
+        let start = Instant::now();
         match timeout(ORIGIN_TIMEOUT, read).await {
-            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Ok(bytes)) => {
+                let taken_ms = start.elapsed().as_millis() as u64;
+                log::info!(model = staged.model.as_str(), version = staged.version, piece, taken_ms; "piece read from the origin");
+                Ok(bytes)
+            }
             Ok(Err(Error::Gone)) => Err(Outcome::Absent { idle: None }),
             Ok(Err(Error::Failed { .. })) | Err(_) => Err(Outcome::Failed),
         }
