Read each piece from the origin once

Two or three of its reads were of pieces that another agent read too. (1) Outside the home region an agent whose home reader was busy read the origin itself (`Planner::extra`). (2) Answers about an older version that waited in the channel since the last fetch counted for the newer one: the neighbour seemed to hold everything and to serve. Change: no extra reads where pieces come from the home region; `Heard` names its version and others are ignored. Both tests failed first. What is about to be fetched is logged. The last piece, and restarted agents that read again what others hold, are next.

--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -21,11 +21,13 @@
 /// Answers that may wait for the fetch; later ones repeat them.
 const WAITING: usize = 256;
 
-/// What another agent has of the version that is fetched.
+/// What another agent has of a version.
 #[derive(Debug)]
 pub struct Heard {
     /// Key of the agent.
     pub from: Key,
+    /// Version that it speaks of.
+    pub version: u64,
     /// Its pieces.
     pub have: Have,
     /// Whether its engine serves the version already.
@@ -115,6 +117,7 @@
                 }
                 let heard = Heard {
                     from: Key::of(&from.to_string()),
+                    version,
                     have: Have::Whole(Bitmap::from_words(pieces as usize, &held)),
                     serving,
                 };
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -92,7 +92,11 @@
     pub async fn run(&self, staged: &Rc<Staged>, heard: &mut mpsc::Receiver<Heard>) -> bool {
         let start = Instant::now();
         let roster = self.state.roster();
-        let mut planner = self.planner(staged, &roster);
+        let home = self.state.origin().map(|origin| origin.region);
+        let home = home.unwrap_or_default();
+        let (members, home_members) = (roster.members().len(), roster.region(&home).len());
+        log::info!(model = staged.model.as_str(), version = staged.version, members, home = home.as_str(), home_members; "pieces to be fetched");
+        let mut planner = self.planner(staged, &roster, &home);
         let mut fetches = FuturesUnordered::new();
         let mut asking = interval(ASK_INTERVAL);
         asking.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -108,8 +112,11 @@
                     planner.finish(fetch, outcome, start.elapsed());
                 }
                 Some(heard) = heard.recv() => {
-                    misses.remove(&heard.from);
-                    planner.hear(heard.from, heard.have, heard.serving);
+                    // Answers about an older version may wait here since its fetch ended.
+                    if heard.version == self.want.version {
+                        misses.remove(&heard.from);
+                        planner.hear(heard.from, heard.have, heard.serving);
+                    }
                 }
                 _ = asking.tick() => self.ask(&mut planner, &roster, &mut misses, start.elapsed()),
             }
@@ -117,15 +124,14 @@
         planner.complete()
     }
 
-    fn planner(&self, staged: &Staged, roster: &Roster) -> Planner {
+    fn planner(&self, staged: &Staged, roster: &Roster, home: &str) -> Planner {
         let me = &self.state.options.me;
         let pieces = 0..staged.manifest.digests.len() as u32;
         let keys = pieces.map(|index| Key::of(&path(&staged.model, staged.version, index)));
-        let home = self.state.origin().map(|origin| origin.region);
         let mut planner = Planner::new(
             Key::of(&me.name),
             &me.region,
-            &home.unwrap_or_default(),
+            home,
             roster,
             keys.collect(),
             TUNING,
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -15,22 +15,23 @@
 use pistachiolug_loader::{
     door,
     engine::{Engine, Error, Ordered, Origin, Report},
-    exchange::Exchange,
+    exchange::{Exchange, Heard},
     fact::{Decoder, Fact},
+    fetch::Fetcher,
     learn::{self, Teacher},
     load::Loader,
     manifest::Manifest,
     metrics::Metrics,
-    state::{Intake, Options, State},
+    state::{Intake, Options, Staged, State, Want},
 };
 use pistachiolug_platform::kv::memory::Memory;
 use pistachiolug_replica::follow;
-use pistachiolug_weights::roster::Member;
+use pistachiolug_weights::{bitmap::Bitmap, order::Key, planner::Have, roster::Member};
 use pistachiolug_wire::weights::{Model, Place, View};
 use sha2::{Digest, Sha256};
 use tokio::{
     net::UdpSocket,
-    sync::watch,
+    sync::{mpsc, watch},
     task::{LocalSet, spawn_local},
     time::{sleep, timeout},
 };
@@ -567,3 +568,57 @@
         assert!(learn::is_configuration_due(Duration::from_secs(6)));
     });
 }
+
+#[test]
+fn what_an_agent_had_of_an_older_version_does_not_count_for_a_newer_one() {
+    run(async {
+        let neighbour = local::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let addresses = [
+            "127.0.0.1:1".parse().unwrap(),
+            neighbour.local_addr().unwrap(),
+        ];
+        let agents = addresses.map(|address| Place {
+            address,
+            region: REGIONS[0].to_owned(),
+        });
+        let state = State::new(options(&agents[0], addresses[0]), metrics());
+        state.take_view(view(agents.to_vec()));
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let (exchange, _answers) = Exchange::new(socket, Rc::clone(&state));
+        let (sender, mut heard) = mpsc::channel(1);
+        let mut whole = Bitmap::new(PIECES);
+        for piece in 0..PIECES as u32 {
+            whole.add(piece);
+        }
+        let stale = Heard {
+            from: Key::of(&addresses[1].to_string()),
+            version: 1,
+            have: Have::Whole(whole),
+            serving: true,
+        };
+        sender.try_send(stale).unwrap();
+        let origin = FakeOrigin::default();
+        let want = Want {
+            version: 2,
+            ..state.newest().unwrap()
+        };
+        let manifest = origin.manifest(addresses[0], MODEL, 2).await.unwrap();
+        let staged = Rc::new(Staged::new(&want, manifest, state.clock()));
+        let fetcher = Fetcher {
+            state: &state,
+            engine: &FakeEngine::default(),
+            origin: &origin,
+            client: &Client::new(0),
+            exchange: &exchange,
+            want: &want,
+        };
+
+        tokio::select! {
+            _ = fetcher.run(&staged, &mut heard) => {}
+            asked = neighbour.accept() => drop(asked.unwrap()),
+        }
+
+        // Its own part comes from the origin before it asks the neighbour for anything.
+        assert!(origin.inner.borrow().reads > 0);
+    });
+}
--- a/crates/pistachiolug_weights/src/planner.rs
+++ b/crates/pistachiolug_weights/src/planner.rs
@@ -64,7 +64,8 @@
     queue: VecDeque<u32>,
     /// Pieces to put back into `queue`, with their times in order.
     later: VecDeque<(Duration, u32)>,
-    /// Pieces that this member may also read from the origin when nothing else is to do.
+    /// Pieces that this member may also read from the origin when nothing else is to do; none if pieces come from the
+    /// home region.
     extra: VecDeque<u32>,
     sources: Vec<Source>,
     /// Members passed over until a time; at most one entry per member of the roster.
@@ -271,10 +272,14 @@
         } else {
             Vec::new()
         };
-        let readers = self.tuning.policy.readers(self.regions);
         self.queue = self.duty.pieces_below(1).into();
         self.later.clear();
-        self.extra = self.duty.pieces_below(readers).into();
+        self.extra = if self.home.is_empty() {
+            let readers = self.tuning.policy.readers(self.regions);
+            self.duty.pieces_below(readers).into()
+        } else {
+            VecDeque::new()
+        };
         self.choose(now);
     }
 
--- a/crates/pistachiolug_weights/tests/planner.rs
+++ b/crates/pistachiolug_weights/tests/planner.rs
@@ -190,6 +190,32 @@
     assert!(started[other..].contains(&throttled));
 }
 
+#[test]
+fn a_region_leaves_the_origin_to_the_home_region_while_its_readers_are_busy() {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    // One member in each region: all pieces come from the one reader of the home region.
+    let mut planner = Planner::new(
+        key(0),
+        "a",
+        "b",
+        &roster(2, 2),
+        pieces(8),
+        tuning(Policy::BytesFirst),
+        Duration::ZERO,
+    );
+    let now = Duration::from_secs(3600);
+
+    let started: Vec<Via> = std::iter::from_fn(|| planner.next(now, &mut random))
+        .map(|fetch| fetch.via)
+        .collect();
+
+    assert!(!started.is_empty());
+    assert!(
+        started.iter().all(|via| *via == Via::Member(key(1))),
+        "{started:?}"
+    );
+}
+
 #[test]
 fn ill_shaped_sets_are_ignored() {
     let mut random = ChaCha8Rng::seed_from_u64(SEED);
