Ask for digests and pieces sooner after a naming

Cause: the origin had given 47 of 48 pieces when it went away 2.5 s after the naming. Agents asked for the digests again only every 60 ms, and began to read pieces 60 to 100 ms later, when neighbours that still looked at their staged pieces had not answered. Change: digests are asked for every 20 ms; an agent that prepares the version answers that it has nothing yet.

--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -132,10 +132,16 @@
     /// from the service.
     fn answer(&self, from: SocketAddr, model: String, version: u64) {
         self.state.name_version(&model, version, "agent");
-        let Some(staged) = self.state.staged(&model, version) else {
-            return;
+        let held = match self.state.staged(&model, version) {
+            Some(staged) => staged.held(),
+            None => match self.state.target() {
+                // It has yet to look at what is staged, and who asks must not wait for that.
+                Some(want) if want.model == model && want.version == version => {
+                    Bitmap::new(want.pieces)
+                }
+                _ => return,
+            },
         };
-        let held = staged.held();
         let message = AgentDatagram::Have {
             from: self.state.options.me.address,
             pieces: held.length() as u32,
--- a/crates/pistachiolug_loader/src/manifest.rs
+++ b/crates/pistachiolug_loader/src/manifest.rs
@@ -31,8 +31,8 @@
 /// Longest time for which an agent asks others: its engine may have everything but the digests, and serve nothing.
 const HEAD_START_MOST: Duration = Duration::from_millis(800);
 
-/// Pause between two rounds of questions.
-const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two rounds of questions: the first readers take a few round trips, and all wait for them.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
 
 /// Longest time an agent may take to answer.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(400);
