Let few agents look whether an origin that was away is back

Cause: while the origin was away each agent that lacked a piece took its readers for idle, one after the other, and in the end read the origin itself, with pauses of up to 3 s. At its return one piece was read 16 times, beside those of the next version. Change: only the first three reachable members of a piece's order read the origin; the first looks four times in a stall, the others seldom; members of other regions keep to the home region while it answers.

--- a/crates/pistachiolug_weights/src/planner/outcome.rs
+++ b/crates/pistachiolug_weights/src/planner/outcome.rs
@@ -14,9 +14,12 @@
 /// Stalls for which a member that failed is passed over in the order.
 const SUSPECT_STALLS: u32 = 12;
 
-/// Longest wait after repeated failures of a source, in stalls.
+/// Longest wait after repeated failures of a source, in stalls, of members that read in the place of another.
 const SOURCE_STALLS: u32 = 2;
 
+/// The same as a part of a stall, of the member that reads first: nobody else notices soon that a source is back.
+const SOURCE_PART: u32 = 4;
+
 impl Planner {
     pub(super) fn land(&mut self, fetch: Fetch) {
         self.flights.retain(|flight| flight.fetch != fetch);
@@ -71,11 +74,20 @@
     }
 
     pub(super) fn fail_source(&mut self, index: usize, piece: u32, now: Duration) {
+        let members = self.reachable(self.duty.members(), now);
+        let reader = self.duty.first(piece, &members, 1).first().copied();
+        if reader.is_none_or(|key| key == self.me) {
+            self.queue.push_front(piece);
+        }
+        let most = if self.queue.is_empty() {
+            self.tuning.stall * SOURCE_STALLS
+        } else {
+            self.tuning.stall / SOURCE_PART
+        };
         let source = &mut self.sources[index];
         source.failures += 1;
         let wait = self.tuning.ask_interval * (1 << source.failures.min(6)) / 4;
-        source.until = now + wait.min(self.tuning.stall * SOURCE_STALLS);
-        self.queue.push_front(piece);
+        source.until = now + wait.min(most);
     }
 
     pub(super) fn fail_neighbour(&mut self, key: Key, now: Duration) {
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::{Fetch, KEEPERS, Planner, Via};
+use super::{Fetch, KEEPERS, Planner, Via, lists};
 use crate::order::Key;
 
 /// Pieces looked at in one choice among those that a neighbour holds.
@@ -150,6 +150,13 @@
         } else {
             self.usable_of(&self.home, now)
         };
+        if ahead.is_empty() && !self.home.is_empty() {
+            if now < self.next_ask {
+                return None;
+            }
+            self.next_ask = now + self.tuning.ask_interval;
+            ahead = self.reachable(&self.home, now);
+        }
         ahead.retain(|key| *key != self.me);
         match self.duty.first(piece, &ahead, 1).first().copied() {
             Some(key) => self.free_member(key),
@@ -157,6 +164,14 @@
         }
     }
 
+    /// Returns the members that answer, although they may make no progress.
+    pub(super) fn reachable(&self, members: &[Key], now: Duration) -> Vec<Key> {
+        let members = members.iter().copied();
+        members
+            .filter(|key| !lists(&self.suspects, *key, now) && !self.shunned.contains(key))
+            .collect()
+    }
+
     fn usable_of(&self, members: &[Key], now: Duration) -> Vec<Key> {
         let members = members.iter().copied();
         members.filter(|key| self.usable(*key, now)).collect()
@@ -192,29 +207,39 @@
     }
 
     fn take_over(&mut self, piece: u32, now: Duration) -> Option<Via> {
-        let late = self.late();
-        let tried = self.tried.get(&piece).copied().unwrap_or(0);
-        let members = self.usable_of(self.duty.members(), now);
-        let mut first = self.duty.first(piece, &members, KEEPERS);
-        if late {
-            first.retain(|key| *key != self.me);
-            if let Some(key) = first.get(tried) {
-                return self.free_member(*key);
-            }
-            self.tried.remove(&piece);
-            return self.free_source(now);
-        }
-        if first.first() == Some(&self.me) || first.is_empty() {
-            return self.upstream(piece, now);
+        if self.late() {
+            return self.ask_holders(piece, now);
         }
+        let members = self.reachable(self.duty.members(), now);
+        let first = self.duty.first(piece, &members, KEEPERS);
+        let idle = |key: &Key| lists(&self.idle, *key, now);
+        // If all of them make no progress, the source is away: others would fail there as well.
+        let reader = first.iter().find(|key| !idle(key)).or(first.first());
+        let reader = match reader.copied() {
+            Some(key) if key != self.me => key,
+            _ => return self.upstream(piece, now),
+        };
         if now < self.next_ask {
             return None;
         }
-        let via = self.free_member(*first.first()?)?;
+        let via = self.free_member(reader)?;
         self.next_ask = now + self.tuning.ask_interval;
         Some(via)
     }
 
+    /// Asks the members that keep a piece one after the other, and then the source.
+    fn ask_holders(&mut self, piece: u32, now: Duration) -> Option<Via> {
+        let tried = self.tried.get(&piece).copied().unwrap_or(0);
+        let members = self.usable_of(self.duty.members(), now);
+        let mut first = self.duty.first(piece, &members, KEEPERS);
+        first.retain(|key| *key != self.me);
+        if let Some(key) = first.get(tried) {
+            return self.free_member(*key);
+        }
+        self.tried.remove(&piece);
+        self.free_source(now)
+    }
+
     fn rarest<R: Rng>(&mut self, key: Key, random: &mut R) -> Option<u32> {
         let neighbours = self.neighbours.all();
         let neighbour = neighbours.iter().find(|neighbour| neighbour.key == key)?;
--- a/crates/pistachiolug_weights/tests/planner.rs
+++ b/crates/pistachiolug_weights/tests/planner.rs
@@ -216,6 +216,53 @@
     );
 }
 
+/// Returns the times at which a member turns to a source that is away, while no member gets the piece.
+fn turns_to_the_source(index: usize, members: usize) -> Vec<Duration> {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let mut planner = Planner::new(
+        key(index),
+        "a",
+        "",
+        &roster(members, 1),
+        pieces(1),
+        tuning(Policy::BytesFirst),
+        Duration::ZERO,
+    );
+    let mut turns = Vec::new();
+    for step in 0..600 {
+        let now = Duration::from_millis(100) * step;
+        for _ in 0..4 {
+            let Some(fetch) = planner.next(now, &mut random) else {
+                break;
+            };
+            let outcome = match fetch.via {
+                Via::Source(_) => {
+                    turns.push(now);
+                    Outcome::Failed
+                }
+                Via::Neighbour(_) | Via::Member(_) => Outcome::Absent { idle: Some(now) },
+            };
+            planner.finish(fetch, outcome, now);
+        }
+    }
+    turns
+}
+
+#[test]
+fn a_source_that_is_away_is_tried_often_by_one_and_by_few_in_all() {
+    const MEMBERS: usize = 20;
+
+    let mut turns: Vec<usize> = (0..MEMBERS)
+        .map(|index| turns_to_the_source(index, MEMBERS).len())
+        .collect();
+
+    turns.sort_unstable_by_key(|count| std::cmp::Reverse(*count));
+    // A minute is twelve stalls; the one that reads it first looks several times in each.
+    assert!(turns[0] >= 36, "{turns:?}");
+    assert!(turns[1] < turns[0] / 2, "{turns:?}");
+    assert_eq!(turns[3..].iter().sum::<usize>(), 0, "{turns:?}");
+}
+
 #[test]
 fn ill_shaped_sets_are_ignored() {
     let mut random = ChaCha8Rng::seed_from_u64(SEED);
