--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -269,7 +269,8 @@
     /// Waits until work on a version should be dropped for a newer one.
     ///
     /// A version that has been under way for a while is finished first, unless it takes longer than its time: its
-    /// pieces have left the origin, which may fail, and its engine then has the newer one's whole time for that.
+    /// pieces have left the origin, which may fail, and its engine then has the newer one's whole time for that. One that
+    /// has all its pieces is loaded also when it is late: its engine serves again while the newer one is fetched.
     pub async fn superseded(&self, want: &Want) {
         while !self.is_superseded(want) {
             // A newer version is named seldom; the time of this one is looked at in between.
@@ -281,7 +282,9 @@
         let now = self.now();
         let newer = self.newest().is_some_and(|newest| !newest.is(want));
         let early = now < want.named + FINISHED_AFTER;
-        newer && (early || now >= want.due)
+        let staged = self.staged(&want.model, want.version);
+        let whole = staged.is_some_and(|staged| staged.missing().is_empty());
+        newer && (early || (now >= want.due && !whole))
     }
 
     /// Tells whether a newer version waits for one to be finished.
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -5,6 +5,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
 use pistachiolug_http::{
@@ -622,3 +623,33 @@
         assert!(origin.inner.borrow().reads > 0);
     });
 }
+
+#[test]
+fn a_late_version_is_dropped_for_a_newer_one_unless_all_its_pieces_are_there() {
+    run(async {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let place = Place {
+            address,
+            region: REGIONS[0].to_owned(),
+        };
+        let state = State::new(options(&place, address), metrics());
+        state.take_view(view(vec![place]));
+        state.name_version(MODEL, 2, "test");
+        let want = state.newest().unwrap();
+        // Later than a version is dropped for having hardly begun, and than it is due.
+        sleep(Duration::from_millis(1100)).await;
+        state.name_version(MODEL, 3, "test");
+        let manifest = FakeOrigin::default().manifest(address, MODEL, 2).await;
+        let staged = Rc::new(Staged::new(&want, manifest.unwrap(), state.clock()));
+        state.set_staged(Some(Rc::clone(&staged)));
+
+        let before = state.superseded(&want).now_or_never();
+        for index in 0..PIECES {
+            staged.set(index, true);
+        }
+        let after = state.superseded(&want).now_or_never();
+
+        assert!(before.is_some());
+        assert!(after.is_none());
+    });
+}
