--- a/crates/pistachiolug_bench/src/rig/process.rs
+++ b/crates/pistachiolug_bench/src/rig/process.rs
@@ -19,20 +19,34 @@
     program: PathBuf,
     args: Vec<String>,
     log: PathBuf,
-    secret: String,
+    variables: Vec<(&'static str, String)>,
 }
 
 impl Process {
-    /// Starts a program with its standard error in a log file.
+    /// Starts a program with its output in a log file and the deployment's secret in its environment.
     ///
     /// # Errors
     /// Returns the error of the start.
     pub fn start(program: &Path, args: &[String], log: &Path, secret: &str) -> io::Result<Self> {
+        let variables = [("PISTACHIOLUG_SECRET", secret.to_owned())];
+        Self::start_with(program, args, log, &variables)
+    }
+
+    /// Starts a program with its output in a log file and these variables in its environment.
+    ///
+    /// # Errors
+    /// Returns the error of the start.
+    pub fn start_with(
+        program: &Path,
+        args: &[String],
+        log: &Path,
+        variables: &[(&'static str, String)],
+    ) -> io::Result<Self> {
         let command = Invocation {
             program: program.to_owned(),
             args: args.to_owned(),
             log: log.to_owned(),
-            secret: secret.to_owned(),
+            variables: variables.to_vec(),
         };
         let child = command.spawn()?;
         Ok(Self { child, command })
@@ -92,9 +106,9 @@
             .open(&self.log)?;
         Command::new(&self.program)
             .args(&self.args)
-            .env("PISTACHIOLUG_SECRET", &self.secret)
+            .envs(self.variables.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
     }
--- a/crates/pistachiolug_platform/src/kv/etcd.rs
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -224,8 +224,11 @@
     BASE64.encode(text)
 }
 
-/// Returns the first key after all keys that start with `prefix`.
+/// Returns the first key after all keys that start with `prefix`; a zero byte stands for the end of all keys.
 fn encode_end(prefix: &str) -> String {
+    if prefix.is_empty() {
+        return BASE64.encode([0]);
+    }
     let mut end = prefix.as_bytes().to_vec();
     if let Some(last) = end.last_mut() {
         *last += 1;
--- a/crates/pistachiolug_platform/src/kv/memory.rs
+++ b/crates/pistachiolug_platform/src/kv/memory.rs
@@ -255,6 +255,9 @@
 
 /// Returns the first key after all keys that start with `prefix`, which ends with an ASCII character.
 fn end_of(prefix: &str) -> String {
+    if prefix.is_empty() {
+        return char::MAX.to_string();
+    }
     let mut end = prefix.to_owned();
     if let Some(last) = end.pop() {
         end.push(char::from(last as u8 + 1));
