Let late requests wait only for places that others leave

Change: `admission::Supply` holds the rate of places and that of places taken by requests on time; late ones count on the difference, a twentieth at least. Both rates are logged with each refusal. Tests: the table, and the fall of a rate.

--- a/crates/pistachiolug_gateway/src/admission.rs
+++ b/crates/pistachiolug_gateway/src/admission.rs
@@ -11,6 +11,9 @@
 /// Share of the time left that a late request may spend waiting: it earns less, and its answer takes its own time.
 const WAIT_SHARE_OF_REST: f64 = 0.25;
 
+/// Share of the places that late requests count on at least; both rates are estimates.
+const LATE_SHARE_LEAST: f64 = 0.05;
+
 /// Shortest time after which a refused caller is asked to come back, as a share of the time it has left.
 const RETURN_SHARE_LEAST: f64 = 0.2;
 
@@ -30,6 +33,26 @@
     pub ahead: usize,
 }
 
+/// Places that come free for an entry's requests, per second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Supply {
+    /// All of them.
+    pub places: f64,
+    /// Those that requests get which can be on time.
+    pub fresh: f64,
+}
+
+impl Supply {
+    /// Returns the places that come free for an applicant: those that can be on time go first.
+    fn available(&self, fresh: bool) -> f64 {
+        if fresh {
+            return self.places;
+        }
+        let rest = self.places - self.fresh;
+        rest.max(self.places * LATE_SHARE_LEAST)
+    }
+}
+
 /// What becomes of an applicant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -39,11 +62,9 @@
     Refuse,
 }
 
-/// Decides by how fast places come free.
-///
-/// # Arguments
-/// `places` is the rate at which places come free for this entry's requests, per second.
-pub fn decide(applicant: &Applicant, places: f64) -> Verdict {
+/// Decides by how fast places come free for such applicants.
+pub fn decide(applicant: &Applicant, supply: &Supply) -> Verdict {
+    let places = supply.available(applicant.fresh);
     let patience = if applicant.fresh {
         applicant.aim.mul_f64(WAIT_SHARE_OF_AIM)
     } else {
--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -95,6 +95,8 @@
     pub prompt: u32,
     /// Servers that had the request already.
     pub tried: Vec<Arc<str>>,
+    /// Whether it can't be on time any more; such requests are counted apart.
+    pub late: bool,
     /// Server at which this entry has just freed a place, which it may fill up to the last one.
     pub freed: Option<Arc<str>>,
 }
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -74,6 +74,7 @@
             model,
             prompt: self.tokens.prompt,
             tried: tried.to_vec(),
+            late: !self.fresh,
             freed: None,
         }
     }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -19,6 +19,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    admission::Supply,
     board::{Board, Home, Need, Server},
     catalog::{Catalog, Engine, Service},
     line::{Line, Place, Rank},
@@ -64,6 +65,22 @@
 
 type Waiter = (Need, oneshot::Sender<Ticket>);
 
+/// Rates of one service.
+#[derive(Debug)]
+struct Rates {
+    freed: Rate,
+    fresh: Rate,
+}
+
+impl Rates {
+    fn new(now: Duration) -> Self {
+        Self {
+            freed: Rate::new(now, rate::FIRST),
+            fresh: Rate::new(now, 0.0),
+        }
+    }
+}
+
 type Called = (Ticket, oneshot::Sender<Ticket>);
 
 /// Entry's state.
@@ -79,7 +96,8 @@
     board: RefCell<Board>,
     versions: RefCell<Versions>,
     lines: RefCell<FxHashMap<Arc<str>, Line<Waiter>>>,
-    rates: RefCell<FxHashMap<Arc<str>, Rate>>,
+    /// By service: places that come free, and those that requests get which can be on time.
+    rates: RefCell<FxHashMap<Arc<str>, Rates>>,
     budgets: RefCell<FxHashMap<Arc<str>, Window>>,
     peers: RefCell<Peers>,
     /// Longest time that callers of a route have named as theirs.
@@ -236,6 +254,10 @@
         let home = &self.options.home;
         let choice = board.choose(need, engine, home, self.now(), &mut rand::rng())?;
         board.begin(&choice.record.id, need.prompt);
+        drop(board);
+        if !need.late {
+            self.with_rates(&need.service, |rates, now| rates.fresh.count(now));
+        }
         Some(Ticket {
             choice,
             service: Arc::clone(&need.service),
@@ -302,17 +324,30 @@
         }
     }
 
-    /// Returns the rate at which places come free, per second.
-    pub fn places(&self, service: &str) -> f64 {
+    /// Returns the rates at which places come free and are taken.
+    pub fn supply(&self, service: &str) -> Supply {
         let rates = self.rates.borrow();
-        rates.get(service).map_or(rate::FIRST, Rate::per_second)
+        rates.get(service).map_or(
+            Supply {
+                places: rate::FIRST,
+                fresh: 0.0,
+            },
+            |rates| Supply {
+                places: rates.freed.per_second(),
+                fresh: rates.fresh.recent(self.now()),
+            },
+        )
     }
 
     pub(crate) fn count_freed(&self, service: &Arc<str>) {
+        self.with_rates(service, |rates, now| rates.freed.count(now));
+    }
+
+    fn with_rates(&self, service: &Arc<str>, act: impl FnOnce(&mut Rates, Duration)) {
         let now = self.now();
         let mut rates = self.rates.borrow_mut();
-        let rate = rates.entry(Arc::clone(service));
-        rate.or_insert_with(|| Rate::new(now)).count(now);
+        let rates = rates.entry(Arc::clone(service));
+        act(rates.or_insert_with(|| Rates::new(now)), now);
     }
 
     /// Gives access to what is known of the key-value service's reach.
--- a/crates/pistachiolug_gateway/src/turn.rs
+++ b/crates/pistachiolug_gateway/src/turn.rs
@@ -48,14 +48,15 @@
         left: call.left(),
         ahead,
     };
-    let places = state.places(&call.service);
+    let supply = state.supply(&call.service);
     let verdict = if servable || tried.is_empty() {
-        admission::decide(&applicant, places)
+        admission::decide(&applicant, &supply)
     } else {
         Verdict::Refuse
     };
+    let (places, fresh_places) = (supply.places, supply.fresh);
     let Verdict::Wait(patience) = verdict else {
-        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh = call.fresh, servable; "no place in time");
+        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.fresh, servable; "no place in time");
         return Err(unplaced(servable));
     };
     let oldest = need.oldest;
@@ -79,7 +80,7 @@
         return Ok(ticket);
     }
     let patience_ms = patience.as_millis() as u64;
-    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, patience_ms, servable; "no place came free");
+    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, patience_ms, servable; "no place came free");
     Err(unplaced(servable))
 }
 
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -7,12 +7,13 @@
 use std::{sync::Arc, time::Duration};
 
 use pistachiolug_gateway::{
-    admission::{self, Applicant, Verdict},
+    admission::{self, Applicant, Supply, Verdict},
     board::{Board, Need},
     catalog::{Catalog, Denial, Kind, Target},
     event::Splitter,
     line::{Line, Rank},
     place::{self, Candidate, Distance, LoadAhead},
+    rate::Rate,
     server::Record,
     stop::{self, Stage},
 };
@@ -397,7 +398,7 @@
         ),
     ];
     for (applicant, places, waits) in rows {
-        let verdict = admission::decide(&applicant, places);
+        let verdict = admission::decide(&applicant, &supply(places));
 
         assert_eq!(
             verdict != Verdict::Refuse,
@@ -407,6 +408,52 @@
     }
 }
 
+/// Places that come free, none of which requests get that can be on time.
+fn supply(places: f64) -> Supply {
+    Supply { places, fresh: 0.0 }
+}
+
+#[test]
+fn a_rate_falls_while_nothing_is_counted() {
+    let mut rate = Rate::new(NOW, 0.0);
+    let gap = Duration::from_millis(50);
+    for count in 1..=100 {
+        rate.count(NOW + gap * count);
+    }
+
+    let end = NOW + gap * 100;
+    let later = rate.recent(end + Duration::from_secs(3));
+
+    assert!((15.0..25.0).contains(&rate.recent(end)), "{rate:?}");
+    assert!(later < 2.0, "{later}");
+}
+
+#[test]
+fn a_late_request_waits_only_for_places_that_others_leave() {
+    let late = Applicant {
+        fresh: false,
+        ..applicant(2)
+    };
+    let rows = [
+        // Places and those that go to requests on time, per second; whether it waits.
+        (20.0, 0.0, true),
+        (20.0, 10.0, true),
+        (20.0, 19.5, false),
+        (20.0, 40.0, false),
+    ];
+    for (places, fresh, waits) in rows {
+        let verdict = admission::decide(&late, &Supply { places, fresh });
+
+        assert_eq!(verdict != Verdict::Refuse, waits, "{fresh} of {places}");
+    }
+    // Those that can be on time go first and wait for all places.
+    let all = Supply {
+        places: 20.0,
+        fresh: 20.0,
+    };
+    assert_ne!(admission::decide(&applicant(0), &all), Verdict::Refuse);
+}
+
 /// Plays a load on one engine slot pool and returns how many of `callers` begin within their aim.
 ///
 /// Every caller needs a slot for `busy`; callers arrive every `gap`.
@@ -423,7 +470,7 @@
         let slot = free.iter_mut().min().unwrap();
         let wait = slot.saturating_sub(now);
         // Who waits in line leaves it when its patience ends.
-        let patience = match admission::decide(&applicant(ahead), places) {
+        let patience = match admission::decide(&applicant(ahead), &supply(places)) {
             Verdict::Wait(patience) => patience,
             Verdict::Refuse => Duration::ZERO,
         };
