Plan loads anew when a newer version is named, and by the version's own time

(1) A turn planned before the second version was named was kept: the first version's loads were spread up to its own bound, and the second one came late. (2) After a load the agent still believed the engine to hold the version before it, so the next version counted as due when the last one was: no time was left to spread its loads. Change: `turn::come` plans the turn anew when a newer version is named; an agent notes what its engine holds before it takes aim.

--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -91,13 +91,16 @@
         let report = self.engine.report().await?;
         let held = report.version(&want.model);
         self.state.set_held(held);
+        // When a version is due follows from what the engine holds.
+        let current = self.state.aim();
+        let want = current.as_ref().unwrap_or(want);
         let staged = self.staged(want).await?;
         if held.is_some_and(|held| held >= want.version) || report.busy {
             return Ok(());
         }
         self.fetch(want, &staged).await?;
         if held.is_some() {
-            self.wait_for_turn(want).await;
+            turn::come(&self.state, want).await;
         }
         self.check(&staged).await?;
         if !staged.missing().is_empty() {
@@ -162,17 +165,6 @@
         Err(failed("pieces are missing"))
     }
 
-    async fn wait_for_turn(&self, want: &Want) {
-        let (position, members) = self
-            .state
-            .position(&format!("{}/{}", want.model, want.version));
-        let left = want.due.saturating_sub(self.state.now());
-        let wait = turn::wait(left, position, members, self.state.is_awaited(want));
-        let (left_ms, wait_ms) = (left.as_millis() as u64, wait.as_millis() as u64);
-        log::info!(model = want.model.as_str(), version = want.version, position, left_ms, wait_ms; "load planned");
-        sleep(wait).await;
-    }
-
     /// Reads all staged pieces and notes which are whole; those that have turned bad count as missing.
     async fn check(&self, staged: &Staged) -> Result<(), Error> {
         for index in 0..staged.manifest.digests.len() {
@@ -216,6 +208,7 @@
             let taken_ms = taken.as_millis() as u64;
             if report.version(model) == Some(want.version) {
                 let version = want.version;
+                self.state.set_held(Some(version));
                 self.notify(want, &report, Change::Holds { version });
                 self.state.metrics.loads.inc();
                 log::info!(model, version = want.version, taken_ms; "version serves");
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -292,6 +292,13 @@
         self.newest().is_some_and(|newest| !newest.is(want))
     }
 
+    /// Waits until a newer version waits for one to be finished.
+    pub async fn awaited(&self, want: &Want) {
+        while !self.is_awaited(want) {
+            self.named.notified().await;
+        }
+    }
+
     /// Notes the version that the engine holds.
     pub fn set_held(&self, held: Option<u64>) {
         self.held.set(held);
--- a/crates/pistachiolug_loader/src/turn.rs
+++ b/crates/pistachiolug_loader/src/turn.rs
@@ -5,6 +5,10 @@
 
 use std::time::Duration;
 
+use tokio::time::sleep;
+
+use crate::state::{State, Want};
+
 /// Time that is kept for the last engine's load, and for entries that hold the version to be due a little earlier.
 const LOAD_TIME: Duration = Duration::from_millis(1400);
 
@@ -21,3 +25,23 @@
     let spread = left.saturating_sub(LOAD_TIME).min(most);
     spread.mul_f64(position as f64 / members.max(1) as f64)
 }
+
+/// Waits until it is an agent's turn to load; the turn is planned anew when a newer version is named meanwhile.
+pub async fn come(state: &State, want: &Want) {
+    loop {
+        let name = format!("{}/{}", want.model, want.version);
+        let (position, members) = state.position(&name);
+        let left = want.due.saturating_sub(state.now());
+        let awaited = state.is_awaited(want);
+        let wait = wait(left, position, members, awaited);
+        let (left_ms, wait_ms) = (left.as_millis() as u64, wait.as_millis() as u64);
+        log::info!(model = want.model.as_str(), version = want.version, position, awaited, left_ms, wait_ms; "load planned");
+        if awaited {
+            return sleep(wait).await;
+        }
+        tokio::select! {
+            () = sleep(wait) => return,
+            () = state.awaited(want) => {}
+        }
+    }
+}
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -24,6 +24,7 @@
     manifest::Manifest,
     metrics::Metrics,
     state::{Intake, Options, Staged, State, Want},
+    turn,
 };
 use pistachiolug_platform::kv::memory::Memory;
 use pistachiolug_replica::follow;
@@ -228,6 +229,8 @@
     origin: FakeOrigin,
     /// Key-value services of the agents; all the same or one each.
     stores: Vec<Memory>,
+    /// States of the agents.
+    states: Vec<Rc<State>>,
 }
 
 const REGIONS: [&str; 2] = ["inland", "sea"];
@@ -252,6 +255,7 @@
             })
             .collect();
         let view = view(agents.clone());
+        let mut states = Vec::new();
         for (index, (listener, socket, address)) in sockets.into_iter().enumerate() {
             if index >= engines.len() {
                 continue;
@@ -259,6 +263,7 @@
             let options = options(&agents[index], address);
             let state = State::new(options, metrics());
             state.take_view(view.clone());
+            states.push(Rc::clone(&state));
             let store = stores[index % stores.len()].clone();
             let engine = engines[index].clone();
             let intake = Intake::new(Rc::clone(&state), Rows);
@@ -290,6 +295,7 @@
             engines,
             origin,
             stores,
+            states,
         }
     }
 
@@ -653,3 +659,71 @@
         assert!(after.is_none());
     });
 }
+
+#[test]
+fn a_turn_comes_sooner_once_a_newer_version_waits() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    let members: Vec<Place> = (1..=20)
+        .map(|port| Place {
+            address: ([127, 0, 0, 1], port).into(),
+            region: REGIONS[0].to_owned(),
+        })
+        .collect();
+    // Returns the longest wait of all members; a newer version is named after a second, if at all.
+    let longest = |newer: bool| {
+        let waits = members.iter().map(|me| {
+            let options = Options {
+                version_allowed: Duration::from_secs(20),
+                ..options(me, me.address)
+            };
+            let state = State::new(options, metrics());
+            state.take_view(view(members.clone()));
+            state.name_version(MODEL, 2, "test");
+            let want = state.newest().unwrap();
+            runtime.block_on(async {
+                let start = tokio::time::Instant::now();
+                let name_newer = async {
+                    sleep(Duration::from_secs(1)).await;
+                    if newer {
+                        state.name_version(MODEL, 3, "test");
+                    }
+                };
+                tokio::join!(turn::come(&state, &want), name_newer);
+                start.elapsed()
+            })
+        });
+        waits.max().unwrap()
+    };
+
+    let (alone, awaited) = (longest(false), longest(true));
+
+    assert!(alone > Duration::from_secs(15), "{alone:?}");
+    assert!(awaited < Duration::from_secs(5), "{awaited:?}");
+}
+
+#[test]
+fn a_version_is_due_by_its_own_naming_once_the_one_before_serves() {
+    run(async {
+        let rig = Rig::start(engines(1), one_store(), 0).await;
+        rig.name_version(2);
+        rig.reach(2).await;
+        let older = rig.states[0].target().unwrap();
+
+        rig.name_version(3);
+        let mut due = Duration::ZERO;
+        while rig.engines[0].held() != Some(3) {
+            let target = rig.states[0].target().unwrap();
+            if target.version == 3 {
+                due = due.max(target.due);
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+
+        assert_eq!(older.version, 2);
+        assert!(due > older.due, "{due:?}, {older:?}");
+    });
+}
