Let one piece of code serve where the change had written it again

The end of a prefix was computed by `kv::memory` and `kv::etcd`, each mended apart; an address that never closes was served by three copies of the same lines; a server's held version was replaced in two places; two pauses of a server, and two tests of members that answer, said the same; `kv::memory` made an error by hand. Change: `kv::end_of`, `local::serve_always`, `Record::hold`, `Board::pass_over`, `Planner::answers`, `Error::unavailable`. Conclusion: no change of behaviour is meant.

--- a/crates/pistachiolug_gateway/src/board.rs
+++ b/crates/pistachiolug_gateway/src/board.rs
@@ -140,8 +140,7 @@
         for model in &before.models {
             let listed = self.record.version(&model.name);
             if self.told && listed.is_none_or(|listed| listed < model.version) {
-                self.record.models.retain(|known| known.name != model.name);
-                self.record.models.push(model.clone());
+                self.record.hold(model.clone());
             }
         }
         if self.record.models != before.models {
@@ -315,9 +314,7 @@
                 server.avoid_until = now;
                 server.opened = now;
                 let name = Arc::from(notice.model.as_str());
-                let models = &mut server.record.models;
-                models.retain(|known| known.name != name);
-                models.push(Model { name, version });
+                server.record.hold(Model { name, version });
             }
         }
         true
@@ -424,15 +421,17 @@
 
     /// Notes a server that had no room.
     pub fn full(&mut self, id: &str, now: Duration) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.avoid_until = server.avoid_until.max(now + FULL_PAUSE);
-        }
+        self.pass_over(id, now + FULL_PAUSE);
     }
 
     /// Notes a server that is not what it is believed to be.
     pub fn mistaken(&mut self, id: &str, now: Duration) {
+        self.pass_over(id, now + MISTAKEN_PAUSE);
+    }
+
+    fn pass_over(&mut self, id: &str, until: Duration) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.avoid_until = server.avoid_until.max(now + MISTAKEN_PAUSE);
+            server.avoid_until = server.avoid_until.max(until);
         }
     }
 
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and stop of an entry.
 
-use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri, header};
@@ -184,7 +184,7 @@
             StatusCode::SERVICE_UNAVAILABLE
         }))
     };
-    serve_small(listener, handler).await;
+    local::serve_always(listener, connection_limit(Limits::default()), handler).await;
 }
 
 async fn serve_internal(state: Rc<State>, kernel: Kernel, listener: TcpListener) {
@@ -208,19 +208,7 @@
         };
         std::future::ready(response)
     };
-    serve_small(listener, handler).await;
-}
-
-/// Serves an internal address, whose connections live as long as the process.
-async fn serve_small<F>(
-    listener: TcpListener,
-    handler: impl Fn(Request<Incoming>) -> F + Clone + 'static,
-) where
-    F: Future<Output = Response<Full<Bytes>>> + 'static,
-{
-    let (_open, never) = watch::channel(false);
-    let limit = connection_limit(Limits::default());
-    local::serve(listener, || limit, never, handler).await;
+    local::serve_always(listener, connection_limit(Limits::default()), handler).await;
 }
 
 /// Returns the revision that a peer asks for changes after; 0 asks for all rows.
--- a/crates/pistachiolug_gateway/src/server.rs
+++ b/crates/pistachiolug_gateway/src/server.rs
@@ -36,6 +36,12 @@
 }
 
 impl Record {
+    /// Notes that the server holds a version of a model, in the place of another version.
+    pub fn hold(&mut self, model: Model) {
+        self.models.retain(|known| known.name != model.name);
+        self.models.push(model);
+    }
+
     /// Returns the version of a model that the server holds.
     pub fn version(&self, model: &str) -> Option<Version> {
         let held = self.models.iter().find(|held| &*held.name == model);
--- a/crates/pistachiolug_http/src/local.rs
+++ b/crates/pistachiolug_http/src/local.rs
@@ -94,6 +94,18 @@
     }
 }
 
+/// Accepts connections as [`serve`] does, with the same bounds for all and without ever closing.
+pub async fn serve_always<H, F, B>(listener: TcpListener, limit: Limit, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let (_open, never) = watch::channel(false);
+    serve(listener, || limit, never, handler).await;
+}
+
 /// Waits until a server closes; keeps no lock on the value, whose sender would wait for it.
 async fn closed(closing: &mut watch::Receiver<bool>) {
     if closing.wait_for(|closing| *closing).await.is_err() {
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -17,7 +17,6 @@
 use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::watch,
     task::spawn_local,
 };
 
@@ -101,7 +100,6 @@
 }
 
 async fn serve<E: Engine>(state: Rc<State>, engine: E, kernel: Kernel, listener: TcpListener) {
-    let (_open, never) = watch::channel(false);
     let handler = move |request: Request<Incoming>| {
         let path = request.uri().path().to_owned();
         let (state, engine, kernel) = (Rc::clone(&state), engine.clone(), kernel.clone());
@@ -113,5 +111,5 @@
             }
         }
     };
-    local::serve(listener, || PEER_LIMIT, never, handler).await;
+    local::serve_always(listener, PEER_LIMIT, handler).await;
 }
--- a/crates/pistachiolug_platform/src/kv.rs
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -195,3 +195,13 @@
     /// Renews a lease for its full time.
     fn keep_alive(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
 }
+
+/// Returns an end after all keys that start with `prefix`, which is empty or ends with an ASCII character.
+fn end_of(prefix: &str) -> String {
+    let mut end = prefix.to_owned();
+    match end.pop() {
+        Some(last) => end.push(char::from(last as u8 + 1)),
+        None => end.push(char::MAX),
+    }
+    end
+}
--- a/crates/pistachiolug_platform/src/kv/etcd.rs
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout_at};
 
-use super::{Effect, Entry, Error, Event, Expect, Lease, Range, Store, Swap};
+use super::{Effect, Entry, Error, Event, Expect, Lease, Range, Store, Swap, end_of};
 
 /// Longest time a call other than a watch may take.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -63,7 +63,7 @@
     }
 
     async fn range(&self, prefix: &str) -> Result<Range, Error> {
-        let body = json!({ "key": encode(prefix), "range_end": encode_end(prefix) });
+        let body = json!({ "key": encode(prefix), "range_end": encode(&end_of(prefix)) });
         let answer = self.post("/v3/kv/range", &body, Effect::Read).await?;
         Ok(Range {
             entries: entries(&answer)?,
@@ -96,7 +96,7 @@
         let confirm = Instant::now() + TIMEOUT;
         let body = json!({ "create_request": {
             "key": encode(prefix),
-            "range_end": encode_end(prefix),
+            "range_end": encode(&end_of(prefix)),
             "start_revision": (after + 1).to_string(),
         }});
         let response = self
@@ -224,18 +224,6 @@
     BASE64.encode(text)
 }
 
-/// Returns the first key after all keys that start with `prefix`; a zero byte stands for the end of all keys.
-fn encode_end(prefix: &str) -> String {
-    if prefix.is_empty() {
-        return BASE64.encode([0]);
-    }
-    let mut end = prefix.as_bytes().to_vec();
-    if let Some(last) = end.last_mut() {
-        *last += 1;
-    }
-    BASE64.encode(end)
-}
-
 fn decode(value: &Value) -> Result<Vec<u8>, Error> {
     let text = value.as_str().unwrap_or_default();
     BASE64.decode(text).map_err(Error::malformed)
--- a/crates/pistachiolug_platform/src/kv/memory.rs
+++ b/crates/pistachiolug_platform/src/kv/memory.rs
@@ -12,7 +12,7 @@
     time::{sleep, timeout},
 };
 
-use super::{Entry, Error, Event, Expect, Lease, Range, Store, Swap, state::State};
+use super::{Entry, Error, Event, Expect, Lease, Range, Store, Swap, end_of, state::State};
 
 /// Chances of faults per call, each from 0 to 1.
 #[derive(Debug, Clone, Copy, Default)]
@@ -253,22 +253,8 @@
     }
 }
 
-/// Returns the first key after all keys that start with `prefix`, which ends with an ASCII character.
-fn end_of(prefix: &str) -> String {
-    if prefix.is_empty() {
-        return char::MAX.to_string();
-    }
-    let mut end = prefix.to_owned();
-    if let Some(last) = end.pop() {
-        end.push(char::from(last as u8 + 1));
-    }
-    end
-}
-
 fn unavailable() -> Error {
-    Error::Unavailable {
-        reason: "fault on order".to_owned(),
-    }
+    Error::unavailable("fault on order")
 }
 
 fn unknown() -> Error {
--- a/crates/pistachiolug_standin/tests/kv.rs
+++ b/crates/pistachiolug_standin/tests/kv.rs
@@ -116,6 +116,28 @@
     );
 }
 
+async fn check_all_keys<S: Store>(store: &S) {
+    let before = put(store, "all/1", "a").await;
+    let after = put(store, "other/1", "b").await;
+
+    let range = store.range("").await.expect("answers");
+    let events = store.watch("", before, WAIT).await.expect("answers");
+
+    let keys: Vec<&str> = range
+        .entries
+        .iter()
+        .map(|entry| entry.key.as_str())
+        .collect();
+    assert!(
+        keys.contains(&"all/1") && keys.contains(&"other/1"),
+        "{keys:?}"
+    );
+    assert!(
+        events.iter().any(|event| event.revision() == after),
+        "{events:?}"
+    );
+}
+
 async fn check_watches<S: Store>(store: &S) {
     let first = put(store, "w/1", "one").await;
     let second = put(store, "w/1", "two").await;
@@ -159,6 +181,7 @@
 }
 
 async fn check_contract<S: Store>(store: S) {
+    check_all_keys(&store).await;
     check_writes(&store).await;
     check_ranges(&store).await;
     check_watches(&store).await;
--- a/crates/pistachiolug_weights/src/planner.rs
+++ b/crates/pistachiolug_weights/src/planner.rs
@@ -319,9 +319,12 @@
 
     /// Tells whether the order may name a member now.
     fn usable(&self, key: Key, now: Duration) -> bool {
-        !lists(&self.suspects, key, now)
-            && !lists(&self.idle, key, now)
-            && !self.shunned.contains(&key)
+        self.answers(key, now) && !lists(&self.idle, key, now)
+    }
+
+    /// Tells whether a member is to be asked, although it may make no progress.
+    fn answers(&self, key: Key, now: Duration) -> bool {
+        !lists(&self.suspects, key, now) && !self.shunned.contains(&key)
     }
 
     fn wants(&self, piece: u32) -> bool {
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -167,9 +167,7 @@
     /// Returns the members that answer, although they may make no progress.
     pub(super) fn reachable(&self, members: &[Key], now: Duration) -> Vec<Key> {
         let members = members.iter().copied();
-        members
-            .filter(|key| !lists(&self.suspects, *key, now) && !self.shunned.contains(key))
-            .collect()
+        members.filter(|key| self.answers(*key, now)).collect()
     }
 
     fn usable_of(&self, members: &[Key], now: Duration) -> Vec<Key> {
