--- /dev/null
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -0,0 +1,287 @@
+//! Whole entries over a store in memory, and backend servers that a request can crash.
+
+use std::{
+    cell::RefCell,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use pistachiolug_gateway::{
+    config::Kind,
+    decoder::{Decoder, Row, Subject},
+    process::{self, Addresses},
+    state::Options,
+};
+use pistachiolug_http::local_server;
+use pistachiolug_platform::kv::memory::Memory;
+use rand::RngExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{Notify, oneshot},
+    task::{JoinSet, spawn_local},
+    time::sleep,
+};
+
+use super::{answer, chunk, options, parts, read_request, record, route, stream_head};
+
+/// Body of a request that crashes each server that runs it.
+pub const CRASHING_BODY: &str = "crash";
+
+/// Time that a crashed server takes until it is back under a new id.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
+/// Longest wait until all entries are ready.
+const MAX_START: Duration = Duration::from_secs(30);
+
+const CONFIG_KEY: &str = "config";
+const SERVER_PREFIX: &str = "servers/";
+const ENTRY_PREFIX: &str = "entries/";
+
+/// Format of the rows: one route, and servers as `ADDRESS STARTED_MS`.
+#[derive(Debug, Clone, Copy)]
+struct Format {
+    kind: Kind,
+    attempts: u32,
+}
+
+impl Decoder for Format {
+    fn decode(&self, key: &str, value: &[u8]) -> Row {
+        let text = std::str::from_utf8(value).unwrap();
+        match self.subject(key) {
+            Subject::Server(id) => {
+                let (address, started_ms) = text.split_once(' ').unwrap();
+                let mut record = record(&id, address.parse().unwrap());
+                record.started_ms = started_ms.parse().unwrap();
+                Row::Server(record)
+            }
+            Subject::Entry(name) => Row::Entry {
+                name,
+                address: text.parse().unwrap(),
+            },
+            Subject::Other if key == CONFIG_KEY => {
+                Row::Config(parts(route(self.kind, self.attempts)))
+            }
+            Subject::Other => Row::Other,
+        }
+    }
+
+    fn subject(&self, key: &str) -> Subject {
+        if let Some(id) = key.strip_prefix(SERVER_PREFIX) {
+            return Subject::Server(id.to_owned());
+        }
+        match key.strip_prefix(ENTRY_PREFIX) {
+            Some(name) => Subject::Entry(name.to_owned()),
+            None => Subject::Other,
+        }
+    }
+
+    fn entry_row(&self, name: &str, address: SocketAddr) -> (String, Vec<u8>) {
+        (
+            format!("{ENTRY_PREFIX}{name}"),
+            address.to_string().into_bytes(),
+        )
+    }
+}
+
+/// Entry process; it runs on a thread of its own and is killed on drop.
+struct Process {
+    front: SocketAddr,
+    ready: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Process {
+    fn start(name: &str, addresses: Addresses, store: Memory, format: Format) -> Self {
+        let options = Options {
+            name: name.to_owned(),
+            internal: addresses.internal,
+            ..options()
+        };
+        let (stop, stopped) = oneshot::channel();
+        let thread = thread::spawn(move || {
+            super::run(async move {
+                let entry = process::run(options, addresses, store, format, Duration::ZERO);
+                tokio::select! {
+                    _ = entry => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        Self {
+            front: addresses.front,
+            ready: addresses.ready,
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        let _ = self.thread.take().unwrap().join();
+    }
+}
+
+/// Entries and servers on loopback addresses of their own.
+pub struct Deployment {
+    store: Memory,
+    format: Format,
+    network: Ipv4Addr,
+    entries: Vec<Process>,
+    /// Bodies of the requests that arrived at servers.
+    arrivals: Rc<RefCell<Vec<String>>>,
+}
+
+impl Deployment {
+    /// Starts entries and servers of one service, and waits until the entries are ready; needs a local task set.
+    pub async fn start(kind: Kind, attempts: u32, entries: u8, servers: u8) -> Self {
+        let mut random = rand::rng();
+        let network = Ipv4Addr::new(
+            127,
+            random.random_range(1..250),
+            random.random_range(1..250),
+            0,
+        );
+        let mut deployment = Self {
+            store: Memory::new(1),
+            format: Format { kind, attempts },
+            network,
+            entries: Vec::new(),
+            arrivals: Rc::default(),
+        };
+        deployment.store.put(CONFIG_KEY, b"");
+        for index in 0..servers {
+            let address = deployment.free_address(100 + index);
+            let arrivals = Rc::clone(&deployment.arrivals);
+            let store = deployment.store.clone();
+            spawn_local(serve_incarnations(index, address, store, arrivals));
+        }
+        deployment.start_entries(entries).await;
+        deployment
+    }
+
+    /// Kills all entries at once and starts them anew at other addresses.
+    pub async fn restart_entries(&mut self) {
+        let count = self.entries.len() as u8;
+        self.entries.clear();
+        self.start_entries(count).await;
+    }
+
+    async fn start_entries(&mut self, count: u8) {
+        for index in 0..count {
+            let addresses = Addresses {
+                front: self.free_address(index + 1),
+                ready: self.free_address(index + 1),
+                internal: self.free_address(index + 1),
+            };
+            let name = format!("entry-{index}");
+            let process = Process::start(&name, addresses, self.store.clone(), self.format);
+            self.entries.push(process);
+        }
+        for entry in &self.entries {
+            tokio::time::timeout(MAX_START, wait_until_ready(entry.ready))
+                .await
+                .unwrap();
+        }
+        // The hook of the entries' kernel would hide the message of a failed assertion.
+        drop(std::panic::take_hook());
+    }
+
+    fn free_address(&self, host: u8) -> SocketAddr {
+        let [a, b, c, _] = self.network.octets();
+        let ip = IpAddr::from(Ipv4Addr::new(a, b, c, host));
+        let listener = std::net::TcpListener::bind((ip, 0)).unwrap();
+        listener.local_addr().unwrap()
+    }
+
+    /// Sends a request to one entry and returns all bytes of the answer.
+    pub async fn call(&self, entry: usize, request: &str) -> String {
+        let entry = &self.entries[entry % self.entries.len()];
+        exchange(entry.front, request).await
+    }
+
+    /// Returns the number of requests with a body that arrived at servers.
+    pub fn arrivals(&self, body: &str) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|arrived| *arrived == body).count()
+    }
+}
+
+async fn exchange(address: SocketAddr, request: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return String::new();
+    };
+    let mut answer = Vec::new();
+    if stream.write_all(request.as_bytes()).await.is_ok() {
+        let _ = stream.read_to_end(&mut answer).await;
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn wait_until_ready(address: SocketAddr) {
+    let request = "GET / HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n";
+    while !exchange(address, request).await.starts_with("HTTP/1.1 200") {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Runs one incarnation of a server after the other at the same address; each ends when a request crashes it.
+async fn serve_incarnations(
+    index: u8,
+    address: SocketAddr,
+    store: Memory,
+    arrivals: Rc<RefCell<Vec<String>>>,
+) {
+    for start in 1.. {
+        let listener = local_server::bind(address).unwrap();
+        let key = format!("{SERVER_PREFIX}i-{index}-{start}");
+        store.put(&key, format!("{address} {start}").as_bytes());
+        serve_until_crash(listener, &arrivals).await;
+        sleep(DOWN_TIME).await;
+        store.delete(&key);
+    }
+}
+
+async fn serve_until_crash(listener: TcpListener, arrivals: &Rc<RefCell<Vec<String>>>) {
+    let crash = Arc::new(Notify::new());
+    // Dropping the set closes all connections.
+    let mut connections = JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted.unwrap().0,
+            () = crash.notified() => return,
+        };
+        let (crash, arrivals) = (Arc::clone(&crash), Rc::clone(arrivals));
+        connections.spawn_local(serve(stream, crash, arrivals));
+    }
+}
+
+async fn serve(mut stream: TcpStream, crash: Arc<Notify>, arrivals: Rc<RefCell<Vec<String>>>) {
+    let request = read_request(&mut stream).await;
+    let Some((head, body)) = request.split_once("\r\n\r\n") else {
+        return;
+    };
+    arrivals.borrow_mut().push(body.to_owned());
+    if body == CRASHING_BODY {
+        crash.notify_one();
+        // The crash drops this task.
+        return std::future::pending().await;
+    }
+    let id = head
+        .lines()
+        .find_map(|line| line.strip_prefix("x-attempt: "));
+    let id = id.unwrap_or_default();
+    let response = if head.contains("x-priority") {
+        stream_head(id) + &chunk("id: 1\ndata: ravioli\n\n") + "0\r\n\r\n"
+    } else {
+        answer(id, "200 OK", "ravioli")
+    };
+    let _ = stream.write_all(response.as_bytes()).await;
+    let _ = stream.shutdown().await;
+}
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, dead_code, unreachable_pub)]
 
+pub mod deployment;
+
 use std::{
     cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
@@ -190,12 +192,12 @@
 };
 
 /// Runs a test on a local task set.
-pub fn run(test: impl Future<Output = ()>) {
+pub fn run<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap();
-    LocalSet::new().block_on(&runtime, test);
+    LocalSet::new().block_on(&runtime, test)
 }
 
 pub fn names() -> Names {
