Log which attempts carry the same content

Nothing in the entries' logs told that two attempts of a caller are the same request: each has an id of its own.

--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{Request, request};
 use http_body_util::Full;
+use pistachiolug_wire::digest::Digest;
 use tokio::time::Instant;
 
 use crate::{
@@ -31,6 +32,8 @@
     pub head: request::Parts,
     /// Whole body.
     pub body: Bytes,
+    /// Digest of what stays the same when the caller sends the request again: method, host, path, workspace and body.
+    pub content: Digest,
     /// Route and workspace.
     pub authorized: Authorized,
     /// Service that was picked among the route's targets.
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -258,6 +258,7 @@
     let route = &call.authorized.route;
     log::info!(
         call = call.id.as_str(),
+        content:% = call.content.short(),
         route = &*route.name,
         reason = reason.as_str(),
         sends = progress.tried.len(),
@@ -273,6 +274,7 @@
 fn log_failed_attempt(call: &Call, permit: &Permit, cause: &'static str, detail: &str) {
     log::info!(
         call = call.id.as_str(),
+        content:% = call.content.short(),
         server = &*permit.choice.record.id,
         cause,
         detail,
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -6,6 +6,7 @@
 use http::{header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use pistachiolug_wire::digest::Digest;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -45,10 +46,12 @@
         .map(Arc::from);
     let tokens = headers::tokens(&head.headers, names);
     state.count_request(&service);
+    let content = digest_content(&head, &authorized, &body);
     Ok(Call {
         id: id.to_owned(),
         head,
         body,
+        content,
         authorized,
         service,
         model,
@@ -60,6 +63,19 @@
     })
 }
 
+/// Computes the digest by which a request that comes again, at any entry, is recognized.
+fn digest_content(head: &request::Parts, authorized: &Authorized, body: &[u8]) -> Digest {
+    let workspace = authorized.workspace.as_ref();
+    let path = head.uri.path_and_query();
+    Digest::of_parts(&[
+        head.method.as_str().as_bytes(),
+        authorized.route.host.as_bytes(),
+        path.map_or("", |path| path.as_str()).as_bytes(),
+        workspace.map_or("", |workspace| &workspace.name).as_bytes(),
+        body,
+    ])
+}
+
 fn authorize(config: &Config, state: &State, head: &request::Parts) -> Result<Authorized, Reason> {
     let host = headers::text(&head.headers, &header::HOST).or(head.uri.host());
     let key = headers::text(&head.headers, &state.options.names.key);
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -234,15 +234,18 @@
 
     /// Resumes the stream at another server; returns `false` if that is not possible.
     async fn resume(&mut self, reason: &str) -> bool {
-        if let Some(source) = self.source.take() {
+        let source = self.source.take();
+        if let Some(source) = &source {
             source.permit.record_failure();
             source.permit.record_answer(false);
         }
+        let server = source.map(|source| Arc::clone(&source.permit.choice.record.id));
+        let server = server.as_deref().unwrap_or_default();
         self.splitter.discard_partial();
         let call = &self.call;
         let events = self.splitter.events();
         let allowed = self.may_resume() && self.state.take_retry(&call.service);
-        log::info!(call = call.id.as_str(), reason, events, last_event:? = self.splitter.last_event_id(), allowed, age_ms = call.age_ms(); "stream interrupted");
+        log::info!(call = call.id.as_str(), content:% = call.content.short(), server, reason, events, last_event:? = self.splitter.last_event_id(), allowed, age_ms = call.age_ms(); "stream interrupted");
         if !allowed {
             return false;
         }
--- a/crates/pistachiolug_wire/src/digest.rs
+++ b/crates/pistachiolug_wire/src/digest.rs
@@ -31,6 +31,26 @@
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
     }
+
+    /// Returns the first bytes of the hash for logs, where a collision does no harm.
+    pub fn short(&self) -> Short {
+        let (prefix, _) = self.0.split_at(8);
+        Short(
+            prefix
+                .iter()
+                .fold(0, |sum, byte| sum << 8 | u64::from(*byte)),
+        )
+    }
+}
+
+/// First eight bytes of a [`Digest`]; written as hex digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Short(u64);
+
+impl fmt::Display for Short {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
 }
 
 impl From<[u8; 32]> for Digest {
