Count a server as crashed whose connections are closed at once

A check after a lost request took a server for alive if anything accepted the connection. A proxy or sidecar in front of a server accepts connections of a server that is gone. The check now keeps the connection for 100 ms: closed three times counts as a crash, kept does not.

--- a/crates/pistachiolug_gateway/src/losses.rs
+++ b/crates/pistachiolug_gateway/src/losses.rs
@@ -24,7 +24,9 @@
 pub enum Verdict {
     /// Nothing listens at the server's address.
     Refused,
-    /// The server accepts connections.
+    /// Connections are closed as soon as they are accepted, as by a proxy whose server is gone.
+    Closed,
+    /// The server accepts connections and keeps them.
     Accepted,
     /// The server can't be reached.
     Unreachable,
@@ -35,6 +37,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Refused => "refused",
+            Self::Closed => "closed",
             Self::Accepted => "accepted",
             Self::Unreachable => "unreachable",
         }
@@ -117,8 +120,8 @@
         checks.collect()
     }
 
-    /// Ends a server's check and returns the contents that were running when it crashed. A server that can't be reached
-    /// counts as crashed.
+    /// Ends a server's check and returns the contents that were running when it crashed. A server that keeps no
+    /// connection or can't be reached counts as crashed.
     pub fn finish_check(&mut self, incarnation: u64, verdict: Verdict) -> Vec<Digest> {
         if verdict != Verdict::Accepted {
             return self.end_server(incarnation);
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -86,6 +86,7 @@
                 "verdict",
                 &[
                     Verdict::Refused.as_str(),
+                    Verdict::Closed.as_str(),
                     Verdict::Accepted.as_str(),
                     Verdict::Unreachable.as_str(),
                 ],
--- a/crates/pistachiolug_gateway/src/prober.rs
+++ b/crates/pistachiolug_gateway/src/prober.rs
@@ -2,7 +2,12 @@
 
 use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
-use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpStream,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use crate::{
     losses::{Check, Verdict},
@@ -12,9 +17,15 @@
 /// Longest time that one connection attempt may take; a hundred times the delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Connection attempts until a server counts as unreachable; a single packet may get lost.
+/// Time for which a live server keeps a new connection; far below the idle timeouts of servers.
+const HOLD_TIME: Duration = Duration::from_millis(100);
+
+/// Connection attempts unless one tells for sure; a packet may get lost, and a full server closes some connections.
 const ATTEMPTS: u32 = 3;
 
+/// Pause between two connection attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
 /// Checks the servers at which requests were lost; never returns.
 pub async fn run(state: Rc<State>) {
     loop {
@@ -29,20 +40,35 @@
     }
 }
 
-async fn probe(address: SocketAddr) -> Verdict {
-    for _ in 0..ATTEMPTS {
-        match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => return Verdict::Accepted,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return Verdict::Refused;
-            }
-            Ok(Err(error)) => {
-                log::debug!(server:% = address, error:%; "connecting to a server failed");
-            }
-            Err(_) => {}
+/// Checks whether a server keeps new connections.
+pub async fn probe(address: SocketAddr) -> Verdict {
+    let mut verdict = connect(address).await;
+    for _ in 1..ATTEMPTS {
+        if matches!(verdict, Verdict::Accepted | Verdict::Refused) {
+            break;
+        }
+        sleep(RETRY_PAUSE).await;
+        verdict = connect(address).await;
+    }
+    verdict
+}
+
+/// Connects once, and waits whether the server keeps the connection.
+async fn connect(address: SocketAddr) -> Verdict {
+    let mut stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return Verdict::Refused,
+        Ok(Err(error)) => {
+            log::debug!(server:% = address, error:%; "connecting to a server failed");
+            return Verdict::Unreachable;
         }
+        Err(_) => return Verdict::Unreachable,
+    };
+    // The server sends nothing before a request, so any result means that the connection has ended.
+    match timeout(HOLD_TIME, stream.read_u8()).await {
+        Ok(_) => Verdict::Closed,
+        Err(_) => Verdict::Accepted,
     }
-    Verdict::Unreachable
 }
 
 fn finish(state: &State, check: &Check, verdict: Verdict) {
--- a/crates/pistachiolug_gateway/tests/losses.rs
+++ b/crates/pistachiolug_gateway/tests/losses.rs
@@ -8,12 +8,15 @@
 
 use pistachiolug_gateway::{
     losses::{Losses, Verdict},
+    prober,
     server::Record,
     state::State,
 };
 use pistachiolug_wire::digest::Digest;
 
-use support::{metrics, options, record};
+use tokio::{net::TcpListener, task::spawn_local};
+
+use support::{metrics, options, record, run};
 
 const START: Duration = Duration::from_secs(1);
 
@@ -39,9 +42,10 @@
 
 /// Guards against resets, lost answers and cuts that count as crashes, and against crashes that don't count.
 #[test]
-fn a_loss_counts_as_a_crash_unless_the_server_accepts_connections() {
+fn a_loss_counts_as_a_crash_unless_the_server_keeps_connections() {
     let rows = [
         (Verdict::Refused, vec![content("a")]),
+        (Verdict::Closed, vec![content("a")]),
         (Verdict::Unreachable, vec![content("a")]),
         (Verdict::Accepted, Vec::new()),
     ];
@@ -149,3 +153,50 @@
     let short = content("a").short().to_string();
     assert_eq!(dump["suspects"][0]["content"], short, "{dump}");
 }
+
+/// Server to check, and the expected verdict.
+struct Case {
+    verdict: Verdict,
+    /// Whether something listens at the address, and whether it closes connections at once.
+    listens: bool,
+    closes: bool,
+}
+
+/// Guards against dead servers that pass for live ones because a proxy accepts their connections.
+#[test]
+fn a_check_tells_a_live_server_from_one_that_is_gone() {
+    let case = |verdict, listens, closes| Case {
+        verdict,
+        listens,
+        closes,
+    };
+    let cases = [
+        case(Verdict::Accepted, true, false),
+        case(Verdict::Closed, true, true),
+        case(Verdict::Refused, false, true),
+    ];
+    for case in cases {
+        run(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            if case.listens {
+                spawn_local(accept(listener, case.closes));
+            } else {
+                drop(listener);
+            }
+
+            let verdict = prober::probe(address).await;
+
+            assert_eq!(verdict, case.verdict);
+        });
+    }
+}
+
+async fn accept(listener: TcpListener, closes: bool) {
+    let mut kept = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        if !closes {
+            kept.push(stream);
+        }
+    }
+}
