Withhold the retry slack of an entry that starts anew

Callers saw nothing; servers got more retries than the budget allows when entries were killed and started in quick succession. Cause: of the same class as the crash suspects, a bound of all entries together that each process keeps alone: a new process did not know what its predecessor had spent within the window, and took the entry's part of the slack again. Fix: a process that finds the entry's own row in the first rows it reads replaces another one, and spends only the share of its own requests until the window of its predecessor has passed. The first start of an entry is not affected.

--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -121,6 +121,9 @@
     /// Slot rates by service.
     rates: RefCell<FxHashMap<Arc<str>, Rates>>,
     budgets: RefCell<FxHashMap<Arc<str>, WindowBudget>>,
+    has_read_rows: Cell<bool>,
+    /// Time from which the slack of the retry budget may be used.
+    slack_from: Cell<Duration>,
     peers: RefCell<Peers>,
     /// Longest time limit that callers of a route have sent.
     longest_limits: RefCell<FxHashMap<Arc<str>, Duration>>,
@@ -155,6 +158,8 @@
             queues: RefCell::default(),
             rates: RefCell::default(),
             budgets: RefCell::default(),
+            has_read_rows: Cell::default(),
+            slack_from: Cell::default(),
             peers: RefCell::new(peers),
             longest_limits: RefCell::default(),
             reachability: RefCell::default(),
@@ -267,12 +272,28 @@
         self.with_budget(service, |budget| budget.record_attempt(now));
     }
 
+    /// Records whether the rows that were read contain the entry's own one; only the first call counts.
+    ///
+    /// If they do, this process replaces one that may have used the entry's part of the slack just before it ended. Until
+    /// that is out of the window, only the share of the process's own requests may be spent.
+    pub fn record_rows(&self, have_own_row: bool) {
+        let is_first = !self.has_read_rows.replace(true);
+        if is_first && have_own_row {
+            let window = self.options.retry_window;
+            self.slack_from.set(self.now() + window);
+            log::info!(window_ms = window.as_millis() as u64; "retry slack withheld after a restart");
+        }
+    }
+
     /// Takes one retry from the budget of a service; returns `false` if it is used up.
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
         let now = self.now();
         let share = self.options.retry_share * USED_BUDGET_SHARE;
-        let slack =
-            self.options.retry_slack * USED_BUDGET_SHARE / self.peers.borrow().count() as f64;
+        let slack = if now < self.slack_from.get() {
+            0.0
+        } else {
+            self.options.retry_slack * USED_BUDGET_SHARE / self.peers.borrow().count() as f64
+        };
         self.with_budget(service, |budget| budget.try_spend(share, slack, now))
     }
 
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    fn have_own_row(&self, changes: &[Change]) -> bool {
+        let own = Subject::Entry(self.state.options.name.clone());
+        let mut changes = changes.iter();
+        changes.any(|change| match change {
+            Change::Put(entry) => self.decoder.subject(&entry.key) == own,
+            Change::Removed { .. } => false,
+        })
+    }
+
     /// Schedules the removal of servers whose rows are gone, by service.
     fn schedule_removals(&self, ids: &[String]) {
         let mut services: BTreeMap<String, Vec<&String>> = BTreeMap::new();
@@ -144,6 +153,7 @@
     }
 
     fn on_changes(&self, changes: Vec<Change>) {
+        self.state.record_rows(self.have_own_row(&changes));
         let is_first_read = self.state.config().is_none();
         let mut removed = Vec::new();
         for change in changes {
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -35,6 +35,9 @@
 /// Body of a request whose answer each server loses; the server goes on.
 pub const LOSING_BODY: &str = "lossy";
 
+/// Body of a request that each server runs and answers with a failure.
+pub const FAILING_BODY: &str = "fails";
+
 /// Body of a sound request that takes a while.
 pub const SLOW_BODY: &str = "slow!";
 
@@ -324,7 +327,12 @@
     let response = if head.contains("x-priority") {
         stream_head(id) + &chunk("id: 1\ndata: ravioli\n\n") + "0\r\n\r\n"
     } else {
-        answer(id, "200 OK", "ravioli")
+        let status = if body == FAILING_BODY {
+            "500 Failed"
+        } else {
+            "200 OK"
+        };
+        answer(id, status, "ravioli")
     };
     let _ = stream.write_all(response.as_bytes()).await;
     let _ = stream.shutdown().await;
