Count servers that are lost while a stream is resumed there

Found in review of the fix: a stream that was resumed recorded the loss of its first server only, so that a request which crashes servers before their answer begins counted half of them. The send now records with its permit what became of the request, for first sends and resumed ones alike. The test failed before with one server to check instead of two.

--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -107,6 +107,7 @@
             .head_seconds
             .observe(call.arrived.elapsed().as_secs_f64());
         if status.is_server_error() {
+            // The server has not crashed.
             permit.record_outcome();
         }
         if status.is_server_error() && try_take_retry(&state, &call, &progress) {
@@ -204,7 +205,6 @@
     let (cause, detail) = match outcome {
         Outcome::Answer(..) => return None,
         Outcome::Unsent(reason) => {
-            permit.record_outcome();
             permit.record_failure();
             progress.unsent += 1;
             log_failed_attempt(call, permit, "unsent", &reason);
@@ -212,7 +212,6 @@
             return (progress.unsent >= MAX_UNSENT).then_some(Reason::Unavailable);
         }
         Outcome::NotRun(status) => {
-            permit.record_outcome();
             if status == StatusCode::MISDIRECTED_REQUEST {
                 permit.record_mismatch();
             } else {
@@ -234,12 +233,9 @@
         Outcome::Silent => ("silent", String::new()),
         Outcome::Outdated => ("outdated", String::new()),
     };
-    if cause == "outdated" {
-        permit.record_outcome();
-    } else {
+    if cause != "outdated" {
         permit.record_failure();
         permit.record_answer(false);
-        permit.record_loss();
     }
     progress.tried.push(server);
     progress.may_have_run = true;
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -31,6 +31,8 @@
 
 /// Sends a request to the server of a permit and checks the head of its answer.
 ///
+/// Records with the permit whether the request was lost. After an answer, the caller of this function does so.
+///
 /// # Arguments
 /// `last_event` is the id of the last event that the caller has, if a stream is resumed. The attempt ends at `until`.
 pub async fn send(
@@ -40,8 +42,24 @@
     last_event: Option<u64>,
     until: Instant,
 ) -> Outcome {
-    let request = call.build_request(state, permit, last_event);
     permit.record_contact(call.content);
+    let outcome = exchange(state, call, permit, last_event, until).await;
+    match &outcome {
+        Outcome::Answer(..) => {}
+        Outcome::Lost(_) | Outcome::Silent => permit.record_loss(),
+        Outcome::NotRun(_) | Outcome::Unsent(_) | Outcome::Outdated => permit.record_outcome(),
+    }
+    outcome
+}
+
+async fn exchange(
+    state: &State,
+    call: &Call,
+    permit: &Permit,
+    last_event: Option<u64>,
+    until: Instant,
+) -> Outcome {
+    let request = call.build_request(state, permit, last_event);
     let exchange = upstream::exchange(permit.choice.record.address, request);
     let begin_by = begin_deadline(state, call, permit);
     let bound = begin_by.map_or(until, |begin_by| begin_by.min(until));
--- a/crates/pistachiolug_gateway/tests/forward.rs
+++ b/crates/pistachiolug_gateway/tests/forward.rs
@@ -450,3 +450,28 @@
         assert!(!serves);
     });
 }
+
+/// Guards against a crash that doesn't count because the server was lost while a stream was resumed there.
+#[test]
+fn a_stream_that_is_lost_again_on_resume_counts_at_both_servers() {
+    run(async {
+        let interrupted = stream_head("a1") + &chunk("id: 1\ndata: ravi\n\n");
+        let first = Server::start(vec![Action::Reset(interrupted)]).await;
+        let second = Server::start(vec![Action::Reset(String::new())]).await;
+        let entry = Entry::start(parts(route(Kind::Stream, 2)), &[&first]);
+        let mut stream = entry.open(&request("a1")).await;
+        while first.arrivals() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let record = support::record("i-second", second.address);
+        entry
+            .state
+            .with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+
+        let mut response = String::new();
+        let _ = stream.read_to_string(&mut response).await;
+
+        assert_eq!(second.arrivals(), 1);
+        assert_eq!(entry.state.start_checks().len(), 2);
+    });
+}
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -44,6 +44,9 @@
 /// Time that a slow request takes.
 const SLOW_TIME: Duration = Duration::from_millis(150);
 
+/// Time between the first event of a stream and the crash of its server.
+const EVENT_TIME: Duration = Duration::from_millis(20);
+
 /// Time that a crashed server takes until it is back under a new id.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
@@ -311,6 +314,12 @@
     };
     arrivals.borrow_mut().push(body.to_owned());
     if body == CRASHING_BODY {
+        if head.contains("x-priority") {
+            let id = find_attempt(head);
+            let begun = stream_head(id) + &chunk("id: 1\ndata: rav\n\n");
+            let _ = stream.write_all(begun.as_bytes()).await;
+            sleep(EVENT_TIME).await;
+        }
         crash.notify_one();
         // The crash drops this task.
         return std::future::pending().await;
@@ -320,10 +329,7 @@
         SLOW_BODY => sleep(SLOW_TIME).await,
         _ => {}
     }
-    let id = head
-        .lines()
-        .find_map(|line| line.strip_prefix("x-attempt: "));
-    let id = id.unwrap_or_default();
+    let id = find_attempt(head);
     let response = if head.contains("x-priority") {
         stream_head(id) + &chunk("id: 1\ndata: ravioli\n\n") + "0\r\n\r\n"
     } else {
@@ -337,3 +343,9 @@
     let _ = stream.write_all(response.as_bytes()).await;
     let _ = stream.shutdown().await;
 }
+
+fn find_attempt(head: &str) -> &str {
+    let mut lines = head.lines();
+    let id = lines.find_map(|line| line.strip_prefix("x-attempt: "));
+    id.unwrap_or_default()
+}
