Send only own findings and refused suspects to other entries

Each entry repeated what it had just learned from another one, and all suspects once a second: with a server crash that ends 16 requests, some 16 entries would have sent each of them to 15 others several times over the links between regions. Now an entry sends what it found out itself, for 300 ms, and once a second those that are refused; an entry that missed a crash learns of the content with its next one.

--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -19,10 +19,10 @@
 /// them first.
 const MAX_ROUNDS_BEHIND: u32 = 13;
 
-/// Time for which a changed suspect is sent with each round; several datagrams to entries of other regions may get lost.
-const ANNOUNCE_TIME: Duration = Duration::from_millis(500);
+/// Time for which news of a suspect is sent with each round; entries of other regions get it two or three times.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(300);
 
-/// Rounds between two that send all suspects; about a second. These rounds also reach the entries of other regions.
+/// Rounds between two that send all refused suspects; about a second. These rounds also reach the other regions.
 const ROUNDS_PER_REFRESH: u32 = 32;
 
 /// Largest number of suspects in one datagram, so that it fits into one packet.
@@ -83,14 +83,12 @@
     }
 }
 
-/// Sends the suspects that have changed lately, and now and then all of them, to entries that have missed them.
+/// Sends what this entry has found out about suspects lately, and now and then all that are refused.
 fn send_suspects(state: &State, socket: &UdpSocket, round: u32, peers: &[SocketAddr]) {
-    let age = if round.is_multiple_of(ROUNDS_PER_REFRESH) {
-        state.now()
-    } else {
-        ANNOUNCE_TIME
-    };
-    let suspects = state.changed_suspects(age);
+    let mut suspects = state.suspect_updates(ANNOUNCE_TIME);
+    if round.is_multiple_of(ROUNDS_PER_REFRESH) {
+        suspects.extend(state.refused_suspects());
+    }
     let datagrams = suspects.chunks(MAX_SUSPECTS_PER_DATAGRAM);
     for suspects in datagrams.take(MAX_SUSPECT_DATAGRAMS) {
         match datagram::encode(&Datagram::Suspects(suspects.to_vec())) {
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -531,15 +531,16 @@
         self.suspects.borrow_mut().merge(suspect, self.now());
     }
 
-    /// Returns the suspects that have changed within `age`, those with the most crashes first.
-    pub fn changed_suspects(&self, age: Duration) -> Vec<Suspect> {
+    /// Returns what this entry has found out about suspects within `age`.
+    pub fn suspect_updates(&self, age: Duration) -> Vec<Suspect> {
         let now = self.now();
         let suspects = self.suspects.borrow();
-        let changed = suspects.changed_since(now.saturating_sub(age));
-        let reports = changed
-            .iter()
-            .filter_map(|digest| suspects.report(digest, now));
-        reports.collect()
+        suspects.updates(now.saturating_sub(age), now)
+    }
+
+    /// Returns the suspects that are refused.
+    pub fn refused_suspects(&self) -> Vec<Suspect> {
+        self.suspects.borrow().refused(self.now())
     }
 
     /// Takes a suspect whose row in the key-value service is missing or outdated; `None` if there is none.
@@ -667,12 +668,11 @@
                 "calls": server.own_work().calls,
             })
         });
-        let suspects = self.changed_suspects(self.now());
-        let suspects = suspects.iter().map(|suspect| {
+        let suspects = self.suspects.borrow();
+        let suspects = suspects.iter().map(|(content, crashes)| {
             serde_json::json!({
-                "content": Digest::from(suspect.content).short().to_string(),
-                "crashes": suspect.crashes.len(),
-                "trials": suspect.trials,
+                "content": content.short().to_string(),
+                "crashes": crashes,
             })
         });
         serde_json::json!({
--- a/crates/pistachiolug_routing/src/suspect.rs
+++ b/crates/pistachiolug_routing/src/suspect.rs
@@ -75,6 +75,8 @@
     trials: u8,
     /// When one of the fields above last changed.
     changed_at: Duration,
+    /// When this process last changed one of them itself, which the others have to learn; `None` if it never did.
+    updated_at: Option<Duration>,
     expires_at: Duration,
 }
 
@@ -114,6 +116,12 @@
         true
     }
 
+    /// Records a change that this process made itself.
+    fn record_update(&mut self, now: Duration) {
+        self.changed_at = now;
+        self.updated_at = Some(now);
+    }
+
     /// Returns when the request may run again if it is refused; `None` if it may run at any time.
     fn refused_until(&self, limit: &Limit) -> Option<Duration> {
         if self.crashes() < limit.max_crashes {
@@ -155,7 +163,7 @@
         let limit = self.limit;
         let row = self.row(digest, now);
         if row.add_incarnation(incarnation, &limit) {
-            row.changed_at = now;
+            row.record_update(now);
         }
         let crashes = row.crashes();
         self.trim(now);
@@ -184,7 +192,7 @@
         row.reported = 0;
         row.trials = 0;
         if crashes > 0 {
-            row.changed_at = now;
+            row.record_update(now);
         }
         crashes
     }
@@ -220,7 +228,7 @@
         let row = row.filter(|row| now < row.expires_at && row.refused_until(&limit).is_some());
         if let Some(row) = row {
             row.trials += 1;
-            row.changed_at = now;
+            row.record_update(now);
         }
         true
     }
@@ -266,13 +274,22 @@
         })
     }
 
-    /// Returns the digests that have changed since `since`, those with the most crashes first.
-    pub fn changed_since(&self, since: Duration) -> Vec<Digest> {
-        let rows = self.rows.iter();
-        let mut changed: Vec<(&Digest, &Row)> =
-            rows.filter(|(_, row)| row.changed_at >= since).collect();
-        changed.sort_by_key(|(digest, row)| (std::cmp::Reverse(row.crashes()), **digest));
-        changed.into_iter().map(|(digest, _)| *digest).collect()
+    /// Returns what this process has found out itself since `since`. It has to be sent to the other processes several
+    /// times, because messages get lost.
+    pub fn updates(&self, since: Duration, now: Duration) -> Vec<Suspect> {
+        self.reports(now, |row| row.updated_at.is_some_and(|at| at >= since))
+    }
+
+    /// Returns all requests that are refused. They have to be sent to the other processes now and then, for those that
+    /// were not reached before. A process that lacks requests with fewer crashes learns of them with their next crash.
+    pub fn refused(&self, now: Duration) -> Vec<Suspect> {
+        self.reports(now, |row| row.crashes() >= self.limit.max_crashes)
+    }
+
+    fn reports(&self, now: Duration, is_wanted: impl Fn(&Row) -> bool) -> Vec<Suspect> {
+        let rows = self.rows.iter().filter(|(_, row)| is_wanted(row));
+        rows.filter_map(|(digest, _)| self.report(digest, now))
+            .collect()
     }
 
     /// Iterates over the kept digests and the number of their crashes, including those that have expired.
@@ -288,16 +305,12 @@
         let row = self.rows.entry(digest).or_insert_with(|| {
             insertion_order.push_back(digest);
             Row {
-                changed_at: now,
                 expires_at: Duration::MAX,
                 ..Row::default()
             }
         });
         if row.expires_at <= now {
-            *row = Row {
-                changed_at: now,
-                ..Row::default()
-            };
+            *row = Row::default();
         }
         row.expires_at = now + self.limit.retention;
         row
