Name reruns and cleared crashes by the usual terms, give the entry's suspects a module

'Trial' is a plan in the glossary. The entry's state had grown by a hundred lines that only concern suspects.

--- /dev/null
+++ b/crates/pistachiolug_gateway/src/state/suspects.rs
@@ -0,0 +1,161 @@
+//! Crash suspects of an entry: lost requests, checks of their servers, and requests that are refused.
+
+use std::time::Duration;
+
+use pistachiolug_routing::suspect::Limit;
+use pistachiolug_wire::{datagram::Suspect, digest::Digest};
+
+use super::State;
+use crate::{
+    losses::{Check, Verdict},
+    metrics::{ALLOWED, REFUSED},
+    pool::Server,
+    server::Record,
+};
+
+/// Time for which a crash suspect is remembered; the platform's leases last no longer.
+pub const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
+
+/// Bounds of the crash suspects. An entry can't run a suspect alone, so that more crashes than at an agent are needed to
+/// tell the cause from the requests that ran beside it.
+pub(super) const LIMIT: Limit = Limit {
+    retention: SUSPECT_RETENTION,
+    max_digests: 1024,
+    max_crashes: 3,
+    max_reruns: 2,
+    rerun_delay: Duration::from_secs(30),
+};
+
+impl State {
+    /// Records that a server gave no complete answer to a request with this content; the server is checked.
+    pub fn record_loss(&self, record: &Record, content: Digest) {
+        let now = self.now();
+        // The list may have named the server as leaving since it was chosen.
+        let is_leaving = self.with_pool(|pool| {
+            let listed = pool.get(&record.id).map(Server::record);
+            listed.is_some_and(|listed| listed.leaving)
+        });
+        if !is_leaving {
+            self.losses.borrow_mut().record(record, content, now);
+            self.loss_recorded.notify_one();
+        }
+    }
+
+    /// Waits until a loss was recorded.
+    pub async fn wait_for_loss(&self) {
+        self.loss_recorded.notified().await;
+    }
+
+    /// Returns the servers to check because of losses.
+    pub fn start_checks(&self) -> Vec<Check> {
+        self.losses.borrow_mut().start_checks(self.now())
+    }
+
+    /// Ends the check of a server; returns the number of contents that were running when it crashed.
+    pub fn finish_check(&self, check: &Check, verdict: Verdict) -> usize {
+        let mut losses = self.losses.borrow_mut();
+        let contents = losses.finish_check(check.incarnation, verdict);
+        drop(losses);
+        self.record_crashes(&check.server, check.incarnation, &contents);
+        // Losses that were recorded during the check need another one.
+        self.loss_recorded.notify_one();
+        contents.len()
+    }
+
+    /// Records that another incarnation is listed in the place of a server.
+    pub fn record_server_end(&self, record: &Record) {
+        let incarnation = record.incarnation();
+        let contents = self.losses.borrow_mut().end_server(incarnation);
+        self.record_crashes(&record.id, incarnation, &contents);
+    }
+
+    fn record_crashes(&self, server: &str, incarnation: u64, contents: &[Digest]) {
+        let now = self.now();
+        for content in contents {
+            let mut suspects = self.suspects.borrow_mut();
+            let crashes = suspects.record_crash(*content, incarnation, now);
+            drop(suspects);
+            log::warn!(content:% = content.short(), server, crashes; "server crashed while it had the request");
+            let outcome = if crashes < LIMIT.max_crashes {
+                ALLOWED
+            } else {
+                self.unsaved_suspects.borrow_mut().insert(*content);
+                REFUSED
+            };
+            self.metrics.crashes.get(outcome).inc();
+        }
+    }
+
+    /// Records that a server answered a request successfully, which proves that its content crashes no servers.
+    pub fn record_success(&self, content: &Digest) {
+        let crashes = self
+            .suspects
+            .borrow_mut()
+            .record_success(content, self.now());
+        if crashes > 0 {
+            log::info!(content:% = content.short(), crashes; "suspected request was answered");
+        }
+        if crashes >= LIMIT.max_crashes {
+            self.unsaved_suspects.borrow_mut().insert(*content);
+        }
+    }
+
+    /// Returns the time until requests with this content may run again; `None` if they may run now.
+    ///
+    /// If the content is a suspect, servers that are being checked count as crashed: the next send would not wait for
+    /// the result.
+    pub fn suspect_delay(&self, content: &Digest) -> Option<Duration> {
+        let now = self.now();
+        let mut suspects = self.suspects.borrow_mut();
+        if let Some(until) = suspects.refused_until(content, now) {
+            return Some(until.saturating_sub(now));
+        }
+        let crashes = usize::from(suspects.crash_count(content, now));
+        let is_refused = crashes > 0
+            && crashes < LIMIT.max_crashes.into()
+            && crashes + self.losses.borrow().count_unchecked(content) >= LIMIT.max_crashes.into();
+        is_refused.then_some(LIMIT.rerun_delay)
+    }
+
+    /// Returns whether a request may be sent to a server now; a suspect that may be tried again uses up a rerun.
+    pub fn try_run(&self, content: &Digest) -> bool {
+        let now = self.now();
+        let mut suspects = self.suspects.borrow_mut();
+        let is_allowed = suspects.try_run(content, now);
+        let crashes = suspects.crash_count(content, now);
+        if is_allowed && crashes >= LIMIT.max_crashes {
+            log::warn!(content:% = content.short(), crashes; "suspected request is tried again");
+            self.unsaved_suspects.borrow_mut().insert(*content);
+        }
+        is_allowed
+    }
+
+    /// Adds what another entry, or the key-value service, knows of a suspect.
+    pub fn merge_suspect(&self, suspect: &Suspect) {
+        self.suspects.borrow_mut().merge(suspect, self.now());
+    }
+
+    /// Returns what this entry has found out about suspects within `age`.
+    pub fn suspect_updates(&self, age: Duration) -> Vec<Suspect> {
+        let now = self.now();
+        let suspects = self.suspects.borrow();
+        suspects.updates(now.saturating_sub(age), now)
+    }
+
+    /// Returns the suspects that are refused.
+    pub fn refused_suspects(&self) -> Vec<Suspect> {
+        self.suspects.borrow().refused(self.now())
+    }
+
+    /// Takes a suspect whose row in the key-value service is missing or outdated; `None` if there is none.
+    pub fn take_unsaved_suspect(&self) -> Option<Suspect> {
+        let digest = self.unsaved_suspects.borrow_mut().pop_first()?;
+        self.suspects.borrow().report(&digest, self.now())
+    }
+
+    /// Records that the row of a suspect could not be written.
+    pub fn restore_unsaved_suspect(&self, suspect: &Suspect) {
+        let digest = Digest::from(suspect.content);
+        self.unsaved_suspects.borrow_mut().insert(digest);
+    }
+}
--- a/crates/pistachiolug_gateway/tests/crashing.rs
+++ b/crates/pistachiolug_gateway/tests/crashing.rs
@@ -30,7 +30,7 @@
 const MAX_SENDS: usize = 6;
 
 /// Largest number of times that a refused request is tried again.
-const MAX_TRIALS: usize = 2;
+const MAX_RERUNS: usize = 2;
 
 /// Returns a request with a body; each attempt of a caller has another id and the same content.
 fn attempt_with(body: &str, attempt: usize) -> String {
@@ -105,7 +105,7 @@
         send_crashing_requests(&deployment).await;
 
         let sends_after = deployment.arrivals(CRASHING_BODY) - sends;
-        assert!(sends_after <= MAX_TRIALS, "{sends_after} sends");
+        assert!(sends_after <= MAX_RERUNS, "{sends_after} sends");
     });
 }
 
--- a/crates/pistachiolug_routing/src/suspect.rs
+++ b/crates/pistachiolug_routing/src/suspect.rs
@@ -10,8 +10,8 @@
 /// For processes that can run a suspect alone, so that the last of these crashes has no other cause.
 pub const MAX_CRASHES: u8 = 2;
 
-/// Largest number of acquitted incarnations that are kept per digest.
-const MAX_ACQUITTED: usize = 8;
+/// Largest number of cleared incarnations that are kept per digest.
+const MAX_CLEARED: usize = 8;
 
 /// Decision on how a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,9 +47,9 @@
     pub max_crashes: u8,
     /// Number of times that a refused request may run again. A sound request that was running beside the cause of the
     /// crashes is recognized by this.
-    pub max_trials: u8,
-    /// Time from the last crash to the first trial; doubles with each trial.
-    pub trial_delay: Duration,
+    pub max_reruns: u8,
+    /// Time from the last crash to the first rerun; doubles with each rerun.
+    pub rerun_delay: Duration,
 }
 
 /// Crashes that one process has seen or that others have reported to it.
@@ -69,10 +69,10 @@
     reported: u8,
     /// Distinct incarnations of the backend servers that are known to have died; at most [`Limit::max_incarnations`].
     incarnations: Vec<u64>,
-    /// Incarnations whose death had another cause; at most [`MAX_ACQUITTED`], none of them in `incarnations`.
-    acquitted: Vec<u64>,
-    /// Number of trials since the request is refused.
-    trials: u8,
+    /// Incarnations whose death had another cause; at most [`MAX_CLEARED`], none of them in `incarnations`.
+    cleared: Vec<u64>,
+    /// Number of reruns since the request is refused.
+    reruns: u8,
     /// When one of the fields above last changed.
     changed_at: Duration,
     /// When this process last changed one of them itself, which the others have to learn; `None` if it never did.
@@ -83,7 +83,7 @@
 impl Limit {
     /// Returns the largest number of incarnations that are kept per digest.
     fn max_incarnations(&self) -> usize {
-        usize::from(self.max_crashes) + usize::from(self.max_trials)
+        usize::from(self.max_crashes) + usize::from(self.max_reruns)
     }
 }
 
@@ -96,7 +96,7 @@
     fn add_incarnation(&mut self, incarnation: u64, limit: &Limit) -> bool {
         let is_new = self.incarnations.len() < limit.max_incarnations()
             && !self.incarnations.contains(&incarnation)
-            && !self.acquitted.contains(&incarnation);
+            && !self.cleared.contains(&incarnation);
         if is_new {
             self.incarnations.push(incarnation);
         }
@@ -104,15 +104,15 @@
     }
 
     /// Marks a crash as one with another cause; returns whether that was unknown.
-    fn acquit(&mut self, incarnation: u64) -> bool {
+    fn clear(&mut self, incarnation: u64) -> bool {
         self.incarnations.retain(|known| *known != incarnation);
-        if self.acquitted.contains(&incarnation) {
+        if self.cleared.contains(&incarnation) {
             return false;
         }
-        if self.acquitted.len() >= MAX_ACQUITTED {
-            self.acquitted.remove(0);
+        if self.cleared.len() >= MAX_CLEARED {
+            self.cleared.remove(0);
         }
-        self.acquitted.push(incarnation);
+        self.cleared.push(incarnation);
         true
     }
 
@@ -127,10 +127,10 @@
         if self.crashes() < limit.max_crashes {
             return None;
         }
-        if self.trials >= limit.max_trials {
+        if self.reruns >= limit.max_reruns {
             return Some(self.expires_at);
         }
-        Some(self.changed_at + limit.trial_delay * 2_u32.pow(self.trials.into()))
+        Some(self.changed_at + limit.rerun_delay * 2_u32.pow(self.reruns.into()))
     }
 }
 
@@ -142,8 +142,8 @@
             retention,
             max_digests,
             max_crashes: MAX_CRASHES,
-            max_trials: 0,
-            trial_delay: Duration::ZERO,
+            max_reruns: 0,
+            rerun_delay: Duration::ZERO,
         })
     }
 
@@ -187,10 +187,10 @@
         };
         let crashes = row.crashes();
         for incarnation in std::mem::take(&mut row.incarnations) {
-            row.acquit(incarnation);
+            row.clear(incarnation);
         }
         row.reported = 0;
-        row.trials = 0;
+        row.reruns = 0;
         if crashes > 0 {
             row.record_update(now);
         }
@@ -218,7 +218,7 @@
         until
     }
 
-    /// Returns whether a request may run now; one that is refused otherwise uses up a trial.
+    /// Returns whether a request may run now; one that is refused otherwise uses up a rerun.
     pub fn try_run(&mut self, digest: &Digest, now: Duration) -> bool {
         if self.refused_until(digest, now).is_some() {
             return false;
@@ -227,7 +227,7 @@
         let row = self.rows.get_mut(digest);
         let row = row.filter(|row| now < row.expires_at && row.refused_until(&limit).is_some());
         if let Some(row) = row {
-            row.trials += 1;
+            row.reruns += 1;
             row.record_update(now);
         }
         true
@@ -245,14 +245,14 @@
         let row = self.row(digest, now);
         row.expires_at = expires_at.unwrap_or_default().max(now + left);
         let mut has_changed = false;
-        for incarnation in &report.acquitted {
-            has_changed |= row.acquit(*incarnation);
+        for incarnation in &report.cleared {
+            has_changed |= row.clear(*incarnation);
         }
         for incarnation in &report.crashes {
             has_changed |= row.add_incarnation(*incarnation, &limit);
         }
-        if row.trials < report.trials && !row.incarnations.is_empty() {
-            row.trials = report.trials;
+        if row.reruns < report.reruns && !row.incarnations.is_empty() {
+            row.reruns = report.reruns;
             has_changed = true;
         }
         if has_changed {
@@ -268,8 +268,8 @@
         Some(Suspect {
             content: *digest.as_bytes(),
             crashes: row.incarnations.clone(),
-            acquitted: row.acquitted.clone(),
-            trials: row.trials,
+            cleared: row.cleared.clone(),
+            reruns: row.reruns,
             age_ms: now.saturating_sub(seen_at).as_millis() as u32,
         })
     }
--- a/crates/pistachiolug_routing/tests/suspects.rs
+++ b/crates/pistachiolug_routing/tests/suspects.rs
@@ -11,8 +11,8 @@
     retention: Duration::from_secs(600),
     max_digests: 10,
     max_crashes: 3,
-    max_trials: 2,
-    trial_delay: Duration::from_secs(20),
+    max_reruns: 2,
+    rerun_delay: Duration::from_secs(20),
 };
 
 const START: Duration = Duration::from_secs(1);
@@ -57,7 +57,7 @@
 /// Guards against sound requests that stay suspect although they have been answered, and against old reports that make
 /// them suspect again.
 #[test]
-fn a_success_acquits_for_all_crashes_known_until_then_at_all_processes() {
+fn a_success_clears_all_crashes_known_until_then_at_all_processes() {
     let mut one = suspects_with("sound", &[1, 2]);
     let old = one.report(&digest("sound"), START).unwrap();
     let mut other = suspects_with("sound", &[2]);
@@ -73,9 +73,9 @@
     }
 }
 
-/// Guards against a request that crashes servers again and again through the trials of several processes.
+/// Guards against a request that crashes servers again and again through the reruns of several processes.
 #[test]
-fn a_refused_request_is_tried_a_few_times_by_all_processes_together() {
+fn a_refused_request_runs_again_a_few_times_at_all_processes_together() {
     let mut processes = [
         suspects_with("bad", &[1, 2, 3]),
         suspects_with("bad", &[1, 2, 3]),
@@ -98,12 +98,12 @@
         exchange(asked, informed, now);
     }
 
-    assert_eq!(runs, u64::from(LIMIT.max_trials));
+    assert_eq!(runs, u64::from(LIMIT.max_reruns));
 }
 
 /// Guards against a sound request that is refused forever because it was running beside the cause of three crashes.
 #[test]
-fn a_refused_request_that_succeeds_in_a_trial_runs_again() {
+fn a_refused_request_that_succeeds_in_a_rerun_runs_again() {
     let mut suspects = suspects_with("sound", &[1, 2, 3]);
     let retry_at = suspects.refused_until(&digest("sound"), START).unwrap();
 
@@ -111,7 +111,7 @@
     let is_second_tried = suspects.try_run(&digest("sound"), retry_at);
     suspects.record_success(&digest("sound"), retry_at);
 
-    assert_eq!(retry_at, START + LIMIT.trial_delay);
+    assert_eq!(retry_at, START + LIMIT.rerun_delay);
     assert!(is_tried && !is_second_tried);
     assert!(suspects.try_run(&digest("sound"), retry_at));
 }
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -66,9 +66,9 @@
     /// Incarnations of the servers that crashed.
     pub crashes: Vec<u64>,
     /// Incarnations whose crash had another cause, because the content was answered successfully afterwards.
-    pub acquitted: Vec<u64>,
-    /// Number of trials since the content is refused.
-    pub trials: u8,
+    pub cleared: Vec<u64>,
+    /// Number of reruns since the content is refused.
+    pub reruns: u8,
     /// Milliseconds since the content last crashed a server or was refused.
     pub age_ms: u32,
 }
