Don't count a crash for losses after which the server was found alive

Found in review: a server that lost an answer, was checked and crashed within five seconds counted as crashed under that request too. Also skip the write of a suspect whose row is already as it should be.

--- a/crates/pistachiolug_gateway/src/losses.rs
+++ b/crates/pistachiolug_gateway/src/losses.rs
@@ -74,9 +74,11 @@
 }
 
 impl Lost {
-    fn needs_check(&self) -> bool {
-        let mut times = self.contents.iter().map(|(_, at)| Some(*at));
-        self.check_started_at.is_none() && times.any(|at| at > self.checked_until)
+    /// Returns the contents that were lost after the last check that found the server alive.
+    fn unchecked(&self) -> impl Iterator<Item = &Digest> {
+        let contents = self.contents.iter();
+        let unchecked = contents.filter(|(_, at)| Some(*at) > self.checked_until);
+        unchecked.map(|(content, _)| content)
     }
 }
 
@@ -105,10 +107,9 @@
 
     /// Returns the servers with losses that were not checked, and counts their checks as started.
     pub fn start_checks(&mut self, now: Duration) -> Vec<Check> {
-        let unchecked = self
-            .servers
-            .iter_mut()
-            .filter(|(_, lost)| lost.needs_check());
+        let unchecked = self.servers.iter_mut().filter(|(_, lost)| {
+            lost.check_started_at.is_none() && lost.unchecked().next().is_some()
+        });
         let checks = unchecked.map(|(incarnation, lost)| {
             lost.check_started_at = Some(now);
             Check {
@@ -124,7 +125,8 @@
     /// connection or can't be reached counts as crashed.
     pub fn finish_check(&mut self, incarnation: u64, verdict: Verdict) -> Vec<Digest> {
         if verdict != Verdict::Accepted {
-            return self.end_server(incarnation);
+            let lost = self.servers.remove(&incarnation);
+            return lost.map_or_else(Vec::new, |lost| lost.unchecked().copied().collect());
         }
         if let Some(lost) = self.servers.get_mut(&incarnation)
             && let Some(started_at) = lost.check_started_at.take()
@@ -134,7 +136,8 @@
         Vec::new()
     }
 
-    /// Records that an incarnation has ended without having left, and returns the contents that it was running.
+    /// Records that the list names another incarnation in the place of one that had not left, and returns the contents
+    /// that were lost there lately. A check may have found the new incarnation alive.
     pub fn end_server(&mut self, incarnation: u64) -> Vec<Digest> {
         let lost = self.servers.remove(&incarnation);
         let contents = lost.into_iter().flat_map(|lost| lost.contents);
@@ -144,11 +147,9 @@
     /// Returns the number of servers at which a request with this content was lost and that are not checked yet.
     pub fn count_unchecked(&self, content: &Digest) -> usize {
         let servers = self.servers.values();
-        let unchecked = servers.filter(|lost| {
-            let mut contents = lost.contents.iter();
-            contents.any(|(known, at)| known == content && Some(*at) > lost.checked_until)
-        });
-        unchecked.count()
+        servers
+            .filter(|lost| lost.unchecked().any(|unchecked| unchecked == content))
+            .count()
     }
 
     fn remove_old(&mut self, now: Duration) {
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -306,11 +306,13 @@
             continue;
         };
         let (key, value) = decoder.suspect_row(&suspect);
-        let revision = state.with_rows(|rows| {
-            let row = rows.entries().find(|row| row.key == key);
-            row.map(|row| row.revision)
+        let row = state.with_rows(|rows| rows.entries().find(|row| row.key == key).cloned());
+        if row.as_ref().is_some_and(|row| *row.value == *value) {
+            continue;
+        }
+        let expect = row.map_or(Precondition::Absent, |row| {
+            Precondition::Revision(row.revision)
         });
-        let expect = revision.map_or(Precondition::Absent, Precondition::Revision);
         if let Err(error) = save_row(&store, &key, expect, &value).await {
             let content = Digest::from(suspect.content);
             log::warn!(content:% = content.short(), error; "writing a suspect failed");
--- a/crates/pistachiolug_gateway/tests/losses.rs
+++ b/crates/pistachiolug_gateway/tests/losses.rs
@@ -98,6 +98,20 @@
     assert_eq!(again.len(), 1);
 }
 
+/// Guards against crashes that count for requests whose server was found alive after them.
+#[test]
+fn a_loss_before_a_check_does_not_count_in_a_later_crash() {
+    let mut losses = losses_under_check(&server());
+    losses.finish_check(server().incarnation(), Verdict::Accepted);
+    let later = START + Duration::from_secs(1);
+    losses.record(&server(), content("b"), later);
+    losses.start_checks(later);
+
+    let contents = losses.finish_check(server().incarnation(), Verdict::Refused);
+
+    assert_eq!(contents, [content("b")]);
+}
+
 /// Guards against memory that grows with the number of lost requests or servers.
 #[test]
 fn the_number_of_kept_losses_is_bounded() {
