Count servers under check as crashed also for the first crashes of a content

An entry now refuses a content with three lost sends that are not explained, for the duration of the checks. What is left: another entry learns of a crash after its check.

--- a/crates/pistachiolug_gateway/src/prober.rs
+++ b/crates/pistachiolug_gateway/src/prober.rs
@@ -26,6 +26,11 @@
 /// Pause between two connection attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest duration of a check.
+pub const MAX_DURATION: Duration = CONNECT_TIMEOUT
+    .saturating_add(RETRY_PAUSE)
+    .saturating_mul(ATTEMPTS);
+
 /// Checks the servers at which requests were lost; never returns.
 pub async fn run(state: Rc<State>) {
     loop {
--- a/crates/pistachiolug_gateway/src/state/suspects.rs
+++ b/crates/pistachiolug_gateway/src/state/suspects.rs
@@ -10,6 +10,7 @@
     losses::{Check, Verdict},
     metrics::{ALLOWED, REFUSED},
     pool::Server,
+    prober,
     server::Record,
 };
 
@@ -102,8 +103,7 @@
 
     /// Returns the time until requests with this content may run again; `None` if they may run now.
     ///
-    /// If the content is a suspect, servers that are being checked count as crashed: the next send would not wait for
-    /// the result.
+    /// Servers that are being checked count as crashed, because the caller may come again before the result is known.
     pub fn suspect_delay(&self, content: &Digest) -> Option<Duration> {
         let now = self.now();
         let mut suspects = self.suspects.borrow_mut();
@@ -111,10 +111,10 @@
             return Some(until.saturating_sub(now));
         }
         let crashes = usize::from(suspects.crash_count(content, now));
-        let is_refused = crashes > 0
-            && crashes < LIMIT.max_crashes.into()
-            && crashes + self.losses.borrow().count_unchecked(content) >= LIMIT.max_crashes.into();
-        is_refused.then_some(LIMIT.rerun_delay)
+        let max_crashes = usize::from(LIMIT.max_crashes);
+        let unchecked = self.losses.borrow().count_unchecked(content);
+        let is_refused = crashes < max_crashes && crashes + unchecked >= max_crashes;
+        is_refused.then_some(prober::MAX_DURATION)
     }
 
     /// Returns whether a request may be sent to a server now; a suspect that may be tried again uses up a rerun.
--- a/crates/pistachiolug_gateway/tests/losses.rs
+++ b/crates/pistachiolug_gateway/tests/losses.rs
@@ -153,6 +153,28 @@
     assert_ne!(server().incarnation(), moved.incarnation());
 }
 
+/// Guards against a request that crashes more servers while the first ones are being checked, and against one that stays
+/// refused although the servers are alive.
+#[test]
+fn a_content_that_was_lost_at_three_servers_waits_for_their_checks() {
+    let state = State::new(options(), metrics());
+    let servers = ["i-1", "i-2", "i-3"].map(|id| record(id, address()));
+
+    let delays = servers.map(|server| {
+        let before = state.suspect_delay(&content("a"));
+        state.record_loss(&server, content("a"));
+        before
+    });
+    let during = state.suspect_delay(&content("a"));
+    for check in state.start_checks() {
+        state.finish_check(&check, Verdict::Accepted);
+    }
+
+    assert_eq!(delays, [None; 3]);
+    assert_eq!(during, Some(prober::MAX_DURATION));
+    assert_eq!(state.suspect_delay(&content("a")), None);
+}
+
 /// Guards against entries whose beliefs about a suspect are not visible in the state dump.
 #[test]
 fn suspects_are_in_the_state_dump() {
