--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -18,10 +18,10 @@
 /// Outcome of a request whose caller disconnected.
 pub const CALLER_LEFT: &str = "caller-left";
 
-/// Request that may run again after it was lost in a crash.
+/// Label of a lost request whose content may run again.
 pub const ALLOWED: &str = "allowed";
 
-/// Request that is refused after it was lost in several crashes.
+/// Label of a lost request whose content is refused from now on.
 pub const REFUSED: &str = "refused";
 
 /// Metrics of an entry.
--- a/crates/pistachiolug_gateway/src/prober.rs
+++ b/crates/pistachiolug_gateway/src/prober.rs
@@ -17,10 +17,10 @@
 /// Longest time that one connection attempt may take; a hundred times the delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time for which a live server keeps a new connection; far below the idle timeouts of servers.
+/// Time to wait whether the server closes the connection at once; live servers keep idle ones for seconds.
 const HOLD_TIME: Duration = Duration::from_millis(100);
 
-/// Connection attempts unless one tells for sure; a packet may get lost, and a full server closes some connections.
+/// Most connection attempts of a check; a packet may get lost, and a full server closes some connections.
 const ATTEMPTS: u32 = 3;
 
 /// Pause between two connection attempts.
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -260,7 +260,7 @@
         self.with_budget(service, |budget| budget.record_attempt(now));
     }
 
-    /// Records whether the rows that were read contain the entry's own one; only the first call counts.
+    /// Records whether rows that were read contain the entry's own row. Only the first rows that a process reads count.
     ///
     /// If they do, this process replaces one that may have used the entry's part of the slack just before it ended. Until
     /// that is out of the window, only the share of the process's own requests may be spent.
--- a/crates/pistachiolug_gateway/tests/losses.rs
+++ b/crates/pistachiolug_gateway/tests/losses.rs
@@ -153,8 +153,7 @@
     assert_ne!(server().incarnation(), moved.incarnation());
 }
 
-/// Guards against a request that crashes more servers while the first ones are being checked, and against one that stays
-/// refused although the servers are alive.
+/// Guards against more crashes while servers are being checked, and against refusals after they were found alive.
 #[test]
 fn a_content_that_was_lost_at_three_servers_waits_for_their_checks() {
     let state = State::new(options(), metrics());
--- a/crates/pistachiolug_routing/src/suspect.rs
+++ b/crates/pistachiolug_routing/src/suspect.rs
@@ -71,7 +71,7 @@
     incarnations: Vec<u64>,
     /// Incarnations whose death had another cause; at most [`MAX_CLEARED`], none of them in `incarnations`.
     cleared: Vec<u64>,
-    /// Number of reruns since the request is refused.
+    /// Number of times that the request ran again although it was refused.
     reruns: u8,
     /// When one of the fields above last changed.
     changed_at: Duration,
@@ -233,7 +233,7 @@
         true
     }
 
-    /// Adds what another process knows of a digest. The result does not depend on the order of the reports.
+    /// Adds what another process knows of a digest. Reports may arrive in any order and several times.
     pub fn merge(&mut self, report: &Suspect, now: Duration) {
         let age = Duration::from_millis(report.age_ms.into());
         let limit = self.limit;
--- a/crates/pistachiolug_routing/tests/suspects.rs
+++ b/crates/pistachiolug_routing/tests/suspects.rs
@@ -54,8 +54,7 @@
     }
 }
 
-/// Guards against sound requests that stay suspect although they have been answered, and against old reports that make
-/// them suspect again.
+/// Guards against sound requests that stay suspect after an answer, or become suspect again by an old report.
 #[test]
 fn a_success_clears_all_crashes_known_until_then_at_all_processes() {
     let mut one = suspects_with("sound", &[1, 2]);
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -67,7 +67,7 @@
     pub crashes: Vec<u64>,
     /// Incarnations whose crash had another cause, because the content was answered successfully afterwards.
     pub cleared: Vec<u64>,
-    /// Number of reruns since the content is refused.
+    /// Number of times that the content ran again although it was refused.
     pub reruns: u8,
     /// Milliseconds since the content last crashed a server or was refused.
     pub age_ms: u32,
