--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -10,7 +10,7 @@
 };
 
 use pistachiolug_gateway::{
-    config::Kind,
+    config::{Kind, Parts},
     decoder::{Decoder, Row, Subject},
     process::{self, Addresses},
     state::Options,
@@ -41,6 +41,12 @@
 /// Body of a sound request that takes a while.
 pub const SLOW_BODY: &str = "slow!";
 
+/// Body of a stream whose server pauses after the first event and goes on.
+pub const PAUSING_BODY: &str = "pause";
+
+/// Time for which a server pauses; longer than an entry waits before it takes a server for silent.
+pub const PAUSE_TIME: Duration = Duration::from_millis(1500);
+
 /// Time that a slow request takes.
 const SLOW_TIME: Duration = Duration::from_millis(150);
 
@@ -58,7 +64,7 @@
 const ENTRY_PREFIX: &str = "entries/";
 const SUSPECT_PREFIX: &str = "suspects/";
 
-/// Format of the rows: one route, and servers as `ADDRESS STARTED_MS`.
+/// Format of the rows: a configuration as its version, and servers as `ADDRESS STARTED_MS`.
 #[derive(Debug, Clone, Copy)]
 struct Format {
     kind: Kind,
@@ -82,9 +88,10 @@
                 name,
                 address: text.parse().unwrap(),
             },
-            Subject::Other if key == CONFIG_KEY => {
-                Row::Config(parts(route(self.kind, self.attempts)))
-            }
+            Subject::Other if key == CONFIG_KEY => Row::Config(Parts {
+                version: text.parse().unwrap(),
+                ..parts(route(self.kind, self.attempts))
+            }),
             Subject::Other => Row::Other,
         }
     }
@@ -183,7 +190,7 @@
             entries: Vec::new(),
             arrivals: Rc::default(),
         };
-        deployment.store.put(CONFIG_KEY, b"");
+        deployment.put_config(1);
         for index in 0..servers {
             let [address] = deployment.free_addresses(100 + index);
             let arrivals = Rc::clone(&deployment.arrivals);
@@ -201,6 +208,12 @@
         self.start_entries(count).await;
     }
 
+    /// Writes the configuration anew under a version.
+    pub fn put_config(&self, version: u64) {
+        let row = version.to_string();
+        self.store.put(CONFIG_KEY, row.as_bytes());
+    }
+
     /// Waits until the store has the row of a suspect.
     pub async fn wait_for_suspect_row(&self) {
         while self
@@ -330,6 +343,14 @@
         _ => {}
     }
     let id = find_attempt(head);
+    if body == PAUSING_BODY {
+        let begun = stream_head(id) + &chunk("id: 1\ndata: rav\n\n");
+        let _ = stream.write_all(begun.as_bytes()).await;
+        sleep(PAUSE_TIME).await;
+        let rest = chunk("id: 2\ndata: ioli\n\n") + "0\r\n\r\n";
+        let _ = stream.write_all(rest.as_bytes()).await;
+        return;
+    }
     let response = if head.contains("x-priority") {
         stream_head(id) + &chunk("id: 1\ndata: ravioli\n\n") + "0\r\n\r\n"
     } else {
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -44,6 +44,11 @@
     Hang,
     /// Writes these bytes, then hangs.
     Stall(String),
+    /// Writes these bytes, writes the others after a pause, and closes the connection regularly. Counts a client that
+    /// disconnects in the pause.
+    Pause(String, Duration, String),
+    /// Writes these bytes, and resets the connection after a pause.
+    Break(String, Duration),
 }
 
 /// Backend server that performs scripted actions, one per request; it hangs after the last one.
@@ -80,6 +85,13 @@
         self.requests.borrow().len()
     }
 
+    /// Waits until this many clients have disconnected while the server hung or paused.
+    pub async fn wait_for_disconnects(&self, count: usize) {
+        while *self.disconnects.borrow() < count {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     async fn serve(self, mut stream: TcpStream) {
         let request = read_request(&mut stream).await;
         self.requests.borrow_mut().push(request);
@@ -99,6 +111,22 @@
                 let _ = stream.write_all(bytes.as_bytes()).await;
                 self.hang(stream).await;
             }
+            Some(Action::Pause(before, pause, after)) => {
+                let _ = stream.write_all(before.as_bytes()).await;
+                let mut rest = [0; 64];
+                tokio::select! {
+                    _ = stream.read(&mut rest) => *self.disconnects.borrow_mut() += 1,
+                    () = tokio::time::sleep(pause) => {
+                        let _ = stream.write_all(after.as_bytes()).await;
+                        let _ = stream.shutdown().await;
+                    }
+                }
+            }
+            Some(Action::Break(bytes, pause)) => {
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                tokio::time::sleep(pause).await;
+                stream.set_zero_linger().unwrap();
+            }
             Some(Action::Hang) | None => self.hang(stream).await,
         }
     }
@@ -336,6 +364,11 @@
     )
 }
 
+/// Returns the signed head of a server's stream that has neither a length nor chunks.
+pub fn unframed_head(id: &str) -> String {
+    stream_head(id).replace("Transfer-Encoding: chunked\r\n", "")
+}
+
 /// Returns text as one chunk of the chunked encoding.
 pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
