Keep a silent server, and ask another one beside it

Callers got the first events of a stream and a cut connection, or a 502, when a sound server paused for about a second. `relay` dropped a server that had been silent for four target gaps, and `forward` one that had not answered in time, before either knew whether another server could go on. Without a retry, a slot or another server, that ended an answer which was still going on.

Now a server stays until it fails, answers or the deadline passes. Once it has been silent for the same bounds as before, another one is asked beside it, if the route's attempts, the retry budget and the crash suspects allow and a slot is there. The first to send whole events, or an answer, goes on alone. The other is withdrawn: its connection is closed, its slot is freed, and neither a loss nor a success is recorded. If the silent one fails meanwhile, the other goes on; if the other fails, the silent one does. Each source has a buffer of its own, so partial bytes of a withdrawn server go with it, and the other one was sent the id of the last event relayed. An end that the protocol does not mark is not believed from a server without events while the other one is there.

A stream's head is held back until its first event. A stream that has to be withdrawn before that, because its server's version may not begin it any more, was cut after a 200; it is now sent again, or answered with 502 or 504. It can't be 503, because the first event may be on its way. Sending it to the old version after all would break the rule on versions, and a head that is sent early serves nobody: the target is measured at the first event. If another server begins the stream, its own head is relayed, so that head and events are from one run.

`silence` decides when a server is asked and which one goes on; it takes times as arguments. `attempts` and `contest` hold what `forward` did over several servers. A caller that leaves before the answer is now logged and counted.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -1,6 +1,6 @@
 //! Acquisition of a server slot for a request, if need be after a wait in the queue.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use tokio::time::{Instant, timeout_at};
 
@@ -9,11 +9,20 @@
     call::Call,
     permit::Permit,
     pool::Requirements,
-    queue::Position,
+    queue::{Position, Rank},
     reply::Reason,
     state::State,
 };
 
+/// Longest wait for a slot at a server that resumes a stream.
+const RESUME_WAIT: Duration = Duration::from_millis(600);
+
+/// Queue rank of a stream that is resumed; it is served before requests that have not begun.
+const RESUME_RANK: Rank = Rank {
+    is_late: false,
+    priority: 0,
+};
+
 /// Acquires a slot at a server. Waits in the queue of the service if a slot is expected to become free in time.
 ///
 /// # Arguments
@@ -88,6 +97,27 @@
     Err(refusal_reason(servable))
 }
 
+/// Acquires a slot at a server that may resume a stream; `None` if none becomes free in time.
+pub async fn acquire_resuming_permit(
+    state: &Rc<State>,
+    call: &Call,
+    tried: &[Arc<str>],
+) -> Option<Permit> {
+    let requirements = call.requirements(state, tried);
+    if let Some(permit) = state.reserve(&requirements) {
+        return Some(permit);
+    }
+    let service = Arc::clone(&requirements.service);
+    let (position, receiver) = state.enqueue(requirements, RESUME_RANK);
+    let _guard = QueueGuard {
+        state,
+        service: &service,
+        position,
+    };
+    let until = call.deadline.min(Instant::now() + RESUME_WAIT);
+    timeout_at(until, receiver).await.ok()?.ok()
+}
+
 /// Returns the reason of a refusal; `servable` tells whether a usable server exists.
 fn refusal_reason(servable: bool) -> Reason {
     if servable {
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -0,0 +1,344 @@
+//! Attempts of one request: at one server after another, and beside a server that falls silent.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use http::StatusCode;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    acquire,
+    call::Call,
+    contest::{Arrival, Begun, Contest, Run, log_asked_beside},
+    metrics::CALLER_LEFT,
+    permit::Permit,
+    reply::Reason,
+    send::Outcome,
+    silence::{self, Progress, Side, Silence},
+    state::State,
+};
+
+/// Largest number of servers that could not be reached for one request. Nothing was sent to them, so they don't count
+/// as attempts.
+const MAX_UNSENT: u32 = 4;
+
+/// Multiple of the target latency after which another server is asked beside one that does not answer.
+const SILENCE_PER_TARGET: f64 = 2.5;
+
+/// Time without the head of a stream after which another server is asked beside the silent one.
+const HEAD_SILENCE: Duration = Duration::from_millis(1200);
+
+/// Attempts of one request.
+#[derive(Debug)]
+pub struct Attempts<F, A> {
+    state: Rc<State>,
+    call: Rc<Call>,
+    /// Servers that have the request.
+    contest: Contest<F, A>,
+    silence: Silence,
+    /// Ids of the servers that were sent the request.
+    tried: Vec<Arc<str>>,
+    /// Number of servers that could not be reached.
+    unsent: u32,
+    /// Whether a server may have run the request.
+    may_have_run: bool,
+    /// Whether a server has sent the head of a stream.
+    has_head: bool,
+    /// Whether the caller gets an answer; otherwise it has left when this is dropped.
+    is_ended: bool,
+}
+
+impl<F: Future<Output = (Rc<Permit>, Arrival)>, A: Fn(Run) -> F> Attempts<F, A> {
+    /// Creates the attempts of a request that no server has yet.
+    ///
+    /// # Arguments
+    /// `advance` is [`crate::contest::advance`] for the request.
+    pub fn new(state: Rc<State>, call: Rc<Call>, advance: A) -> Self {
+        Self {
+            silence: begin_silence(&call),
+            state,
+            call,
+            contest: Contest::new(advance),
+            tried: Vec::new(),
+            unsent: 0,
+            may_have_run: false,
+            has_head: false,
+            is_ended: false,
+        }
+    }
+
+    /// Returns whether a server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Ends the attempts with an answer or a refusal; returns the ids of the servers that were sent the request.
+    pub fn end(mut self) -> Vec<Arc<str>> {
+        self.contest.withdraw(&self.call);
+        self.is_ended = true;
+        std::mem::take(&mut self.tried)
+    }
+
+    /// Waits further for the events of a stream whose head has arrived.
+    pub fn resume(&mut self, permit: Rc<Permit>, stream: Begun) {
+        self.has_head = true;
+        self.silence = stream.source.silence;
+        self.contest.add(Run {
+            permit,
+            started_at: self.call.arrived,
+            stream: Some(stream),
+        });
+    }
+
+    /// Withdraws the request from all servers that still have it.
+    pub fn withdraw(&mut self) {
+        self.contest.withdraw(&self.call);
+    }
+
+    /// Waits for what comes next from a server. Sends the request if no server has it, and beside silent servers.
+    ///
+    /// # Errors
+    /// Returns the reason if no server can be sent the request and none has it.
+    pub async fn next(&mut self) -> Result<(Rc<Permit>, Arrival), Reason> {
+        loop {
+            if self.contest.permits().is_empty() {
+                let permit = self.acquire_permit().await?;
+                self.start(permit);
+            }
+            let next = match self.silence.ask_at().filter(|_| self.may_repeat()) {
+                Some(ask_at) => timeout_at(ask_at, self.contest.next()).await,
+                None => Ok(self.contest.next().await),
+            };
+            let next = match next {
+                Ok(next) => next,
+                Err(_) => self.ask_beside().await,
+            };
+            if let Some((permit, arrival)) = next {
+                self.may_have_run |= matches!(arrival, Arrival::Answer(..) | Arrival::Head(_));
+                let arrival = self.check_end(&permit, arrival);
+                return Ok((permit, arrival));
+            }
+        }
+    }
+
+    /// Turns the end of a stream without events into a failure if it is not believed beside a server that still has the
+    /// request.
+    fn check_end(&self, permit: &Permit, arrival: Arrival) -> Arrival {
+        let Arrival::Stream(stream, step) = &arrival else {
+            return arrival;
+        };
+        let progress = stream.source.progress(step).unwrap_or(Progress::Failed);
+        let is_alone = self.contest.permits().is_empty();
+        if is_alone || silence::choose(Side::Other, progress) == Side::Other {
+            return arrival;
+        }
+        let outcome = Outcome::Lost("stream ended without events".to_owned());
+        outcome.record(permit);
+        Arrival::Failure(outcome)
+    }
+
+    /// Sends the request to another server beside silent ones, if that is allowed; returns what comes from one of them
+    /// meanwhile.
+    async fn ask_beside(&mut self) -> Option<(Rc<Permit>, Arrival)> {
+        self.silence.record_ask(Instant::now());
+        let denial = self.find_denial();
+        self.log_silent(denial);
+        if denial.is_some() {
+            return None;
+        }
+        self.state.metrics.retries.get("silent").inc();
+        let acquiring = acquire_permit(&self.state, &self.call, &self.tried, self.has_head);
+        let permit = tokio::select! {
+            biased;
+            next = self.contest.next() => return next,
+            permit = acquiring => permit,
+        };
+        if let Ok(permit) = permit {
+            for silent in self.contest.permits() {
+                silent.record_failure();
+                log_asked_beside(&self.call, silent, &permit, 0);
+            }
+            self.start(permit);
+        }
+        None
+    }
+
+    fn start(&mut self, permit: Permit) {
+        let now = Instant::now();
+        let is_first = self.tried.is_empty();
+        self.tried.push(Arc::clone(&permit.choice.record.id));
+        self.silence = begin_silence(&self.call);
+        self.contest.add(Run {
+            permit: Rc::new(permit),
+            started_at: if is_first { self.call.arrived } else { now },
+            stream: None,
+        });
+    }
+
+    async fn acquire_permit(&self) -> Result<Permit, Reason> {
+        acquire_permit(&self.state, &self.call, &self.tried, self.has_head).await
+    }
+
+    /// Returns whether the request may be sent again although it may have run.
+    fn may_repeat(&self) -> bool {
+        let route = &self.call.authorized.route;
+        route.is_repeatable()
+            && (self.tried.len() as u32) < route.attempts
+            && !self.call.time_left().is_zero()
+    }
+
+    /// Returns why no other server may be asked beside a silent one; takes a retry from the budget if one may.
+    fn find_denial(&self) -> Option<&'static str> {
+        if self.state.suspect_delay(&self.call.content).is_some() {
+            Some("crash suspect")
+        } else if !self.state.take_retry(&self.call.service) {
+            Some("retry budget")
+        } else {
+            None
+        }
+    }
+
+    /// Logs an attempt without a usable answer, and returns whether the request goes on: at a server that still has it,
+    /// or by a retry, which is taken from the budget.
+    pub fn try_repeat(&mut self, permit: &Permit, cause: &'static str, detail: &str) -> bool {
+        self.may_have_run = true;
+        let is_pending = !self.contest.permits().is_empty();
+        let may_retry =
+            !is_pending && self.may_repeat() && self.state.take_retry(&self.call.service);
+        if cause != "failed" || is_pending || may_retry {
+            log_failed_attempt(&self.call, permit, cause, detail);
+        }
+        if may_retry {
+            self.state.metrics.retries.get(cause).inc();
+        }
+        is_pending || may_retry
+    }
+
+    /// Handles an attempt without an answer. Returns `None` if the request goes on, or the reason of the final answer.
+    pub fn handle_failure(&mut self, permit: &Permit, outcome: Outcome) -> Option<Reason> {
+        let (cause, detail) = match outcome {
+            Outcome::Answer(..) => return None,
+            Outcome::Unsent(reason) => return self.handle_unsent(permit, &reason),
+            Outcome::NotRun(status) => return self.handle_not_run(permit, status),
+            Outcome::Lost(reason) => ("lost", reason),
+            Outcome::Silent => ("silent", String::new()),
+            Outcome::Outdated => ("outdated", String::new()),
+        };
+        if cause != "outdated" {
+            permit.record_failure();
+            permit.record_answer(false);
+        }
+        let goes_on = self.try_repeat(permit, cause, &detail);
+        (!goes_on).then(|| lost_or_late(&self.call))
+    }
+
+    fn handle_unsent(&mut self, permit: &Permit, reason: &str) -> Option<Reason> {
+        permit.record_failure();
+        let server = &permit.choice.record.id;
+        self.tried.retain(|tried| tried != server);
+        self.unsent += 1;
+        log_failed_attempt(&self.call, permit, "unsent", reason);
+        self.state.metrics.retries.get("unsent").inc();
+        let is_last = self.contest.permits().is_empty() && self.unsent >= MAX_UNSENT;
+        is_last.then_some(Reason::Unavailable)
+    }
+
+    fn handle_not_run(&mut self, permit: &Permit, status: StatusCode) -> Option<Reason> {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            permit.record_mismatch();
+        } else {
+            permit.record_full();
+        }
+        log_failed_attempt(&self.call, permit, "not-run", status.as_str());
+        if !self.contest.permits().is_empty() {
+            return None;
+        }
+        let may_retry = (self.tried.len() as u32) < self.call.authorized.route.attempts
+            && !self.call.time_left().is_zero()
+            && self.state.take_retry(&self.call.service);
+        let retries = self.state.metrics.retries.get("not-run");
+        retries.inc_by(may_retry.into());
+        (!may_retry).then_some(Reason::Overloaded)
+    }
+
+    fn log_silent(&self, denial: Option<&'static str>) {
+        let call = &self.call;
+        for permit in self.contest.permits() {
+            log::info!(
+                call = call.id.as_str(),
+                content:% = call.content.short(),
+                server = &*permit.choice.record.id,
+                events = 0,
+                allowed = denial.is_none(),
+                denied = denial.unwrap_or_default(),
+                age_ms = call.age_ms();
+                "server silent"
+            );
+        }
+    }
+}
+
+impl<F, A> Drop for Attempts<F, A> {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        let call = &self.call;
+        let sends = self.tried.len();
+        log::info!(call = call.id.as_str(), sends, age_ms = call.age_ms(); "caller left before the answer");
+        self.state.metrics.outcomes.get(CALLER_LEFT).inc();
+    }
+}
+
+/// Acquires a slot for a request that may run.
+async fn acquire_permit(
+    state: &Rc<State>,
+    call: &Call,
+    tried: &[Arc<str>],
+    has_head: bool,
+) -> Result<Permit, Reason> {
+    if state.suspect_delay(&call.content).is_some() {
+        return Err(Reason::CrashSuspect);
+    }
+    let permit = if has_head {
+        let permit = acquire::acquire_resuming_permit(state, call, tried).await;
+        permit.ok_or(Reason::Overloaded)?
+    } else {
+        acquire::acquire_permit(state, call, tried).await?
+    };
+    // Another request with the content may have crashed a server while this one waited.
+    if !state.try_run(&call.content) {
+        return Err(Reason::CrashSuspect);
+    }
+    Ok(permit)
+}
+
+fn begin_silence(call: &Call) -> Silence {
+    let bound = if call.is_stream() {
+        HEAD_SILENCE
+    } else {
+        let target_latency = call.authorized.route.target_latency;
+        target_latency.mul_f64(SILENCE_PER_TARGET)
+    };
+    Silence::new(bound, Instant::now())
+}
+
+/// Returns the reason for a request that may have run: late once its deadline has passed, otherwise lost.
+pub fn lost_or_late(call: &Call) -> Reason {
+    if call.time_left().is_zero() {
+        Reason::Late
+    } else {
+        Reason::Lost
+    }
+}
+
+fn log_failed_attempt(call: &Call, permit: &Permit, cause: &'static str, detail: &str) {
+    log::info!(
+        call = call.id.as_str(),
+        content:% = call.content.short(),
+        server = &*permit.choice.record.id,
+        cause,
+        detail,
+        age_ms = call.age_ms();
+        "attempt without answer"
+    );
+}
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -11,28 +11,19 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    acquire, admission,
+    admission,
+    attempts::{Attempts, lost_or_late},
     call::Call,
+    contest::{self, Arrival, Begun},
     headers,
     metrics::ANSWERED,
     permit::Permit,
     receive, relay,
     reply::{self, Broken, Reason},
-    send::{Outcome, send},
+    source::Step,
     state::State,
-    upstream::Connection,
 };
 
-/// Largest number of servers that could not be reached for one request. Nothing was sent to them, so they don't count
-/// as attempts.
-const MAX_UNSENT: u32 = 4;
-
-/// Multiple of the target latency after which a server that does not answer an idempotent request is given up.
-const SILENCE_PER_TARGET: f64 = 2.5;
-
-/// Time without a stream's first event after which the stream is started at another server.
-const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1200);
-
 /// Answer to a caller: a whole body or a relayed stream.
 type Answer<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
 
@@ -61,100 +52,86 @@
 /// Retry delay for callers of an entry that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Progress of a request over its attempts.
-#[derive(Debug, Default)]
-struct Progress {
-    /// Ids of the servers that were sent the request.
-    tried: Vec<Arc<str>>,
-    /// Number of servers that could not be reached.
-    unsent: u32,
-    /// Whether a server may have run the request.
-    may_have_run: bool,
-}
-
 async fn forward(
     state: Rc<State>,
     call: Rc<Call>,
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
-    let mut progress = Progress::default();
+    let mut attempts = Attempts::new(Rc::clone(&state), Rc::clone(&call), |run| {
+        contest::advance(Rc::clone(&state), Rc::clone(&call), run)
+    });
     let reason = loop {
-        if state.suspect_delay(&call.content).is_some() {
-            break Reason::CrashSuspect;
-        }
-        let permit = match acquire::acquire_permit(&state, &call, &progress.tried).await {
-            Ok(permit) => permit,
+        let (permit, arrival) = match attempts.next().await {
+            Ok(next) => next,
             Err(reason) => break reason,
         };
-        // Another request with the content may have crashed a server while this one waited.
-        if !state.try_run(&call.content) {
-            break Reason::CrashSuspect;
-        }
-        let until = silence_deadline(&call, &progress);
-        let outcome = send(&state, &call, &permit, None, until).await;
-        let (response, connection) = match outcome {
-            Outcome::Answer(response, connection) => (response, connection),
-            outcome => match handle_failure(&state, &call, &permit, &mut progress, outcome) {
+        let (response, _connection) = match arrival {
+            Arrival::Answer(response, connection) => (response, connection),
+            Arrival::Head(stream) => {
+                record_head(&state, &call, &permit, true);
+                attempts.resume(permit, stream);
+                continue;
+            }
+            Arrival::Stream(stream, first) => {
+                let tried = attempts.end();
+                return relay_stream(Rc::clone(&state), Rc::clone(&call), stream, first, tried);
+            }
+            Arrival::Failure(outcome) => match attempts.handle_failure(&permit, outcome) {
                 Some(reason) => break reason,
                 None => continue,
             },
         };
         let status = response.status();
-        progress.tried.push(Arc::clone(&permit.choice.record.id));
-        progress.may_have_run = true;
-        permit.record_answer(!status.is_server_error());
-        state
-            .metrics
-            .head_seconds
-            .observe(call.arrived.elapsed().as_secs_f64());
+        record_head(&state, &call, &permit, !status.is_server_error());
         if status.is_server_error() {
             // The server has not crashed.
             permit.record_outcome();
+            if attempts.try_repeat(&permit, "failed", status.as_str()) {
+                continue;
+            }
         }
-        if status.is_server_error() && try_take_retry(&state, &call, &progress) {
-            log_failed_attempt(&call, &permit, "failed", status.as_str());
-            state.metrics.retries.get("failed").inc();
-            continue;
-        }
-        if call.is_stream() && status.is_success() {
-            return relay_stream(state, call, permit, progress.tried, response, connection);
-        }
+        attempts.withdraw();
         match read_whole(&call, response).await {
             Ok(response) => {
                 permit.record_outcome();
                 if status.is_success() {
                     state.record_success(&call.content);
                 }
-                log_answer(&call, &permit, status, progress.tried.len());
+                log_answer(&call, &permit, status, attempts.end().len());
                 state.metrics.outcomes.get(ANSWERED).inc();
                 return response.map(|body| Either::Left(Full::new(body)));
             }
             Err(error) => {
                 permit.record_failure();
                 permit.record_loss();
-                log_failed_attempt(&call, &permit, "lost", &error);
-                if !try_take_retry(&state, &call, &progress) {
+                if !attempts.try_repeat(&permit, "lost", &error) {
                     break lost_or_late(&call);
                 }
-                state.metrics.retries.get("lost").inc();
             }
         }
     };
-    refuse(&state, &call, reason, &progress)
+    let may_have_run = attempts.may_have_run();
+    refuse(&state, &call, reason, may_have_run, attempts.end().len())
+}
+
+/// Records the arrival of the head of a server's answer.
+fn record_head(state: &State, call: &Call, permit: &Permit, is_success: bool) {
+    permit.record_answer(is_success);
+    let age = call.arrived.elapsed();
+    state.metrics.head_seconds.observe(age.as_secs_f64());
 }
 
 fn relay_stream(
     state: Rc<State>,
     call: Rc<Call>,
-    permit: Permit,
+    stream: Begun,
+    first: Step,
     tried: Vec<Arc<str>>,
-    response: Response<Incoming>,
-    connection: Connection,
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
-    let (mut head, body) = response.into_parts();
+    let Begun { mut head, source } = stream;
     headers::remove_hop_by_hop(&mut head.headers);
     // The first server's length is not valid if the stream is resumed elsewhere.
     head.headers.remove(header::CONTENT_LENGTH);
-    let stream = relay::stream(state, call, permit, tried, body, connection);
+    let stream = relay::stream(state, call, source, first, tried);
     Response::from_parts(head, Either::Right(StreamBody::new(stream)))
 }
 
@@ -168,101 +145,17 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// Returns until when a server may stay silent: until the deadline if the request can't be sent again.
-fn silence_deadline(call: &Call, progress: &Progress) -> Instant {
-    let route = &call.authorized.route;
-    let is_last = progress.tried.len() as u32 + 1 >= route.attempts;
-    if !route.is_repeatable() || is_last {
-        return call.deadline;
-    }
-    let silence = if call.is_stream() {
-        FIRST_EVENT_SILENCE
-    } else {
-        route.target_latency.mul_f64(SILENCE_PER_TARGET)
-    };
-    call.deadline.min(Instant::now() + silence)
-}
-
-/// Takes a retry from the budget if the request may be sent again although it may have run.
-fn try_take_retry(state: &State, call: &Call, progress: &Progress) -> bool {
-    let route = &call.authorized.route;
-    route.is_repeatable()
-        && (progress.tried.len() as u32) < route.attempts
-        && !call.time_left().is_zero()
-        && state.take_retry(&call.service)
-}
-
-/// Handles an attempt without an answer. Returns `None` if the request is sent again, or the reason of the final
-/// answer.
-fn handle_failure(
+/// Builds and logs the final answer to a request that no server answered.
+fn refuse<S>(
     state: &State,
     call: &Call,
-    permit: &Permit,
-    progress: &mut Progress,
-    outcome: Outcome,
-) -> Option<Reason> {
-    let server = Arc::clone(&permit.choice.record.id);
-    let (cause, detail) = match outcome {
-        Outcome::Answer(..) => return None,
-        Outcome::Unsent(reason) => {
-            permit.record_failure();
-            progress.unsent += 1;
-            log_failed_attempt(call, permit, "unsent", &reason);
-            state.metrics.retries.get("unsent").inc();
-            return (progress.unsent >= MAX_UNSENT).then_some(Reason::Unavailable);
-        }
-        Outcome::NotRun(status) => {
-            if status == StatusCode::MISDIRECTED_REQUEST {
-                permit.record_mismatch();
-            } else {
-                permit.record_full();
-            }
-            progress.tried.push(server);
-            log_failed_attempt(call, permit, "not-run", status.as_str());
-            let may_retry = (progress.tried.len() as u32) < call.authorized.route.attempts
-                && !call.time_left().is_zero()
-                && state.take_retry(&call.service);
-            state
-                .metrics
-                .retries
-                .get("not-run")
-                .inc_by(may_retry.into());
-            return (!may_retry).then_some(Reason::Overloaded);
-        }
-        Outcome::Lost(reason) => ("lost", reason),
-        Outcome::Silent => ("silent", String::new()),
-        Outcome::Outdated => ("outdated", String::new()),
-    };
-    if cause != "outdated" {
-        permit.record_failure();
-        permit.record_answer(false);
-    }
-    progress.tried.push(server);
-    progress.may_have_run = true;
-    log_failed_attempt(call, permit, cause, &detail);
-    if try_take_retry(state, call, progress) {
-        state.metrics.retries.get(cause).inc();
-        return None;
-    }
-    Some(lost_or_late(call))
-}
-
-/// Returns the reason for a request that may have run: late once its deadline has passed, otherwise lost.
-fn lost_or_late(call: &Call) -> Reason {
-    if call.time_left().is_zero() {
-        Reason::Late
-    } else {
-        Reason::Lost
-    }
-}
-
-/// Builds and logs the final answer to a request that no server answered.
-fn refuse<S>(state: &State, call: &Call, reason: Reason, progress: &Progress) -> Answer<S> {
+    reason: Reason,
+    may_have_run: bool,
+    sends: usize,
+) -> Answer<S> {
     // These tell the caller that the request did not run, which must be true.
     let reason = match reason {
-        Reason::Overloaded | Reason::Unavailable | Reason::CrashSuspect
-            if progress.may_have_run =>
-        {
+        Reason::Overloaded | Reason::Unavailable | Reason::CrashSuspect if may_have_run => {
             lost_or_late(call)
         }
         reason => reason,
@@ -282,7 +175,7 @@
         content:% = call.content.short(),
         route = &*route.name,
         reason = reason.as_str(),
-        sends = progress.tried.len(),
+        sends,
         fresh = call.is_first_attempt,
         come_back_ms,
         age_ms = call.age_ms();
@@ -292,18 +185,6 @@
     reply::build(reason, retry_after)
 }
 
-fn log_failed_attempt(call: &Call, permit: &Permit, cause: &'static str, detail: &str) {
-    log::info!(
-        call = call.id.as_str(),
-        content:% = call.content.short(),
-        server = &*permit.choice.record.id,
-        cause,
-        detail,
-        age_ms = call.age_ms();
-        "attempt without answer"
-    );
-}
-
 /// Logs a request that a server answered.
 pub fn log_answer(call: &Call, permit: &Permit, status: StatusCode, sends: usize) {
     log::info!(
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod acquire;
 pub mod admission;
+pub mod attempts;
 pub mod call;
 pub mod config;
+pub mod contest;
 pub mod decoder;
 pub mod event;
 pub mod forward;
@@ -29,6 +31,8 @@
 pub mod selection;
 pub mod send;
 pub mod server;
+pub mod silence;
+pub mod source;
 pub mod state;
 pub mod stop;
 pub mod updater;
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -0,0 +1,207 @@
+//! Resumption of a stream at another server, beside a silent one or in place of one that broke off.
+
+use std::{pin::pin, rc::Rc, sync::Arc};
+
+use http::StatusCode;
+use http_body_util::Either;
+use tokio::time::Instant;
+
+use super::Relay;
+use crate::{
+    acquire,
+    call::Call,
+    contest::{log_asked_beside, withdraw},
+    send::{self, Outcome},
+    silence::{self, Progress, Side},
+    source::{Source, Step},
+};
+
+impl Relay {
+    /// Asks another server to resume the stream, beside the source if there still is one. Returns what came first from
+    /// the server that goes on; `None` if the source is to be read, or if there is none any more.
+    ///
+    /// # Arguments
+    /// `server` is the one whose `step` is the reason.
+    pub(super) async fn ask(&mut self, server: &str, step: &Step) -> Option<Step> {
+        let (state, call) = (Rc::clone(&self.state), Rc::clone(&self.call));
+        if let Some(source) = &mut self.source {
+            source.silence.record_ask(Instant::now());
+        }
+        let denial = self.find_denial();
+        self.log_interruption(server, step, denial);
+        if denial.is_some() {
+            return None;
+        }
+        state.metrics.retries.get(cause(step)).inc();
+        let tried = self.tried.clone();
+        let acquiring = acquire::acquire_resuming_permit(&state, &call, &tried);
+        let permit = match self.race(acquiring).await {
+            Either::Left(step) => return Some(step),
+            Either::Right(permit) => permit,
+        };
+        let Some(permit) = permit.map(Rc::new) else {
+            log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no slot to resume the stream");
+            return None;
+        };
+        if !state.try_run(&call.content) {
+            log::info!(call = call.id.as_str(), content:% = call.content.short(), age_ms = call.age_ms(); "stream not resumed because servers crash under it");
+            return None;
+        }
+        self.tried.push(Arc::clone(&permit.choice.record.id));
+        if let Some(source) = &self.source {
+            log_asked_beside(&call, &source.permit, &permit, self.events());
+            source.permit.record_failure();
+        }
+        let sent_at = Instant::now();
+        let sending = send::send(&state, &call, &permit, self.last_event, call.deadline);
+        let outcome = match self.race(sending).await {
+            Either::Left(step) => {
+                withdraw(&call, &permit, "another server went on", self.events());
+                return Some(step);
+            }
+            Either::Right(outcome) => outcome,
+        };
+        match outcome {
+            Outcome::Answer(response, connection) if response.status() == StatusCode::OK => {
+                let (_, other) = Source::new(&state, &call, permit, response, connection, sent_at);
+                self.compare(other).await
+            }
+            outcome => {
+                let server = &*permit.choice.record.id;
+                log::info!(call = call.id.as_str(), server, outcome:?, age_ms = call.age_ms(); "resuming the stream failed");
+                if let Outcome::Answer(..) = outcome {
+                    permit.record_outcome();
+                }
+                None
+            }
+        }
+    }
+
+    /// Returns why no other server may be asked; takes a retry from the budget if one may.
+    fn find_denial(&self) -> Option<&'static str> {
+        let call = &self.call;
+        let is_suspect = self.state.suspect_delay(&call.content).is_some();
+        if !self.may_resume() {
+            Some("attempts")
+        } else if is_suspect {
+            Some("crash suspect")
+        } else if !self.state.take_retry(&call.service) {
+            Some("retry budget")
+        } else {
+            None
+        }
+    }
+
+    /// Waits for `other` while the source may go on; returns what came first. A source that breaks off meanwhile ends.
+    async fn race<T>(&mut self, other: impl Future<Output = T>) -> Either<Step, T> {
+        let call = Rc::clone(&self.call);
+        let mut other = pin!(other);
+        while let Some(source) = &mut self.source {
+            let step = tokio::select! {
+                biased;
+                step = source.read(&call) => step,
+                result = &mut other => return Either::Right(result),
+            };
+            let server = Arc::clone(source.server());
+            if source.progress(&step) != Some(Progress::Failed) {
+                return Either::Left(step);
+            }
+            self.end_source(Some(&step));
+            self.log_interruption(&server, &step, None);
+        }
+        Either::Right(other.await)
+    }
+
+    /// Lets the server that does something first go on alone; `other` has sent the head of its answer.
+    async fn compare(&mut self, mut other: Source) -> Option<Step> {
+        let call = Rc::clone(&self.call);
+        let Some(source) = &mut self.source else {
+            self.replace_source(other);
+            return None;
+        };
+        let (side, step) = tokio::select! {
+            biased;
+            step = source.read(&call) => (Side::Former, step),
+            step = other.read(&call) => (Side::Other, step),
+        };
+        let progress = match side {
+            Side::Former => source.progress(&step),
+            Side::Other => other.progress(&step),
+        };
+        let chosen = progress.map_or(side, |progress| silence::choose(side, progress));
+        let loser_step = (chosen != side).then_some(&step);
+        match chosen {
+            _ if progress.is_none() => end(&call, &other, None, self.events()),
+            Side::Former => {
+                if let Some(step) = loser_step {
+                    let server = &**other.server();
+                    log::info!(call = call.id.as_str(), server, step:?, age_ms = call.age_ms(); "resuming the stream failed");
+                }
+                end(&call, &other, loser_step, self.events());
+            }
+            Side::Other => {
+                let server = Arc::clone(source.server());
+                self.end_source(loser_step);
+                if let Some(step) = loser_step {
+                    self.log_interruption(&server, step, None);
+                }
+                self.replace_source(other);
+            }
+        }
+        (chosen == side).then_some(step)
+    }
+
+    /// Takes a server that resumes the stream as its source.
+    fn replace_source(&mut self, other: Source) {
+        let call = &self.call;
+        log::info!(call = call.id.as_str(), server = &**other.server(), last_event:? = self.last_event, age_ms = call.age_ms(); "stream resumed");
+        self.source = Some(other);
+    }
+
+    /// Ends the source; `step` is how it ended, `None` if another server went on.
+    pub(super) fn end_source(&mut self, step: Option<&Step>) {
+        let events = self.events();
+        if let Some(source) = self.source.take() {
+            end(&self.call, &source, step, events);
+        }
+        self.former_events = events;
+    }
+
+    /// Logs that a server is silent or has broken off, and why no other one is asked.
+    fn log_interruption(&self, server: &str, step: &Step, denial: Option<&'static str>) {
+        let call = &self.call;
+        let content = call.content.short();
+        let (events, last_event) = (self.events(), self.last_event);
+        let allowed = denial.is_none();
+        let denied = denial.unwrap_or_default();
+        if let Step::Silent = step {
+            log::info!(call = call.id.as_str(), content:%, server, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "server silent");
+            return;
+        }
+        let reason = match step {
+            Step::Interrupted(reason) => reason,
+            _ => cause(step),
+        };
+        log::info!(call = call.id.as_str(), content:%, server, reason, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "stream interrupted");
+    }
+}
+
+/// Records how a server's part of a stream ended: by `step`, or because another server went on.
+fn end(call: &Call, source: &Source, step: Option<&Step>, events: u64) {
+    let reason = match step {
+        Some(Step::Interrupted(_)) => return source.record_loss(),
+        Some(Step::Outdated) => "outdated",
+        Some(_) => "ended without events",
+        None => "another server went on",
+    };
+    withdraw(call, &source.permit, reason, events);
+}
+
+/// Returns the cause of a further send, for metrics.
+fn cause(step: &Step) -> &'static str {
+    match step {
+        Step::Silent => "silent",
+        Step::Outdated => "outdated",
+        _ => "lost",
+    }
+}
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -44,14 +44,21 @@
 ) -> Outcome {
     permit.record_contact(call.content);
     let outcome = exchange(state, call, permit, last_event, until).await;
-    match &outcome {
-        Outcome::Answer(..) => {}
-        Outcome::Lost(_) | Outcome::Silent => permit.record_loss(),
-        Outcome::NotRun(_) | Outcome::Unsent(_) | Outcome::Outdated => permit.record_outcome(),
-    }
+    outcome.record(permit);
     outcome
 }
 
+impl Outcome {
+    /// Records with a permit whether the request was lost; records nothing for an answer.
+    pub fn record(&self, permit: &Permit) {
+        match self {
+            Self::Answer(..) => {}
+            Self::Lost(_) | Self::Silent => permit.record_loss(),
+            Self::NotRun(_) | Self::Unsent(_) | Self::Outdated => permit.record_outcome(),
+        }
+    }
+}
+
 async fn exchange(
     state: &State,
     call: &Call,
--- /dev/null
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -0,0 +1,178 @@
+//! Server that a stream comes from: its connection, and the events that it has sent.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, header, response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    call::Call,
+    event::Splitter,
+    permit::Permit,
+    send,
+    silence::{Progress, Silence},
+    state::State,
+    upstream::Connection,
+};
+
+/// Multiple of a route's target gap after which another server is asked beside a silent one.
+const SILENCE_PER_GAP: f64 = 4.0;
+
+/// Server that a stream comes from. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Source {
+    /// Slot at the server.
+    pub permit: Rc<Permit>,
+    /// Silence since data last arrived.
+    pub silence: Silence,
+    body: Incoming,
+    _connection: Connection,
+    splitter: Splitter,
+    started_at: Instant,
+    /// When the request is withdrawn if it has not begun.
+    begin_by: Option<Instant>,
+    is_framed: bool,
+}
+
+/// Result of reading from a server.
+#[derive(Debug)]
+pub enum Step {
+    /// Whole events.
+    Events(Bytes),
+    /// End of the stream after a whole event.
+    Complete,
+    /// The connection broke, or the stream ended inside an event.
+    Interrupted(String),
+    /// The request had not begun when the server's version became too old to begin it.
+    Outdated,
+    /// Another server should be asked beside this one.
+    Silent,
+    /// The request's deadline has passed.
+    DeadlinePassed,
+}
+
+impl Source {
+    /// Returns the head of a server's answer, and the server as the source of its body.
+    ///
+    /// # Arguments
+    /// `started_at` is when the wait for the first event began.
+    pub fn new(
+        state: &State,
+        call: &Call,
+        permit: Rc<Permit>,
+        response: Response<Incoming>,
+        connection: Connection,
+        started_at: Instant,
+    ) -> (response::Parts, Self) {
+        let (head, body) = response.into_parts();
+        let source = Self {
+            begin_by: send::begin_deadline(state, call, &permit),
+            permit,
+            silence: Silence::new(silence_bound(call), Instant::now()),
+            body,
+            _connection: connection,
+            splitter: Splitter::default(),
+            started_at,
+            is_framed: is_framed(&head.headers),
+        };
+        (head, source)
+    }
+
+    /// Returns the id of the server.
+    pub fn server(&self) -> &Arc<str> {
+        &self.permit.choice.record.id
+    }
+
+    /// Returns the number of whole events that the server has sent.
+    pub fn events(&self) -> u64 {
+        self.splitter.events()
+    }
+
+    /// Returns the id of the last whole event that the server has sent; `None` if none had one.
+    pub fn last_event_id(&self) -> Option<u64> {
+        self.splitter.last_event_id()
+    }
+
+    /// Reads until events are whole or the stream ends. Nothing is lost if the returned future is dropped.
+    pub async fn read(&mut self, call: &Call) -> Step {
+        loop {
+            if let Some(step) = self.read_data(call).await {
+                return step;
+            }
+        }
+    }
+
+    /// Reads as [`Source::read`] does, until another server should be asked.
+    pub async fn read_until_silent(&mut self, call: &Call) -> Step {
+        loop {
+            let Some(until) = self.silence.ask_at() else {
+                return self.read(call).await;
+            };
+            match timeout_at(until, self.read_data(call)).await {
+                Ok(Some(step)) => return step,
+                Ok(None) => {}
+                Err(_) => return Step::Silent,
+            }
+        }
+    }
+
+    /// Reads data once; returns `None` if it completes no event.
+    async fn read_data(&mut self, call: &Call) -> Option<Step> {
+        let begin_by = self.begin_by.filter(|_| self.events() == 0);
+        let until = begin_by.map_or(call.deadline, |begin_by| begin_by.min(call.deadline));
+        let frame = match timeout_at(until, self.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return Some(Step::Interrupted(error.to_string())),
+            Ok(None) if self.splitter.has_partial() => {
+                let reason = "stream ended inside an event".to_owned();
+                return Some(Step::Interrupted(reason));
+            }
+            Ok(None) => return Some(Step::Complete),
+            Err(_) if until < call.deadline => return Some(Step::Outdated),
+            Err(_) => return Some(Step::DeadlinePassed),
+        };
+        let data = frame.into_data().ok()?;
+        self.silence.record_data(Instant::now());
+        self.permit.record_contact(call.content);
+        let has_begun = self.events() > 0;
+        match self.splitter.push(&data) {
+            Ok(events) => {
+                if events.is_some() && !has_begun {
+                    self.permit.record_first_event(self.started_at.elapsed());
+                }
+                events.map(Step::Events)
+            }
+            Err(_) => Some(Step::Interrupted("event too large".to_owned())),
+        }
+    }
+
+    /// Records that the server failed; it may have crashed.
+    pub fn record_loss(&self) {
+        self.permit.record_failure();
+        self.permit.record_answer(false);
+        self.permit.record_loss();
+    }
+
+    /// Returns what a step of this server says about its progress; `None` if it says nothing.
+    pub fn progress(&self, step: &Step) -> Option<Progress> {
+        match step {
+            Step::Events(_) => Some(Progress::Events),
+            Step::Complete if self.is_framed => Some(Progress::MarkedEnd),
+            Step::Complete => Some(Progress::UnmarkedEnd),
+            Step::Interrupted(_) | Step::Outdated => Some(Progress::Failed),
+            Step::Silent | Step::DeadlinePassed => None,
+        }
+    }
+}
+
+/// Returns the silence after which another server is asked beside one that has sent the head of a stream.
+fn silence_bound(call: &Call) -> Duration {
+    call.authorized.route.target_gap.mul_f64(SILENCE_PER_GAP)
+}
+
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
+}
--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -386,3 +386,25 @@
         server.wait_for_disconnects(1).await;
     });
 }
+
+/// Guards against requests that end without any trace because their caller left before the answer.
+#[test]
+fn a_caller_that_leaves_before_the_answer_is_counted() {
+    for action in [Action::Hang, Action::Stall(stream_head("a1"))] {
+        run(async move {
+            let server = Server::start(vec![action]).await;
+            let entry = Entry::start(parts(stream_route()), &[&server]);
+            let stream = entry.open(&request("a1")).await;
+            while server.arrivals() == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+
+            drop(stream);
+
+            server.wait_for_disconnects(1).await;
+            let outcomes = &entry.state.metrics.outcomes;
+            assert_eq!(outcomes.get("caller-left").get(), 1);
+            assert_eq!(entry.state.count_open_requests(), 0);
+        });
+    }
+}
