Withdraw a request when a version set after its sending is due

A request that waits at a server could begin on an old version too late: the time until which it may begin was read when it was sent, so a version that was set later did not count.

The wait for a server that has not begun now ends by the newest targets: `State` wakes it when a target is set, and `wait_to_begin` reads the time anew. Heads and first events use it.

--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -63,7 +63,7 @@
         };
         match outcome {
             Outcome::Answer(response, connection) if response.status() == StatusCode::OK => {
-                let (_, other) = Source::new(&state, &call, permit, response, connection, sent_at);
+                let (_, other) = Source::new(&call, permit, response, connection, sent_at);
                 self.compare(other).await
             }
             outcome => {
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -1,8 +1,10 @@
 //! One attempt of a request at a server.
 
+use std::pin::pin;
+
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 use crate::{
     call::Call,
@@ -68,14 +70,12 @@
 ) -> Outcome {
     let request = call.build_request(state, permit, last_event);
     let exchange = upstream::exchange(permit.choice.record.address, request);
-    let begin_by = begin_deadline(state, call, permit);
-    let bound = begin_by.map_or(until, |begin_by| begin_by.min(until));
-    let (response, connection) = match timeout_at(bound, exchange).await {
+    let (response, connection) = match wait_to_begin(call, permit, until, exchange).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
         Ok(Err(Failure::Lost(reason))) => return Outcome::Lost(reason),
-        Err(_) if bound < until => return Outcome::Outdated,
-        Err(_) => return Outcome::Silent,
+        Err(Expired::Outdated) => return Outcome::Outdated,
+        Err(Expired::Deadline) => return Outcome::Silent,
     };
     let names = &state.options.names;
     let headers = response.headers();
@@ -93,9 +93,47 @@
     Outcome::Answer(response, connection)
 }
 
+/// Why the wait for a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expired {
+    /// The time has passed.
+    Deadline,
+    /// The server's version became too old to begin the request.
+    Outdated,
+}
+
+/// Waits for what comes from a server that has not begun a request.
+///
+/// # Errors
+/// [`Expired`] at `until`, or when the request has to be withdrawn because of a newer target version; that may also be
+/// set during the wait.
+pub async fn wait_to_begin<T>(
+    call: &Call,
+    permit: &Permit,
+    until: Instant,
+    arrival: impl Future<Output = T>,
+) -> Result<T, Expired> {
+    let state = &permit.state;
+    let mut arrival = pin!(arrival);
+    loop {
+        // Created first, so that no target is missed that is set after the deadline was read.
+        let target_set = state.wait_for_target();
+        let begin_by = begin_deadline(state, call, permit);
+        let bound = begin_by.map_or(until, |begin_by| begin_by.min(until));
+        tokio::select! {
+            biased;
+            arrived = &mut arrival => return Ok(arrived),
+            () = sleep_until(bound) => {
+                return Err(if bound < until { Expired::Outdated } else { Expired::Deadline });
+            }
+            () = target_set => {}
+        }
+    }
+}
+
 /// Returns when a request is withdrawn from its server if it has not begun, because the server's version will be too
 /// old to begin it. Returns `None` if no newer version is known.
-pub fn begin_deadline(state: &State, call: &Call, permit: &Permit) -> Option<Instant> {
+fn begin_deadline(state: &State, call: &Call, permit: &Permit) -> Option<Instant> {
     let model = call.model.as_deref()?;
     let held = permit.choice.record.version(model)?;
     Some(Instant::now() + state.time_to_begin(model, held)?)
--- a/crates/pistachiolug_gateway/src/source.rs
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -5,16 +5,15 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, header, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     call::Call,
     event::Splitter,
     permit::Permit,
-    send,
+    send::{self, Expired},
     silence::{Progress, Silence},
-    state::State,
     upstream::Connection,
 };
 
@@ -32,8 +31,6 @@
     _connection: Connection,
     splitter: Splitter,
     started_at: Instant,
-    /// When the request is withdrawn if it has not begun.
-    begin_by: Option<Instant>,
     is_framed: bool,
 }
 
@@ -60,7 +57,6 @@
     /// # Arguments
     /// `started_at` is when the wait for the first event began.
     pub fn new(
-        state: &State,
         call: &Call,
         permit: Rc<Permit>,
         response: Response<Incoming>,
@@ -69,7 +65,6 @@
     ) -> (response::Parts, Self) {
         let (head, body) = response.into_parts();
         let source = Self {
-            begin_by: send::begin_deadline(state, call, &permit),
             permit,
             silence: Silence::new(silence_bound(call), Instant::now()),
             body,
@@ -121,9 +116,7 @@
 
     /// Reads data once; returns `None` if it completes no event.
     async fn read_data(&mut self, call: &Call) -> Option<Step> {
-        let begin_by = self.begin_by.filter(|_| self.events() == 0);
-        let until = begin_by.map_or(call.deadline, |begin_by| begin_by.min(call.deadline));
-        let frame = match timeout_at(until, self.body.frame()).await {
+        let frame = match self.read_frame(call).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return Some(Step::Interrupted(error.to_string())),
             Ok(None) if self.splitter.has_partial() => {
@@ -131,8 +124,8 @@
                 return Some(Step::Interrupted(reason));
             }
             Ok(None) => return Some(Step::Complete),
-            Err(_) if until < call.deadline => return Some(Step::Outdated),
-            Err(_) => return Some(Step::DeadlinePassed),
+            Err(Expired::Outdated) => return Some(Step::Outdated),
+            Err(Expired::Deadline) => return Some(Step::DeadlinePassed),
         };
         let data = frame.into_data().ok()?;
         self.silence.record_data(Instant::now());
@@ -149,6 +142,19 @@
         }
     }
 
+    async fn read_frame(
+        &mut self,
+        call: &Call,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, Expired> {
+        let has_begun = self.events() > 0;
+        let frame = self.body.frame();
+        if !has_begun {
+            return send::wait_to_begin(call, &self.permit, call.deadline, frame).await;
+        }
+        let frame = timeout_at(call.deadline, frame).await;
+        frame.map_err(|_| Expired::Deadline)
+    }
+
     /// Records that the server failed; it may have crashed.
     pub fn record_loss(&self) {
         self.permit.record_failure();
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -18,7 +18,7 @@
     weights,
 };
 use rustc_hash::FxHashMap;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, futures::Notified, oneshot};
 
 mod suspects;
 
@@ -105,6 +105,8 @@
     config: RefCell<Option<Arc<Config>>>,
     pool: RefCell<Pool>,
     versions: RefCell<Versions>,
+    /// Wakes the requests that wait for their servers to begin, after a new target version was set.
+    target_set: Notify,
     queues: RefCell<FxHashMap<Arc<str>, Queue<Waiter>>>,
     /// Slot rates by service.
     rates: RefCell<FxHashMap<Arc<str>, Rates>>,
@@ -143,6 +145,7 @@
             config: RefCell::default(),
             pool: RefCell::default(),
             versions: RefCell::new(versions),
+            target_set: Notify::new(),
             queues: RefCell::default(),
             rates: RefCell::default(),
             budgets: RefCell::default(),
@@ -217,7 +220,16 @@
     pub fn set_target_version(&self, model: &str, version: Version, is_new: bool) -> bool {
         let now = self.now();
         let mut versions = self.versions.borrow_mut();
-        versions.record_target(model, version, is_new, now)
+        let is_newer = versions.record_target(model, version, is_new, now);
+        if is_newer {
+            self.target_set.notify_waiters();
+        }
+        is_newer
+    }
+
+    /// Waits until a target version is set after this call.
+    pub(crate) fn wait_for_target(&self) -> Notified<'_> {
+        self.target_set.notified()
     }
 
     /// Returns the version that a model's servers should hold; `None` if none was set.
--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -408,3 +408,34 @@
         });
     }
 }
+
+/// Guards against requests that begin on an old version because the new one was set after they had been sent.
+#[test]
+fn a_stream_is_withdrawn_when_a_version_that_is_set_later_is_due() {
+    let event = chunk(ONE) + END;
+    let rows = [
+        ("with head", stream_head("a1"), event.clone()),
+        ("without head", String::new(), stream_head("a1") + &event),
+    ];
+    for (name, before, after) in rows {
+        run(async move {
+            let options = Options {
+                version_grace: Duration::from_millis(1200),
+                ..support::options()
+            };
+            let late = Action::Pause(before, PAUSE, after);
+            let server = Server::start(vec![late]).await;
+            let entry = Entry::start_with(options, parts(route(Kind::Stream, 1)), &[&server]);
+            let stream = entry.open(&request("a1")).await;
+            while server.arrivals() == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            entry.state.set_target_version(MODEL, 2, true);
+
+            let response = read_all(stream).await;
+
+            assert!(response.starts_with("HTTP/1.1 502"), "{name}: {response}");
+            server.wait_for_disconnects(1).await;
+        });
+    }
+}
