Name the reasons why no other server is asked

`relay` and `attempts` gave them as strings from functions whose names did not say that they take a retry. No change of behaviour.

Two more tests on silent servers: no more of them are asked than the route's attempts allow, and all of them see that the caller has left.

--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -13,7 +13,7 @@
     permit::Permit,
     reply::Reason,
     send::Outcome,
-    silence::{self, Progress, Side, Silence},
+    silence::{self, Denial, Progress, Side, Silence},
     state::State,
 };
 
@@ -140,11 +140,9 @@
     /// meanwhile.
     async fn ask_beside(&mut self) -> Option<(Rc<Permit>, Arrival)> {
         self.silence.record_ask(Instant::now());
-        let denial = self.find_denial();
-        self.log_silent(denial);
-        if denial.is_some() {
-            return None;
-        }
+        let taken = self.take_retry();
+        self.log_silent(taken);
+        taken.ok()?;
         self.state.metrics.retries.get("silent").inc();
         let acquiring = acquire_permit(&self.state, &self.call, &self.tried, self.has_head);
         let permit = tokio::select! {
@@ -186,15 +184,15 @@
             && !self.call.time_left().is_zero()
     }
 
-    /// Returns why no other server may be asked beside a silent one; takes a retry from the budget if one may.
-    fn find_denial(&self) -> Option<&'static str> {
+    /// Takes a retry from the budget to ask another server beside a silent one.
+    fn take_retry(&self) -> Result<(), Denial> {
         if self.state.suspect_delay(&self.call.content).is_some() {
-            Some("crash suspect")
-        } else if !self.state.take_retry(&self.call.service) {
-            Some("retry budget")
-        } else {
-            None
+            return Err(Denial::CrashSuspect);
+        }
+        if !self.state.take_retry(&self.call.service) {
+            return Err(Denial::RetryBudget);
         }
+        Ok(())
     }
 
     /// Logs an attempt without a usable answer, and returns whether the request goes on: at a server that still has it,
@@ -260,7 +258,7 @@
         (!may_retry).then_some(Reason::Overloaded)
     }
 
-    fn log_silent(&self, denial: Option<&'static str>) {
+    fn log_silent(&self, taken: Result<(), Denial>) {
         let call = &self.call;
         for permit in self.contest.permits() {
             log::info!(
@@ -268,8 +266,8 @@
                 content:% = call.content.short(),
                 server = &*permit.choice.record.id,
                 events = 0,
-                allowed = denial.is_none(),
-                denied = denial.unwrap_or_default(),
+                allowed = taken.is_ok(),
+                denied = taken.err().map_or("", Denial::as_str),
                 age_ms = call.age_ms();
                 "server silent"
             );
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -12,7 +12,7 @@
     call::Call,
     contest::{log_asked_beside, withdraw},
     send::{self, Outcome},
-    silence::{self, Progress, Side},
+    silence::{self, Denial, Progress, Side},
     source::{Source, Step},
 };
 
@@ -27,11 +27,9 @@
         if let Some(source) = &mut self.source {
             source.silence.record_ask(Instant::now());
         }
-        let denial = self.find_denial();
-        self.log_interruption(server, step, denial);
-        if denial.is_some() {
-            return None;
-        }
+        let taken = self.take_retry();
+        self.log_interruption(server, step, taken);
+        taken.ok()?;
         state.metrics.retries.get(cause(step)).inc();
         let tried = self.tried.clone();
         let acquiring = acquire::acquire_resuming_permit(&state, &call, &tried);
@@ -77,19 +75,19 @@
         }
     }
 
-    /// Returns why no other server may be asked; takes a retry from the budget if one may.
-    fn find_denial(&self) -> Option<&'static str> {
+    /// Takes a retry from the budget to ask another server.
+    fn take_retry(&self) -> Result<(), Denial> {
         let call = &self.call;
-        let is_suspect = self.state.suspect_delay(&call.content).is_some();
         if !self.may_resume() {
-            Some("attempts")
-        } else if is_suspect {
-            Some("crash suspect")
-        } else if !self.state.take_retry(&call.service) {
-            Some("retry budget")
-        } else {
-            None
+            return Err(Denial::Attempts);
+        }
+        if self.state.suspect_delay(&call.content).is_some() {
+            return Err(Denial::CrashSuspect);
+        }
+        if !self.state.take_retry(&call.service) {
+            return Err(Denial::RetryBudget);
         }
+        Ok(())
     }
 
     /// Waits for `other` while the source may go on; returns what came first. A source that breaks off meanwhile ends.
@@ -107,7 +105,7 @@
                 return Either::Left(step);
             }
             self.end_source(Some(&step));
-            self.log_interruption(&server, &step, None);
+            self.log_interruption(&server, &step, Ok(()));
         }
         Either::Right(other.await)
     }
@@ -143,7 +141,7 @@
                 let server = Arc::clone(source.server());
                 self.end_source(loser_step);
                 if let Some(step) = loser_step {
-                    self.log_interruption(&server, step, None);
+                    self.log_interruption(&server, step, Ok(()));
                 }
                 self.replace_source(other);
             }
@@ -167,13 +165,13 @@
         self.former_events = events;
     }
 
-    /// Logs that a server is silent or has broken off, and why no other one is asked.
-    fn log_interruption(&self, server: &str, step: &Step, denial: Option<&'static str>) {
+    /// Logs that a server is silent or has broken off, and whether another one may be asked.
+    fn log_interruption(&self, server: &str, step: &Step, taken: Result<(), Denial>) {
         let call = &self.call;
         let content = call.content.short();
         let (events, last_event) = (self.events(), self.last_event);
-        let allowed = denial.is_none();
-        let denied = denial.unwrap_or_default();
+        let allowed = taken.is_ok();
+        let denied = taken.err().map_or("", Denial::as_str);
         if let Step::Silent = step {
             log::info!(call = call.id.as_str(), content:%, server, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "server silent");
             return;
--- a/crates/pistachiolug_gateway/src/silence.rs
+++ b/crates/pistachiolug_gateway/src/silence.rs
@@ -43,6 +43,28 @@
     }
 }
 
+/// Reason why no other server is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// The route allows no further server, or no repetition.
+    Attempts,
+    /// Servers crashed while they ran requests with the same content.
+    CrashSuspect,
+    /// The retry budget is used up.
+    RetryBudget,
+}
+
+impl Denial {
+    /// Returns the name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Attempts => "attempts",
+            Self::CrashSuspect => "crash suspect",
+            Self::RetryBudget => "retry budget",
+        }
+    }
+}
+
 /// One of two servers that have the same stream to go on with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Side {
--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -439,3 +439,49 @@
         });
     }
 }
+
+/// Guards against requests that are sent to more servers than the route allows while all of them are silent.
+#[test]
+fn no_more_servers_are_asked_than_the_route_allows() {
+    for kind in [Kind::Stream, Kind::Idempotent] {
+        run(async move {
+            let first = Server::start(Vec::new()).await;
+            let second = Server::start(Vec::new()).await;
+            let third = Server::start(Vec::new()).await;
+            let mut route = route(kind, 2);
+            route.target_latency = Duration::from_millis(200);
+            let entry = Entry::start(parts(route), &[&first, &second, &third]);
+
+            let response = entry.call(&request("a1")).await;
+
+            let arrivals = first.arrivals() + second.arrivals() + third.arrivals();
+            let retries = &entry.state.metrics.retries;
+            assert!(response.starts_with("HTTP/1.1 504"), "{kind:?}: {response}");
+            assert_eq!(arrivals, 2, "{kind:?}");
+            assert_eq!(retries.get("silent").get(), 1, "{kind:?}");
+        });
+    }
+}
+
+/// Guards against work that goes on at one of two servers after the caller has gone.
+#[test]
+fn both_servers_see_a_disconnect_when_the_caller_disconnects() {
+    for action in [Action::Hang, Action::Stall(stream_head("a1") + &chunk(ONE))] {
+        run(async move {
+            let first = Server::start(vec![action]).await;
+            let second = Server::start(vec![Action::Hang]).await;
+            let entry = Entry::start(parts(stream_route()), &[&first]);
+            let stream = entry.open(&request("a1")).await;
+            list_second(&entry, &first, &second).await;
+            while second.arrivals() == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+
+            drop(stream);
+
+            first.wait_for_disconnects(1).await;
+            second.wait_for_disconnects(1).await;
+            assert_eq!(entry.state.count_open_requests(), 0);
+        });
+    }
+}
