Resume no stream whose events have no ids

Without an id of the last relayed event, another server was sent the request as if nothing had been relayed, and the caller got the first events twice. Such a stream now ends as interrupted, with `no event id` as the reason in the log.

`a_stream_without_event_ids_is_not_resumed` got the first event twice before and once now; all other tests of the crate pass.

--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -102,7 +102,7 @@
 
     fn may_resume(&self) -> bool {
         let route = &self.call.authorized.route;
-        route.resumable && (self.tried.len() as u32) < route.attempts
+        route.resumable && self.last_event.is_some() && (self.tried.len() as u32) < route.attempts
     }
 
     fn events(&self) -> u64 {
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -78,6 +78,9 @@
     /// Takes a retry from the budget to ask another server.
     fn take_retry(&self) -> Result<(), Denial> {
         let call = &self.call;
+        if self.last_event.is_none() {
+            return Err(Denial::NoEventId);
+        }
         if !self.may_resume() {
             return Err(Denial::Attempts);
         }
--- a/crates/pistachiolug_gateway/src/silence.rs
+++ b/crates/pistachiolug_gateway/src/silence.rs
@@ -48,6 +48,8 @@
 pub enum Denial {
     /// The route allows no further server, or no repetition.
     Attempts,
+    /// The events of the stream have no ids, so that it can't be resumed without repeating them.
+    NoEventId,
     /// Servers crashed while they ran requests with the same content.
     CrashSuspect,
     /// The retry budget is used up.
@@ -59,6 +61,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Attempts => "attempts",
+            Self::NoEventId => "no event id",
             Self::CrashSuspect => "crash suspect",
             Self::RetryBudget => "retry budget",
         }
--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -485,3 +485,23 @@
         });
     }
 }
+
+/// Guards against events that come twice because a stream without event ids can only be resumed from its start.
+#[test]
+fn a_stream_without_event_ids_is_not_resumed() {
+    run(async {
+        let begun = stream_head("a1") + &chunk("data: ravi\n\n");
+        let first = Server::start(vec![Action::Reset(begun)]).await;
+        let whole = stream_head("a1") + &chunk("data: ravi\n\n") + &chunk("data: oli\n\n") + END;
+        let second = Server::start(vec![Action::Write(whole)]).await;
+        let entry = Entry::start(parts(stream_route()), &[&first]);
+        let stream = entry.open(&request("a1")).await;
+        list_second(&entry, &first, &second).await;
+
+        let response = read_all(stream).await;
+
+        assert_eq!(response.matches("data: ravi").count(), 1, "{response}");
+        assert!(!response.ends_with(END), "{response}");
+        assert_eq!(second.arrivals(), 0);
+    });
+}
