--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -12,12 +12,12 @@
     pool::Requirements,
     state::Options,
 };
-use tokio::{io::AsyncReadExt, net::TcpStream, time::sleep};
+use tokio::time::sleep;
 
 use support::{
     Action, Entry, MODEL, SERVICE, Server, answer, chunk,
     deployment::{Deployment, PAUSE_TIME, PAUSING_BODY},
-    parts, request, route, run, stream_head, unframed_head,
+    parts, read_all, request, route, run, stream_head, unframed_head,
 };
 
 /// Pause of a sound server; longer than all bounds after which another server is asked.
@@ -56,12 +56,6 @@
     lines.filter(|line| line.starts_with("id:")).collect()
 }
 
-async fn read_all(mut stream: TcpStream) -> String {
-    let mut response = Vec::new();
-    let _ = stream.read_to_end(&mut response).await;
-    String::from_utf8_lossy(&response).into_owned()
-}
-
 /// Lists another server once the first one has a request.
 async fn list_second(entry: &Entry, first: &Server, second: &Server) {
     while first.arrivals() == 0 {
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -200,10 +200,7 @@
 
     /// Sends a request on a new connection and returns all bytes of the answer.
     pub async fn call(&self, request: &str) -> String {
-        let mut stream = self.open(request).await;
-        let mut answer = Vec::new();
-        let _ = stream.read_to_end(&mut answer).await;
-        String::from_utf8_lossy(&answer).into_owned()
+        read_all(self.open(request).await).await
     }
 
     /// Sends a request and returns the connection without reading from it.
@@ -214,6 +211,13 @@
     }
 }
 
+/// Reads until the connection ends, by an error too.
+pub async fn read_all(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 const LIMIT: Limit = Limit {
     head_bytes: 16 << 10,
     head_timeout: Duration::from_secs(10),
