Resume a stream elsewhere when the next server refuses connections

Callers got the first events of a stream and a cut connection when the server that was to go on could not be reached: an entry learns of a crashed server only from the list or by its own connections, and each resume had one try.

Nothing is sent to such a server, so it counts neither as an attempt nor as a retry, and the next one is asked, up to the number of unreachable servers that requests which have not begun may meet.

The test failed on (first event, then a cut connection) and passes now, as do those of silence and forward.

--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -1,6 +1,6 @@
 //! Resumption of a stream at another server, beside a silent one or in place of one that broke off.
 
-use std::{pin::pin, rc::Rc, sync::Arc};
+use std::{ops::ControlFlow, pin::pin, rc::Rc, sync::Arc};
 
 use http::StatusCode;
 use http_body_util::Either;
@@ -9,8 +9,10 @@
 use super::Relay;
 use crate::{
     acquire,
+    attempts::MAX_UNSENT,
     call::Call,
     contest::{log_asked_beside, withdraw},
+    permit::Permit,
     send::{self, Outcome},
     silence::{self, Denial, Progress, Side},
     source::{Source, Step},
@@ -23,27 +25,37 @@
     /// # Arguments
     /// `server` is the one whose `step` is the reason.
     pub(super) async fn ask(&mut self, server: &str, step: &Step) -> Option<Step> {
-        let (state, call) = (Rc::clone(&self.state), Rc::clone(&self.call));
         if let Some(source) = &mut self.source {
             source.silence.record_ask(Instant::now());
         }
         let taken = self.take_retry();
         self.log_interruption(server, step, taken);
         taken.ok()?;
-        state.metrics.retries.get(cause(step)).inc();
+        self.state.metrics.retries.get(cause(step)).inc();
+        for _ in 0..MAX_UNSENT {
+            if let ControlFlow::Break(step) = self.open().await {
+                return step;
+            }
+        }
+        None
+    }
+
+    /// Sends the request to another server; `Continue` if that could not be reached, so that nothing was sent to it.
+    async fn open(&mut self) -> ControlFlow<Option<Step>> {
+        let (state, call) = (Rc::clone(&self.state), Rc::clone(&self.call));
         let tried = self.tried.clone();
         let acquiring = acquire::acquire_resuming_permit(&state, &call, &tried);
         let permit = match self.race(acquiring).await {
-            Either::Left(step) => return Some(step),
+            Either::Left(step) => return ControlFlow::Break(Some(step)),
             Either::Right(permit) => permit,
         };
         let Some(permit) = permit.map(Rc::new) else {
             log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no slot to resume the stream");
-            return None;
+            return ControlFlow::Break(None);
         };
         if !state.try_run(&call.content) {
             log::info!(call = call.id.as_str(), content:% = call.content.short(), age_ms = call.age_ms(); "stream not resumed because servers crash under it");
-            return None;
+            return ControlFlow::Break(None);
         }
         self.tried.push(Arc::clone(&permit.choice.record.id));
         if let Some(source) = &self.source {
@@ -55,24 +67,27 @@
         let outcome = match self.race(sending).await {
             Either::Left(step) => {
                 withdraw(&call, &permit, "another server went on", self.events());
-                return Some(step);
+                return ControlFlow::Break(Some(step));
             }
             Either::Right(outcome) => outcome,
         };
-        match outcome {
-            Outcome::Answer(response, connection) if response.status() == StatusCode::OK => {
+        if let Outcome::Answer(response, connection) = outcome {
+            if response.status() == StatusCode::OK {
                 let (_, other) = Source::new(&call, permit, response, connection, sent_at);
-                self.compare(other).await
-            }
-            outcome => {
-                let server = &*permit.choice.record.id;
-                log::info!(call = call.id.as_str(), server, outcome:?, age_ms = call.age_ms(); "resuming the stream failed");
-                if let Outcome::Answer(..) = outcome {
-                    permit.record_outcome();
-                }
-                None
+                return ControlFlow::Break(self.compare(other).await);
             }
+            permit.record_outcome();
+            log_failed_resume(&call, &permit, response.status().as_str());
+            return ControlFlow::Break(None);
         }
+        log_failed_resume(&call, &permit, &format!("{outcome:?}"));
+        if let Outcome::Unsent(_) = outcome {
+            permit.record_failure();
+            // Nothing was sent, so it doesn't count as an attempt.
+            self.tried.pop();
+            return ControlFlow::Continue(());
+        }
+        ControlFlow::Break(None)
     }
 
     /// Takes a retry from the budget to ask another server.
@@ -135,8 +150,7 @@
             _ if progress.is_none() => end(&call, &other, None, self.events()),
             Side::Former => {
                 if let Some(step) = loser_step {
-                    let server = &**other.server();
-                    log::info!(call = call.id.as_str(), server, step:?, age_ms = call.age_ms(); "resuming the stream failed");
+                    log_failed_resume(&call, &other.permit, &format!("{step:?}"));
                 }
                 end(&call, &other, loser_step, self.events());
             }
@@ -187,6 +201,12 @@
     }
 }
 
+/// Logs that a server was asked to resume a stream, and did not.
+fn log_failed_resume(call: &Call, permit: &Permit, reason: &str) {
+    let server = &*permit.choice.record.id;
+    log::info!(call = call.id.as_str(), server, reason, age_ms = call.age_ms(); "resuming the stream failed");
+}
+
 /// Records how a server's part of a stream ended: by `step`, or because another server went on.
 fn end(call: &Call, source: &Source, step: Option<&Step>, events: u64) {
     let reason = match step {
