--- a/crates/pistachiolug_standin/src/relay.rs
+++ b/crates/pistachiolug_standin/src/relay.rs
@@ -42,6 +42,8 @@
     stalled_below: u64,
     /// Connections with a lower number are closed.
     closed_below: u64,
+    /// Connections with a lower number are reset.
+    reset_below: u64,
     /// Whether new connections are closed as soon as they are accepted.
     is_refusing: bool,
     /// Time by which each piece of data is delayed.
@@ -87,6 +89,12 @@
         self.rules.send_modify(|rules| rules.closed_below = count);
     }
 
+    /// Resets the present connections, so that their ends can't be taken for regular ones; new ones work.
+    pub fn reset_connections(&self) {
+        let count = self.accepted_count();
+        self.rules.send_modify(|rules| rules.reset_below = count);
+    }
+
     /// Sets whether new connections are closed as soon as they are accepted.
     pub fn set_refusing(&self, is_refusing: bool) {
         self.rules
@@ -113,7 +121,7 @@
     }
 }
 
-/// Forwards both ways until one end closes its connection or the rules close it.
+/// Forwards both ways until one end closes its connection or the rules end it.
 async fn forward(
     mut caller: TcpStream,
     target: SocketAddr,
@@ -125,12 +133,13 @@
     server.set_nodelay(true)?;
     let (caller_read, caller_write) = caller.split();
     let (server_read, server_write) = server.split();
-    let mut closing = rules.clone();
+    let (mut closing, mut resetting) = (rules.clone(), rules.clone());
     tokio::select! {
         to_server = copy(caller_read, server_write, number, rules.clone()) => to_server,
         to_caller = copy(server_read, caller_write, number, rules) => to_caller,
         // Fails only when the relay was dropped.
         _ = closing.wait_for(|rules| number < rules.closed_below) => Ok(()),
+        _ = resetting.wait_for(|rules| number < rules.reset_below) => caller.set_zero_linger(),
     }
 }
 
