Answer in the entry's own protocol version

A stream that its server broke off looked whole to the caller if the server had answered in HTTP/1.0, which has no chunks: the entry took over the version with the head, so that the end of the connection was the end of the answer. Servers that send neither a length nor chunks may well do so.

The version belongs to the connection to the server, as the headers do that are removed already. The answer now goes out in HTTP/1.1, in chunks; the HTTP library lowers the version for callers that speak an older one.

--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -128,7 +128,7 @@
     tried: Vec<Arc<str>>,
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
     let Begun { mut head, source } = stream;
-    headers::remove_hop_by_hop(&mut head.headers);
+    headers::remove_connection(&mut head);
     // The first server's length is not valid if the stream is resumed elsewhere.
     head.headers.remove(header::CONTENT_LENGTH);
     let stream = relay::stream(state, call, source, first, tried);
@@ -141,7 +141,7 @@
     let body = timeout_at(call.deadline, body.collect()).await;
     let body = body.map_err(|_| "answer incomplete at the deadline".to_owned())?;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
-    headers::remove_hop_by_hop(&mut head.headers);
+    headers::remove_connection(&mut head);
     Ok(Response::from_parts(head, body))
 }
 
--- a/crates/pistachiolug_gateway/src/headers.rs
+++ b/crates/pistachiolug_gateway/src/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, header, request};
+use http::{HeaderMap, HeaderName, HeaderValue, header, request, response};
 
 use crate::{config::Authorized, names::Names, pool::Choice, server::Version};
 
@@ -61,6 +61,13 @@
     }
 }
 
+/// Removes from the head of an answer what applies to the server's connection only: headers, and the protocol version,
+/// which decides how the end of the body is marked.
+pub fn remove_connection(head: &mut response::Parts) {
+    remove_hop_by_hop(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+}
+
 /// Information for a server about one attempt of a request.
 #[derive(Debug)]
 pub struct Outgoing<'a> {
