--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -115,6 +115,7 @@
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
+        parts:% = call.prefix,
         route = &*call.authorized.route.name,
         server = &*choice.record.id,
         left_ms = call.time_left().as_millis() as u64,
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -13,6 +13,7 @@
     headers::{self, Outgoing, Tokens},
     permit::{OpenRequest, Permit},
     pool::Requirements,
+    prefix::Prefix,
     queue::Rank,
     state::State,
 };
@@ -42,6 +43,8 @@
     pub model: Option<Arc<str>>,
     /// Size in tokens, as the caller states it.
     pub tokens: Tokens,
+    /// Shared parts of the prompt, as the caller states them.
+    pub prefix: Prefix,
     /// When the request arrived.
     pub arrived: Instant,
     /// When the entry has to answer; shortly before the caller's own deadline.
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -280,6 +280,7 @@
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
+        parts:% = call.prefix,
         route = &*route.name,
         reason = reason.as_str(),
         sends = progress.tried.len(),
@@ -296,6 +297,7 @@
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
+        parts:% = call.prefix,
         server = &*permit.choice.record.id,
         cause,
         detail,
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod permit;
 pub mod pool;
+pub mod prefix;
 pub mod prober;
 pub mod process;
 pub mod queue;
--- a/crates/pistachiolug_gateway/src/names.rs
+++ b/crates/pistachiolug_gateway/src/names.rs
@@ -23,6 +23,8 @@
     pub model: HeaderName,
     /// Tokens of the prompt and largest number of tokens of the answer, separated by a comma.
     pub tokens: HeaderName,
+    /// Parts of the prompt in order, as `ID:TOKENS` separated by commas; the last one is the request's own.
+    pub prefix: HeaderName,
     /// Id of the last event that the sender has, to resume a stream.
     pub last_event: HeaderName,
     /// Signature that marks an answer as written by a backend server.
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -13,6 +13,7 @@
     call::Call,
     config::{Authorized, Config, Denial},
     headers,
+    prefix::Prefix,
     reply::Reason,
     state::{State, find_engine},
 };
@@ -45,6 +46,7 @@
         .and_then(|_| headers::text(&head.headers, &names.model))
         .map(Arc::from);
     let tokens = headers::tokens(&head.headers, names);
+    let prefix = Prefix::from_headers(&head.headers, names);
     state.count_request(&service);
     let content = digest_content(&head, &authorized, &body);
     Ok(Call {
@@ -56,6 +58,7 @@
         service,
         model,
         tokens,
+        prefix,
         arrived,
         deadline,
         is_first_attempt,
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -248,7 +248,7 @@
         let events = self.splitter.events();
         let is_suspect = self.state.suspect_delay(&call.content).is_some();
         let allowed = self.may_resume() && !is_suspect && self.state.take_retry(&call.service);
-        log::info!(call = call.id.as_str(), content:% = call.content.short(), server, reason, events, last_event:? = self.splitter.last_event_id(), is_suspect, allowed, age_ms = call.age_ms(); "stream interrupted");
+        log::info!(call = call.id.as_str(), content:% = call.content.short(), parts:% = call.prefix, server, reason, events, last_event:? = self.splitter.last_event_id(), is_suspect, allowed, age_ms = call.age_ms(); "stream interrupted");
         if !allowed {
             return false;
         }
@@ -258,7 +258,7 @@
             return false;
         };
         if !self.state.try_run(&call.content) {
-            log::info!(call = call.id.as_str(), content:% = call.content.short(), age_ms = call.age_ms(); "stream not resumed because servers crash under it");
+            log::info!(call = call.id.as_str(), content:% = call.content.short(), parts:% = call.prefix, age_ms = call.age_ms(); "stream not resumed because servers crash under it");
             return false;
         }
         let server = Arc::clone(&permit.choice.record.id);
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -212,6 +212,7 @@
         priority: name("x-priority"),
         model: name("x-model"),
         tokens: name("x-tokens"),
+        prefix: name("x-prefix"),
         last_event: name("last-event-id"),
         signature: name("x-signature"),
         not_run: name("x-not-run"),
