--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -1,7 +1,7 @@
 //! Whole entries over a store in memory, and backend servers that a request can crash.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
     sync::Arc,
@@ -19,6 +19,7 @@
 use pistachiolug_platform::kv::{Store, memory::Memory};
 use pistachiolug_wire::{codec, datagram::Suspect, digest::Digest};
 use rand::RngExt;
+use rustc_hash::FxHashMap;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -41,6 +42,9 @@
 /// Body of a sound request that takes a while.
 pub const SLOW_BODY: &str = "slow!";
 
+/// Part of a prompt that crashes each server that begins to answer a request which shares it.
+pub const CRASHING_PART: &str = "bad0bad0";
+
 /// Time that a slow request takes.
 const SLOW_TIME: Duration = Duration::from_millis(150);
 
@@ -162,8 +166,20 @@
     format: Format,
     network: Ipv4Addr,
     entries: Vec<Process>,
-    /// Bodies of the requests that arrived at servers.
-    arrivals: Rc<RefCell<Vec<String>>>,
+    servers: Rc<Servers>,
+}
+
+/// What the servers of a deployment have seen, and how they are crashed.
+#[derive(Default)]
+struct Servers {
+    /// Bodies of the requests that arrived.
+    arrivals: RefCell<Vec<String>>,
+    /// Number of the requests with the crashing part that arrived.
+    part_arrivals: Cell<usize>,
+    /// Number of servers that have crashed.
+    crashes: Cell<usize>,
+    /// Crashes the running incarnation of a server, by its index.
+    triggers: RefCell<FxHashMap<u8, Arc<Notify>>>,
 }
 
 impl Deployment {
@@ -181,14 +197,14 @@
             format: Format { kind, attempts },
             network,
             entries: Vec::new(),
-            arrivals: Rc::default(),
+            servers: Rc::default(),
         };
         deployment.store.put(CONFIG_KEY, b"");
         for index in 0..servers {
             let [address] = deployment.free_addresses(100 + index);
-            let arrivals = Rc::clone(&deployment.arrivals);
+            let seen = Rc::clone(&deployment.servers);
             let store = deployment.store.clone();
-            spawn_local(serve_incarnations(index, address, store, arrivals));
+            spawn_local(serve_incarnations(index, address, store, seen));
         }
         deployment.start_entries(entries).await;
         deployment
@@ -203,14 +219,11 @@
 
     /// Waits until the store has the row of a suspect.
     pub async fn wait_for_suspect_row(&self) {
-        while self
-            .store
-            .range(SUSPECT_PREFIX)
-            .await
-            .unwrap()
-            .entries
-            .is_empty()
-        {
+        self.wait_for_row(SUSPECT_PREFIX).await;
+    }
+
+    async fn wait_for_row(&self, prefix: &str) {
+        while self.store.range(prefix).await.unwrap().entries.is_empty() {
             sleep(Duration::from_millis(10)).await;
         }
     }
@@ -253,9 +266,26 @@
 
     /// Returns the number of requests with a body that arrived at servers.
     pub fn arrivals(&self, body: &str) -> usize {
-        let arrivals = self.arrivals.borrow();
+        let arrivals = self.servers.arrivals.borrow();
         arrivals.iter().filter(|arrived| *arrived == body).count()
     }
+
+    /// Returns the number of requests with the crashing part that arrived at servers.
+    pub fn part_arrivals(&self) -> usize {
+        self.servers.part_arrivals.get()
+    }
+
+    /// Returns the number of servers that have crashed.
+    pub fn crashes(&self) -> usize {
+        self.servers.crashes.get()
+    }
+
+    /// Crashes a server with everything that it runs.
+    pub fn crash_server(&self, index: u8) {
+        if let Some(trigger) = self.servers.triggers.borrow().get(&index) {
+            trigger.notify_one();
+        }
+    }
 }
 
 async fn exchange(address: SocketAddr, request: &str) -> String {
@@ -277,24 +307,21 @@
 }
 
 /// Runs one incarnation of a server after the other at the same address; each ends when a request crashes it.
-async fn serve_incarnations(
-    index: u8,
-    address: SocketAddr,
-    store: Memory,
-    arrivals: Rc<RefCell<Vec<String>>>,
-) {
+async fn serve_incarnations(index: u8, address: SocketAddr, store: Memory, seen: Rc<Servers>) {
     for start in 1.. {
         let listener = local_server::bind(address).unwrap();
         let key = format!("{SERVER_PREFIX}i-{index}-{start}");
         store.put(&key, format!("{address} {start}").as_bytes());
-        serve_until_crash(listener, &arrivals).await;
+        let crash = Arc::new(Notify::new());
+        seen.triggers.borrow_mut().insert(index, Arc::clone(&crash));
+        serve_until_crash(listener, crash, &seen).await;
+        seen.crashes.set(seen.crashes.get() + 1);
         sleep(DOWN_TIME).await;
         store.delete(&key);
     }
 }
 
-async fn serve_until_crash(listener: TcpListener, arrivals: &Rc<RefCell<Vec<String>>>) {
-    let crash = Arc::new(Notify::new());
+async fn serve_until_crash(listener: TcpListener, crash: Arc<Notify>, seen: &Rc<Servers>) {
     // Dropping the set closes all connections.
     let mut connections = JoinSet::new();
     loop {
@@ -302,18 +329,22 @@
             accepted = listener.accept() => accepted.unwrap().0,
             () = crash.notified() => return,
         };
-        let (crash, arrivals) = (Arc::clone(&crash), Rc::clone(arrivals));
-        connections.spawn_local(serve(stream, crash, arrivals));
+        let (crash, seen) = (Arc::clone(&crash), Rc::clone(seen));
+        connections.spawn_local(serve(stream, crash, seen));
     }
 }
 
-async fn serve(mut stream: TcpStream, crash: Arc<Notify>, arrivals: Rc<RefCell<Vec<String>>>) {
+async fn serve(mut stream: TcpStream, crash: Arc<Notify>, seen: Rc<Servers>) {
     let request = read_request(&mut stream).await;
     let Some((head, body)) = request.split_once("\r\n\r\n") else {
         return;
     };
-    arrivals.borrow_mut().push(body.to_owned());
-    if body == CRASHING_BODY {
+    seen.arrivals.borrow_mut().push(body.to_owned());
+    let has_crashing_part = shared_parts(head).any(|part| part == CRASHING_PART);
+    if has_crashing_part {
+        seen.part_arrivals.set(seen.part_arrivals.get() + 1);
+    }
+    if body == CRASHING_BODY || has_crashing_part {
         if head.contains("x-priority") {
             let id = find_attempt(head);
             let begun = stream_head(id) + &chunk("id: 1\ndata: rav\n\n");
@@ -345,7 +376,18 @@
 }
 
 fn find_attempt(head: &str) -> &str {
-    let mut lines = head.lines();
-    let id = lines.find_map(|line| line.strip_prefix("x-attempt: "));
-    id.unwrap_or_default()
+    find_header(head, "x-attempt")
+}
+
+fn find_header<'a>(head: &'a str, name: &str) -> &'a str {
+    let mut headers = head.lines().filter_map(|line| line.split_once(": "));
+    let header = headers.find(|(header, _)| *header == name);
+    header.map_or("", |(_, value)| value)
+}
+
+/// Returns the ids of the parts of a prompt but the last.
+fn shared_parts(head: &str) -> impl Iterator<Item = &str> {
+    let parts = find_header(head, "x-prefix");
+    let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+    shared.split(',').filter_map(|part| part.split(':').next())
 }
