Refuse requests with a part that crashes servers

Callers of a route whose prompts shared one part saw servers end again and again: each such request, no two alike, crashed each server that answered it.

Cause: suspects are kept by the digest of the whole content, so each request started counting at zero. And an answer without length and chunks that just ended, as it does when its server crashes, counted as a success.

An entry keeps crashes of servers with the shared parts of all requests that were lost in them, its own and those that other entries report. A complete answer clears its parts of the crashes before. A part left in crashes at three separate moments (four if it was answered in the 30 s before, or in five crashes at one moment if it was not) is named if it explains them best, and each entry refuses its requests before they wait, before each send and before a resume: 503 crash-suspect, with the time to come back. Crashes that the named part explains don't count for the parts beside it.

One entry of those alive runs a request with a named part again, 30 s after the last crash and 60 s after that run, twice in all. The same entry writes the part to the key-value service, so that entries that start anew refuse it too.

An answer that only ends with its connection has its server checked, and counts once the server was found alive.

The test of sound requests covers streams too. The tests of losses take requests with their times instead of contents; what they assert is unchanged.

--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     config::{Authorized, Kind},
+    fingerprint::Fingerprint,
     headers::{self, Outgoing, Tokens},
     permit::{OpenRequest, Permit},
     pool::Requirements,
@@ -35,6 +36,8 @@
     pub body: Bytes,
     /// Digest of what stays the same when the caller sends the request again: method, host, path, workspace and body.
     pub content: Digest,
+    /// Content and shared parts of the prompt, by which the cause of crashes is recognized.
+    pub fingerprint: Fingerprint,
     /// Route and workspace.
     pub authorized: Authorized,
     /// Service that was picked among the route's targets.
--- a/crates/pistachiolug_gateway/src/decoder.rs
+++ b/crates/pistachiolug_gateway/src/decoder.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pistachiolug_wire::datagram::Suspect;
+use pistachiolug_wire::datagram::{Culprit, Suspect};
 
 use crate::{
     config::Parts,
@@ -32,6 +32,8 @@
     },
     /// Content that crashed servers.
     Suspect(Suspect),
+    /// Part of prompts that crashed servers.
+    Culprit(Culprit),
     /// Row that entries don't use.
     Other,
     /// Row that can't be decoded; its earlier value is no longer valid.
@@ -65,4 +67,7 @@
 
     /// Returns the key and value of the row of a suspect.
     fn suspect_row(&self, suspect: &Suspect) -> (String, Vec<u8>);
+
+    /// Returns the key and value of the row of a part of prompts.
+    fn culprit_row(&self, culprit: &Culprit) -> (String, Vec<u8>);
 }
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -19,7 +19,7 @@
     receive, relay,
     reply::{self, Broken, Reason},
     send::{Outcome, send},
-    state::State,
+    state::{State, hex},
     upstream::Connection,
 };
 
@@ -78,7 +78,7 @@
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
     let mut progress = Progress::default();
     let reason = loop {
-        if state.suspect_delay(&call.content).is_some() {
+        if state.suspect_delay(&call.fingerprint).is_some() {
             break Reason::CrashSuspect;
         }
         let permit = match acquire::acquire_permit(&state, &call, &progress.tried).await {
@@ -86,7 +86,7 @@
             Err(reason) => break reason,
         };
         // Another request with the content may have crashed a server while this one waited.
-        if !state.try_run(&call.content) {
+        if !state.try_run(&call.fingerprint) {
             break Reason::CrashSuspect;
         }
         let until = silence_deadline(&call, &progress);
@@ -120,9 +120,10 @@
         }
         match read_whole(&call, response).await {
             Ok(response) => {
-                permit.record_outcome();
                 if status.is_success() {
-                    state.record_success(&call.content);
+                    permit.record_success();
+                } else {
+                    permit.record_outcome();
                 }
                 log_answer(&call, &permit, status, progress.tried.len());
                 state.metrics.outcomes.get(ANSWERED).inc();
@@ -272,15 +273,19 @@
             let point = rand::rng().random_range(0.0..1.0);
             Some(admission::retry_after(call.time_left(), point))
         }
-        Reason::CrashSuspect => state.suspect_delay(&call.content),
+        Reason::CrashSuspect => state.suspect_delay(&call.fingerprint),
         _ => None,
     };
     let come_back_ms = retry_after.map_or(0, |delay| delay.as_millis() as u64);
     let route = &call.authorized.route;
+    let part = state.find_named_part(&call.fingerprint);
+    let part_id = part.and_then(|part| call.prefix.ids().nth(part.position.into()));
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
         parts:% = call.prefix,
+        part:% = part.map_or_else(String::new, |part| hex(part.id)),
+        part_id:% = part_id.unwrap_or_default(),
         route = &*route.name,
         reason = reason.as_str(),
         sends = progress.tried.len(),
--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -7,7 +7,7 @@
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
 use pistachiolug_replica::{follow::Observer, snapshot};
-use pistachiolug_wire::datagram::{self, Datagram};
+use pistachiolug_wire::datagram::{self, Crash, Datagram};
 use tokio::net::UdpSocket;
 
 use crate::{decoder::Decoder, state::State, updater::Updater};
@@ -31,6 +31,18 @@
 /// Largest number of datagrams with suspects in one round.
 const MAX_SUSPECT_DATAGRAMS: usize = 8;
 
+/// Largest size of the crashes in one datagram, in parts of 13 bytes, so that it fits into one packet.
+const MAX_PARTS_PER_DATAGRAM: usize = 88;
+
+/// Size of a crash without its parts, in parts.
+const PARTS_PER_CRASH: usize = 2;
+
+/// Largest number of named parts in one datagram, so that it fits into one packet.
+pub const MAX_CULPRITS_PER_DATAGRAM: usize = 5;
+
+/// Largest number of datagrams with crashes, and of those with named parts, in one round.
+const MAX_PART_DATAGRAMS: usize = 13;
+
 /// Largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -68,6 +80,7 @@
             Err(error) => log::warn!(error:%; "encoding a beacon failed"),
         }
         send_suspects(&state, &socket, round, &peers);
+        send_parts(&state, &socket, round, &peers);
         let peer = state.newer_peer();
         let advanced = revision > known_revision;
         known_revision = revision;
@@ -101,6 +114,59 @@
     }
 }
 
+/// Sends what this entry has found out about crashes lately, and now and then all named parts.
+fn send_parts(state: &State, socket: &UdpSocket, round: u32, peers: &[SocketAddr]) {
+    let culprits = if round.is_multiple_of(ROUNDS_PER_REFRESH) {
+        state.expire_crashes();
+        state.culprits()
+    } else {
+        state.rerun_culprits(ANNOUNCE_TIME)
+    };
+    let culprits = culprits.chunks(MAX_CULPRITS_PER_DATAGRAM);
+    let culprits = culprits.map(|culprits| Datagram::Culprits(culprits.to_vec()));
+    let crashes = chunk_crashes(state.crash_updates(ANNOUNCE_TIME));
+    let first = (round as usize * MAX_PART_DATAGRAMS) % crashes.len().max(1);
+    // Another round begins with those that did not fit into this one.
+    let crashes = crashes.iter().cycle().skip(first).take(crashes.len());
+    let crashes = crashes.map(|crashes| Datagram::Crashes(crashes.clone()));
+    let datagrams = culprits
+        .take(MAX_PART_DATAGRAMS)
+        .chain(crashes.take(MAX_PART_DATAGRAMS));
+    for datagram in datagrams {
+        match datagram::encode(&datagram) {
+            // A lost datagram is replaced by the next ones.
+            Ok(message) => peers.iter().for_each(|peer| {
+                let _ = socket.try_send_to(&message, *peer);
+            }),
+            Err(error) => log::warn!(error:%; "encoding parts of prompts failed"),
+        }
+    }
+}
+
+/// Distributes crashes over datagrams; one with many parts is split, since reports of one crash add up.
+pub fn chunk_crashes(crashes: Vec<Crash>) -> Vec<Vec<Crash>> {
+    let max_parts = MAX_PARTS_PER_DATAGRAM - PARTS_PER_CRASH;
+    let mut datagrams: Vec<Vec<Crash>> = Vec::new();
+    let mut left = 0;
+    for crash in crashes {
+        for parts in crash.parts.chunks(max_parts) {
+            let size = parts.len() + PARTS_PER_CRASH;
+            let crash = Crash {
+                parts: parts.to_vec(),
+                ..crash.clone()
+            };
+            if let Some(datagram) = datagrams.last_mut().filter(|_| size <= left) {
+                datagram.push(crash);
+            } else {
+                datagrams.push(vec![crash]);
+                left = MAX_PARTS_PER_DATAGRAM;
+            }
+            left -= size;
+        }
+    }
+    datagrams
+}
+
 /// Receives the datagrams of entries and agents.
 pub async fn receive_datagrams(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -117,6 +183,8 @@
                         state.merge_suspect(suspect);
                     }
                 }
+                Ok(Datagram::Crashes(crashes)) => state.merge_crashes(&crashes),
+                Ok(Datagram::Culprits(culprits)) => state.merge_culprits(&culprits),
                 Err(error) => log::warn!(from:%, error:%; "malformed datagram received"),
             },
             Err(error) => log::debug!(error:%; "receiving a datagram failed"),
--- a/crates/pistachiolug_gateway/src/headers.rs
+++ b/crates/pistachiolug_gateway/src/headers.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, header, request};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, header, request};
+use hyper::body::Body;
 
 use crate::{config::Authorized, names::Names, pool::Choice, server::Version};
 
@@ -47,6 +48,13 @@
     }
 }
 
+/// Returns whether the end of an answer can be told from the end of its connection: it has a length, chunks or no body.
+pub fn is_framed(response: &Response<impl Body>) -> bool {
+    let encoding = text(response.headers(), &header::TRANSFER_ENCODING).unwrap_or_default();
+    let is_chunked = encoding.to_ascii_lowercase().contains("chunked");
+    is_chunked || response.body().size_hint().exact().is_some()
+}
+
 /// Removes the headers that apply to one connection only, including those that `Connection` lists.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod decoder;
 pub mod event;
+pub mod fingerprint;
 pub mod forward;
 pub mod gossip;
 pub mod headers;
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -24,6 +24,15 @@
 /// Label of a lost request whose content is refused from now on.
 pub const REFUSED: &str = "refused";
 
+/// Label of a part of prompts that was named as the cause of crashes.
+pub const NAMED: &str = "named";
+
+/// Label of a part that is no longer named.
+pub const CLEARED: &str = "cleared";
+
+/// Label of a run of a request with a named part.
+pub const RERUN: &str = "rerun";
+
 /// Metrics of an entry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -35,6 +44,8 @@
     pub loss_checks: Counters,
     /// Lost requests whose server has crashed, by whether the request may run again.
     pub crashes: Counters,
+    /// Parts of prompts by what became of them: named as the cause of crashes, no longer named, run again.
+    pub parts: Counters,
     /// Seconds from a request's arrival to the head of a server's answer.
     pub head_seconds: Histogram,
     /// Seconds from a request's arrival to its stream's first event.
@@ -98,6 +109,13 @@
                 "request",
                 &[ALLOWED, REFUSED],
             )?,
+            parts: Counters::register(
+                registry,
+                "pistachiolug_gateway_suspected_parts_total",
+                "Parts of prompts that were named as the cause of crashes, cleared or run again.",
+                "change",
+                &[NAMED, CLEARED, RERUN],
+            )?,
             head_seconds: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_event_seconds: histogram(
                 registry,
--- a/crates/pistachiolug_gateway/src/peers.rs
+++ b/crates/pistachiolug_gateway/src/peers.rs
@@ -12,7 +12,7 @@
 /// Age of a beacon from which a peer that follows the key-value service for others is replaced.
 const MAX_FOLLOWER_AGE: Duration = Duration::from_millis(600);
 
-/// Age of a beacon from which rows are no longer read from the peer.
+/// Age of a beacon from which a peer counts as gone: no rows are read from it, and others do its part.
 const MAX_PEER_AGE: Duration = Duration::from_secs(2);
 
 /// Rounds per beacon to entries of other regions; entries of the own region get one each round. Links between regions
@@ -150,6 +150,18 @@
         best.map(|peer| peer.address)
     }
 
+    /// Returns whether this entry is the one of all live entries that handles an object. All entries compute the same
+    /// order. An entry that hears none of the others may be cut off from them, so it handles nothing.
+    pub fn is_first_for(&self, object: Key, now: Duration) -> bool {
+        let own = Key::of(&self.name).score(object);
+        let peers = self.by_name.iter();
+        let mut alive = peers
+            .filter(|(_, peer)| peer.is_heard_within(MAX_PEER_AGE, now))
+            .peekable();
+        let is_alone = !self.by_name.is_empty() && alive.peek().is_none();
+        !is_alone && alive.all(|(name, _)| Key::of(name).score(object) < own)
+    }
+
     /// Returns whether this entry follows the key-value service itself.
     ///
     /// Only a few entries of each region do; the others read the rows from them, so that calls and bytes between
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -1,10 +1,13 @@
 //! Guards for server slots and open requests, which are given back on drop.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
-use pistachiolug_wire::digest::Digest;
-
-use crate::{pool::Choice, state::State};
+use crate::{fingerprint::Fingerprint, losses::Loss, pool::Choice, state::State};
 
 /// Slot of one request at a server; dropping it frees the slot and serves the queue.
 #[derive(Debug)]
@@ -15,14 +18,16 @@
     /// Prompt tokens that the server has not read yet.
     pub(crate) unread_prompt_tokens: Cell<u32>,
     /// Request that the server has; `None` before it was sent and once its outcome is known.
-    pub(crate) sent: Cell<Option<Sent>>,
+    pub(crate) sent: RefCell<Option<Sent>>,
+    /// Whether the end of the server's answer can be told from the end of its connection.
+    pub(crate) is_framed: Cell<bool>,
     pub(crate) state: Rc<State>,
 }
 
 /// Request that a server has.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(crate) struct Sent {
-    content: Digest,
+    fingerprint: Fingerprint,
     /// When the request was sent, or when data of its answer last arrived.
     heard_at: Duration,
 }
@@ -33,21 +38,51 @@
 
 impl Permit {
     /// Records that a request is sent to the server, or that data of its answer has arrived.
-    pub fn record_contact(&self, content: Digest) {
+    pub fn record_contact(&self, fingerprint: &Fingerprint) {
         let heard_at = self.state.now();
-        self.sent.set(Some(Sent { content, heard_at }));
+        let fingerprint = fingerprint.clone();
+        self.sent.replace(Some(Sent {
+            fingerprint,
+            heard_at,
+        }));
+    }
+
+    /// Records whether the answer has a length or chunks. Another one ends with its connection, as it does if the server
+    /// crashes.
+    pub fn record_framing(&self, is_framed: bool) {
+        self.is_framed.set(is_framed);
     }
 
     /// Records that the outcome of the request is known: the server has answered it or did not run it, or the request
     /// was withdrawn.
     pub fn record_outcome(&self) {
-        self.sent.set(None);
+        self.sent.replace(None);
     }
 
     /// Records that the server gave no complete answer to the request; it may have crashed.
     pub fn record_loss(&self) {
+        self.lose(false);
+    }
+
+    /// Records that the server answered the request successfully. If only the end of the connection ended the answer,
+    /// the server is checked first.
+    pub fn record_success(&self) {
+        if !self.is_framed.get() {
+            self.lose(true);
+        } else if let Some(sent) = self.sent.take() {
+            self.state.record_success(&sent.fingerprint);
+        }
+    }
+
+    fn lose(&self, is_answered: bool) {
         if let Some(sent) = self.sent.take() {
-            self.state.record_loss(&self.choice.record, sent.content);
+            let loss = Loss {
+                fingerprint: sent.fingerprint,
+                heard_at: sent.heard_at,
+                lost_at: self.state.now(),
+                is_answered,
+            };
+            self.state.record_loss(&self.choice.record, loss);
         }
     }
 
@@ -93,9 +128,8 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let now = self.state.now();
-        if let Some(sent) = self.sent.get()
-            && now >= sent.heard_at + MIN_SILENCE
-        {
+        let heard_at = self.sent.borrow().as_ref().map(|sent| sent.heard_at);
+        if heard_at.is_some_and(|heard_at| now >= heard_at + MIN_SILENCE) {
             self.record_loss();
         }
         let id = &self.choice.record.id;
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -33,7 +33,7 @@
     gossip::{self, BEACON_INTERVAL, ROWS_PATH},
     metrics::Metrics,
     prober,
-    state::{Options, SUSPECT_RETENTION, State},
+    state::{Options, SUSPECT_RETENTION, State, hex},
     stop::{self, Stage},
     updater::Updater,
 };
@@ -292,8 +292,8 @@
     }
 }
 
-/// Writes suspects that are refused to the key-value service, one at each tick, so that they survive the loss of all
-/// entries.
+/// Writes suspects and parts that are refused to the key-value service, one at each tick, so that they survive the loss
+/// of all entries.
 async fn save_suspects<S: Store, D: Decoder>(
     state: Rc<State>,
     store: S,
@@ -302,34 +302,39 @@
 ) {
     loop {
         ticks.next().await;
-        let Some(suspect) = state.take_unsaved_suspect() else {
-            continue;
-        };
-        let (key, value) = decoder.suspect_row(&suspect);
-        let row = state.with_rows(|rows| rows.entries().find(|row| row.key == key).cloned());
-        if row.as_ref().is_some_and(|row| *row.value == *value) {
-            continue;
-        }
-        let expect = row.map_or(Precondition::Absent, |row| {
-            Precondition::Revision(row.revision)
-        });
-        if let Err(error) = save_row(&store, &key, expect, &value).await {
-            let content = Digest::from(suspect.content);
-            log::warn!(content:% = content.short(), error; "writing a suspect failed");
-            state.restore_unsaved_suspect(&suspect);
+        if let Some(suspect) = state.take_unsaved_suspect() {
+            let row = decoder.suspect_row(&suspect);
+            if let Err(error) = save_row(&state, &store, row).await {
+                let content = Digest::from(suspect.content);
+                log::warn!(content:% = content.short(), error; "writing a suspect failed");
+                state.restore_unsaved_suspect(&suspect);
+            }
+        } else if let Some(culprit) = state.take_unsaved_culprit() {
+            let row = decoder.culprit_row(&culprit);
+            if let Err(error) = save_row(&state, &store, row).await {
+                log::warn!(part = hex(culprit.part), error; "writing a named part failed");
+                state.restore_unsaved_culprit(&culprit);
+            }
         }
     }
 }
 
+/// Writes a row with the lease of suspects, unless it is there already.
 async fn save_row<S: Store>(
+    state: &State,
     store: &S,
-    key: &str,
-    expect: Precondition,
-    value: &[u8],
+    (key, value): (String, Vec<u8>),
 ) -> Result<(), String> {
+    let row = state.with_rows(|rows| rows.entries().find(|row| row.key == key).cloned());
+    if row.as_ref().is_some_and(|row| *row.value == *value) {
+        return Ok(());
+    }
+    let expect = row.map_or(Precondition::Absent, |row| {
+        Precondition::Revision(row.revision)
+    });
     let lease = store.grant(SUSPECT_RETENTION).await;
     let lease = lease.map_err(|error| error.to_string())?;
-    match store.swap(key, expect, Some(value), Some(lease)).await {
+    match store.swap(&key, expect, Some(&value), Some(lease)).await {
         Ok(Swap::Done { .. }) => Ok(()),
         // The next try uses the row that the watch brings meanwhile.
         Ok(Swap::Lost { .. }) => Err("the row has changed meanwhile".to_owned()),
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -12,6 +12,7 @@
 use crate::{
     call::Call,
     config::{Authorized, Config, Denial},
+    fingerprint::Fingerprint,
     headers,
     prefix::Prefix,
     reply::Reason,
@@ -49,11 +50,14 @@
     let prefix = Prefix::from_headers(&head.headers, names);
     state.count_request(&service);
     let content = digest_content(&head, &authorized, &body);
+    let named_model = headers::text(&head.headers, &names.model).unwrap_or_default();
+    let fingerprint = Fingerprint::new(content, named_model, &prefix);
     Ok(Call {
         id: id.to_owned(),
         head,
         body,
         content,
+        fingerprint,
         authorized,
         service,
         model,
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -176,7 +176,7 @@
                 continue;
             };
             source.last_data_at = Instant::now();
-            source.permit.record_contact(self.call.content);
+            source.permit.record_contact(&self.call.fingerprint);
             match self.splitter.push(&data) {
                 Ok(Some(events)) => {
                     self.record_events();
@@ -246,7 +246,7 @@
         self.splitter.discard_partial();
         let call = &self.call;
         let events = self.splitter.events();
-        let is_suspect = self.state.suspect_delay(&call.content).is_some();
+        let is_suspect = self.state.suspect_delay(&call.fingerprint).is_some();
         let allowed = self.may_resume() && !is_suspect && self.state.take_retry(&call.service);
         log::info!(call = call.id.as_str(), content:% = call.content.short(), parts:% = call.prefix, server, reason, events, last_event:? = self.splitter.last_event_id(), is_suspect, allowed, age_ms = call.age_ms(); "stream interrupted");
         if !allowed {
@@ -257,7 +257,7 @@
             log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no slot to resume the stream");
             return false;
         };
-        if !self.state.try_run(&call.content) {
+        if !self.state.try_run(&call.fingerprint) {
             log::info!(call = call.id.as_str(), content:% = call.content.short(), parts:% = call.prefix, age_ms = call.age_ms(); "stream not resumed because servers crash under it");
             return false;
         }
@@ -303,8 +303,7 @@
         let server = self.source.as_ref().map(|source| &source.permit);
         if let Some(permit) = server.filter(|_| outcome == ANSWERED) {
             permit.record_answer(true);
-            permit.record_outcome();
-            self.state.record_success(&call.content);
+            permit.record_success();
         }
         log::info!(
             call = call.id.as_str(),
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -42,10 +42,13 @@
     last_event: Option<u64>,
     until: Instant,
 ) -> Outcome {
-    permit.record_contact(call.content);
+    permit.record_contact(&call.fingerprint);
     let outcome = exchange(state, call, permit, last_event, until).await;
     match &outcome {
-        Outcome::Answer(..) => {}
+        Outcome::Answer(response, _) => {
+            permit.record_contact(&call.fingerprint);
+            permit.record_framing(headers::is_framed(response));
+        }
         Outcome::Lost(_) | Outcome::Silent => permit.record_loss(),
         Outcome::NotRun(_) | Outcome::Unsent(_) | Outcome::Outdated => permit.record_outcome(),
     }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -11,7 +11,7 @@
 
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
-use pistachiolug_routing::{retry::WindowBudget, suspect::Suspects};
+use pistachiolug_routing::{attribution::Attribution, retry::WindowBudget, suspect::Suspects};
 use pistachiolug_wire::{
     datagram::{Beacon, Notice},
     digest::Digest,
@@ -20,8 +20,10 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, oneshot};
 
+mod parts;
 mod suspects;
 
+pub(crate) use parts::hex;
 pub use suspects::SUSPECT_RETENTION;
 
 use crate::{
@@ -122,6 +124,9 @@
     suspects: RefCell<Suspects>,
     /// Suspects whose row in the key-value service is missing or outdated.
     unsaved_suspects: RefCell<BTreeSet<Digest>>,
+    attribution: RefCell<Attribution>,
+    /// Reruns of the named parts whose rows are in the key-value service, as their rows say.
+    saved_reruns: RefCell<FxHashMap<u64, u8>>,
     open_count: Cell<usize>,
 }
 
@@ -155,6 +160,8 @@
             loss_recorded: Notify::new(),
             suspects: RefCell::new(Suspects::with_limit(suspects::LIMIT)),
             unsaved_suspects: RefCell::default(),
+            attribution: RefCell::new(Attribution::new(parts::LIMIT)),
+            saved_reruns: RefCell::default(),
             open_count: Cell::new(0),
         })
     }
@@ -309,7 +316,8 @@
             choice,
             service: Arc::clone(&requirements.service),
             unread_prompt_tokens: Cell::new(requirements.prompt_tokens),
-            sent: Cell::new(None),
+            sent: RefCell::default(),
+            is_framed: Cell::new(true),
             state: Rc::clone(self),
         })
     }
@@ -530,6 +538,15 @@
                 "crashes": crashes,
             })
         });
+        let attribution = self.attribution.borrow();
+        let parts = attribution.named().map(|(part, moments)| {
+            serde_json::json!({
+                "part": hex(part),
+                "moments": moments,
+                "reruns": attribution.reruns(part),
+            })
+        });
+        let (crashes, crash_parts) = attribution.size();
         serde_json::json!({
             "revision": self.rows.borrow().revision(),
             "configuration": self.config().map(|config| config.version()),
@@ -537,6 +554,9 @@
             "entries": self.peers.borrow().count(),
             "open": self.open_count.get(),
             "suspects": suspects.collect::<Vec<_>>(),
+            "parts": parts.collect::<Vec<_>>(),
+            "crashes": crashes,
+            "crash_parts": crash_parts,
         })
     }
 }
--- a/crates/pistachiolug_gateway/src/state/suspects.rs
+++ b/crates/pistachiolug_gateway/src/state/suspects.rs
@@ -7,7 +7,8 @@
 
 use super::State;
 use crate::{
-    losses::{Check, Verdict},
+    fingerprint::Fingerprint,
+    losses::{Check, Loss, Verdict},
     metrics::{ALLOWED, REFUSED},
     pool::Server,
     prober,
@@ -28,16 +29,16 @@
 };
 
 impl State {
-    /// Records that a server gave no complete answer to a request with this content; the server is checked.
-    pub fn record_loss(&self, record: &Record, content: Digest) {
-        let now = self.now();
+    /// Records that a server gave no complete answer to a request, or one that ended with its connection; the server is
+    /// checked.
+    pub fn record_loss(&self, record: &Record, loss: Loss) {
         // The list may have named the server as leaving since it was chosen.
         let is_leaving = self.with_pool(|pool| {
             let listed = pool.get(&record.id).map(Server::record);
             listed.is_some_and(|listed| listed.leaving)
         });
         if !is_leaving {
-            self.losses.borrow_mut().record(record, content, now);
+            self.losses.borrow_mut().record(record, loss);
             self.loss_recorded.notify_one();
         }
     }
@@ -52,43 +53,56 @@
         self.losses.borrow_mut().start_checks(self.now())
     }
 
-    /// Ends the check of a server; returns the number of contents that were running when it crashed.
+    /// Ends the check of a server; returns the number of requests that were running when it crashed.
     pub fn finish_check(&self, check: &Check, verdict: Verdict) -> usize {
         let mut losses = self.losses.borrow_mut();
-        let contents = losses.finish_check(check.incarnation, verdict);
+        let crashed = losses.finish_check(check.incarnation, verdict);
+        let answered = losses.take_answered(check.incarnation);
         drop(losses);
-        self.record_crashes(&check.server, check.incarnation, &contents);
+        for loss in answered {
+            self.record_answer(&loss.fingerprint, loss.lost_at);
+        }
+        self.record_crashes(&check.server, check.incarnation, &crashed);
         // Losses that were recorded during the check need another one.
         self.loss_recorded.notify_one();
-        contents.len()
+        crashed.len()
     }
 
     /// Records that another incarnation is listed in the place of a server.
     pub fn record_server_end(&self, record: &Record) {
         let incarnation = record.incarnation();
-        let contents = self.losses.borrow_mut().end_server(incarnation);
-        self.record_crashes(&record.id, incarnation, &contents);
+        let crashed = self.losses.borrow_mut().end_server(incarnation);
+        self.record_crashes(&record.id, incarnation, &crashed);
     }
 
-    fn record_crashes(&self, server: &str, incarnation: u64, contents: &[Digest]) {
+    fn record_crashes(&self, server: &str, incarnation: u64, crashed: &[Loss]) {
         let now = self.now();
-        for content in contents {
+        self.record_crashed_parts(incarnation, crashed);
+        for loss in crashed {
+            let content = loss.fingerprint.content;
             let mut suspects = self.suspects.borrow_mut();
-            let crashes = suspects.record_crash(*content, incarnation, now);
+            let crashes = suspects.record_crash(content, incarnation, now);
             drop(suspects);
-            log::warn!(content:% = content.short(), server, crashes; "server crashed while it had the request");
+            log::warn!(content:% = content.short(), parts:% = loss.fingerprint, server, crashes; "server crashed while it had the request");
             let outcome = if crashes < LIMIT.max_crashes {
                 ALLOWED
             } else {
-                self.unsaved_suspects.borrow_mut().insert(*content);
+                self.unsaved_suspects.borrow_mut().insert(content);
                 REFUSED
             };
             self.metrics.crashes.get(outcome).inc();
         }
     }
 
-    /// Records that a server answered a request successfully, which proves that its content crashes no servers.
-    pub fn record_success(&self, content: &Digest) {
+    /// Records that a server answered a request successfully, which proves that neither its content nor a part of its
+    /// prompt crashes servers.
+    pub fn record_success(&self, fingerprint: &Fingerprint) {
+        self.record_answer(fingerprint, self.now());
+    }
+
+    fn record_answer(&self, fingerprint: &Fingerprint, at: Duration) {
+        self.record_answered_parts(fingerprint, at);
+        let content = &fingerprint.content;
         let crashes = self
             .suspects
             .borrow_mut()
@@ -101,10 +115,15 @@
         }
     }
 
-    /// Returns the time until requests with this content may run again; `None` if they may run now.
+    /// Returns the time until requests with this content or these parts may run again; `None` if they may run now.
     ///
     /// Servers that are being checked count as crashed, because the caller may come again before the result is known.
-    pub fn suspect_delay(&self, content: &Digest) -> Option<Duration> {
+    pub fn suspect_delay(&self, fingerprint: &Fingerprint) -> Option<Duration> {
+        self.content_delay(&fingerprint.content)
+            .max(self.part_delay(fingerprint))
+    }
+
+    fn content_delay(&self, content: &Digest) -> Option<Duration> {
         let now = self.now();
         let mut suspects = self.suspects.borrow_mut();
         if let Some(until) = suspects.refused_until(content, now) {
@@ -118,9 +137,14 @@
     }
 
     /// Returns whether a request may be sent to a server now; a suspect that may be tried again uses up a rerun.
-    pub fn try_run(&self, content: &Digest) -> bool {
+    pub fn try_run(&self, fingerprint: &Fingerprint) -> bool {
         let now = self.now();
+        let content = &fingerprint.content;
         let mut suspects = self.suspects.borrow_mut();
+        // Both have to allow it before a rerun of either is used up.
+        if suspects.refused_until(content, now).is_some() || !self.try_run_parts(fingerprint) {
+            return false;
+        }
         let is_allowed = suspects.try_run(content, now);
         let crashes = suspects.crash_count(content, now);
         if is_allowed && crashes >= LIMIT.max_crashes {
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -52,6 +52,7 @@
                 self.state.with_peers(|peers| peers.add(&name, address));
             }
             Row::Suspect(suspect) => self.state.merge_suspect(&suspect),
+            Row::Culprit(culprit) => self.state.merge_saved_culprit(&culprit),
             Row::Other => {}
             Row::Unreadable { reason } => {
                 log::warn!(key = entry.key.as_str(), revision = entry.revision, reason = reason.as_str(); "row could not be decoded");
--- a/crates/pistachiolug_gateway/tests/losses.rs
+++ b/crates/pistachiolug_gateway/tests/losses.rs
@@ -7,7 +7,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use pistachiolug_gateway::{
-    losses::{Losses, Verdict},
+    fingerprint::Fingerprint,
+    losses::{Loss, Losses, Verdict},
+    prefix::Prefix,
     prober,
     server::Record,
     state::State,
@@ -32,10 +34,31 @@
     Digest::of(name.as_bytes())
 }
 
+/// Returns the fingerprint of a request whose prompt shares no parts.
+fn fingerprint(name: &str) -> Fingerprint {
+    Fingerprint::new(content(name), "", &Prefix::default())
+}
+
+/// Returns the loss of a request whose server had just been heard.
+fn loss(name: &str, lost_at: Duration) -> Loss {
+    Loss {
+        fingerprint: fingerprint(name),
+        heard_at: lost_at,
+        lost_at,
+        is_answered: false,
+    }
+}
+
+/// Returns the contents of lost requests.
+fn contents_of(losses: Vec<Loss>) -> Vec<Digest> {
+    let losses = losses.into_iter();
+    losses.map(|loss| loss.fingerprint.content).collect()
+}
+
 /// Returns losses with one that is being checked.
 fn losses_under_check(server: &Record) -> Losses {
     let mut losses = Losses::default();
-    losses.record(server, content("a"), START);
+    losses.record(server, loss("a", START));
     assert_eq!(losses.start_checks(START).len(), 1);
     losses
 }
@@ -52,7 +75,7 @@
     for (verdict, crashed) in rows {
         let mut losses = losses_under_check(&server());
 
-        let contents = losses.finish_check(server().incarnation(), verdict);
+        let contents = contents_of(losses.finish_check(server().incarnation(), verdict));
 
         assert_eq!(contents, crashed, "{verdict:?}");
         assert!(losses.start_checks(START).is_empty(), "{verdict:?}");
@@ -68,7 +91,7 @@
     };
     let mut losses = Losses::default();
 
-    losses.record(&leaving, content("a"), START);
+    losses.record(&leaving, loss("a", START));
 
     assert!(losses.start_checks(START).is_empty());
 }
@@ -79,7 +102,7 @@
     let mut losses = losses_under_check(&server());
     losses.finish_check(server().incarnation(), Verdict::Accepted);
 
-    let contents = losses.end_server(server().incarnation());
+    let contents = contents_of(losses.end_server(server().incarnation()));
 
     assert_eq!(contents, [content("a")]);
 }
@@ -88,7 +111,7 @@
 #[test]
 fn a_loss_during_a_check_is_checked_again() {
     let mut losses = losses_under_check(&server());
-    losses.record(&server(), content("b"), START + Duration::from_millis(1));
+    losses.record(&server(), loss("b", START + Duration::from_millis(1)));
 
     let during = losses.start_checks(START + Duration::from_millis(2));
     losses.finish_check(server().incarnation(), Verdict::Accepted);
@@ -104,10 +127,10 @@
     let mut losses = losses_under_check(&server());
     losses.finish_check(server().incarnation(), Verdict::Accepted);
     let later = START + Duration::from_secs(1);
-    losses.record(&server(), content("b"), later);
+    losses.record(&server(), loss("b", later));
     losses.start_checks(later);
 
-    let contents = losses.finish_check(server().incarnation(), Verdict::Refused);
+    let contents = contents_of(losses.finish_check(server().incarnation(), Verdict::Refused));
 
     assert_eq!(contents, [content("b")]);
 }
@@ -119,12 +142,8 @@
     let mut contents = 0;
     for number in 0..1000 {
         let server = record(&format!("i-{number}"), address());
-        losses.record(&server, content("a"), START);
-        losses.record(
-            &self::server(),
-            content(&format!("content {number}")),
-            START,
-        );
+        losses.record(&server, loss("a", START));
+        losses.record(&self::server(), loss(&format!("content {number}"), START));
     }
 
     let checks = losses.start_checks(START);
@@ -160,25 +179,25 @@
     let servers = ["i-1", "i-2", "i-3"].map(|id| record(id, address()));
 
     let delays = servers.map(|server| {
-        let before = state.suspect_delay(&content("a"));
-        state.record_loss(&server, content("a"));
+        let before = state.suspect_delay(&fingerprint("a"));
+        state.record_loss(&server, loss("a", Duration::ZERO));
         before
     });
-    let during = state.suspect_delay(&content("a"));
+    let during = state.suspect_delay(&fingerprint("a"));
     for check in state.start_checks() {
         state.finish_check(&check, Verdict::Accepted);
     }
 
     assert_eq!(delays, [None; 3]);
     assert_eq!(during, Some(prober::MAX_DURATION));
-    assert_eq!(state.suspect_delay(&content("a")), None);
+    assert_eq!(state.suspect_delay(&fingerprint("a")), None);
 }
 
 /// Guards against entries whose beliefs about a suspect are not visible in the state dump.
 #[test]
 fn suspects_are_in_the_state_dump() {
     let state = State::new(options(), metrics());
-    state.record_loss(&server(), content("a"));
+    state.record_loss(&server(), loss("a", Duration::ZERO));
     let checks = state.start_checks();
 
     state.finish_check(&checks[0], Verdict::Refused);
--- a/crates/pistachiolug_gateway/tests/parts.rs
+++ b/crates/pistachiolug_gateway/tests/parts.rs
@@ -199,30 +199,32 @@
 /// Guards against sound requests that are refused because they share parts with those that crash servers.
 #[test]
 fn sound_requests_that_share_the_other_parts_are_served_at_all_entries() {
-    run(async {
-        let deployment = Deployment::start(Kind::Idempotent, 2, ENTRIES, SERVERS).await;
-        let numbers = Numbers::default();
-        assert_served(&deployment, &numbers, &[FIRST_PART, COMMON_PART]).await;
-
-        while deployment.crashes() < FIRST_CRASHES {
-            tokio::join!(
-                call_until_answered(&deployment, &numbers, 0),
-                call_until_answered(&deployment, &numbers, 1),
-                call_until_answered(&deployment, &numbers, 2),
-                send_crashing_round(&deployment, &numbers),
-            );
-        }
-        sleep(CONTACT_TIME).await;
-        for _ in 0..LATER_ROUNDS {
-            tokio::join!(
-                assert_served(&deployment, &numbers, &[FIRST_PART, COMMON_PART]),
-                send_crashing_round(&deployment, &numbers),
-            );
-        }
+    for kind in [Kind::Idempotent, Kind::Stream] {
+        run(async move {
+            let deployment = Deployment::start(kind, 2, ENTRIES, SERVERS).await;
+            let numbers = Numbers::default();
+            assert_served(&deployment, &numbers, &[FIRST_PART, COMMON_PART]).await;
+
+            while deployment.crashes() < FIRST_CRASHES {
+                tokio::join!(
+                    call_until_answered(&deployment, &numbers, 0),
+                    call_until_answered(&deployment, &numbers, 1),
+                    call_until_answered(&deployment, &numbers, 2),
+                    send_crashing_round(&deployment, &numbers),
+                );
+            }
+            sleep(CONTACT_TIME).await;
+            for _ in 0..LATER_ROUNDS {
+                tokio::join!(
+                    assert_served(&deployment, &numbers, &[FIRST_PART, COMMON_PART]),
+                    send_crashing_round(&deployment, &numbers),
+                );
+            }
 
-        assert_served(&deployment, &numbers, &[FIRST_PART]).await;
-        assert_served(&deployment, &numbers, &["ab1"]).await;
-    });
+            assert_served(&deployment, &numbers, &[FIRST_PART]).await;
+            assert_served(&deployment, &numbers, &["ab1"]).await;
+        });
+    }
 }
 
 /// Guards against an entry that sends such requests on, or refuses sound ones, since it saw no crash itself.
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -17,7 +17,11 @@
 };
 use pistachiolug_http::local_server;
 use pistachiolug_platform::kv::{Store, memory::Memory};
-use pistachiolug_wire::{codec, datagram::Suspect, digest::Digest};
+use pistachiolug_wire::{
+    codec,
+    datagram::{Culprit, Suspect},
+    digest::Digest,
+};
 use rand::RngExt;
 use rustc_hash::FxHashMap;
 use tokio::{
@@ -61,6 +65,7 @@
 const SERVER_PREFIX: &str = "servers/";
 const ENTRY_PREFIX: &str = "entries/";
 const SUSPECT_PREFIX: &str = "suspects/";
+const CULPRIT_PREFIX: &str = "culprits/";
 
 /// Format of the rows: one route, and servers as `ADDRESS STARTED_MS`.
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +79,9 @@
         if key.starts_with(SUSPECT_PREFIX) {
             return Row::Suspect(codec::decode(value).unwrap());
         }
+        if key.starts_with(CULPRIT_PREFIX) {
+            return Row::Culprit(codec::decode(value).unwrap());
+        }
         let text = std::str::from_utf8(value).unwrap();
         match self.subject(key) {
             Subject::Server(id) => {
@@ -117,6 +125,13 @@
             codec::encode(suspect).to_vec(),
         )
     }
+
+    fn culprit_row(&self, culprit: &Culprit) -> (String, Vec<u8>) {
+        (
+            format!("{CULPRIT_PREFIX}{:016x}", culprit.part),
+            codec::encode(culprit).to_vec(),
+        )
+    }
 }
 
 /// Entry process; it runs on a thread of its own and is killed on drop.
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -73,6 +73,47 @@
     pub age_ms: u32,
 }
 
+/// Crash of a backend server and the parts of the prompts that it was running, as one entry knows them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Incarnation of the server.
+    pub incarnation: u64,
+    /// Milliseconds since the server last sent something.
+    pub heard_age_ms: u32,
+    /// Milliseconds since the crash was noticed.
+    pub lost_age_ms: u32,
+    /// Shared parts of the prompts; not necessarily all of them.
+    pub parts: Vec<CrashPart>,
+}
+
+/// Part of a prompt in a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashPart {
+    /// Hash of the part.
+    pub part: u64,
+    /// Largest position in the prompts.
+    pub position: u8,
+    /// Whether a prompt with the part was answered shortly before the crash.
+    pub is_answered: bool,
+    /// Whether a prompt with the part was answered after the crash, so that another part caused it.
+    pub is_cleared: bool,
+}
+
+/// Part of a prompt that is named as the cause of crashes, or was.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Culprit {
+    /// Hash of the part.
+    pub part: u64,
+    /// Some of the crashes that name the part, without other parts.
+    pub crashes: Vec<Crash>,
+    /// Number of times that a request with the part ran although the part was refused.
+    pub reruns: u8,
+    /// Milliseconds since the last of these runs; `None` if there was none.
+    pub rerun_age_ms: Option<u32>,
+    /// Milliseconds since the last request with the part.
+    pub age_ms: u32,
+}
+
 /// Datagram to an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -82,6 +123,10 @@
     Notice(Notice),
     /// Sent by another entry: contents that may crash servers. Unlike a beacon, it adds to what was sent before.
     Suspects(Vec<Suspect>),
+    /// Sent by another entry: crashes and the parts of prompts in them. It adds to what was sent before.
+    Crashes(Vec<Crash>),
+    /// Sent by another entry: parts of prompts that are refused. It adds to what was sent before.
+    Culprits(Vec<Culprit>),
 }
 
 /// Datagram to an agent.
--- a/crates/pistachiolug_wire/src/digest.rs
+++ b/crates/pistachiolug_wire/src/digest.rs
@@ -32,7 +32,7 @@
         &self.0
     }
 
-    /// Returns the first bytes of the hash for logs, where a collision does no harm.
+    /// Returns the first bytes of the hash, for uses in which a collision does little harm.
     pub fn short(&self) -> Short {
         let (prefix, _) = self.0.split_at(8);
         Short(
@@ -47,6 +47,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Short(u64);
 
+impl Short {
+    /// Returns the bytes as a number, the first one highest.
+    pub fn value(self) -> u64 {
+        self.0
+    }
+}
+
 impl fmt::Display for Short {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
