Don't name sound parts while most servers are away

Parts of single requests evicted a common part from the bounded list of answers, so that it passed for one that was never answered. And while most servers are away, a common part has four crashes without an answer within half a second.

Parts that were answered again stay in the list. A part that was answered before is named only if 2 s lie between its first and its last crash. While the part with the most evidence may still be answered, only parts that were not answered before are named. Moments beyond six don't rank parts any more, the number of crashes does.

--- a/crates/pistachiolug_gateway/src/state/parts.rs
+++ b/crates/pistachiolug_gateway/src/state/parts.rs
@@ -23,6 +23,7 @@
     max_answers: 8192,
     max_named: 64,
     min_moments: 3,
+    min_silence: Duration::from_secs(2),
     min_crashes: 5,
     settle_time: Duration::from_millis(500),
     moment: Duration::from_millis(200),
--- a/crates/pistachiolug_routing/src/attribution.rs
+++ b/crates/pistachiolug_routing/src/attribution.rs
@@ -46,6 +46,9 @@
     pub max_named: usize,
     /// Number of separate moments with crashes from which a part is named.
     pub min_moments: usize,
+    /// Shortest time between the first and the last crash of a part that was answered before them; a sound one is answered
+    /// again by then.
+    pub min_silence: Duration,
     /// Number of crashes from which a part is named that was not answered before, even if they are one moment; they count
     /// `settle_time` after they were noticed.
     pub min_crashes: usize,
@@ -83,9 +86,9 @@
     rows: FxHashMap<u64, Row>,
     /// Parts in `rows` that may be the cause; it may also hold parts that were cleared since `refresh`.
     open_parts: FxHashSet<u64>,
-    /// Time of the last answer by part; at most [`Limit::max_answers`].
-    answers: FxHashMap<u64, Duration>,
-    /// Parts in `answers`, each once, in the order in which they were added.
+    /// Last answers by part; at most [`Limit::max_answers`].
+    answers: FxHashMap<u64, Answered>,
+    /// Parts in `answers`, each once, in the order of [`Answered::queued_at`] but for answers that are recorded late.
     answer_order: VecDeque<u64>,
     /// Result of the naming over `rows`.
     named: FxHashMap<u64, Name>,
@@ -112,6 +115,15 @@
     is_cleared: bool,
 }
 
+/// Answers to requests with a part.
+#[derive(Debug, Clone, Copy)]
+struct Answered {
+    /// Time of the last answer.
+    at: Duration,
+    /// Time of the answer with which the part was last added to the end of the order; not later than `at`.
+    queued_at: Duration,
+}
+
 /// Named part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Name {
@@ -429,12 +441,12 @@
                 mark
             });
             has_changed |= known.merge(mark);
-            let answered_at = self.answers.get(&part);
-            let answered_at = answered_at.filter(|at| now < **at + self.limit.answer_retention);
+            let answered_at = self.answers.get(&part).map(|answered| answered.at);
+            let answered_at = answered_at.filter(|at| now < *at + self.limit.answer_retention);
             has_found_out |= known.merge(Mark {
                 position: 0,
                 is_answered: answered_at.is_some(),
-                is_cleared: answered_at.is_some_and(|at| *at >= row.span.heard_at),
+                is_cleared: answered_at.is_some_and(|at| at >= row.span.heard_at),
             });
             if !known.is_cleared {
                 self.open_parts.insert(part);
@@ -470,22 +482,28 @@
 
     fn keep_answer(&mut self, part: u64, at: Duration, now: Duration) {
         if let Some(known) = self.answers.get_mut(&part) {
-            *known = at.max(*known);
+            known.at = at.max(known.at);
             return;
         }
-        self.answers.insert(part, at);
+        let queued_at = at;
+        self.answers.insert(part, Answered { at, queued_at });
         self.answer_order.push_back(part);
-        let is_old = |answers: &FxHashMap<u64, Duration>, part: &u64| {
-            let at = answers.get(part).copied().unwrap_or_default();
-            now >= at + self.limit.answer_retention
-        };
         while let Some(oldest) = self.answer_order.front().copied() {
-            if self.answer_order.len() <= self.limit.max_answers && !is_old(&self.answers, &oldest)
-            {
+            let is_full = self.answer_order.len() > self.limit.max_answers;
+            let Some(answered) = self.answers.get_mut(&oldest) else {
+                break;
+            };
+            if !is_full && now < answered.queued_at + self.limit.answer_retention {
                 break;
             }
             self.answer_order.pop_front();
-            self.answers.remove(&oldest);
+            if answered.at > answered.queued_at {
+                // Answered again since it was queued; parts of one request only go first.
+                answered.queued_at = answered.at;
+                self.answer_order.push_back(oldest);
+            } else {
+                self.answers.remove(&oldest);
+            }
         }
     }
 
--- a/crates/pistachiolug_routing/src/attribution/naming.rs
+++ b/crates/pistachiolug_routing/src/attribution/naming.rs
@@ -18,6 +18,7 @@
     settled_crashes: usize,
     position: u8,
     is_answered: bool,
+    first_lost_at: Duration,
     last_lost_at: Duration,
 }
 
@@ -28,6 +29,9 @@
             self.moments += 1;
             self.moment_at = row.span.lost_at;
         }
+        if self.crashes == 0 {
+            self.first_lost_at = row.span.lost_at;
+        }
         self.crashes += 1;
         self.settled_crashes += usize::from(row.span.lost_at + limit.settle_time <= now);
         self.last_lost_at = row.span.lost_at;
@@ -47,13 +51,27 @@
         let crashes = self.settled_crashes * limit.min_moments / limit.min_crashes;
         self.moments.max(crashes)
     }
+
+    /// Returns whether a part that was answered before would have been answered again by now if it were sound.
+    fn is_due(&self, limit: &Limit) -> bool {
+        !self.is_answered || self.last_lost_at >= self.first_lost_at + limit.min_silence
+    }
+
+    /// Returns the order in which parts explain crashes; the greatest comes first.
+    fn rank(&self, part: u64, limit: &Limit) -> impl Ord + use<> {
+        let is_new = !self.is_answered;
+        // Moments hardly differ while servers crash all the time; then the number of crashes does.
+        let weight = self.weight(limit).min(2 * limit.min_moments);
+        (weight, is_new, self.crashes, self.position, Reverse(part))
+    }
 }
 
 /// Returns the parts that explain the crashes: again and again the one with the most evidence in crashes that are not
 /// explained yet, while it has enough.
 ///
 /// Of two parts with the same evidence, the one is named that was not answered before, is in more crashes, or stands later
-/// in its prompts, where parts are more specific.
+/// in its prompts, where parts are more specific. While the part with the most evidence may still be answered, only parts
+/// that were not answered before are named.
 pub(super) fn find(
     rows: &FxHashMap<u64, Row>,
     limit: &Limit,
@@ -64,25 +82,23 @@
     let mut named = FxHashMap::default();
     while named.len() < limit.max_named {
         let evidence = collect_evidence(&unexplained, limit, now).into_iter();
-        let enough = evidence.filter(|(_, evidence)| evidence.weight(limit) >= limit.min_moments);
-        let best = enough.max_by_key(|(part, evidence)| {
-            let is_new = !evidence.is_answered;
-            let crashes = evidence.crashes;
-            let position = evidence.position;
-            (
-                evidence.weight(limit),
-                is_new,
-                crashes,
-                position,
-                Reverse(*part),
-            )
-        });
+        let enough: Vec<(u64, Evidence)> = evidence
+            .filter(|(_, evidence)| evidence.weight(limit) >= limit.min_moments)
+            .collect();
+        let by_rank = |(part, evidence): &&(u64, Evidence)| evidence.rank(*part, limit);
+        let best = enough.iter().max_by_key(by_rank);
+        let best = best
+            .filter(|(_, evidence)| evidence.is_due(limit))
+            .or_else(|| {
+                let new = enough.iter().filter(|(_, evidence)| !evidence.is_answered);
+                new.max_by_key(by_rank)
+            });
         let Some((part, evidence)) = best else {
             break;
         };
-        unexplained.retain(|(_, row)| !row.is_open(part));
+        unexplained.retain(|(_, row)| !row.is_open(*part));
         named.insert(
-            part,
+            *part,
             Name {
                 moments: evidence.moments,
                 last_lost_at: evidence.last_lost_at,
