Write the row of a named part again when it is gone

The row of a named part ended with its lease after ten minutes, though requests with the part still came, and a restart of all entries after that would have let them through again.

The removal of the row reaches the entry that writes it, which writes it anew while the part is named.

Test: `parts.rs::the_row_of_a_part_is_written_again_when_it_is_gone`.

--- a/crates/pistachiolug_gateway/src/decoder.rs
+++ b/crates/pistachiolug_gateway/src/decoder.rs
@@ -50,6 +50,8 @@
     Server(String),
     /// Row of an entry.
     Entry(String),
+    /// Row of a part of prompts that crashed servers, by its hash.
+    Culprit(u64),
     /// Any other row.
     Other,
 }
--- a/crates/pistachiolug_gateway/src/state/parts.rs
+++ b/crates/pistachiolug_gateway/src/state/parts.rs
@@ -113,6 +113,11 @@
         self.merge_culprits(std::slice::from_ref(culprit));
     }
 
+    /// Records that the row of a part is gone from the key-value service; it is written again if the part is named.
+    pub fn forget_saved_culprit(&self, part: u64) {
+        self.saved_reruns.borrow_mut().remove(&part);
+    }
+
     /// Returns what this entry has found out about crashes within `age`.
     pub fn crash_updates(&self, age: Duration) -> Vec<Crash> {
         let now = self.attribution_now();
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -163,6 +163,7 @@
                 Change::Removed { key } => match self.decoder.subject(&key) {
                     Subject::Server(id) => removed.push(id),
                     Subject::Entry(name) => self.state.with_peers(|peers| peers.remove(&name)),
+                    Subject::Culprit(part) => self.state.forget_saved_culprit(part),
                     Subject::Other => {}
                 },
             }
--- a/crates/pistachiolug_gateway/tests/parts.rs
+++ b/crates/pistachiolug_gateway/tests/parts.rs
@@ -7,7 +7,7 @@
 use std::{cell::Cell, time::Duration};
 
 use pistachiolug_gateway::config::Kind;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use support::{
     deployment::{CRASHING_PART, Deployment, SLOW_BODY},
@@ -26,6 +26,9 @@
 /// Time after these crashes in which entries may still send.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// Longest wait for a row.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
 /// Pause between two rounds of requests.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -277,3 +280,21 @@
         assert_served(&deployment, &numbers, &[FIRST_PART, COMMON_PART]).await;
     });
 }
+
+/// Guards against a part that is forgotten with all entries, since its row has lapsed or was lost before.
+#[test]
+fn the_row_of_a_part_is_written_again_when_it_is_gone() {
+    run(async {
+        let deployment = Deployment::start(Kind::Once, 1, ENTRIES, SERVERS).await;
+        crash_servers(&deployment, &Numbers::default()).await;
+        timeout(MAX_WAIT, deployment.wait_for_culprit_row())
+            .await
+            .unwrap();
+
+        deployment.delete_culprit_rows().await;
+
+        timeout(MAX_WAIT, deployment.wait_for_culprit_row())
+            .await
+            .unwrap();
+    });
+}
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -97,7 +97,7 @@
             Subject::Other if key == CONFIG_KEY => {
                 Row::Config(parts(route(self.kind, self.attempts)))
             }
-            Subject::Other => Row::Other,
+            Subject::Culprit(_) | Subject::Other => Row::Other,
         }
     }
 
@@ -105,6 +105,9 @@
         if let Some(id) = key.strip_prefix(SERVER_PREFIX) {
             return Subject::Server(id.to_owned());
         }
+        if let Some(part) = key.strip_prefix(CULPRIT_PREFIX) {
+            return Subject::Culprit(u64::from_str_radix(part, 16).unwrap());
+        }
         match key.strip_prefix(ENTRY_PREFIX) {
             Some(name) => Subject::Entry(name.to_owned()),
             None => Subject::Other,
@@ -237,6 +240,18 @@
         self.wait_for_row(SUSPECT_PREFIX).await;
     }
 
+    /// Waits until the store has the row of a part.
+    pub async fn wait_for_culprit_row(&self) {
+        self.wait_for_row(CULPRIT_PREFIX).await;
+    }
+
+    /// Removes the rows of parts from the store.
+    pub async fn delete_culprit_rows(&self) {
+        for entry in self.store.range(CULPRIT_PREFIX).await.unwrap().entries {
+            self.store.delete(&entry.key);
+        }
+    }
+
     async fn wait_for_row(&self, prefix: &str) {
         while self.store.range(prefix).await.unwrap().entries.is_empty() {
             sleep(Duration::from_millis(10)).await;
