--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -186,7 +186,7 @@
 
     /// Takes a retry from the budget to ask another server beside a silent one.
     fn take_retry(&self) -> Result<(), Denial> {
-        if self.state.suspect_delay(&self.call.content).is_some() {
+        if self.state.suspect_delay(&self.call.fingerprint).is_some() {
             return Err(Denial::CrashSuspect);
         }
         if !self.state.take_retry(&self.call.service) {
@@ -262,15 +262,16 @@
         let call = &self.call;
         for permit in self.contest.permits() {
             log::info!(
-                call = call.id.as_str(),
-                content:% = call.content.short(),
-                server = &*permit.choice.record.id,
-                events = 0,
-                allowed = taken.is_ok(),
-                denied = taken.err().map_or("", Denial::as_str),
-                age_ms = call.age_ms();
-                "server silent"
-            );
+                    call = call.id.as_str(),
+                    content:% = call.content.short(),
+            parts:% = call.prefix,
+                    server = &*permit.choice.record.id,
+                    events = 0,
+                    allowed = taken.is_ok(),
+                    denied = taken.err().map_or("", Denial::as_str),
+                    age_ms = call.age_ms();
+                    "server silent"
+                );
         }
     }
 }
@@ -294,7 +295,7 @@
     tried: &[Arc<str>],
     has_head: bool,
 ) -> Result<Permit, Reason> {
-    if state.suspect_delay(&call.content).is_some() {
+    if state.suspect_delay(&call.fingerprint).is_some() {
         return Err(Reason::CrashSuspect);
     }
     let permit = if has_head {
@@ -304,7 +305,7 @@
         acquire::acquire_permit(state, call, tried).await?
     };
     // Another request with the content may have crashed a server while this one waited.
-    if !state.try_run(&call.content) {
+    if !state.try_run(&call.fingerprint) {
         return Err(Reason::CrashSuspect);
     }
     Ok(permit)
@@ -333,6 +334,7 @@
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
+        parts:% = call.prefix,
         server = &*permit.choice.record.id,
         cause,
         detail,
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -10,9 +10,11 @@
 
 use crate::{
     config::{Authorized, Kind},
+    fingerprint::Fingerprint,
     headers::{self, Outgoing, Tokens},
     permit::{OpenRequest, Permit},
     pool::Requirements,
+    prefix::Prefix,
     queue::Rank,
     state::State,
 };
@@ -34,6 +36,8 @@
     pub body: Bytes,
     /// Digest of what stays the same when the caller sends the request again: method, host, path, workspace and body.
     pub content: Digest,
+    /// Content and shared parts of the prompt, by which the cause of crashes is recognized.
+    pub fingerprint: Fingerprint,
     /// Route and workspace.
     pub authorized: Authorized,
     /// Service that was picked among the route's targets.
@@ -42,6 +46,8 @@
     pub model: Option<Arc<str>>,
     /// Size in tokens, as the caller states it.
     pub tokens: Tokens,
+    /// Shared parts of the prompt, as the caller states them.
+    pub prefix: Prefix,
     /// When the request arrived.
     pub arrived: Instant,
     /// When the entry has to answer; shortly before the caller's own deadline.
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -21,7 +21,7 @@
     receive, relay,
     reply::{self, Broken, Reason},
     source::Step,
-    state::State,
+    state::{State, hex},
 };
 
 /// Answer to a caller: a whole body or a relayed stream.
@@ -92,9 +92,10 @@
         attempts.withdraw();
         match read_whole(&call, response).await {
             Ok(response) => {
-                permit.record_outcome();
                 if status.is_success() {
-                    state.record_success(&call.content);
+                    permit.record_success();
+                } else {
+                    permit.record_outcome();
                 }
                 log_answer(&call, &permit, status, attempts.end().len());
                 state.metrics.outcomes.get(ANSWERED).inc();
@@ -165,14 +166,19 @@
             let point = rand::rng().random_range(0.0..1.0);
             Some(admission::retry_after(call.time_left(), point))
         }
-        Reason::CrashSuspect => state.suspect_delay(&call.content),
+        Reason::CrashSuspect => state.suspect_delay(&call.fingerprint),
         _ => None,
     };
     let come_back_ms = retry_after.map_or(0, |delay| delay.as_millis() as u64);
     let route = &call.authorized.route;
+    let part = state.find_named_part(&call.fingerprint);
+    let part_id = part.and_then(|part| call.prefix.ids().nth(part.position.into()));
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
+        parts:% = call.prefix,
+        part:% = part.map_or_else(String::new, |part| hex(part.id)),
+        part_id:% = part_id.unwrap_or_default(),
         route = &*route.name,
         reason = reason.as_str(),
         sends,
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -12,7 +12,9 @@
 use crate::{
     call::Call,
     config::{Authorized, Config, Denial},
+    fingerprint::Fingerprint,
     headers,
+    prefix::Prefix,
     reply::Reason,
     state::{State, find_engine},
 };
@@ -45,17 +47,22 @@
         .and_then(|_| headers::text(&head.headers, &names.model))
         .map(Arc::from);
     let tokens = headers::tokens(&head.headers, names);
+    let prefix = Prefix::from_headers(&head.headers, names);
     state.count_request(&service);
     let content = digest_content(&head, &authorized, &body);
+    let named_model = headers::text(&head.headers, &names.model).unwrap_or_default();
+    let fingerprint = Fingerprint::new(content, named_model, &prefix);
     Ok(Call {
         id: id.to_owned(),
         head,
         body,
         content,
+        fingerprint,
         authorized,
         service,
         model,
         tokens,
+        prefix,
         arrived,
         deadline,
         is_first_attempt,
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -150,8 +150,7 @@
         let server = self.source.as_ref().map(|source| &source.permit);
         if let Some(permit) = server.filter(|_| outcome == ANSWERED) {
             permit.record_answer(true);
-            permit.record_outcome();
-            self.state.record_success(&call.content);
+            permit.record_success();
         }
         log::info!(
             call = call.id.as_str(),
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -53,8 +53,8 @@
             log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no slot to resume the stream");
             return ControlFlow::Break(None);
         };
-        if !state.try_run(&call.content) {
-            log::info!(call = call.id.as_str(), content:% = call.content.short(), age_ms = call.age_ms(); "stream not resumed because servers crash under it");
+        if !state.try_run(&call.fingerprint) {
+            log::info!(call = call.id.as_str(), content:% = call.content.short(), parts:% = call.prefix, age_ms = call.age_ms(); "stream not resumed because servers crash under it");
             return ControlFlow::Break(None);
         }
         self.tried.push(Arc::clone(&permit.choice.record.id));
@@ -99,7 +99,7 @@
         if !self.may_resume() {
             return Err(Denial::Attempts);
         }
-        if self.state.suspect_delay(&call.content).is_some() {
+        if self.state.suspect_delay(&call.fingerprint).is_some() {
             return Err(Denial::CrashSuspect);
         }
         if !self.state.take_retry(&call.service) {
@@ -185,19 +185,19 @@
     /// Logs that a server is silent or has broken off, and whether another one may be asked.
     fn log_interruption(&self, server: &str, step: &Step, taken: Result<(), Denial>) {
         let call = &self.call;
-        let content = call.content.short();
+        let (content, parts) = (call.content.short(), &call.prefix);
         let (events, last_event) = (self.events(), self.last_event);
         let allowed = taken.is_ok();
         let denied = taken.err().map_or("", Denial::as_str);
         if let Step::Silent = step {
-            log::info!(call = call.id.as_str(), content:%, server, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "server silent");
+            log::info!(call = call.id.as_str(), content:%, parts:%, server, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "server silent");
             return;
         }
         let reason = match step {
             Step::Interrupted(reason) => reason,
             _ => cause(step),
         };
-        log::info!(call = call.id.as_str(), content:%, server, reason, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "stream interrupted");
+        log::info!(call = call.id.as_str(), content:%, parts:%, server, reason, events, last_event:?, allowed, denied, age_ms = call.age_ms(); "stream interrupted");
     }
 }
 
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -44,8 +44,12 @@
     last_event: Option<u64>,
     until: Instant,
 ) -> Outcome {
-    permit.record_contact(call.content);
+    permit.record_contact(&call.fingerprint);
     let outcome = exchange(state, call, permit, last_event, until).await;
+    if let Outcome::Answer(response, _) = &outcome {
+        permit.record_contact(&call.fingerprint);
+        permit.record_framing(headers::is_framed(response));
+    }
     outcome.record(permit);
     outcome
 }
--- a/crates/pistachiolug_gateway/src/source.rs
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, header, response};
+use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
@@ -11,6 +11,7 @@
 use crate::{
     call::Call,
     event::Splitter,
+    headers,
     permit::Permit,
     send::{self, Expired},
     silence::{Progress, Silence},
@@ -63,6 +64,7 @@
         connection: Connection,
         started_at: Instant,
     ) -> (response::Parts, Self) {
+        let is_framed = headers::is_framed(&response);
         let (head, body) = response.into_parts();
         let source = Self {
             permit,
@@ -71,7 +73,7 @@
             _connection: connection,
             splitter: Splitter::default(),
             started_at,
-            is_framed: is_framed(&head.headers),
+            is_framed,
         };
         (head, source)
     }
@@ -129,7 +131,7 @@
         };
         let data = frame.into_data().ok()?;
         self.silence.record_data(Instant::now());
-        self.permit.record_contact(call.content);
+        self.permit.record_contact(&call.fingerprint);
         let has_begun = self.events() > 0;
         match self.splitter.push(&data) {
             Ok(events) => {
@@ -178,7 +180,3 @@
 fn silence_bound(call: &Call) -> Duration {
     call.authorized.route.target_gap.mul_f64(SILENCE_PER_GAP)
 }
-
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
-}
