Let the stand-ins of the store come back from an earlier copy

The store of the users' platform may be away for a moment and come back from a copy that is some seconds old. Writes and leases since the copy are gone, revisions are given out again, and the header `Store-Era` rises by one. The stand-ins could not do that, so no test or soak showed what entries and agents make of it.

`Memory` copies its state and is replaced by a copy; waiting watches fail.

--- a/crates/pistachiolug_platform/src/kv/memory.rs
+++ b/crates/pistachiolug_platform/src/kv/memory.rs
@@ -97,6 +97,23 @@
         self.lock().state.compact();
     }
 
+    /// Returns a copy of the current state for [`Memory::restore`].
+    pub fn copy(&self) -> State {
+        self.lock().state.clone()
+    }
+
+    /// Replaces the state by an earlier copy: what was written since then is lost, and a new era begins. Waiting watches
+    /// fail.
+    pub fn restore(&self, copy: State) {
+        self.lock().state.restore(copy);
+        self.wake_watches();
+    }
+
+    /// Returns the current era.
+    pub fn era(&self) -> u64 {
+        self.lock().state.era()
+    }
+
     /// Writes a value without a precondition and without faults, as another client would, and returns the revision.
     pub fn put(&self, key: &str, value: &[u8]) -> u64 {
         self.write(key, Some(value))
@@ -231,9 +248,16 @@
         }
         let end = prefix_end(prefix);
         let mut written = self.written.subscribe();
+        let era = self.era();
         let events = async {
             loop {
-                let events = self.lock().state.events_after(after, prefix, &end);
+                let events = {
+                    let state = &self.lock().state;
+                    if state.era() != era || state.revision() < after {
+                        return Err(Error::Compacted { oldest: 0 });
+                    }
+                    state.events_after(after, prefix, &end)
+                };
                 let events = events.map_err(|oldest| Error::Compacted { oldest })?;
                 if !events.is_empty() || written.changed().await.is_err() {
                     return Ok(events);
--- a/crates/pistachiolug_platform/src/kv/state.rs
+++ b/crates/pistachiolug_platform/src/kv/state.rs
@@ -11,8 +11,10 @@
 const MAX_HISTORY_EVENTS: usize = 100_000;
 
 /// State of the service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct State {
+    /// Number of times that the state was replaced by an earlier copy.
+    era: u64,
     /// Revision of the last write.
     revision: u64,
     /// Revision of the last compacted event.
@@ -24,19 +26,33 @@
     next_lease: i64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Stored {
     entry: Entry,
     lease: Option<Lease>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct LeaseTerm {
     ttl: Duration,
     expires_at: Instant,
 }
 
 impl State {
+    /// Returns the number of times that the state was replaced by an earlier copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Replaces the state by an earlier copy, which begins a new era: writes and leases since the copy are lost, and
+    /// their revisions and ids are given out again.
+    pub fn restore(&mut self, copy: Self) {
+        *self = Self {
+            era: self.era + 1,
+            ..copy
+        };
+    }
+
     /// Returns the revision of the last write.
     pub fn revision(&self) -> u64 {
         self.revision
