--- a/crates/pistachiolug_gateway/tests/crashing.rs
+++ b/crates/pistachiolug_gateway/tests/crashing.rs
@@ -98,7 +98,7 @@
     run(async {
         let mut deployment = Deployment::start(Kind::Idempotent, 2, ENTRIES, SERVERS).await;
         send_crashing_requests(&deployment).await;
-        deployment.wait_for_suspect_row().await;
+        assert!(deployment.wait_for_suspect_row().await);
         let sends = deployment.arrivals(CRASHING_BODY);
 
         deployment.restart_entries().await;
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -16,18 +16,21 @@
     state::Options,
 };
 use pistachiolug_http::local_server;
-use pistachiolug_platform::kv::{Store, memory::Memory};
+use pistachiolug_platform::kv::{
+    self, Store,
+    memory::{Faults, Memory},
+};
 use pistachiolug_wire::{codec, datagram::Suspect, digest::Digest};
 use rand::RngExt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, oneshot},
-    task::{JoinSet, spawn_local},
-    time::sleep,
+    task::{JoinSet, spawn_local, yield_now},
+    time::{sleep, timeout},
 };
 
-use super::{answer, chunk, options, parts, read_request, record, route, stream_head};
+use super::{answer, chunk, options, parts, read_request, record, request, route, stream_head};
 
 /// Body of a request that crashes each server that runs it.
 pub const CRASHING_BODY: &str = "crash";
@@ -50,6 +53,18 @@
 /// Time that a crashed server takes until it is back under a new id.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which the store is unavailable before its return.
+const AWAY_TIME: Duration = Duration::from_millis(400);
+
+/// Duration of the store's calls after its return.
+const STORE_LATENCY: Duration = Duration::from_millis(4);
+
+/// Longest wait until a change in the store is in force at all entries.
+const MAX_SPREAD: Duration = Duration::from_secs(20);
+
+/// Interval of checks for a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Longest wait until all entries are ready.
 const MAX_START: Duration = Duration::from_secs(30);
 
@@ -58,7 +73,12 @@
 const ENTRY_PREFIX: &str = "entries/";
 const SUSPECT_PREFIX: &str = "suspects/";
 
-/// Format of the rows: one route, and servers as `ADDRESS STARTED_MS`.
+/// Returns the API key that is valid in one version of the configuration only; `key-1` is valid in all.
+fn version_key(version: u64) -> String {
+    format!("key-{version}")
+}
+
+/// Format of the rows: the version of the configuration, which has one route, and servers as `ADDRESS STARTED_MS`.
 #[derive(Debug, Clone, Copy)]
 struct Format {
     kind: Kind,
@@ -83,7 +103,11 @@
                 address: text.parse().unwrap(),
             },
             Subject::Other if key == CONFIG_KEY => {
-                Row::Config(parts(route(self.kind, self.attempts)))
+                let mut parts = parts(route(self.kind, self.attempts));
+                parts.version = text.parse().unwrap();
+                let keys = parts.workspaces.as_mut().unwrap();
+                keys[0].1.push(version_key(parts.version));
+                Row::Config(parts)
             }
             Subject::Other => Row::Other,
         }
@@ -162,10 +186,14 @@
     format: Format,
     network: Ipv4Addr,
     entries: Vec<Process>,
-    /// Bodies of the requests that arrived at servers.
-    arrivals: Rc<RefCell<Vec<String>>>,
+    /// State of the store before the entries started.
+    first_copy: kv::state::State,
+    /// Servers by index, and bodies of the requests that arrived at them.
+    arrivals: Rc<RefCell<Vec<Arrival>>>,
 }
 
+type Arrival = (u8, String);
+
 impl Deployment {
     /// Starts entries and servers of one service, and waits until the entries are ready; needs a local task set.
     pub async fn start(kind: Kind, attempts: u32, entries: u8, servers: u8) -> Self {
@@ -181,19 +209,107 @@
             format: Format { kind, attempts },
             network,
             entries: Vec::new(),
+            first_copy: kv::state::State::default(),
             arrivals: Rc::default(),
         };
-        deployment.store.put(CONFIG_KEY, b"");
+        deployment.configure(1);
         for index in 0..servers {
-            let [address] = deployment.free_addresses(100 + index);
-            let arrivals = Rc::clone(&deployment.arrivals);
-            let store = deployment.store.clone();
-            spawn_local(serve_incarnations(index, address, store, arrivals));
+            deployment.start_server(index);
+        }
+        while deployment.count_rows(SERVER_PREFIX).await < servers.into() {
+            yield_now().await;
         }
+        deployment.first_copy = deployment.store.copy();
         deployment.start_entries(entries).await;
         deployment
     }
 
+    /// Starts a server with a new index, which registers itself in the store.
+    pub fn start_server(&self, index: u8) {
+        let [address] = self.free_addresses(100 + index);
+        let arrivals = Rc::clone(&self.arrivals);
+        spawn_local(serve_incarnations(
+            index,
+            address,
+            self.store.clone(),
+            arrivals,
+        ));
+    }
+
+    /// Removes the row of a server's first incarnation, which goes on serving.
+    pub fn unregister_server(&self, index: u8) {
+        self.store.delete(&format!("{SERVER_PREFIX}i-{index}-1"));
+    }
+
+    /// Writes a version of the configuration and returns the revision of the write.
+    pub fn configure(&self, version: u64) -> u64 {
+        self.store.put(CONFIG_KEY, version.to_string().as_bytes())
+    }
+
+    /// Writes rows that entries don't use until the store has a revision.
+    pub fn advance_store(&self, revision: u64) {
+        while self.store.put("unused", b"") < revision {}
+    }
+
+    /// Makes the store unavailable and replaces its content by that before the entries started.
+    pub fn lose_store(&self) {
+        self.store.set_faults(Faults {
+            unavailable: 1.0,
+            ..Faults::default()
+        });
+        self.store.restore(self.first_copy.clone());
+    }
+
+    /// Makes the store available again.
+    pub async fn recover_store(&self) {
+        sleep(AWAY_TIME).await;
+        self.store.set_faults(Faults {
+            latency: STORE_LATENCY,
+            ..Faults::default()
+        });
+    }
+
+    /// Returns whether all entries accept the key of a version of the configuration now.
+    pub async fn has_version_in_force(&self, version: u64) -> bool {
+        for entry in 0..self.entries.len() {
+            let request = request("v").replace("key-1", &version_key(version));
+            let response = self.call(entry, &request).await;
+            if !response.starts_with("HTTP/1.1 200") {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits until all entries accept the key of a version of the configuration; returns `false` if some never do.
+    pub async fn wait_for_version(&self, version: u64) -> bool {
+        let wait = async {
+            while !self.has_version_in_force(version).await {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(MAX_SPREAD, wait).await.is_ok()
+    }
+
+    /// Waits until the store has rows of all entries; returns `false` if it never does.
+    pub async fn wait_for_entry_rows(&self) -> bool {
+        self.wait_for_rows(ENTRY_PREFIX, self.entries.len()).await
+    }
+
+    async fn wait_for_rows(&self, prefix: &str, count: usize) -> bool {
+        let wait = async {
+            while self.count_rows(prefix).await < count {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(MAX_SPREAD, wait).await.is_ok()
+    }
+
+    async fn count_rows(&self, prefix: &str) -> usize {
+        let range = self.store.range(prefix).await;
+        range.map_or(0, |range| range.entries.len())
+    }
+
     /// Kills all entries at once and starts them anew at other addresses.
     pub async fn restart_entries(&mut self) {
         let count = self.entries.len() as u8;
@@ -201,18 +317,9 @@
         self.start_entries(count).await;
     }
 
-    /// Waits until the store has the row of a suspect.
-    pub async fn wait_for_suspect_row(&self) {
-        while self
-            .store
-            .range(SUSPECT_PREFIX)
-            .await
-            .unwrap()
-            .entries
-            .is_empty()
-        {
-            sleep(Duration::from_millis(10)).await;
-        }
+    /// Waits until the store has the row of a suspect; returns `false` if it never does.
+    pub async fn wait_for_suspect_row(&self) -> bool {
+        self.wait_for_rows(SUSPECT_PREFIX, 1).await
     }
 
     async fn start_entries(&mut self, count: u8) {
@@ -228,7 +335,7 @@
             self.entries.push(process);
         }
         for entry in &self.entries {
-            tokio::time::timeout(MAX_START, wait_until_ready(entry.ready))
+            timeout(MAX_START, wait_until_ready(entry.ready))
                 .await
                 .unwrap();
         }
@@ -254,7 +361,19 @@
     /// Returns the number of requests with a body that arrived at servers.
     pub fn arrivals(&self, body: &str) -> usize {
         let arrivals = self.arrivals.borrow();
-        arrivals.iter().filter(|arrived| *arrived == body).count()
+        arrivals
+            .iter()
+            .filter(|(_, arrived)| arrived == body)
+            .count()
+    }
+
+    /// Returns the number of requests that arrived at a server.
+    pub fn arrivals_at(&self, server: u8) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals
+            .iter()
+            .filter(|(index, _)| *index == server)
+            .count()
     }
 }
 
@@ -281,19 +400,19 @@
     index: u8,
     address: SocketAddr,
     store: Memory,
-    arrivals: Rc<RefCell<Vec<String>>>,
+    arrivals: Rc<RefCell<Vec<Arrival>>>,
 ) {
     for start in 1.. {
         let listener = local_server::bind(address).unwrap();
         let key = format!("{SERVER_PREFIX}i-{index}-{start}");
         store.put(&key, format!("{address} {start}").as_bytes());
-        serve_until_crash(listener, &arrivals).await;
+        serve_until_crash(index, listener, &arrivals).await;
         sleep(DOWN_TIME).await;
         store.delete(&key);
     }
 }
 
-async fn serve_until_crash(listener: TcpListener, arrivals: &Rc<RefCell<Vec<String>>>) {
+async fn serve_until_crash(index: u8, listener: TcpListener, arrivals: &Rc<RefCell<Vec<Arrival>>>) {
     let crash = Arc::new(Notify::new());
     // Dropping the set closes all connections.
     let mut connections = JoinSet::new();
@@ -303,16 +422,21 @@
             () = crash.notified() => return,
         };
         let (crash, arrivals) = (Arc::clone(&crash), Rc::clone(arrivals));
-        connections.spawn_local(serve(stream, crash, arrivals));
+        connections.spawn_local(serve(index, stream, crash, arrivals));
     }
 }
 
-async fn serve(mut stream: TcpStream, crash: Arc<Notify>, arrivals: Rc<RefCell<Vec<String>>>) {
+async fn serve(
+    index: u8,
+    mut stream: TcpStream,
+    crash: Arc<Notify>,
+    arrivals: Rc<RefCell<Vec<Arrival>>>,
+) {
     let request = read_request(&mut stream).await;
     let Some((head, body)) = request.split_once("\r\n\r\n") else {
         return;
     };
-    arrivals.borrow_mut().push(body.to_owned());
+    arrivals.borrow_mut().push((index, body.to_owned()));
     if body == CRASHING_BODY {
         if head.contains("x-priority") {
             let id = find_attempt(head);
