--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -7,7 +7,10 @@
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
 use pistachiolug_replica::{follow::Observer, snapshot};
-use pistachiolug_wire::datagram::{self, Datagram};
+use pistachiolug_wire::{
+    datagram::{self, Datagram},
+    position::Position,
+};
 use tokio::net::UdpSocket;
 
 use crate::{decoder::Decoder, state::State, updater::Updater};
@@ -52,14 +55,14 @@
     mut ticks: Ticks,
 ) {
     let mut rounds_behind = 0;
-    let mut known_revision = 0;
+    let mut known_position = Position::default();
     let mut round = 0_u32;
     loop {
         ticks.next().await;
         state.refresh();
         round = round.wrapping_add(1);
         let (beacon, peers) = state.build_beacon(round);
-        let revision = beacon.revision;
+        let position = beacon.position;
         match datagram::encode(&Datagram::Beacon(beacon)) {
             // A lost beacon is replaced by the next one.
             Ok(message) => peers.iter().for_each(|peer| {
@@ -69,8 +72,8 @@
         }
         send_suspects(&state, &socket, round, &peers);
         let peer = state.newer_peer();
-        let advanced = revision > known_revision;
-        known_revision = revision;
+        let advanced = position > known_position;
+        known_position = position;
         let Some(peer) = peer.filter(|_| !advanced) else {
             rounds_behind = 0;
             continue;
@@ -125,8 +128,8 @@
 }
 
 async fn fetch_rows<D: Decoder>(updater: &Updater<D>, client: &Client, peer: SocketAddr) {
-    let after = updater.with_rows(|rows| rows.revision());
-    let url = format!("http://{peer}{ROWS_PATH}?after={after}");
+    let Position { era, revision } = updater.with_rows(|rows| rows.position());
+    let url = format!("http://{peer}{ROWS_PATH}?era={era}&after={revision}");
     let request = Request::get(url).body(Bytes::new());
     let Ok(request) = request else {
         return;
@@ -139,8 +142,8 @@
     };
     match rows {
         Ok(changes) => {
-            let revision = updater.with_rows(|rows| rows.revision());
-            log::info!(peer:%, after, revision, changes = changes.len(); "rows read from another entry");
+            let position = updater.with_rows(|rows| rows.position());
+            log::info!(peer:%, after = revision, era = position.era, revision = position.revision, changes = changes.len(); "rows read from another entry");
             updater.on_changes(changes);
         }
         Err(error) => log::warn!(peer:%, error = error.as_str(); "reading rows of a peer failed"),
--- a/crates/pistachiolug_gateway/src/peers.rs
+++ b/crates/pistachiolug_gateway/src/peers.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use pistachiolug_weights::order::Key;
-use pistachiolug_wire::datagram::{Beacon, Work};
+use pistachiolug_wire::{
+    datagram::{Beacon, Work},
+    position::Position,
+};
 use rustc_hash::FxHashMap;
 
 /// Age of a beacon from which the load in it is ignored; several beacons were missed by then.
@@ -41,8 +44,8 @@
     region: String,
     /// Whether the key-value service answers the peer.
     is_store_reachable: bool,
-    /// Revision of its rows.
-    revision: u64,
+    /// Position of its rows.
+    position: Position,
     /// Its open requests by hashed server id.
     work: Vec<(u32, Work)>,
 }
@@ -102,7 +105,7 @@
                 last_beacon_at: None,
                 region: String::new(),
                 is_store_reachable: false,
-                revision: 0,
+                position: Position::default(),
                 work: Vec::new(),
             }
         });
@@ -121,7 +124,7 @@
             peer.last_beacon_at = Some(now);
             peer.region = beacon.region;
             peer.is_store_reachable = beacon.in_touch;
-            peer.revision = beacon.revision;
+            peer.position = beacon.position;
             peer.work = beacon.work;
         }
     }
@@ -140,13 +143,13 @@
         work
     }
 
-    /// Returns the address of a live entry with rows newer than `revision`, preferably of the own region; `None` if
+    /// Returns the address of a live entry with rows later than `position`, preferably of the own region; `None` if
     /// there is none.
-    pub fn newer_peer(&self, revision: u64, now: Duration) -> Option<SocketAddr> {
+    pub fn newer_peer(&self, position: Position, now: Duration) -> Option<SocketAddr> {
         let peers = self.by_name.values();
         let newer = peers
-            .filter(|peer| peer.is_heard_within(MAX_PEER_AGE, now) && peer.revision > revision);
-        let best = newer.max_by_key(|peer| (peer.region == self.region, peer.revision));
+            .filter(|peer| peer.is_heard_within(MAX_PEER_AGE, now) && peer.position > position);
+        let best = newer.max_by_key(|peer| (peer.region == self.region, peer.position));
         best.map(|peer| peer.address)
     }
 
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use pistachiolug_wire::datagram::{Change, Notice, Work};
+use pistachiolug_wire::{
+    datagram::{Change, Notice, Work},
+    position::Position,
+};
 use rand::Rng;
 use rustc_hash::{FxHashMap, FxHasher};
 
@@ -78,8 +81,8 @@
     has_notice: bool,
     /// When the server is removed; set once the server list no longer names it.
     remove_at: Option<Duration>,
-    /// Revision of the server's row in the key-value service.
-    revision: u64,
+    /// Position of the server's row in the key-value service.
+    position: Position,
     /// When the server was added, or when the models that it holds last changed.
     models_changed_at: Duration,
 }
@@ -141,8 +144,10 @@
 
 impl Server {
     /// Replaces the record. Keeps a version that the agent has announced if the list still names an older one.
-    fn update(&mut self, record: Record, now: Duration) {
+    fn update(&mut self, record: Record, position: Position, now: Duration) {
         let previous = std::mem::replace(&mut self.record, record);
+        self.position = position;
+        self.remove_at = None;
         for model in &previous.models {
             let listed = self.record.version(&model.name);
             if self.has_notice && listed.is_none_or(|listed| listed < model.version) {
@@ -241,22 +246,20 @@
     /// other server had the address.
     ///
     /// # Arguments
-    /// `revision` is the revision of the record's row.
-    pub fn put(&mut self, record: Record, revision: u64, now: Duration) -> Option<Arc<str>> {
+    /// `position` is that of the record's row.
+    pub fn put(&mut self, record: Record, position: Position, now: Duration) -> Option<Arc<str>> {
         if let Some(server) = self.servers.get_mut(&record.id) {
             let is_same_start = server.record.started_ms == record.started_ms
                 && server.record.service == record.service
                 && server.record.address == record.address;
             if is_same_start {
-                server.update(record, now);
-                server.remove_at = None;
-                server.revision = revision;
+                server.update(record, position, now);
                 return None;
             }
             self.drop_server(&record.id.clone());
         }
         let previous = self.find_by_address(record.address);
-        if previous.is_some_and(|previous| previous.revision > revision) {
+        if previous.is_some_and(|previous| previous.position > position) {
             return Some(record.id);
         }
         let previous = previous.map(|previous| Arc::clone(&previous.record.id));
@@ -277,7 +280,7 @@
                 slowdown: SLOWDOWN_RANGE.0,
                 has_notice: false,
                 remove_at: None,
-                revision,
+                position,
                 models_changed_at: now,
             },
         );
@@ -318,9 +321,10 @@
     }
 
     fn drop_server(&mut self, id: &Arc<str>) {
-        if let Some(server) = self.servers.remove(id)
-            && let Some(ids) = self.services.get_mut(&server.record.service)
-        {
+        let Some(server) = self.servers.remove(id) else {
+            return;
+        };
+        if let Some(ids) = self.services.get_mut(&server.record.service) {
             ids.retain(|known| known != id);
         }
     }
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -15,9 +15,9 @@
     phase::Phase,
     process::{Error, KernelSnafu, ListenSnafu, MetricSnafu},
 };
-use pistachiolug_platform::kv::{Precondition, Store, Swap};
+use pistachiolug_platform::kv::{Entry, Position, Precondition, Store, Swap};
 use pistachiolug_replica::{follow, snapshot};
-use pistachiolug_wire::{codec, digest::Digest, weights};
+use pistachiolug_wire::{codec, datagram::Suspect, digest::Digest, weights};
 use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -28,7 +28,7 @@
 
 use crate::{
     config::Limits,
-    decoder::Decoder,
+    decoder::{Decoder, Row},
     forward,
     gossip::{self, BEACON_INTERVAL, ROWS_PATH},
     metrics::Metrics,
@@ -214,7 +214,7 @@
     let handler = move |request: Request<Incoming>| {
         let response = match request.uri().path() {
             ROWS_PATH => match state
-                .with_rows(|rows| snapshot::encode(rows, requested_revision(request.uri())))
+                .with_rows(|rows| snapshot::encode(rows, requested_position(request.uri())))
             {
                 Ok(rows) => response_with_body("application/octet-stream", rows),
                 Err(error) => {
@@ -236,12 +236,17 @@
     local_server::serve_forever(listener, connection_limit(Limits::default()), handler).await;
 }
 
-/// Returns the revision after which a peer asks for changes; 0 asks for all rows.
-fn requested_revision(uri: &Uri) -> u64 {
-    let after = uri.query().and_then(|query| query.strip_prefix("after="));
-    after
-        .and_then(|after| after.parse().ok())
-        .unwrap_or_default()
+/// Returns the position after which a peer asks for changes; the default asks for all rows.
+fn requested_position(uri: &Uri) -> Position {
+    let fields = || uri.query().unwrap_or_default().split('&');
+    let number = |name| {
+        let field = fields().find_map(|field| field.strip_prefix(name));
+        field.and_then(|number| number.parse().ok())
+    };
+    match (number("era="), number("after=")) {
+        (Some(era), Some(revision)) => Position::new(era, revision),
+        _ => Position::default(),
+    }
 }
 
 fn serve_weights(state: &State, path: &str) -> Response<Full<Bytes>> {
@@ -277,7 +282,7 @@
     loop {
         let (has_rows, row) = state.with_rows(|rows| {
             let row = rows.entries().find(|row| row.key == key).cloned();
-            (rows.revision() > 0, row)
+            (rows.is_read(), row)
         });
         let is_current = row.as_ref().is_some_and(|row| *row.value == *value);
         if has_rows && !is_current {
@@ -302,12 +307,21 @@
 ) {
     loop {
         ticks.next().await;
+        for suspect in state.take_missing_suspects() {
+            let (key, _) = decoder.suspect_row(&suspect);
+            if find_row(&state, &key).is_none() {
+                state.restore_unsaved_suspect(&suspect);
+            }
+        }
         let Some(suspect) = state.take_unsaved_suspect() else {
             continue;
         };
         let (key, value) = decoder.suspect_row(&suspect);
-        let row = state.with_rows(|rows| rows.entries().find(|row| row.key == key).cloned());
-        if row.as_ref().is_some_and(|row| *row.value == *value) {
+        let row = find_row(&state, &key);
+        if row
+            .as_ref()
+            .is_some_and(|row| is_saved(&decoder, row, &suspect))
+        {
             continue;
         }
         let expect = row.map_or(Precondition::Absent, |row| {
@@ -321,6 +335,22 @@
     }
 }
 
+fn find_row(state: &State, key: &str) -> Option<Entry> {
+    state.with_rows(|rows| rows.entries().find(|row| row.key == key).cloned())
+}
+
+/// Returns whether a row has all that is known of a suspect; its age does not matter.
+fn is_saved<D: Decoder>(decoder: &D, row: &Entry, suspect: &Suspect) -> bool {
+    let Row::Suspect(saved) = decoder.decode(&row.key, &row.value) else {
+        return false;
+    };
+    let has_all = |saved: &[u64], known: &[u64]| known.iter().all(|known| saved.contains(known));
+    saved.reruns == suspect.reruns
+        && has_all(&saved.crashes, &suspect.crashes)
+        && has_all(&suspect.crashes, &saved.crashes)
+        && has_all(&saved.cleared, &suspect.cleared)
+}
+
 async fn save_row<S: Store>(
     store: &S,
     key: &str,
--- a/crates/pistachiolug_gateway/src/reachability.rs
+++ b/crates/pistachiolug_gateway/src/reachability.rs
@@ -14,7 +14,7 @@
 pub struct Reachability {
     /// When the service stopped answering; `None` while it answers.
     unreachable_since: Option<Duration>,
-    /// When the service last answered again after an outage.
+    /// When the service last answered again after an outage, or was found to have come back from an earlier copy.
     recovered_at: Option<Duration>,
 }
 
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Records that the service has come back from an earlier copy, from which live servers may be missing.
+    pub fn record_restore(&mut self, now: Duration) {
+        self.recovered_at = Some(now);
+    }
+
     /// Records that the service did not answer.
     pub fn record_failure(&mut self, reason: &str, now: Duration) {
         if self.unreachable_since.is_none() {
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -110,6 +110,8 @@
     rates: RefCell<FxHashMap<Arc<str>, Rates>>,
     budgets: RefCell<FxHashMap<Arc<str>, WindowBudget>>,
     has_read_rows: Cell<bool>,
+    /// Era of the rows; `None` before the first read.
+    era: Cell<Option<u64>>,
     /// Time from which the slack of the retry budget may be used.
     slack_from: Cell<Duration>,
     peers: RefCell<Peers>,
@@ -120,6 +122,9 @@
     /// Wakes the task that checks servers at which requests were lost.
     loss_recorded: Notify,
     suspects: RefCell<Suspects>,
+    /// When the rows of refused suspects that are missing from the key-value service are written; `None` if none can be
+    /// missing.
+    suspects_missing_at: Cell<Option<Duration>>,
     /// Suspects whose row in the key-value service is missing or outdated.
     unsaved_suspects: RefCell<BTreeSet<Digest>>,
     open_count: Cell<usize>,
@@ -147,6 +152,7 @@
             rates: RefCell::default(),
             budgets: RefCell::default(),
             has_read_rows: Cell::default(),
+            era: Cell::default(),
             slack_from: Cell::default(),
             peers: RefCell::new(peers),
             longest_limits: RefCell::default(),
@@ -154,6 +160,7 @@
             losses: RefCell::default(),
             loss_recorded: Notify::new(),
             suspects: RefCell::new(Suspects::with_limit(suspects::LIMIT)),
+            suspects_missing_at: Cell::default(),
             unsaved_suspects: RefCell::default(),
             open_count: Cell::new(0),
         })
@@ -273,6 +280,19 @@
         }
     }
 
+    /// Records the era of rows that were read, and returns whether the key-value service has come back from an earlier
+    /// copy since the last ones.
+    pub fn record_era(&self, era: u64) -> bool {
+        let previous = self.era.replace(Some(era));
+        let is_restored = previous.is_some_and(|previous| previous != era);
+        if is_restored {
+            let now = self.now();
+            self.with_reachability(|store| store.record_restore(now));
+            self.schedule_suspect_rows();
+        }
+        is_restored
+    }
+
     /// Takes one retry from the budget of a service; returns `false` if it is used up.
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
         let now = self.now();
@@ -428,7 +448,7 @@
             address: self.options.internal,
             region: peers.region().to_owned(),
             in_touch: self.reachability.borrow().is_reachable(),
-            revision: self.rows.borrow().revision(),
+            position: self.rows.borrow().position(),
             work: self.pool.borrow().own_work(),
         };
         (beacon, peers.beacon_targets(round).collect())
@@ -466,16 +486,15 @@
 
     /// Returns the address of a live entry with newer rows, preferably of the own region; `None` if there is none.
     pub fn newer_peer(&self) -> Option<SocketAddr> {
-        let revision = self.rows.borrow().revision();
+        let position = self.rows.borrow().position();
         let peers = self.peers.borrow();
-        peers.newer_peer(revision, self.now())
+        peers.newer_peer(position, self.now())
     }
 
     /// Returns whether this entry reads the key-value service itself: before its first rows, or as a follower of its
     /// region.
     pub fn is_active(&self) -> bool {
-        let has_no_rows = self.rows.borrow().revision() == 0;
-        has_no_rows || self.peers.borrow().is_follower(self.now())
+        !self.rows.borrow().is_read() || self.peers.borrow().is_follower(self.now())
     }
 
     /// Returns what the agents of a service need to know of its weights and of each other; `None` for services without
@@ -530,8 +549,10 @@
                 "crashes": crashes,
             })
         });
+        let position = self.rows.borrow().position();
         serde_json::json!({
-            "revision": self.rows.borrow().revision(),
+            "era": position.era,
+            "revision": position.revision,
             "configuration": self.config().map(|config| config.version()),
             "servers": servers.collect::<Vec<_>>(),
             "entries": self.peers.borrow().count(),
--- a/crates/pistachiolug_gateway/src/state/suspects.rs
+++ b/crates/pistachiolug_gateway/src/state/suspects.rs
@@ -17,6 +17,10 @@
 /// Time for which a crash suspect is remembered; the platform's leases last no longer.
 pub const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
 
+/// Longest time until missing rows of suspects are written. The followers of all regions find out at about the same
+/// moment, and a row that one has written need not be written by another.
+const MAX_REWRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// Bounds of the crash suspects. An entry can't run a suspect alone, so that more crashes than at an agent are needed to
 /// tell the cause from the requests that ran beside it.
 pub(super) const LIMIT: Limit = Limit {
@@ -147,13 +151,34 @@
         self.suspects.borrow().refused(self.now())
     }
 
+    /// Lets the rows of refused suspects that are missing from the key-value service be written after a random time.
+    pub(super) fn schedule_suspect_rows(&self) {
+        let delay = MAX_REWRITE_DELAY.mul_f64(rand::random());
+        self.suspects_missing_at.set(Some(self.now() + delay));
+    }
+
+    /// Returns the refused suspects whose rows may be missing, once after their time has come, if this entry follows the
+    /// service.
+    pub fn take_missing_suspects(&self) -> Vec<Suspect> {
+        let due = self.suspects_missing_at.get();
+        if due.is_none_or(|due| self.now() < due) {
+            return Vec::new();
+        }
+        self.suspects_missing_at.set(None);
+        if self.is_active() {
+            self.refused_suspects()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Takes a suspect whose row in the key-value service is missing or outdated; `None` if there is none.
     pub fn take_unsaved_suspect(&self) -> Option<Suspect> {
         let digest = self.unsaved_suspects.borrow_mut().pop_first()?;
         self.suspects.borrow().report(&digest, self.now())
     }
 
-    /// Records that the row of a suspect could not be written.
+    /// Records that the row of a suspect is missing or could not be written.
     pub fn restore_unsaved_suspect(&self, suspect: &Suspect) {
         let digest = Digest::from(suspect.content);
         self.unsaved_suspects.borrow_mut().insert(digest);
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -7,7 +7,10 @@
     follow::Observer,
     rows::{Change, Rows},
 };
-use pistachiolug_wire::datagram::{self, AgentDatagram};
+use pistachiolug_wire::{
+    datagram::{self, AgentDatagram},
+    position::Position,
+};
 use tokio::net::UdpSocket;
 
 use crate::{
@@ -26,6 +29,17 @@
     decoder: D,
 }
 
+/// Origin of changed rows.
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    /// Era of the rows.
+    era: u64,
+    /// Whether these are the first rows that the process reads.
+    is_first_read: bool,
+    /// Whether these are all rows of a service that has come back from an earlier copy.
+    is_restored: bool,
+}
+
 impl<D: Decoder> Updater<D> {
     /// Creates an updater that notifies agents through `socket`.
     pub fn new(state: Rc<State>, socket: Rc<UdpSocket>, decoder: D) -> Self {
@@ -36,14 +50,17 @@
         }
     }
 
-    fn apply_row(&self, entry: &kv::Entry, is_first_read: bool) {
+    fn apply_row(&self, entry: &kv::Entry, source: Source) {
         match self.decoder.decode(&entry.key, &entry.value) {
             Row::Config(parts) => self.state.set_config(Config::new(parts)),
-            Row::Server(record) => self.put_server(record, entry.revision),
+            Row::Server(record) => {
+                let position = Position::new(source.era, entry.revision);
+                self.put_server(record, position);
+            }
             Row::Version { model, version } => {
                 if self
                     .state
-                    .set_target_version(&model, version, !is_first_read)
+                    .set_target_version(&model, version, !source.is_first_read)
                 {
                     self.notify_agents(model, version);
                 }
@@ -75,7 +92,7 @@
         }
     }
 
-    fn put_server(&self, record: Record, revision: u64) {
+    fn put_server(&self, record: Record, position: Position) {
         let is_known = self.state.with_pool(|pool| {
             let server = pool.get(&record.id);
             server.is_some_and(|server| *server.record() == record)
@@ -88,7 +105,8 @@
                 address:% = record.address,
                 leaving = record.leaving,
                 versions:? = versions,
-                revision;
+                era = position.era,
+                revision = position.revision;
                 "server listed"
             );
         }
@@ -99,14 +117,14 @@
             .with_pool(|pool| pool.find_other_incarnation(&record));
         let replaced = self
             .state
-            .with_pool(|pool| pool.put(record.clone(), revision, now));
+            .with_pool(|pool| pool.put(record.clone(), position, now));
         if let Some(previous) = previous.filter(|previous| !previous.leaving)
             && replaced.as_ref() != Some(&record.id)
         {
             self.state.record_server_end(&previous);
         }
         if let Some(server) = replaced {
-            log::info!(server = &*server, address:%, revision; "server replaced by another at its address");
+            log::info!(server = &*server, address:%, revision = position.revision; "server replaced by another at its address");
         }
     }
 
@@ -154,13 +172,20 @@
 
     fn on_changes(&self, changes: Vec<Change>) {
         self.state.record_rows(self.have_own_row(&changes));
-        let is_first_read = self.state.config().is_none();
+        let era = self.state.with_rows(|rows| rows.position().era);
+        let source = Source {
+            era,
+            is_first_read: self.state.config().is_none(),
+            is_restored: self.state.record_era(era),
+        };
         let mut removed = Vec::new();
         for change in changes {
             match change {
-                Change::Put(entry) => self.apply_row(&entry, is_first_read),
+                Change::Put(entry) => self.apply_row(&entry, source),
                 Change::Removed { key } => match self.decoder.subject(&key) {
                     Subject::Server(id) => removed.push(id),
+                    // Entries that are missing from an earlier copy write their rows again.
+                    Subject::Entry(_) if source.is_restored => {}
                     Subject::Entry(name) => self.state.with_peers(|peers| peers.remove(&name)),
                     Subject::Other => {}
                 },
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -10,7 +10,10 @@
     config::{Config, Kind},
     state::{Options, State},
 };
-use pistachiolug_wire::datagram::{Beacon, Work};
+use pistachiolug_wire::{
+    datagram::{Beacon, Work},
+    position::Position,
+};
 
 use support::{metrics, options, parts, route};
 
@@ -133,7 +136,7 @@
         address: "10.0.0.9:1".parse().unwrap(),
         region: "inland".to_owned(),
         in_touch: true,
-        revision: 1,
+        position: Position::without_era(1),
         work: Vec::<(u32, Work)>::new(),
     };
     for name in ["entry-2", "entry-3", "entry-4"] {
@@ -158,7 +161,7 @@
         address: ([10, 0, 0, 1], port).into(),
         region: "inland".to_owned(),
         in_touch: true,
-        revision,
+        position: Position::without_era(revision),
         work: Vec::new(),
     };
 
@@ -181,7 +184,7 @@
         state.with_rows(|rows| {
             rows.reset(pistachiolug_platform::kv::Range {
                 entries: Vec::new(),
-                revision: 1,
+                position: Position::without_era(1),
             })
         });
         for peer in ["a", "b", "c", "d"].iter().filter(|peer| **peer != name) {
@@ -192,7 +195,7 @@
                     address: "10.0.0.9:1".parse().unwrap(),
                     region: "inland".to_owned(),
                     in_touch,
-                    revision: 1,
+                    position: Position::without_era(1),
                     work: Vec::new(),
                 },
             );
@@ -232,7 +235,7 @@
             address: "10.0.0.9:1".parse().unwrap(),
             region: region.to_owned(),
             in_touch: true,
-            revision: 1,
+            position: Position::without_era(1),
             work: Vec::new(),
         };
         record_beacon(&state, beacon);
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -17,12 +17,15 @@
     server::Record,
     stop::{self, Stage},
 };
-use pistachiolug_wire::datagram::{Change, Notice};
+use pistachiolug_wire::{
+    datagram::{Change, Notice},
+    position::Position,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
-use support::{MODEL, SERVICE, engine, location, parts, record, route};
+use support::{MODEL, POSITION, SERVICE, engine, location, parts, record, route};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -33,7 +36,7 @@
 fn pool(records: Vec<Record>) -> Pool {
     let mut pool = Pool::default();
     for record in records {
-        pool.put(record, 1, Duration::ZERO);
+        pool.put(record, POSITION, Duration::ZERO);
     }
     pool
 }
@@ -306,7 +309,7 @@
     let mut restarted = numbered(1);
     restarted.started_ms = 2;
 
-    pool.put(restarted, 2, Duration::ZERO);
+    pool.put(restarted, Position::without_era(2), Duration::ZERO);
 
     assert_eq!(pool.get("i-1").unwrap().own_work().calls, 0);
     assert!(chosen(&pool, &requirements(), NOW).is_some());
@@ -332,7 +335,7 @@
     let loading = chosen(&pool, &requirements(), NOW);
     pool.apply_notice(&notice(Change::Holds { version: 2 }), NOW);
     // The list still names the earlier version.
-    pool.put(numbered(1), 1, Duration::ZERO);
+    pool.put(numbered(1), POSITION, Duration::ZERO);
 
     assert_eq!(loading, None);
     assert_eq!(chosen(&pool, &newer, NOW).as_deref(), Some("i-1"));
@@ -586,7 +589,7 @@
         let replaced = order.map(|index| {
             let (id, revision) = rows[index];
             let record = record(id, "10.0.0.1:80".parse().unwrap());
-            pool.put(record, revision, Duration::ZERO)
+            pool.put(record, Position::without_era(revision), Duration::ZERO)
         });
 
         assert_eq!(replaced, [None, Some(Arc::from("i-old"))]);
@@ -619,7 +622,7 @@
         .map(|_| {
             let mut pool = Pool::default();
             pool.set_peer_work(ENTRIES - 1, &FxHashMap::default());
-            pool.put(numbered(1), 1, NOW);
+            pool.put(numbered(1), POSITION, NOW);
             pool
         })
         .collect();
@@ -627,7 +630,7 @@
     let at_once: u32 = pools.iter_mut().map(|pool| fill(pool, NOW)).sum();
     let alone = {
         let mut pool = Pool::default();
-        pool.put(numbered(1), 1, NOW);
+        pool.put(numbered(1), POSITION, NOW);
         fill(&mut pool, NOW)
     };
 
--- a/crates/pistachiolug_gateway/tests/forward.rs
+++ b/crates/pistachiolug_gateway/tests/forward.rs
@@ -10,7 +10,8 @@
 use tokio::io::AsyncReadExt;
 
 use support::{
-    Action, Entry, SERVICE, Server, answer, chunk, parts, request, route, run, stream_head,
+    Action, Entry, POSITION, SERVICE, Server, answer, chunk, parts, request, route, run,
+    stream_head,
 };
 
 /// Failure at the first server of a route with two attempts, and the expected result.
@@ -152,7 +153,7 @@
                     tokio::task::yield_now().await;
                 }
                 let record = support::record("i-second", address);
-                state.with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+                state.with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
             });
 
             let response = entry.call(&request("a1")).await;
@@ -182,7 +183,7 @@
             let record = support::record(&format!("i-dead-{index}"), unreachable);
             entry
                 .state
-                .with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+                .with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
         }
 
         let response = entry.call(&request("a1")).await;
@@ -282,7 +283,7 @@
         }
         entry
             .state
-            .with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+            .with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
 
         let mut response = String::new();
         let ended = stream.read_to_string(&mut response).await;
@@ -330,7 +331,7 @@
         let record = support::record("i-sound", healthy.address);
         entry
             .state
-            .with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+            .with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
 
         let mut response = String::new();
         let _ = stream.read_to_string(&mut response).await;
@@ -417,7 +418,7 @@
         }
         let mut record = support::record("i-new", new.address);
         record.models[0].version = 2;
-        state.with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+        state.with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
 
         let mut response = String::new();
         let _ = stream.read_to_string(&mut response).await;
@@ -466,7 +467,7 @@
         let record = support::record("i-second", second.address);
         entry
             .state
-            .with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+            .with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
 
         let mut response = String::new();
         let _ = stream.read_to_string(&mut response).await;
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -19,6 +19,7 @@
     state::{Options, State},
 };
 use pistachiolug_http::local_server::{self, Limit};
+use pistachiolug_wire::position::Position;
 use rustc_hash::FxHashMap;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -33,6 +34,9 @@
 /// Model that the engines hold.
 pub const MODEL: &str = "tagliatelle";
 
+/// Position of the servers' rows.
+pub const POSITION: Position = Position::without_era(1);
+
 /// Action of a scripted server for one request.
 #[derive(Debug, Clone)]
 pub enum Action {
@@ -155,7 +159,7 @@
         state.set_config(Config::new(parts));
         for (index, server) in servers.iter().enumerate() {
             let record = record(&format!("i-{index}"), server.address);
-            state.with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+            state.with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
         }
         let listener = local_server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
--- a/crates/pistachiolug_lists/src/apply.rs
+++ b/crates/pistachiolug_lists/src/apply.rs
@@ -151,7 +151,7 @@
             // The row was gone before its removal could be confirmed, so the revision of the removal is unknown. The
             // current revision is not lower.
             let range = read_rows(store).await.map_err(Failure::Service)?;
-            outcome.revision = outcome.revision.max(range.revision);
+            outcome.revision = outcome.revision.max(range.position.revision);
         }
         outcome.revision = outcome.revision.max(revision);
         match row {
--- a/crates/pistachiolug_lists/src/apply/preview.rs
+++ b/crates/pistachiolug_lists/src/apply/preview.rs
@@ -75,7 +75,7 @@
 ) -> Result<Preview, Error> {
     let range = read_rows(store).await.context(ReadFailedSnafu)?;
     let mut preview = Preview {
-        revision: range.revision,
+        revision: range.position.revision,
         service: range.entries.iter().filter_map(parse_entry).collect(),
         ..Preview::default()
     };
--- a/crates/pistachiolug_lists/src/apply/write.rs
+++ b/crates/pistachiolug_lists/src/apply/write.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachiolug_platform::kv::{self, Entry, Precondition, Store, Swap};
+use pistachiolug_platform::kv::{self, Entry, Position, Precondition, Store, Swap};
 use tokio::time::sleep;
 
 use super::preview::{ServiceRow, conflict, parse_service_row};
@@ -88,7 +88,9 @@
     since: u64,
     edit: &Edit,
 ) -> Result<Option<u64>, kv::Error> {
-    let events = store.watch(&name.key(), since, EVENTS_TIMEOUT).await?;
+    let events = store
+        .watch(&name.key(), Position::without_era(since), EVENTS_TIMEOUT)
+        .await?;
     let own = events.iter().find_map(|event| match event {
         kv::Event::Put(entry) if entry.key == name.key() => {
             let stored = Stored::parse(name.kind, &entry.value).ok()?;
--- a/crates/pistachiolug_lists/src/gossip/bootstrap.rs
+++ b/crates/pistachiolug_lists/src/gossip/bootstrap.rs
@@ -72,7 +72,7 @@
     let from_peer =
         peer.is_some_and(|delta| delta.whole && replica.apply_delta(delta, requested_at));
     let from_service = range.is_some_and(|range| {
-        let revision = range.revision;
+        let revision = range.position.revision;
         replica.apply_snapshot(watcher::rows(range), revision, requested_at)
     });
     from_peer || from_service
--- a/crates/pistachiolug_lists/src/gossip/watcher.rs
+++ b/crates/pistachiolug_lists/src/gossip/watcher.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachiolug_platform::kv::{Entry, Error, Event, Range, Store};
+use pistachiolug_platform::kv::{Entry, Error, Event, Position, Range, Store};
 use tokio::time::{Instant, sleep};
 
 use super::Gossip;
@@ -78,7 +78,7 @@
 pub async fn read_all<S: Store>(gossip: &Gossip, store: &S) -> Result<(), Error> {
     let requested_at = Instant::now();
     let range = store.range(PREFIX).await?;
-    let revision = range.revision;
+    let revision = range.position.revision;
     if gossip
         .replica
         .apply_snapshot(rows(range), revision, requested_at)
@@ -101,7 +101,7 @@
 
 async fn read_events<S: Store>(gossip: &Gossip, store: &S, timeout: Duration) -> Result<(), Error> {
     let requested_at = Instant::now();
-    let after = gossip.replica.revision();
+    let after = Position::without_era(gossip.replica.revision());
     match store.watch(PREFIX, after, timeout).await {
         Ok(events) => {
             let changes = events.into_iter().filter_map(change_from_event).collect();
--- a/crates/pistachiolug_lists/tests/apply.rs
+++ b/crates/pistachiolug_lists/tests/apply.rs
@@ -13,7 +13,7 @@
     row::{Kind, Name, PREFIX, Row, Stored},
 };
 use pistachiolug_platform::kv::{
-    Event, Store,
+    Event, Position, Store,
     memory::{Faults, Memory},
 };
 use pistachiolug_wire::digest::Digest;
@@ -319,7 +319,9 @@
     }
     store.set_faults(Faults::default());
 
-    let events = store.watch(PREFIX, 0, std::time::Duration::ZERO).await;
+    let events = store
+        .watch(PREFIX, Position::default(), std::time::Duration::ZERO)
+        .await;
     let mut current: BTreeMap<Name, Digest> = BTreeMap::new();
     let mut seen = BTreeSet::new();
     for event in events.expect("service answers") {
--- a/crates/pistachiolug_lists/tests/support/link.rs
+++ b/crates/pistachiolug_lists/tests/support/link.rs
@@ -9,7 +9,7 @@
 };
 
 use pistachiolug_platform::kv::{
-    Entry, Error, Event, Lease, Precondition, Range, Store, Swap, memory::Memory,
+    Entry, Error, Event, Lease, Position, Precondition, Range, Store, Swap, memory::Memory,
 };
 use tokio::time::sleep;
 
@@ -85,7 +85,12 @@
         self.store.swap(key, expect, value, lease).await
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Vec<Event>, Error> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Position,
+        wait: Duration,
+    ) -> Result<Vec<Event>, Error> {
         self.check_connected()?;
         if self.has_mode(Mode::Hanging) {
             sleep(wait).await;
--- a/crates/pistachiolug_platform/src/kv.rs
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use pistachiolug_http::client;
+pub use pistachiolug_wire::position::Position;
 use snafu::Snafu;
 
 /// One stored value.
@@ -24,13 +25,13 @@
     pub revision: u64,
 }
 
-/// All values under a prefix at one revision.
+/// All values under a prefix at one position.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Range {
     /// Values ordered by key.
     pub entries: Vec<Entry>,
-    /// Revision of the service at the time of the read.
-    pub revision: u64,
+    /// Position of the service at the time of the read; the entries' revisions are of its era.
+    pub position: Position,
 }
 
 /// Precondition of a write; if it does not hold, the write has no effect.
@@ -107,7 +108,8 @@
         /// Time until the next try.
         after: Duration,
     },
-    /// The service no longer has the events after the watch's start; callers have to read the range again.
+    /// The service doesn't have the events after the watch's start, because it dropped them or is in another era. Callers
+    /// have to read the range again.
     #[snafu(display("revision compacted, oldest kept is {oldest}"))]
     Compacted {
         /// Oldest revision that a watch may start from; 0 if the service does not tell.
@@ -179,16 +181,17 @@
         lease: Option<Lease>,
     ) -> impl Future<Output = Result<Swap, Error>> + Send;
 
-    /// Waits at most for `wait` until there are changes under `prefix` after the revision `after`.
+    /// Waits at most for `wait` until there are changes under `prefix` after a position.
     ///
-    /// Returns an empty list if nothing has changed. Events may be repeated, so callers have to compare revisions.
+    /// Returns an empty list if nothing has changed. All events are of the position's era. They may be repeated, so callers
+    /// have to compare revisions.
     ///
     /// # Errors
-    /// [`Error::Compacted`] if the service no longer has all events after the revision.
+    /// [`Error::Compacted`] if the service doesn't have all events after the position, or is in another era.
     fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Vec<Event>, Error>> + Send;
 
@@ -200,6 +203,13 @@
     /// # Errors
     /// [`Error::LeaseEnded`] if the lease has ended.
     fn keep_alive(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Returns the newest era that an answer of the service has named, also one to a failed call; 0 if there is none.
+    ///
+    /// Makes no call. Leases of an earlier era have ended.
+    fn era(&self) -> u64 {
+        0
+    }
 }
 
 /// Returns the exclusive end of the range of keys that start with `prefix`, which is empty or ends with an ASCII
--- a/crates/pistachiolug_platform/src/kv/etcd.rs
+++ b/crates/pistachiolug_platform/src/kv/etcd.rs
@@ -10,7 +10,9 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout_at};
 
-use super::{Effect, Entry, Error, Event, Lease, Precondition, Range, Store, Swap, prefix_end};
+use super::{
+    Effect, Entry, Error, Event, Lease, Position, Precondition, Range, Store, Swap, prefix_end,
+};
 
 /// Timeout of a call other than a watch, and of the confirmation of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -67,7 +69,7 @@
         let answer = self.post("/v3/kv/range", &body, Effect::Read).await?;
         Ok(Range {
             entries: parse_entries(&answer)?,
-            revision: parse_number(&answer["header"]["revision"]),
+            position: Position::without_era(parse_number(&answer["header"]["revision"])),
         })
     }
 
@@ -91,13 +93,18 @@
         })
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Vec<Event>, Error> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Position,
+        wait: Duration,
+    ) -> Result<Vec<Event>, Error> {
         let deadline = Instant::now() + wait;
         let created_deadline = Instant::now() + CALL_TIMEOUT;
         let body = json!({ "create_request": {
             "key": encode(prefix),
             "range_end": encode(&prefix_end(prefix)),
-            "start_revision": (after + 1).to_string(),
+            "start_revision": (after.revision + 1).to_string(),
         }});
         let response = self
             .client
--- a/crates/pistachiolug_platform/src/kv/held_lease.rs
+++ b/crates/pistachiolug_platform/src/kv/held_lease.rs
@@ -14,6 +14,8 @@
 pub struct HeldLease {
     lease: Lease,
     ttl: Duration,
+    /// Era of the service when the lease was granted; a later one does not know the lease.
+    era: u64,
     /// Time that is earlier than the end of the lease at the service, since it counts from before the call that granted
     /// or renewed the lease.
     expires_at: Instant,
@@ -30,18 +32,18 @@
         Ok(Self {
             lease,
             ttl,
+            era: store.era(),
             expires_at: requested_at + usable_time(ttl),
         })
     }
 
-    /// Renews the lease, unless it has expired on the holder's clock, even if it is still valid at the service.
+    /// Renews the lease, unless it has expired on the holder's clock, even if it is still valid at the service, or is of
+    /// an earlier era of the service.
     ///
     /// # Errors
     /// [`Error::LeaseEnded`] or the service's error; the expiry time does not change then.
     pub async fn renew<S: Store>(&mut self, store: &S) -> Result<(), Error> {
-        if !self.is_held() {
-            return Err(Error::LeaseEnded);
-        }
+        self.check_held(store)?;
         let requested_at = Instant::now();
         store.keep_alive(self.lease).await?;
         self.expires_at = requested_at + usable_time(self.ttl);
@@ -53,6 +55,14 @@
         Instant::now() < self.expires_at
     }
 
+    fn check_held<S: Store>(&self, store: &S) -> Result<(), Error> {
+        if self.is_held() && store.era() == self.era {
+            Ok(())
+        } else {
+            Err(Error::LeaseEnded)
+        }
+    }
+
     /// Writes a key that is bound to the lease.
     ///
     /// The write has no effect if the holder is paused between the check of the expiry time and the write: the service
@@ -67,9 +77,7 @@
         precondition: Precondition,
         value: &[u8],
     ) -> Result<Swap, Error> {
-        if !self.is_held() {
-            return Err(Error::LeaseEnded);
-        }
+        self.check_held(store)?;
         store
             .swap(key, precondition, Some(value), Some(self.lease))
             .await
--- a/crates/pistachiolug_platform/src/kv/memory.rs
+++ b/crates/pistachiolug_platform/src/kv/memory.rs
@@ -13,7 +13,8 @@
 };
 
 use super::{
-    Entry, Error, Event, Lease, Precondition, Range, Store, Swap, prefix_end, state::State,
+    Entry, Error, Event, Lease, Position, Precondition, Range, Store, Swap, prefix_end,
+    state::State,
 };
 
 /// Faults to inject; the probabilities are per call and from 0 to 1.
@@ -109,11 +110,6 @@
         self.wake_watches();
     }
 
-    /// Returns the current era.
-    pub fn era(&self) -> u64 {
-        self.lock().state.era()
-    }
-
     /// Writes a value without a precondition and without faults, as another client would, and returns the revision.
     pub fn put(&self, key: &str, value: &[u8]) -> u64 {
         self.write(key, Some(value))
@@ -241,22 +237,26 @@
         Ok(swap)
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Vec<Event>, Error> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Position,
+        wait: Duration,
+    ) -> Result<Vec<Event>, Error> {
         self.lock().counts.watches += 1;
         if self.draw_faults().unavailable {
             return Err(unavailable());
         }
         let end = prefix_end(prefix);
         let mut written = self.written.subscribe();
-        let era = self.era();
         let events = async {
             loop {
                 let events = {
                     let state = &self.lock().state;
-                    if state.era() != era || state.revision() < after {
+                    if state.era() != after.era || state.revision() < after.revision {
                         return Err(Error::Compacted { oldest: 0 });
                     }
-                    state.events_after(after, prefix, &end)
+                    state.events_after(after.revision, prefix, &end)
                 };
                 let events = events.map_err(|oldest| Error::Compacted { oldest })?;
                 if !events.is_empty() || written.changed().await.is_err() {
@@ -277,6 +277,10 @@
         let renewed = self.lock().state.keep_alive(lease, Instant::now());
         renewed.map(drop).ok_or(Error::LeaseEnded)
     }
+
+    fn era(&self) -> u64 {
+        self.lock().state.era()
+    }
 }
 
 fn unavailable() -> Error {
--- a/crates/pistachiolug_platform/src/kv/rate_limited.rs
+++ b/crates/pistachiolug_platform/src/kv/rate_limited.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{
-    Entry, Error, Event, Lease, Precondition, Range, Store, Swap,
+    Entry, Error, Event, Lease, Position, Precondition, Range, Store, Swap,
     rate_limit::{CallKind, RateLimiter, Settings},
 };
 
@@ -112,7 +112,12 @@
         self.call(CallKind::Write, CALL_TIMEOUT, swap).await
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Vec<Event>, Error> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Position,
+        wait: Duration,
+    ) -> Result<Vec<Event>, Error> {
         let watch = self.store.watch(prefix, after, wait);
         self.call(CallKind::Read, wait + CALL_TIMEOUT, watch).await
     }
@@ -126,4 +131,8 @@
         self.call(CallKind::Write, CALL_TIMEOUT, self.store.keep_alive(lease))
             .await
     }
+
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
 }
--- a/crates/pistachiolug_platform/src/kv/state.rs
+++ b/crates/pistachiolug_platform/src/kv/state.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Entry, Event, Lease, Precondition, Range, Swap};
+use super::{Entry, Event, Lease, Position, Precondition, Range, Swap};
 
 /// Maximum number of events that are kept for watches; beyond it, the older half is compacted.
 const MAX_HISTORY_EVENTS: usize = 100_000;
@@ -71,7 +71,7 @@
                 .range(start.to_owned()..end.to_owned())
                 .map(|(_, stored)| stored.entry.clone())
                 .collect(),
-            revision: self.revision,
+            position: Position::new(self.era, self.revision),
         }
     }
 
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachiolug_platform::kv::{Error, Store};
+use pistachiolug_platform::kv::{Error, Position, Store};
 use rand::RngExt;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -17,8 +17,13 @@
 /// Longest backoff after a failed call; a tenth of the time within which a change must take effect.
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
-/// Interval at which a passive follower checks whether it has to become active.
-const PASSIVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a passive follower checks whether it has to become active, and a watching one whether a new era has
+/// begun.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest wait before all rows are read again because the service doesn't have the events. All followers find that out
+/// at the same moment.
+const MAX_REREAD_DELAY: Duration = Duration::from_millis(250);
 
 /// Timeout of one read of all rows; long, because several processes may read over the same narrow link at once.
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -40,7 +45,8 @@
 
 /// Follows the rows under `prefix`; never returns.
 ///
-/// All rows are read first. After that, changes are watched, and all rows are read again after a watch that failed.
+/// All rows are read first. After that, changes are watched. All rows are read again after a watch that failed, and once
+/// the service has named a newer era than that of the rows.
 ///
 /// # Arguments
 /// `wait` is the longest time of one watch. If the service loses a watch without an error, this is noticed only when
@@ -50,11 +56,12 @@
     let mut has_rows = false;
     loop {
         if !observer.is_active() {
-            sleep(PASSIVE_CHECK_INTERVAL).await;
+            sleep(CHECK_INTERVAL).await;
             continue;
         }
         let start = Instant::now();
-        let result = if has_rows {
+        let is_outdated = observer.with_rows(|rows| rows.position().era < store.era());
+        let result = if has_rows && !is_outdated {
             watch(&store, prefix, wait, &observer).await
         } else {
             read(&store, prefix, &observer).await
@@ -68,8 +75,11 @@
                     sleep(BATCH_PAUSE).await;
                 }
             }
-            // The service has dropped the history that the watch starts from.
-            Err(Error::Compacted { .. }) => has_rows = false,
+            // The service has dropped the history that the watch starts from, or is in another era.
+            Err(Error::Compacted { .. }) => {
+                has_rows = false;
+                sleep(MAX_REREAD_DELAY.mul_f64(rand::random())).await;
+            }
             Err(error) => {
                 // A failed watch may have missed changes, and the history may no longer have them.
                 has_rows = false;
@@ -93,9 +103,13 @@
             reason: "read of all rows timed out".to_owned(),
         })
     })?;
+    if range.position.era < store.era() {
+        return Err(Error::unavailable("the answer is of an earlier era"));
+    }
     let bytes: usize = range.entries.iter().map(|entry| entry.value.len()).sum();
     let taken_ms = start.elapsed().as_millis() as u64;
-    log::info!(prefix, revision = range.revision, rows = range.entries.len(), bytes, taken_ms; "read all rows under the prefix");
+    let Position { era, revision } = range.position;
+    log::info!(prefix, era, revision, rows = range.entries.len(), bytes, taken_ms; "read all rows under the prefix");
     let changes = observer.with_rows(|rows| rows.reset(range));
     observer.on_changes(changes);
     Ok(false)
@@ -108,14 +122,24 @@
     wait: Duration,
     observer: &O,
 ) -> Result<bool, Error> {
-    let after = observer.with_rows(|rows| rows.revision());
-    let events = store.watch(prefix, after, wait).await?;
-    let changes = observer.with_rows(|rows| rows.apply(events));
+    let after = observer.with_rows(|rows| rows.position());
+    let events = tokio::select! {
+        events = store.watch(prefix, after, wait) => events?,
+        () = wait_for_later_era(store, after.era) => return Err(Error::Compacted { oldest: 0 }),
+    };
+    let changes = observer.with_rows(|rows| rows.apply(after.era, events));
     let has_changes = !changes.is_empty();
     observer.on_changes(changes);
     Ok(has_changes)
 }
 
+/// Waits until an answer to another call has named a later era.
+async fn wait_for_later_era<S: Store>(store: &S, era: u64) {
+    while store.era() <= era {
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Returns a random duration between half of `duration` and all of it.
 fn with_jitter(duration: Duration) -> Duration {
     duration.mul_f64(rand::rng().random_range(0.5..1.0))
--- a/crates/pistachiolug_replica/src/rows.rs
+++ b/crates/pistachiolug_replica/src/rows.rs
@@ -1,8 +1,8 @@
-//! Rows under one prefix at one revision.
+//! Rows under one prefix at one position.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use pistachiolug_platform::kv::{Entry, Event, Range};
+use pistachiolug_platform::kv::{Entry, Event, Position, Range};
 
 /// Largest number of kept removals; they are kept so that they can be sent to peers.
 const MAX_REMOVALS: usize = 1000;
@@ -19,23 +19,24 @@
     },
 }
 
-/// Rows under a prefix; their revision never decreases.
+/// Rows under a prefix; their position never goes back.
 #[derive(Debug, Clone, Default)]
 pub struct Rows {
+    /// Rows by key; all revisions are of the era of `position`.
     entries: BTreeMap<String, Entry>,
-    /// Revision up to which all changes are included; 0 before the first read.
-    revision: u64,
-    /// Keys of removed rows with the revisions of the removals, oldest first.
+    /// Position up to which all changes are included; the default before the first read.
+    position: Position,
+    /// Keys of rows that were removed in this era with the revisions of the removals, oldest first.
     removals: VecDeque<(String, u64)>,
     /// Revision after which `removals` is complete.
     removals_complete_after: u64,
 }
 
-/// Changes between two revisions.
+/// Changes between two positions of one era.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Delta {
-    /// Revision to which the changes have to be applied.
-    pub base_revision: u64,
+    /// Position to which the changes have to be applied.
+    pub base: Position,
     /// Revision after the changes.
     pub revision: u64,
     /// Rows that were added or replaced.
@@ -45,9 +46,14 @@
 }
 
 impl Rows {
-    /// Returns the revision up to which all changes are included; 0 before the first read.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position up to which all changes are included; the default before the first read.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Returns whether rows were read at all.
+    pub fn is_read(&self) -> bool {
+        self.position != Position::default()
     }
 
     /// Iterates over the rows in the order of their keys.
@@ -55,26 +61,36 @@
         self.entries.values()
     }
 
-    /// Replaces all rows with those of a newer revision and returns the differences; an older `range` is ignored.
+    /// Replaces all rows with those of a later position and returns the differences; an earlier `range` is ignored.
+    ///
+    /// In a new era, all rows of the range count as changed: a revision may name other content than before.
     pub fn reset(&mut self, range: Range) -> Vec<Change> {
-        if range.revision < self.revision {
+        if range.position < self.position {
             return Vec::new();
         }
-        if self.revision == 0 {
-            self.removals_complete_after = range.revision;
+        let Position { era, revision } = range.position;
+        let is_new_era = era != self.position.era;
+        if is_new_era && self.is_read() {
+            let (era_before, revision_before) = (self.position.era, self.position.revision);
+            log::warn!(era_before, era, revision_before, revision; "key-value service came back from an earlier copy");
+        }
+        if is_new_era || !self.is_read() {
+            self.removals.clear();
+            self.removals_complete_after = revision;
         }
         let mut old = std::mem::take(&mut self.entries);
         let mut changes = Vec::new();
         for entry in range.entries {
             let old_entry = old.remove(&entry.key);
-            if old_entry.is_none_or(|old_entry| old_entry.revision != entry.revision) {
+            let is_known = old_entry.is_some_and(|old_entry| old_entry.revision == entry.revision);
+            if is_new_era || !is_known {
                 changes.push(Change::Put(entry.clone()));
             }
             self.entries.insert(entry.key.clone(), entry);
         }
-        self.revision = range.revision;
+        self.position = range.position;
         for key in old.into_keys() {
-            self.record_removal(&key, range.revision);
+            self.record_removal(&key, revision);
             changes.push(Change::Removed { key });
         }
         changes
@@ -82,17 +98,20 @@
 
     /// Applies the events of a watch, which are in the order of their revisions, and returns the changes.
     ///
-    /// Events up to the revision of the rows are ignored.
-    pub fn apply(&mut self, events: Vec<Event>) -> Vec<Change> {
+    /// Events up to the revision of the rows are ignored, as are those of another era.
+    pub fn apply(&mut self, era: u64, events: Vec<Event>) -> Vec<Change> {
         let mut changes = Vec::new();
+        if era != self.position.era {
+            return changes;
+        }
         // Events of one transaction have the same revision, so they are compared with the revision before all events.
-        let known_revision = self.revision;
+        let known_revision = self.position.revision;
         for event in events {
             let revision = event.revision();
             if revision <= known_revision {
                 continue;
             }
-            self.revision = self.revision.max(revision);
+            self.position.revision = self.position.revision.max(revision);
             match event {
                 Event::Put(entry) => changes.push(self.put(entry)),
                 Event::Delete { key, revision } => changes.extend(self.remove(key, revision)),
@@ -101,30 +120,36 @@
         changes
     }
 
-    /// Returns the changes after a revision; `None` if that is 0 or some removals since then are unknown.
-    pub fn delta(&self, after: u64) -> Option<Delta> {
-        if after == 0 || after < self.removals_complete_after {
+    /// Returns the changes after a position; `None` if that is the default or of another era, or some removals since
+    /// then are unknown.
+    pub fn delta(&self, after: Position) -> Option<Delta> {
+        if after == Position::default()
+            || after.era != self.position.era
+            || after.revision < self.removals_complete_after
+        {
             return None;
         }
-        let entries = self.entries.values().filter(|entry| entry.revision > after);
+        let after_revision = after.revision;
+        let entries = self.entries.values();
+        let entries = entries.filter(|entry| entry.revision > after_revision);
         let removed = self
             .removals
             .iter()
-            .filter(|(_, removed_at)| *removed_at > after);
+            .filter(|(_, removed_at)| *removed_at > after_revision);
         Some(Delta {
-            base_revision: after,
-            revision: self.revision,
+            base: after,
+            revision: self.position.revision,
             entries: entries.cloned().collect(),
             removed: removed.map(|(key, _)| key.clone()).collect(),
         })
     }
 
-    /// Applies changes whose base revision is that of the rows, and returns them; other changes are ignored.
+    /// Applies changes whose base is the position of the rows, and returns them; other changes are ignored.
     pub fn merge(&mut self, delta: Delta) -> Vec<Change> {
-        if delta.base_revision != self.revision || delta.revision <= self.revision {
+        if delta.base != self.position || delta.revision <= self.position.revision {
             return Vec::new();
         }
-        self.revision = delta.revision;
+        self.position.revision = delta.revision;
         let mut changes = Vec::new();
         for key in delta.removed {
             changes.extend(self.remove(key, delta.revision));
--- a/crates/pistachiolug_replica/src/snapshot.rs
+++ b/crates/pistachiolug_replica/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! Encoding of rows that one process sends to another.
 
 use bytes::Bytes;
-use pistachiolug_platform::kv::{Entry, Range};
+use pistachiolug_platform::kv::{Entry, Position, Range};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
@@ -17,10 +17,10 @@
 
 #[derive(Serialize, Deserialize)]
 struct Message<'a> {
-    /// Revision to which the changes have to be applied; 0 if `rows` are all rows.
-    after: u64,
-    /// Revision after the changes.
-    revision: u64,
+    /// Revision to which the changes have to be applied; `None` if `rows` are all rows.
+    after: Option<u64>,
+    /// Position after the changes; its era is also that of `after`.
+    position: Position,
     #[serde(borrow)]
     rows: Vec<Row<'a>>,
     /// Keys of the removed rows.
@@ -52,22 +52,22 @@
     }
 }
 
-/// Encodes the changes after a revision, or all rows if the changes are not all known or `after` is 0.
+/// Encodes the changes after a position, or all rows if [`Rows::delta`] has no such changes.
 ///
 /// # Errors
 /// Returns an [`Error`] if the codec fails.
-pub fn encode(rows: &Rows, after: u64) -> Result<Vec<u8>, Error> {
+pub fn encode(rows: &Rows, after: Position) -> Result<Vec<u8>, Error> {
     let delta = rows.delta(after);
     let message = match &delta {
         Some(delta) => Message {
-            after,
-            revision: delta.revision,
+            after: Some(after.revision),
+            position: rows.position(),
             rows: delta.entries.iter().map(Row::new).collect(),
             removed: delta.removed.iter().map(String::as_str).collect(),
         },
         None => Message {
-            after: 0,
-            revision: rows.revision(),
+            after: None,
+            position: rows.position(),
             rows: rows.entries().map(Row::new).collect(),
             removed: Vec::new(),
         },
@@ -82,15 +82,13 @@
 pub fn apply(bytes: &[u8], rows: &mut Rows) -> Result<Vec<Change>, Error> {
     let message: Message<'_> = postcard::from_bytes(bytes).context(Snafu)?;
     let entries: Vec<Entry> = message.rows.iter().map(Row::to_entry).collect();
-    if message.after == 0 {
-        return Ok(rows.reset(Range {
-            entries,
-            revision: message.revision,
-        }));
-    }
+    let position = message.position;
+    let Some(after) = message.after else {
+        return Ok(rows.reset(Range { entries, position }));
+    };
     Ok(rows.merge(Delta {
-        base_revision: message.after,
-        revision: message.revision,
+        base: Position::new(position.era, after),
+        revision: position.revision,
         entries,
         removed: message.removed.into_iter().map(str::to_owned).collect(),
     }))
--- a/crates/pistachiolug_replica/tests/follow.rs
+++ b/crates/pistachiolug_replica/tests/follow.rs
@@ -6,11 +6,16 @@
     cell::RefCell,
     collections::VecDeque,
     rc::Rc,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
-use pistachiolug_platform::kv::{Entry, Error, Event, Lease, Precondition, Range, Store, Swap};
+use pistachiolug_platform::kv::{
+    Entry, Error, Event, Lease, Position, Precondition, Range, Store, Swap,
+};
 use pistachiolug_replica::{
     follow::{self, Observer},
     rows::{Change, Rows},
@@ -24,6 +29,8 @@
 struct ScriptedStore {
     reads: Arc<Mutex<VecDeque<Result<Range, Error>>>>,
     watches: Arc<Mutex<VecDeque<WatchResult>>>,
+    /// Era that answers to other calls have named; those of the script name none.
+    named_era: Arc<AtomicU64>,
 }
 
 impl Store for ScriptedStore {
@@ -49,7 +56,7 @@
         unreachable!("a follower does not write")
     }
 
-    async fn watch(&self, _: &str, _: u64, _: Duration) -> WatchResult {
+    async fn watch(&self, _: &str, _: Position, _: Duration) -> WatchResult {
         let next = self.watches.lock().unwrap().pop_front();
         match next {
             Some(result) => result,
@@ -64,6 +71,10 @@
     async fn keep_alive(&self, _: Lease) -> Result<(), Error> {
         unreachable!("a follower has no lease")
     }
+
+    fn era(&self) -> u64 {
+        self.named_era.load(Ordering::Relaxed)
+    }
 }
 
 /// Observer that records what it gets.
@@ -102,7 +113,11 @@
 }
 
 fn range(revision: u64, entries: Vec<Entry>) -> Range {
-    Range { entries, revision }
+    range_at(Position::without_era(revision), entries)
+}
+
+fn range_at(position: Position, entries: Vec<Entry>) -> Range {
+    Range { entries, position }
 }
 
 fn unavailable() -> Error {
@@ -120,9 +135,19 @@
 
 /// Follows a store to the end of its script and returns the records.
 fn follow_script(reads: Vec<Result<Range, Error>>, watches: Vec<WatchResult>) -> Recorder {
+    follow_script_until_era(reads, watches, 0)
+}
+
+/// Follows a store to the end of its script; another call names an era ten seconds after the start.
+fn follow_script_until_era(
+    reads: Vec<Result<Range, Error>>,
+    watches: Vec<WatchResult>,
+    era: u64,
+) -> Recorder {
     let store = ScriptedStore {
         reads: Arc::new(Mutex::new(reads.into())),
         watches: Arc::new(Mutex::new(watches.into())),
+        named_era: Arc::default(),
     };
     let recorder = Recorder::default();
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -130,7 +155,13 @@
         .start_paused(true)
         .build()
         .unwrap();
+    let named_era = Arc::clone(&store.named_era);
     let follow = follow::run(store, "", Duration::from_secs(1), recorder.clone());
+    let name_era = async {
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        named_era.store(era, Ordering::Relaxed);
+    };
+    let follow = async { tokio::join!(follow, name_era) };
     let _ = runtime.block_on(async { tokio::time::timeout(Duration::from_secs(30), follow).await });
     recorder
 }
@@ -149,7 +180,7 @@
     let recorder = follow_script(vec![Ok(read)], vec![Ok(events)]);
 
     assert_eq!(keys(&recorder), ["b", "c"]);
-    assert_eq!(recorder.rows.borrow().revision(), 7);
+    assert_eq!(recorder.rows.borrow().position().revision, 7);
     assert_eq!(recorder.changes.borrow().len(), 4);
 }
 
@@ -175,7 +206,7 @@
         );
 
         assert_eq!(keys(&recorder), ["b"], "{failure}");
-        assert_eq!(recorder.rows.borrow().revision(), 9, "{failure}");
+        assert_eq!(recorder.rows.borrow().position().revision, 9, "{failure}");
     }
 }
 
@@ -200,7 +231,7 @@
     rows.reset(range(9, vec![entry("a", 9)]));
 
     let reset = rows.reset(range(8, vec![entry("b", 8)]));
-    let applied = rows.apply(vec![Event::Put(entry("c", 7)), delete("a", 9)]);
+    let applied = rows.apply(0, vec![Event::Put(entry("c", 7)), delete("a", 9)]);
 
     assert!(reset.is_empty() && applied.is_empty());
     assert_eq!(rows.entries().count(), 1);
@@ -211,7 +242,10 @@
 fn all_changes_of_one_transaction_are_applied() {
     let mut rows = Rows::default();
 
-    let changes = rows.apply(vec![Event::Put(entry("a", 4)), Event::Put(entry("b", 4))]);
+    let changes = rows.apply(
+        0,
+        vec![Event::Put(entry("a", 4)), Event::Put(entry("b", 4))],
+    );
 
     assert_eq!(changes.len(), 2);
 }
@@ -227,10 +261,10 @@
     rows.reset(range(9, vec![entry("a", 2), entry("b", 9)]));
     let mut empty = Rows::default();
     let mut behind = rows.clone();
-    rows.apply(vec![Event::Put(entry("c", 10)), delete("a", 11)]);
+    rows.apply(0, vec![Event::Put(entry("c", 10)), delete("a", 11)]);
 
-    let all_rows = snapshot::encode(&rows, 0).unwrap();
-    let delta = snapshot::encode(&rows, 9).unwrap();
+    let all_rows = snapshot::encode(&rows, Position::default()).unwrap();
+    let delta = snapshot::encode(&rows, Position::without_era(9)).unwrap();
     snapshot::apply(&all_rows, &mut empty).unwrap();
     let changes = snapshot::apply(&delta, &mut behind).unwrap();
 
@@ -238,7 +272,7 @@
     assert_eq!(changes.len(), 2);
     for other in [&empty, &behind] {
         assert_eq!(entries(other), [entry("b", 9), entry("c", 10)]);
-        assert_eq!(other.revision(), 11);
+        assert_eq!(other.position().revision, 11);
     }
 }
 
@@ -247,15 +281,15 @@
 fn changes_for_another_base_revision_are_ignored() {
     let mut rows = Rows::default();
     rows.reset(range(9, vec![entry("a", 2)]));
-    rows.apply(vec![delete("a", 10)]);
-    let delta = snapshot::encode(&rows, 9).unwrap();
+    rows.apply(0, vec![delete("a", 10)]);
+    let delta = snapshot::encode(&rows, Position::without_era(9)).unwrap();
     let mut other = Rows::default();
     other.reset(range(8, vec![entry("a", 2)]));
 
     let changes = snapshot::apply(&delta, &mut other).unwrap();
 
     assert!(changes.is_empty());
-    assert_eq!(other.revision(), 8);
+    assert_eq!(other.position().revision, 8);
     assert!(snapshot::apply(&delta[..delta.len() - 1], &mut other).is_err());
 }
 
@@ -266,6 +300,90 @@
     let mut rows = Rows::default();
     rows.reset(range(9, vec![entry("a", 2)]));
 
-    assert_eq!(rows.delta(8), None);
-    assert!(rows.delta(9).is_some());
+    assert_eq!(rows.delta(Position::without_era(8)), None);
+    assert!(rows.delta(Position::without_era(9)).is_some());
+}
+
+/// Guards against a follower that waits for changes in an era that has ended, as another call has found out.
+#[test]
+fn rows_are_read_again_once_another_call_names_a_newer_era() {
+    let first_read = range(9, vec![entry("a", 3), entry("b", 9)]);
+    let second_read = range_at(Position::new(1, 5), vec![entry("a", 3)]);
+
+    let recorder = follow_script_until_era(vec![Ok(first_read), Ok(second_read)], vec![], 1);
+
+    assert_eq!(keys(&recorder), ["a"]);
+    assert_eq!(recorder.rows.borrow().position(), Position::new(1, 5));
+}
+
+/// Guards against rows of an answer that was on its way when the newer era began.
+#[test]
+fn a_read_of_an_earlier_era_is_made_again() {
+    let first_read = range(9, vec![entry("a", 3)]);
+    let late_read = range(12, vec![entry("late", 12)]);
+    let second_read = range_at(Position::new(1, 5), vec![entry("b", 4)]);
+
+    let reads = vec![Ok(first_read), Ok(late_read), Ok(second_read)];
+    let recorder = follow_script_until_era(reads, vec![], 1);
+
+    assert_eq!(keys(&recorder), ["b"]);
+    let changes = recorder.changes.borrow();
+    let is_late = |change: &Change| matches!(change, Change::Put(entry) if entry.key == "late");
+    assert!(!changes.iter().any(is_late));
+}
+
+/// Guards against rows that are gone but stay, and against other content that is taken for the known one, because its
+/// revision is lower or the same.
+#[test]
+fn all_rows_are_replaced_in_a_new_era() {
+    let mut rows = Rows::default();
+    rows.reset(range(9, vec![entry("a", 5), entry("gone", 9)]));
+    let same_revision = Entry {
+        value: "other content".into(),
+        ..entry("a", 5)
+    };
+
+    let changes = rows.reset(range_at(Position::new(1, 6), vec![same_revision.clone()]));
+    let events = rows.apply(1, vec![Event::Put(entry("b", 7))]);
+
+    let gone = "gone".to_owned();
+    let expected = [
+        Change::Put(same_revision.clone()),
+        Change::Removed { key: gone },
+    ];
+    assert_eq!(changes, expected);
+    assert_eq!(events, [Change::Put(entry("b", 7))]);
+    assert_eq!(entries(&rows), [same_revision, entry("b", 7)]);
+}
+
+/// Guards against events of a watch that began before the rows of a newer era came from a peer.
+#[test]
+fn events_and_reads_of_an_earlier_era_are_ignored() {
+    let mut rows = Rows::default();
+    rows.reset(range_at(Position::new(2, 6), vec![entry("a", 5)]));
+
+    let applied = rows.apply(1, vec![Event::Put(entry("b", 40)), delete("a", 41)]);
+    let reset = rows.reset(range_at(Position::new(1, 50), vec![]));
+
+    assert!(applied.is_empty() && reset.is_empty());
+    assert_eq!(entries(&rows), [entry("a", 5)]);
+}
+
+/// Guards against peers that stay in the earlier era, whose position has a higher revision.
+#[test]
+fn rows_of_a_new_era_reach_another_process() {
+    let mut rows = Rows::default();
+    rows.reset(range(9, vec![entry("a", 5), entry("gone", 9)]));
+    let mut behind = rows.clone();
+    rows.reset(range_at(Position::new(1, 6), vec![entry("a", 5)]));
+
+    let message = snapshot::encode(&rows, behind.position()).unwrap();
+    snapshot::apply(&message, &mut behind).unwrap();
+    rows.apply(1, vec![delete("a", 7)]);
+    let delta = snapshot::encode(&rows, behind.position()).unwrap();
+    snapshot::apply(&delta, &mut behind).unwrap();
+
+    assert!(delta.len() < message.len());
+    assert_eq!(behind.position(), Position::new(1, 7));
+    assert!(entries(&behind).is_empty());
 }
--- a/crates/pistachiolug_standin/tests/kv.rs
+++ b/crates/pistachiolug_standin/tests/kv.rs
@@ -14,7 +14,7 @@
     server::{self, Handler, Reply, Server},
 };
 use pistachiolug_platform::kv::{
-    Error, Event, Lease, Precondition, Store, Swap, etcd::Etcd, memory::Memory,
+    Error, Event, Lease, Position, Precondition, Store, Swap, etcd::Etcd, memory::Memory,
     rate_limit::Settings, rate_limited::RateLimitedStore,
 };
 use pistachiolug_standin::kv::gateway::Gateway;
@@ -123,7 +123,7 @@
         range
             .entries
             .iter()
-            .all(|entry| entry.revision <= range.revision)
+            .all(|entry| entry.revision <= range.position.revision)
     );
 }
 
@@ -132,7 +132,10 @@
     let after = put(store, "other/1", "b").await;
 
     let range = store.range("").await.expect("answers");
-    let events = store.watch("", before, WAIT).await.expect("answers");
+    let events = store
+        .watch("", Position::without_era(before), WAIT)
+        .await
+        .expect("answers");
 
     let keys: Vec<&str> = range
         .entries
@@ -157,7 +160,10 @@
         .await;
     assert!(matches!(removed, Ok(Swap::Done { .. })));
 
-    let events = store.watch("w/", first, WAIT).await.expect("watch");
+    let events = store
+        .watch("w/", Position::without_era(first), WAIT)
+        .await
+        .expect("watch");
     let revisions: Vec<u64> = events.iter().map(Event::revision).collect();
     assert!(
         revisions.is_sorted() && revisions[0] == second,
@@ -166,11 +172,17 @@
     assert!(matches!(events.last(), Some(Event::Delete { key, .. }) if key == "w/1"));
 
     let last = *revisions.last().expect("there are events");
-    assert_eq!(store.watch("w/", last, WAIT).await, Ok(Vec::new()));
-    let (woken, _) = tokio::join!(store.watch("w/", last, Duration::from_secs(30)), async {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        put(store, "w/2", "three").await
-    });
+    assert_eq!(
+        store.watch("w/", Position::without_era(last), WAIT).await,
+        Ok(Vec::new())
+    );
+    let (woken, _) = tokio::join!(
+        store.watch("w/", Position::without_era(last), Duration::from_secs(30)),
+        async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            put(store, "w/2", "three").await
+        }
+    );
     assert_eq!(woken.expect("watch").len(), 1);
 }
 
@@ -307,7 +319,10 @@
         put(&service.store, "w/2", "two").await;
         service.control(control_path).await;
 
-        let events = service.store.watch("w/", 1, WAIT).await;
+        let events = service
+            .store
+            .watch("w/", Position::without_era(1), WAIT)
+            .await;
         let seen = match events {
             Ok(events) => {
                 let mut revisions: Vec<u64> = events.iter().map(Event::revision).collect();
@@ -330,12 +345,21 @@
     let service = Service::start();
     let first = put(&service.store, "w/1", "one").await;
 
-    let (silent, second) = tokio::join!(service.store.watch("w/", first, WAIT), async {
-        tokio::time::sleep(WAIT / 3).await;
-        service.control("silence").await;
-        put(&service.store, "w/1", "two").await
-    });
-    let next = service.store.watch("w/", first, WAIT).await.expect("watch");
+    let (silent, second) = tokio::join!(
+        service
+            .store
+            .watch("w/", Position::without_era(first), WAIT),
+        async {
+            tokio::time::sleep(WAIT / 3).await;
+            service.control("silence").await;
+            put(&service.store, "w/1", "two").await
+        }
+    );
+    let next = service
+        .store
+        .watch("w/", Position::without_era(first), WAIT)
+        .await
+        .expect("watch");
 
     assert_eq!(silent, Ok(Vec::new()));
     assert_eq!(next[0].revision(), second);
@@ -402,7 +426,9 @@
         let _ = store
             .swap("w/1", Precondition::Absent, Some(b"x"), None)
             .await;
-        let _ = store.watch("w/", 1, Duration::ZERO).await;
+        let _ = store
+            .watch("w/", Position::without_era(1), Duration::ZERO)
+            .await;
         let _ = store.keep_alive(Lease(1)).await;
     }
     server.stop();
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::position::Position;
+
 /// Work that one entry has at one backend server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -13,7 +15,7 @@
     pub prompt: u32,
 }
 
-/// Load of one entry and the revision of its replica of the rows in the key-value service.
+/// Load of one entry and the position of its replica of the rows in the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
     /// Instance name of the sender.
@@ -24,8 +26,8 @@
     pub region: String,
     /// Whether the sender can reach the key-value service.
     pub in_touch: bool,
-    /// Revision of the rows of the sender.
-    pub revision: u64,
+    /// Position of the rows of the sender.
+    pub position: Position,
     /// Work by the short hash of the id of the backend server; servers without work are left out.
     pub work: Vec<(u32, Work)>,
 }
--- a/crates/pistachiolug_wire/src/lib.rs
+++ b/crates/pistachiolug_wire/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod load;
 pub mod notice;
 pub mod outcome;
+pub mod position;
 pub mod revoke;
 pub mod weights;
