Keep what is known of a server when the list comes back from an earlier copy

An entry that knows from the list that a server is draining or gone would have sent it requests again after the store had come back from a copy that still lists it as ready; a restarted server lost its place to its predecessor in the copy, which also counted as a crash of the requests that it had; and a server that had loaded a newer version got no requests until its row was written again.

The first rows of a new era no longer make a known incarnation ready or its version older. One that ended within the last minute is used only once its row is written again, or if it is still listed after 10 s; by then the row of a server that is gone has expired. The copy is no evidence of crashes. At most 1024 ended servers are remembered.

--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -1,6 +1,6 @@
 //! Backend servers of an entry: listed records, open requests, failures and speed.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use pistachiolug_wire::{
     datagram::{Change, Notice, Work},
@@ -48,6 +48,16 @@
 /// entries see the engine empty at the same moment; within this time they learn of each other's requests.
 const RAMP_UP_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which the end of a server is remembered; a copy of the server list is only some seconds old.
+const ENDED_RETENTION: Duration = Duration::from_secs(60);
+
+/// Largest number of ended servers that are remembered.
+const MAX_ENDED: usize = 1024;
+
+/// Time after which a server is used that ended and is listed again by an earlier copy of the list. The row of a server
+/// that is gone expires within that time, and a live server writes its row again.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(10);
+
 /// Open requests per slot that a plain server may have; it queues a few times its slots.
 const PLAIN_CALLS_PER_SLOT: u32 = 3;
 
@@ -59,6 +69,19 @@
     services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
     /// Number of other entries.
     peer_count: u32,
+    /// Incarnations that ended, with the times of their ends, oldest first; at most [`MAX_ENDED`].
+    ended: VecDeque<(u64, Duration)>,
+    /// Servers by id that ended and are listed again by an earlier copy of the list.
+    unconfirmed: FxHashMap<Arc<str>, Unconfirmed>,
+}
+
+/// Server that is not used until its row has been listed for a while.
+#[derive(Debug)]
+struct Unconfirmed {
+    record: Record,
+    position: Position,
+    /// When the server is used if it is still listed.
+    use_at: Duration,
 }
 
 /// One incarnation of a backend server; a restart under the same id is a new server.
@@ -248,6 +271,7 @@
     /// # Arguments
     /// `position` is that of the record's row.
     pub fn put(&mut self, record: Record, position: Position, now: Duration) -> Option<Arc<str>> {
+        self.unconfirmed.remove(&record.id);
         if let Some(server) = self.servers.get_mut(&record.id) {
             let is_same_start = server.record.started_ms == record.started_ms
                 && server.record.service == record.service
@@ -256,7 +280,7 @@
                 server.update(record, position, now);
                 return None;
             }
-            self.drop_server(&record.id.clone());
+            self.drop_server(&record.id.clone(), now);
         }
         let previous = self.find_by_address(record.address);
         if previous.is_some_and(|previous| previous.position > position) {
@@ -264,8 +288,10 @@
         }
         let previous = previous.map(|previous| Arc::clone(&previous.record.id));
         if let Some(previous) = &previous {
-            self.drop_server(previous);
+            self.drop_server(previous, now);
         }
+        let incarnation = record.incarnation();
+        self.ended.retain(|(ended, _)| *ended != incarnation);
         let ids = self.services.entry(Arc::clone(&record.service));
         ids.or_default().push(Arc::clone(&record.id));
         self.servers.insert(
@@ -287,6 +313,61 @@
         previous
     }
 
+    /// Returns whether an incarnation is known to have ended.
+    pub fn has_ended(&self, record: &Record, now: Duration) -> bool {
+        let incarnation = record.incarnation();
+        let mut ended = self.ended.iter();
+        ended.any(|(ended, at)| *ended == incarnation && now < *at + ENDED_RETENTION)
+    }
+
+    /// Adds or updates a server from a list that has come back from an earlier copy, so that the record may be older than
+    /// the known one.
+    ///
+    /// Of a known incarnation, what it never takes back is kept: that it leaves, and the newest version of a model. One
+    /// that is known to have ended is used only if it stays listed. Returns the same as [`Pool::put`].
+    pub fn put_restored(
+        &mut self,
+        mut record: Record,
+        position: Position,
+        now: Duration,
+    ) -> Option<Arc<str>> {
+        let incarnation = record.incarnation();
+        if !self.has_ended(&record, now) {
+            let known = self.servers.get(&record.id).map(Server::record);
+            if let Some(known) = known.filter(|known| known.incarnation() == incarnation) {
+                record.leaving |= known.leaving;
+                for model in &known.models {
+                    if record
+                        .version(&model.name)
+                        .is_none_or(|listed| listed < model.version)
+                    {
+                        record.set_model(model.clone());
+                    }
+                }
+            }
+            return self.put(record, position, now);
+        }
+        let id = Arc::clone(&record.id);
+        let unconfirmed = Unconfirmed {
+            record,
+            position,
+            use_at: now + CONFIRMATION_TIME,
+        };
+        self.unconfirmed.insert(id, unconfirmed);
+        None
+    }
+
+    /// Adds the servers that ended but have stayed listed.
+    pub fn put_confirmed(&mut self, now: Duration) {
+        let due = self
+            .unconfirmed
+            .extract_if(|_, server| server.use_at <= now);
+        let due: Vec<Unconfirmed> = due.map(|(_, server)| server).collect();
+        for server in due {
+            self.put(server.record, server.position, now);
+        }
+    }
+
     fn find_by_address(&self, address: SocketAddr) -> Option<&Server> {
         let mut servers = self.servers.values();
         servers.find(|server| server.record.address == address)
@@ -304,6 +385,7 @@
     /// Schedules the removal of a server that the list no longer names; it is used until `at`. An earlier schedule
     /// stays.
     pub fn schedule_removal(&mut self, id: &str, at: Duration) {
+        self.unconfirmed.remove(id);
         if let Some(server) = self.servers.get_mut(id) {
             server.remove_at.get_or_insert(at);
         }
@@ -315,15 +397,19 @@
         let due = servers.filter(|server| server.remove_at.is_some_and(|at| at <= now));
         let ids: Vec<Arc<str>> = due.map(|server| Arc::clone(&server.record.id)).collect();
         for id in &ids {
-            self.drop_server(id);
+            self.drop_server(id, now);
         }
         ids
     }
 
-    fn drop_server(&mut self, id: &Arc<str>) {
+    fn drop_server(&mut self, id: &Arc<str>, now: Duration) {
         let Some(server) = self.servers.remove(id) else {
             return;
         };
+        if self.ended.len() >= MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((server.record.incarnation(), now));
         if let Some(ids) = self.services.get_mut(&server.record.service) {
             ids.retain(|known| known != id);
         }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -463,6 +463,7 @@
         drop(peers);
         let removed = self.with_pool(|pool| {
             pool.set_peer_work(count, &work);
+            pool.put_confirmed(now);
             pool.remove_expired(now)
         });
         for server in removed {
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -55,7 +55,7 @@
             Row::Config(parts) => self.state.set_config(Config::new(parts)),
             Row::Server(record) => {
                 let position = Position::new(source.era, entry.revision);
-                self.put_server(record, position);
+                self.put_server(record, position, source.is_restored);
             }
             Row::Version { model, version } => {
                 if self
@@ -92,7 +92,7 @@
         }
     }
 
-    fn put_server(&self, record: Record, position: Position) {
+    fn put_server(&self, record: Record, position: Position, is_restored: bool) {
         let is_known = self.state.with_pool(|pool| {
             let server = pool.get(&record.id);
             server.is_some_and(|server| *server.record() == record)
@@ -115,10 +115,19 @@
         let previous = self
             .state
             .with_pool(|pool| pool.find_other_incarnation(&record));
-        let replaced = self
-            .state
-            .with_pool(|pool| pool.put(record.clone(), position, now));
-        if let Some(previous) = previous.filter(|previous| !previous.leaving)
+        let replaced = self.state.with_pool(|pool| {
+            if is_restored {
+                if pool.has_ended(&record, now) {
+                    log::info!(server = &*record.id, address:%; "ended server is listed by an earlier copy");
+                }
+                pool.put_restored(record.clone(), position, now)
+            } else {
+                pool.put(record.clone(), position, now)
+            }
+        });
+        // An earlier copy of the list is no evidence that a server has ended.
+        if !is_restored
+            && let Some(previous) = previous.filter(|previous| !previous.leaving)
             && replaced.as_ref() != Some(&record.id)
         {
             self.state.record_server_end(&previous);
