Document how a store that comes back from a copy is handled, and bound the writes after it

A follower now writes the row of a refused content again also if the copy has an older one. A test counts the writes and calls for leases after the return: a row of each entry, and at most twice a lease and a row for the suspect.

--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -309,7 +309,8 @@
         ticks.next().await;
         for suspect in state.take_missing_suspects() {
             let (key, _) = decoder.suspect_row(&suspect);
-            if find_row(&state, &key).is_none() {
+            let row = find_row(&state, &key);
+            if !row.is_some_and(|row| is_saved(&decoder, &row, &suspect)) {
                 state.restore_unsaved_suspect(&suspect);
             }
         }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -122,8 +122,7 @@
     /// Wakes the task that checks servers at which requests were lost.
     loss_recorded: Notify,
     suspects: RefCell<Suspects>,
-    /// When the rows of refused suspects that are missing from the key-value service are written; `None` if none can be
-    /// missing.
+    /// When the rows of refused suspects are compared with what this entry knows; `None` if that is not needed.
     suspects_missing_at: Cell<Option<Duration>>,
     /// Suspects whose row in the key-value service is missing or outdated.
     unsaved_suspects: RefCell<BTreeSet<Digest>>,
--- a/crates/pistachiolug_gateway/src/state/suspects.rs
+++ b/crates/pistachiolug_gateway/src/state/suspects.rs
@@ -151,14 +151,15 @@
         self.suspects.borrow().refused(self.now())
     }
 
-    /// Lets the rows of refused suspects that are missing from the key-value service be written after a random time.
+    /// Lets the rows of refused suspects that are missing or outdated in the key-value service be written after a random
+    /// time.
     pub(super) fn schedule_suspect_rows(&self) {
         let delay = MAX_REWRITE_DELAY.mul_f64(rand::random());
         self.suspects_missing_at.set(Some(self.now() + delay));
     }
 
-    /// Returns the refused suspects whose rows may be missing, once after their time has come, if this entry follows the
-    /// service.
+    /// Returns the refused suspects whose rows may be missing or outdated, once after their time has come, if this entry
+    /// follows the service.
     pub fn take_missing_suspects(&self) -> Vec<Suspect> {
         let due = self.suspects_missing_at.get();
         if due.is_none_or(|due| self.now() < due) {
--- a/crates/pistachiolug_gateway/tests/restored_store.rs
+++ b/crates/pistachiolug_gateway/tests/restored_store.rs
@@ -23,6 +23,10 @@
 /// Time in which the first rows after the store's return reach all entries.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Largest number of writes and calls for leases after the store's return: a row of each entry, and at both followers a
+/// lease and a row for the suspect, which one of them may try twice.
+const MAX_WRITES: u64 = ENTRIES as u64 + 2 * 2 + 2;
+
 /// Number of requests to each entry.
 const REQUESTS: usize = 20;
 
@@ -113,7 +117,8 @@
     });
 }
 
-/// Guards against crashes that are forgotten when all entries are lost after the store lost the suspect's row.
+/// Guards against crashes that are forgotten when all entries are lost after the store lost the suspect's row, and against
+/// all entries that write the row.
 #[test]
 fn rows_of_suspects_are_written_again_after_a_restore() {
     run(async {
@@ -124,10 +129,15 @@
             sleep(Duration::from_millis(250)).await;
         }
         assert!(deployment.wait_for_suspect_row().await);
+        let writes = deployment.count_writes();
 
         deployment.lose_store();
         deployment.recover_store().await;
+        let is_written = deployment.wait_for_suspect_row().await;
+        sleep(SETTLE_TIME).await;
 
-        assert!(deployment.wait_for_suspect_row().await);
+        let writes = deployment.count_writes() - writes;
+        assert!(is_written);
+        assert!(writes <= MAX_WRITES, "{writes} writes");
     });
 }
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -305,6 +305,11 @@
         timeout(MAX_SPREAD, wait).await.is_ok()
     }
 
+    /// Returns the number of conditional writes and calls for leases that entries have made.
+    pub fn count_writes(&self) -> u64 {
+        self.store.counts().writes
+    }
+
     async fn count_rows(&self, prefix: &str) -> usize {
         let range = self.store.range(prefix).await;
         range.map_or(0, |range| range.entries.len())
