Test who writes the rows of suspects again, and a server that came back before the copy

Neither showed in the other tests when it was taken out: the check that an entry follows the store, and the removal of a server from the ended ones when it is listed again. Both new tests fail without it.

--- a/crates/pistachiolug_gateway/tests/restored_list.rs
+++ b/crates/pistachiolug_gateway/tests/restored_list.rs
@@ -4,14 +4,18 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 use pistachiolug_gateway::{
     pool::{Pool, Requirements},
     server::{Model, Record},
-    state::State,
+    state::{Options, State},
+};
+use pistachiolug_platform::kv::Range;
+use pistachiolug_wire::{
+    datagram::{Beacon, Suspect},
+    position::Position,
 };
-use pistachiolug_wire::position::Position;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -19,6 +23,9 @@
 
 const NOW: Duration = Duration::from_secs(100);
 
+/// Longest time until followers write the rows of suspects again.
+const MAX_REWRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// Position of rows before the store went back.
 const BEFORE: Position = Position::new(1, 900);
 
@@ -174,3 +181,69 @@
         assert_eq!(record, Some(successor));
     }
 }
+
+/// Guards against changes of a live server that are ignored because its row once expired, though it was written again.
+#[test]
+fn a_server_that_came_back_before_the_copy_is_updated() {
+    let mut pool = Pool::default();
+    pool.put(server("i-1"), BEFORE, NOW);
+    pool.schedule_removal("i-1", NOW);
+    pool.remove_expired(NOW);
+    pool.put(server("i-1"), Position::new(1, 950), NOW);
+
+    pool.put_restored(leaving_server(), IN_COPY, NOW);
+
+    assert_eq!(chosen(&pool, 1, NOW), None);
+}
+
+fn beacon(name: &str) -> Beacon {
+    Beacon {
+        name: name.to_owned(),
+        address: "10.0.0.9:1".parse().unwrap(),
+        region: "inland".to_owned(),
+        in_touch: true,
+        position: AFTER,
+        work: Vec::new(),
+    }
+}
+
+/// Guards against lost rows that all entries write at once.
+#[test]
+fn only_followers_write_the_rows_of_suspects_again() {
+    let names = ["a", "b", "c", "d"];
+    let states = names.map(|name| {
+        let options = Options {
+            name: name.to_owned(),
+            ..options()
+        };
+        let state = State::new(options, metrics());
+        state.merge_suspect(&Suspect {
+            content: [7; 32],
+            crashes: vec![1, 2, 3],
+            cleared: Vec::new(),
+            reruns: 0,
+            age_ms: 0,
+        });
+        state.with_rows(|rows| {
+            rows.reset(Range {
+                entries: Vec::new(),
+                position: AFTER,
+            })
+        });
+        for era in [1, 2] {
+            state.record_era(era);
+        }
+        state
+    });
+    thread::sleep(MAX_REWRITE_DELAY);
+
+    let writers = states.map(|state| {
+        let now = state.now();
+        for name in names {
+            state.with_peers(|peers| peers.record_beacon(beacon(name), now));
+        }
+        state.take_missing_suspects().len()
+    });
+
+    assert_eq!(writers.iter().sum::<usize>(), 2, "{writers:?}");
+}
