--- a/crates/pistachiolug_platform/tests/restore.rs
+++ b/crates/pistachiolug_platform/tests/restore.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use pistachiolug_platform::kv::{Error, Store, memory::Memory};
+use pistachiolug_platform::kv::{
+    Error, Precondition, Store, held_lease::HeldLease, memory::Memory,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -36,3 +38,25 @@
 
     assert_eq!(store.keep_alive(lease).await, Err(Error::LeaseEnded));
 }
+
+/// Guards against a row that is bound to the lease of another process, which has got the id of a lost one.
+#[tokio::test]
+async fn a_held_lease_of_an_earlier_era_has_ended() {
+    let store = Memory::new(1);
+    let copy = store.copy();
+    let mut lost = HeldLease::grant(&store, 10 * SECOND)
+        .await
+        .expect("granted");
+    store.restore(copy);
+    let current = HeldLease::grant(&store, 10 * SECOND)
+        .await
+        .expect("granted");
+
+    let by_lost = lost.swap(&store, "k", Precondition::Absent, b"v").await;
+    let renewed = lost.renew(&store).await;
+    let by_current = current.swap(&store, "k", Precondition::Absent, b"v").await;
+
+    assert_eq!(by_lost, Err(Error::LeaseEnded));
+    assert_eq!(renewed, Err(Error::LeaseEnded));
+    assert!(by_current.is_ok());
+}
