End the lease of a suspect's row with its era

A lease that was granted before the store went back may have its id given to another process; the row would have been bound to that one's lease.

--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -15,7 +15,9 @@
     phase::Phase,
     process::{Error, KernelSnafu, ListenSnafu, MetricSnafu},
 };
-use pistachiolug_platform::kv::{Entry, Position, Precondition, Store, Swap};
+use pistachiolug_platform::kv::{
+    Entry, Position, Precondition, Store, Swap, held_lease::HeldLease,
+};
 use pistachiolug_replica::{follow, snapshot};
 use pistachiolug_wire::{codec, datagram::Suspect, digest::Digest, weights};
 use snafu::ResultExt;
@@ -358,9 +360,9 @@
     expect: Precondition,
     value: &[u8],
 ) -> Result<(), String> {
-    let lease = store.grant(SUSPECT_RETENTION).await;
+    let lease = HeldLease::grant(store, SUSPECT_RETENTION).await;
     let lease = lease.map_err(|error| error.to_string())?;
-    match store.swap(key, expect, Some(value), Some(lease)).await {
+    match lease.swap(store, key, expect, value).await {
         Ok(Swap::Done { .. }) => Ok(()),
         // The next try uses the row that the watch brings meanwhile.
         Ok(Swap::Lost { .. }) => Err("the row has changed meanwhile".to_owned()),
