--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -114,6 +114,8 @@
     rates: RefCell<FxHashMap<Arc<str>, Rates>>,
     budgets: RefCell<FxHashMap<Arc<str>, WindowBudget>>,
     has_read_rows: Cell<bool>,
+    /// Era of the rows; `None` before the first read.
+    era: Cell<Option<u64>>,
     /// Time from which the slack of the retry budget may be used.
     slack_from: Cell<Duration>,
     peers: RefCell<Peers>,
@@ -124,6 +126,8 @@
     /// Wakes the task that checks servers at which requests were lost.
     loss_recorded: Notify,
     suspects: RefCell<Suspects>,
+    /// When the rows of refused suspects are compared with what this entry knows; `None` if that is not needed.
+    suspects_missing_at: Cell<Option<Duration>>,
     /// Suspects whose row in the key-value service is missing or outdated.
     unsaved_suspects: RefCell<BTreeSet<Digest>>,
     attribution: RefCell<Attribution>,
@@ -155,6 +159,7 @@
             rates: RefCell::default(),
             budgets: RefCell::default(),
             has_read_rows: Cell::default(),
+            era: Cell::default(),
             slack_from: Cell::default(),
             peers: RefCell::new(peers),
             longest_limits: RefCell::default(),
@@ -162,6 +167,7 @@
             losses: RefCell::default(),
             loss_recorded: Notify::new(),
             suspects: RefCell::new(Suspects::with_limit(suspects::LIMIT)),
+            suspects_missing_at: Cell::default(),
             unsaved_suspects: RefCell::default(),
             attribution: RefCell::new(Attribution::new(parts::LIMIT)),
             saved_reruns: RefCell::default(),
@@ -292,6 +298,19 @@
         }
     }
 
+    /// Records the era of rows that were read, and returns whether the key-value service has come back from an earlier
+    /// copy since the last ones.
+    pub fn record_era(&self, era: u64) -> bool {
+        let previous = self.era.replace(Some(era));
+        let is_restored = previous.is_some_and(|previous| previous != era);
+        if is_restored {
+            let now = self.now();
+            self.with_reachability(|store| store.record_restore(now));
+            self.schedule_suspect_rows();
+        }
+        is_restored
+    }
+
     /// Takes one retry from the budget of a service; returns `false` if it is used up.
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
         let now = self.now();
@@ -448,7 +467,7 @@
             address: self.options.internal,
             region: peers.region().to_owned(),
             in_touch: self.reachability.borrow().is_reachable(),
-            revision: self.rows.borrow().revision(),
+            position: self.rows.borrow().position(),
             work: self.pool.borrow().own_work(),
         };
         (beacon, peers.beacon_targets(round).collect())
@@ -463,6 +482,7 @@
         drop(peers);
         let removed = self.with_pool(|pool| {
             pool.set_peer_work(count, &work);
+            pool.put_confirmed(now);
             pool.remove_expired(now)
         });
         for server in removed {
@@ -486,16 +506,15 @@
 
     /// Returns the address of a live entry with newer rows, preferably of the own region; `None` if there is none.
     pub fn newer_peer(&self) -> Option<SocketAddr> {
-        let revision = self.rows.borrow().revision();
+        let position = self.rows.borrow().position();
         let peers = self.peers.borrow();
-        peers.newer_peer(revision, self.now())
+        peers.newer_peer(position, self.now())
     }
 
     /// Returns whether this entry reads the key-value service itself: before its first rows, or as a follower of its
     /// region.
     pub fn is_active(&self) -> bool {
-        let has_no_rows = self.rows.borrow().revision() == 0;
-        has_no_rows || self.peers.borrow().is_follower(self.now())
+        !self.rows.borrow().is_read() || self.peers.borrow().is_follower(self.now())
     }
 
     /// Returns what the agents of a service need to know of its weights and of each other; `None` for services without
@@ -559,8 +578,10 @@
             })
         });
         let (crashes, crash_parts) = attribution.size();
+        let position = self.rows.borrow().position();
         serde_json::json!({
-            "revision": self.rows.borrow().revision(),
+            "era": position.era,
+            "revision": position.revision,
             "configuration": self.config().map(|config| config.version()),
             "servers": servers.collect::<Vec<_>>(),
             "entries": self.peers.borrow().count(),
--- a/crates/pistachiolug_gateway/tests/resume.rs
+++ b/crates/pistachiolug_gateway/tests/resume.rs
@@ -28,7 +28,7 @@
     let mut record = record(id, address);
     record.zone = Arc::from(zone);
     let state = &entry.state;
-    state.with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+    state.with_pool(|pool| pool.put(record, support::POSITION, Duration::ZERO));
 }
 
 /// Guards against streams that are cut because the next server refuses connections, although nothing was sent to it.
--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -63,7 +63,7 @@
     }
     let record = support::record("i-second", second.address);
     let state = &entry.state;
-    state.with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+    state.with_pool(|pool| pool.put(record, support::POSITION, Duration::ZERO));
 }
 
 /// Takes all free slots.
@@ -190,7 +190,7 @@
             deployment.call(2, &third),
             async {
                 sleep(PAUSE_TIME / 2).await;
-                deployment.put_config(2);
+                deployment.configure(2);
             },
         );
 
--- a/crates/pistachiolug_gateway/tests/spread.rs
+++ b/crates/pistachiolug_gateway/tests/spread.rs
@@ -84,7 +84,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         region: "inland".to_owned(),
         in_touch: true,
-        revision: 1,
+        position: support::POSITION,
         work: Vec::new(),
     }
 }
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -10,13 +10,16 @@
 };
 
 use pistachiolug_gateway::{
-    config::{Kind, Parts},
+    config::Kind,
     decoder::{Decoder, Row, Subject},
     process::{self, Addresses},
     state::Options,
 };
 use pistachiolug_http::local_server;
-use pistachiolug_platform::kv::{Store, memory::Memory};
+use pistachiolug_platform::kv::{
+    self, Store,
+    memory::{Faults, Memory},
+};
 use pistachiolug_wire::{
     codec,
     datagram::{Culprit, Suspect},
@@ -28,11 +31,11 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, oneshot},
-    task::{JoinSet, spawn_local},
-    time::sleep,
+    task::{JoinSet, spawn_local, yield_now},
+    time::{sleep, timeout},
 };
 
-use super::{answer, chunk, options, parts, read_request, record, route, stream_head};
+use super::{answer, chunk, options, parts, read_request, record, request, route, stream_head};
 
 /// Body of a request that crashes each server that runs it.
 pub const CRASHING_BODY: &str = "crash";
@@ -63,6 +66,18 @@
 /// Time that a crashed server takes until it is back under a new id.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which the store is unavailable before its return.
+const AWAY_TIME: Duration = Duration::from_millis(400);
+
+/// Duration of the store's calls after its return.
+const STORE_LATENCY: Duration = Duration::from_millis(4);
+
+/// Longest wait until a change in the store is in force at all entries.
+const MAX_SPREAD: Duration = Duration::from_secs(20);
+
+/// Interval of checks for a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Longest wait until all entries are ready.
 const MAX_START: Duration = Duration::from_secs(30);
 
@@ -72,7 +87,12 @@
 const SUSPECT_PREFIX: &str = "suspects/";
 const CULPRIT_PREFIX: &str = "culprits/";
 
-/// Format of the rows: a configuration as its version, and servers as `ADDRESS STARTED_MS`.
+/// Returns the API key that is valid in one version of the configuration only; `key-1` is valid in all.
+fn version_key(version: u64) -> String {
+    format!("key-{version}")
+}
+
+/// Format of the rows: the version of the configuration, which has one route, and servers as `ADDRESS STARTED_MS`.
 #[derive(Debug, Clone, Copy)]
 struct Format {
     kind: Kind,
@@ -99,10 +119,13 @@
                 name,
                 address: text.parse().unwrap(),
             },
-            Subject::Other if key == CONFIG_KEY => Row::Config(Parts {
-                version: text.parse().unwrap(),
-                ..parts(route(self.kind, self.attempts))
-            }),
+            Subject::Other if key == CONFIG_KEY => {
+                let mut parts = parts(route(self.kind, self.attempts));
+                parts.version = text.parse().unwrap();
+                let keys = parts.workspaces.as_mut().unwrap();
+                keys[0].1.push(version_key(parts.version));
+                Row::Config(parts)
+            }
             Subject::Culprit(_) | Subject::Other => Row::Other,
         }
     }
@@ -190,14 +213,16 @@
     format: Format,
     network: Ipv4Addr,
     entries: Vec<Process>,
+    /// State of the store before the entries started.
+    first_copy: kv::state::State,
     servers: Rc<Servers>,
 }
 
 /// What the servers of a deployment have seen, and how they are crashed.
 #[derive(Default)]
 struct Servers {
-    /// Bodies of the requests that arrived.
-    arrivals: RefCell<Vec<String>>,
+    /// Servers by index, and bodies of the requests that arrived at them.
+    arrivals: RefCell<Vec<Arrival>>,
     /// Number of the requests with the crashing part that arrived.
     part_arrivals: Cell<usize>,
     /// Number of servers that have crashed.
@@ -206,6 +231,8 @@
     triggers: RefCell<FxHashMap<u8, Arc<Notify>>>,
 }
 
+type Arrival = (u8, String);
+
 impl Deployment {
     /// Starts entries and servers of one service, and waits until the entries are ready; needs a local task set.
     pub async fn start(kind: Kind, attempts: u32, entries: u8, servers: u8) -> Self {
@@ -221,19 +248,108 @@
             format: Format { kind, attempts },
             network,
             entries: Vec::new(),
+            first_copy: kv::state::State::default(),
             servers: Rc::default(),
         };
-        deployment.put_config(1);
+        deployment.configure(1);
         for index in 0..servers {
-            let [address] = deployment.free_addresses(100 + index);
-            let seen = Rc::clone(&deployment.servers);
-            let store = deployment.store.clone();
-            spawn_local(serve_incarnations(index, address, store, seen));
+            deployment.start_server(index);
+        }
+        while deployment.count_rows(SERVER_PREFIX).await < servers.into() {
+            yield_now().await;
         }
+        deployment.first_copy = deployment.store.copy();
         deployment.start_entries(entries).await;
         deployment
     }
 
+    /// Starts a server with a new index, which registers itself in the store.
+    pub fn start_server(&self, index: u8) {
+        let [address] = self.free_addresses(100 + index);
+        let seen = Rc::clone(&self.servers);
+        let store = self.store.clone();
+        spawn_local(serve_incarnations(index, address, store, seen));
+    }
+
+    /// Removes the row of a server's first incarnation, which goes on serving.
+    pub fn unregister_server(&self, index: u8) {
+        self.store.delete(&format!("{SERVER_PREFIX}i-{index}-1"));
+    }
+
+    /// Writes a version of the configuration and returns the revision of the write.
+    pub fn configure(&self, version: u64) -> u64 {
+        self.store.put(CONFIG_KEY, version.to_string().as_bytes())
+    }
+
+    /// Writes rows that entries don't use until the store has a revision.
+    pub fn advance_store(&self, revision: u64) {
+        while self.store.put("unused", b"") < revision {}
+    }
+
+    /// Makes the store unavailable and replaces its content by that before the entries started.
+    pub fn lose_store(&self) {
+        self.store.set_faults(Faults {
+            unavailable: 1.0,
+            ..Faults::default()
+        });
+        self.store.restore(self.first_copy.clone());
+    }
+
+    /// Makes the store available again.
+    pub async fn recover_store(&self) {
+        sleep(AWAY_TIME).await;
+        self.store.set_faults(Faults {
+            latency: STORE_LATENCY,
+            ..Faults::default()
+        });
+    }
+
+    /// Returns whether all entries accept the key of a version of the configuration now.
+    pub async fn has_version_in_force(&self, version: u64) -> bool {
+        for entry in 0..self.entries.len() {
+            let request = request("v").replace("key-1", &version_key(version));
+            let response = self.call(entry, &request).await;
+            if !response.starts_with("HTTP/1.1 200") {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits until all entries accept the key of a version of the configuration; returns `false` if some never do.
+    pub async fn wait_for_version(&self, version: u64) -> bool {
+        let wait = async {
+            while !self.has_version_in_force(version).await {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(MAX_SPREAD, wait).await.is_ok()
+    }
+
+    /// Waits until the store has rows of all entries; returns `false` if it never does.
+    pub async fn wait_for_entry_rows(&self) -> bool {
+        self.wait_for_rows(ENTRY_PREFIX, self.entries.len()).await
+    }
+
+    async fn wait_for_rows(&self, prefix: &str, count: usize) -> bool {
+        let wait = async {
+            while self.count_rows(prefix).await < count {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(MAX_SPREAD, wait).await.is_ok()
+    }
+
+    /// Returns the number of conditional writes and calls for leases that entries have made.
+    pub fn count_writes(&self) -> u64 {
+        self.store.counts().writes
+    }
+
+    async fn count_rows(&self, prefix: &str) -> usize {
+        let range = self.store.range(prefix).await;
+        range.map_or(0, |range| range.entries.len())
+    }
+
     /// Kills all entries at once and starts them anew at other addresses.
     pub async fn restart_entries(&mut self) {
         let count = self.entries.len() as u8;
@@ -241,20 +357,14 @@
         self.start_entries(count).await;
     }
 
-    /// Writes the configuration anew under a version.
-    pub fn put_config(&self, version: u64) {
-        let row = version.to_string();
-        self.store.put(CONFIG_KEY, row.as_bytes());
-    }
-
-    /// Waits until the store has the row of a suspect.
-    pub async fn wait_for_suspect_row(&self) {
-        self.wait_for_row(SUSPECT_PREFIX).await;
+    /// Waits until the store has the row of a suspect; returns `false` if it never does.
+    pub async fn wait_for_suspect_row(&self) -> bool {
+        self.wait_for_rows(SUSPECT_PREFIX, 1).await
     }
 
-    /// Waits until the store has the row of a part.
-    pub async fn wait_for_culprit_row(&self) {
-        self.wait_for_row(CULPRIT_PREFIX).await;
+    /// Waits until the store has the row of a part; returns `false` if it never does.
+    pub async fn wait_for_culprit_row(&self) -> bool {
+        self.wait_for_rows(CULPRIT_PREFIX, 1).await
     }
 
     /// Removes the rows of parts from the store.
@@ -264,12 +374,6 @@
         }
     }
 
-    async fn wait_for_row(&self, prefix: &str) {
-        while self.store.range(prefix).await.unwrap().entries.is_empty() {
-            sleep(Duration::from_millis(10)).await;
-        }
-    }
-
     async fn start_entries(&mut self, count: u8) {
         for index in 0..count {
             let [front, ready, internal] = self.free_addresses(index + 1);
@@ -283,7 +387,7 @@
             self.entries.push(process);
         }
         for entry in &self.entries {
-            tokio::time::timeout(MAX_START, wait_until_ready(entry.ready))
+            timeout(MAX_START, wait_until_ready(entry.ready))
                 .await
                 .unwrap();
         }
@@ -309,7 +413,19 @@
     /// Returns the number of requests with a body that arrived at servers.
     pub fn arrivals(&self, body: &str) -> usize {
         let arrivals = self.servers.arrivals.borrow();
-        arrivals.iter().filter(|arrived| *arrived == body).count()
+        arrivals
+            .iter()
+            .filter(|(_, arrived)| arrived == body)
+            .count()
+    }
+
+    /// Returns the number of requests that arrived at a server.
+    pub fn arrivals_at(&self, server: u8) -> usize {
+        let arrivals = self.servers.arrivals.borrow();
+        arrivals
+            .iter()
+            .filter(|(index, _)| *index == server)
+            .count()
     }
 
     /// Returns the number of requests with the crashing part that arrived at servers.
@@ -356,14 +472,19 @@
         store.put(&key, format!("{address} {start}").as_bytes());
         let crash = Arc::new(Notify::new());
         seen.triggers.borrow_mut().insert(index, Arc::clone(&crash));
-        serve_until_crash(listener, crash, &seen).await;
+        serve_until_crash(index, listener, crash, &seen).await;
         seen.crashes.set(seen.crashes.get() + 1);
         sleep(DOWN_TIME).await;
         store.delete(&key);
     }
 }
 
-async fn serve_until_crash(listener: TcpListener, crash: Arc<Notify>, seen: &Rc<Servers>) {
+async fn serve_until_crash(
+    index: u8,
+    listener: TcpListener,
+    crash: Arc<Notify>,
+    seen: &Rc<Servers>,
+) {
     // Dropping the set closes all connections.
     let mut connections = JoinSet::new();
     loop {
@@ -372,16 +493,16 @@
             () = crash.notified() => return,
         };
         let (crash, seen) = (Arc::clone(&crash), Rc::clone(seen));
-        connections.spawn_local(serve(stream, crash, seen));
+        connections.spawn_local(serve(index, stream, crash, seen));
     }
 }
 
-async fn serve(mut stream: TcpStream, crash: Arc<Notify>, seen: Rc<Servers>) {
+async fn serve(index: u8, mut stream: TcpStream, crash: Arc<Notify>, seen: Rc<Servers>) {
     let request = read_request(&mut stream).await;
     let Some((head, body)) = request.split_once("\r\n\r\n") else {
         return;
     };
-    seen.arrivals.borrow_mut().push(body.to_owned());
+    seen.arrivals.borrow_mut().push((index, body.to_owned()));
     let has_crashing_part = shared_parts(head).any(|part| part == CRASHING_PART);
     if has_crashing_part {
         seen.part_arrivals.set(seen.part_arrivals.get() + 1);
--- a/crates/pistachiolug_gateway/tests/unframed.rs
+++ b/crates/pistachiolug_gateway/tests/unframed.rs
@@ -101,7 +101,7 @@
     if let Some(second) = second {
         let record = support::record("i-second", second.address);
         let state = Rc::clone(&entry.state);
-        state.with_pool(|pool| pool.put(record, 1, Duration::ZERO));
+        state.with_pool(|pool| pool.put(record, support::POSITION, Duration::ZERO));
     }
     let mut response = Vec::new();
     let ended = stream.read_to_end(&mut response).await;
