Bound the time that an entry spends on naming parts

An entry named parts anew with each report of another entry. With 256 crashes of 256 parts that took 12 ms each time (mean; 37 ms at most), during which its one thread served nothing; several reports come for each crash.

Reports of other entries are added at once and evaluated together in the next round of beacons, 30 ms later at most. Crashes that an entry finds itself and answers still count at once. The bounds are 128 crashes, 128 parts of each and 32 named parts; a crash that is evicted costs another evaluation only if a named part explained it.

--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -41,7 +41,7 @@
 pub const MAX_CULPRITS_PER_DATAGRAM: usize = 5;
 
 /// Largest number of datagrams with crashes, and of those with named parts, in one round.
-const MAX_PART_DATAGRAMS: usize = 13;
+const MAX_PART_DATAGRAMS: usize = 8;
 
 /// Largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -114,8 +114,10 @@
     }
 }
 
-/// Sends what this entry has found out about crashes lately, and now and then all named parts.
+/// Names parts by what others have sent, and sends what this entry has found out about crashes lately and now and then
+/// all named parts.
 fn send_parts(state: &State, socket: &UdpSocket, round: u32, peers: &[SocketAddr]) {
+    state.update_named_parts();
     let culprits = if round.is_multiple_of(ROUNDS_PER_REFRESH) {
         state.expire_crashes();
         state.culprits()
--- a/crates/pistachiolug_gateway/src/state/parts.rs
+++ b/crates/pistachiolug_gateway/src/state/parts.rs
@@ -14,14 +14,14 @@
     metrics::{CLEARED, NAMED, RERUN},
 };
 
-/// Bounds of the attribution: 256 crashes with 256 parts take about 2 MiB.
+/// Bounds of the attribution: 128 crashes with 128 parts each take about 0.5 MiB.
 pub(super) const LIMIT: Limit = Limit {
     retention: SUSPECT_RETENTION,
     answer_retention: Duration::from_secs(30),
-    max_crashes: 256,
-    max_parts: 256,
+    max_crashes: 128,
+    max_parts: 128,
     max_answers: 8192,
-    max_named: 64,
+    max_named: 32,
     min_moments: 3,
     min_silence: Duration::from_secs(2),
     min_crashes: 5,
@@ -93,10 +93,16 @@
         self.attribution.borrow().find_named(&fingerprint.parts)
     }
 
-    /// Adds crashes that another entry reported.
+    /// Adds crashes that another entry reported; [`State::update_named_parts`] has to follow.
     pub fn merge_crashes(&self, crashes: &[Crash]) {
         let now = self.attribution_now();
         self.attribution.borrow_mut().merge_crashes(crashes, now);
+    }
+
+    /// Names parts by the crashes that other entries have reported.
+    pub fn update_named_parts(&self) {
+        let now = self.attribution_now();
+        self.attribution.borrow_mut().update(now);
         self.report_part_changes();
     }
 
--- a/crates/pistachiolug_routing/src/attribution.rs
+++ b/crates/pistachiolug_routing/src/attribution.rs
@@ -95,6 +95,8 @@
     /// Refusals of the parts in `named`.
     refusals: FxHashMap<u64, Refusal>,
     changes: Vec<Change>,
+    /// Whether `rows` has changed since `refresh`.
+    has_changed: bool,
 }
 
 /// Crash of one server.
@@ -198,6 +200,7 @@
             named: FxHashMap::default(),
             refusals: FxHashMap::default(),
             changes: Vec::new(),
+            has_changed: false,
         }
     }
 
@@ -286,13 +289,18 @@
         true
     }
 
-    /// Adds crashes that another process reported. Reports may arrive in any order and several times.
+    /// Adds crashes that another process reported. Reports may arrive in any order and several times; the next
+    /// [`Self::update`] names parts by them.
     pub fn merge_crashes(&mut self, crashes: &[Crash], now: Duration) {
-        let mut has_changed = false;
         for crash in crashes {
-            has_changed |= self.merge_crash(crash, now);
+            self.has_changed |= self.merge_crash(crash, now);
         }
-        if has_changed {
+    }
+
+    /// Names parts by the crashes that others have reported since the last call, which many reports share: it takes
+    /// milliseconds if there are many crashes.
+    pub fn update(&mut self, now: Duration) {
+        if self.has_changed {
             self.refresh(now);
         }
     }
@@ -509,12 +517,14 @@
 
     /// Computes the named parts anew after a change of the crashes.
     fn refresh(&mut self, now: Duration) {
+        self.has_changed = false;
         let mut named = naming::find(&self.rows, &self.limit, now);
         while self.rows.len() > self.limit.max_crashes
             && let Some(incarnation) = naming::find_least_useful(&self.rows, &named, &self.limit)
         {
-            self.rows.remove(&incarnation);
-            if self.rows.len() == self.limit.max_crashes {
+            let row = self.rows.remove(&incarnation);
+            // Without a crash that no named part explains, the same parts are named.
+            if row.is_some_and(|row| named.keys().any(|part| row.is_open(*part))) {
                 named = naming::find(&self.rows, &self.limit, now);
             }
         }
--- a/crates/pistachiolug_routing/tests/attribution.rs
+++ b/crates/pistachiolug_routing/tests/attribution.rs
@@ -87,6 +87,7 @@
 /// Sends what one process has found out, and what it refuses, to another.
 fn exchange(from: &Attribution, to: &mut Attribution, now: Duration) {
     to.merge_crashes(&from.updates(Duration::ZERO, now), now);
+    to.update(now);
     to.merge_culprits(&from.culprits(now), now);
 }
 
@@ -270,6 +271,7 @@
     record(&mut one, 2500, &Answer(vec![BAD]));
     exchange(&one, &mut other, at(2600));
     one.merge_crashes(&stale.0, at(2700));
+    one.update(at(2700));
     one.merge_culprits(&stale.1, at(2700));
 
     assert_eq!(named(&one), []);
