Ask beside a silent server only where another one exists, and pay once

Callers were refused with 503 although their service had free slots. A stream whose server fell silent waited up to 600 ms at the head of the service's queue for another server, also where there was none, and three times in one silence. Requests behind it got no slot, and new ones counted it as ahead of them. Besides, each such ask took a retry from the budget, also if nothing was sent; a stream or a request whose server then broke off was given up for lack of a retry.

A silent server is now kept without a wait, and without a retry, while no other server could take the request; `denied` is `no server` then. A retry that was taken for an ask without a slot is kept for the next send of the same request. It stays counted from when it was taken, so that no more is sent than before. Metrics count retries when they are sent.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -118,6 +118,12 @@
     timeout_at(until, receiver).await.ok()?.ok()
 }
 
+/// Returns whether a server that was not tried could take the request, though maybe only once a slot is free.
+pub fn has_other_server(state: &State, call: &Call, tried: &[Arc<str>]) -> bool {
+    let requirements = call.requirements(state, tried);
+    state.with_pool(|pool| pool.can_serve(&requirements, state.now()))
+}
+
 /// Returns the reason of a refusal; `servable` tells whether a usable server exists.
 fn refusal_reason(servable: bool) -> Reason {
     if servable {
--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -41,6 +41,8 @@
     unsent: u32,
     /// Whether a server may have run the request.
     may_have_run: bool,
+    /// Number of retries taken from the budget for which nothing was sent yet.
+    unused_retries: u32,
     /// Whether a server has sent the head of a stream.
     has_head: bool,
     /// Whether the caller gets an answer; otherwise it has left when this is dropped.
@@ -61,6 +63,7 @@
             tried: Vec::new(),
             unsent: 0,
             may_have_run: false,
+            unused_retries: 0,
             has_head: false,
             is_ended: false,
         }
@@ -140,10 +143,9 @@
     /// meanwhile.
     async fn ask_beside(&mut self) -> Option<(Rc<Permit>, Arrival)> {
         self.silence.record_ask(Instant::now());
-        let taken = self.take_retry();
+        let taken = self.take_retry_beside();
         self.log_silent(taken);
         taken.ok()?;
-        self.state.metrics.retries.get("silent").inc();
         let acquiring = acquire_permit(&self.state, &self.call, &self.tried, self.has_head);
         let permit = tokio::select! {
             biased;
@@ -151,6 +153,7 @@
             permit = acquiring => permit,
         };
         if let Ok(permit) = permit {
+            self.state.metrics.retries.get("silent").inc();
             for silent in self.contest.permits() {
                 silent.record_failure();
                 log_asked_beside(&self.call, silent, &permit, 0);
@@ -165,6 +168,7 @@
         let is_first = self.tried.is_empty();
         self.tried.push(Arc::clone(&permit.choice.record.id));
         self.silence = begin_silence(&self.call);
+        self.unused_retries = 0;
         self.contest.add(Run {
             permit: Rc::new(permit),
             started_at: if is_first { self.call.arrived } else { now },
@@ -185,23 +189,33 @@
     }
 
     /// Takes a retry from the budget to ask another server beside a silent one.
-    fn take_retry(&self) -> Result<(), Denial> {
+    fn take_retry_beside(&mut self) -> Result<(), Denial> {
         if self.state.suspect_delay(&self.call.content).is_some() {
             return Err(Denial::CrashSuspect);
         }
-        if !self.state.take_retry(&self.call.service) {
+        if !acquire::has_other_server(&self.state, &self.call, &self.tried) {
+            return Err(Denial::NoServer);
+        }
+        if !self.take_retry() {
             return Err(Denial::RetryBudget);
         }
         Ok(())
     }
 
+    /// Takes a retry from the budget, unless one that was taken before has not been used; returns whether there is one.
+    fn take_retry(&mut self) -> bool {
+        if self.unused_retries == 0 && self.state.take_retry(&self.call.service) {
+            self.unused_retries = 1;
+        }
+        self.unused_retries > 0
+    }
+
     /// Logs an attempt without a usable answer, and returns whether the request goes on: at a server that still has it,
     /// or by a retry, which is taken from the budget.
     pub fn try_repeat(&mut self, permit: &Permit, cause: &'static str, detail: &str) -> bool {
         self.may_have_run = true;
         let is_pending = !self.contest.permits().is_empty();
-        let may_retry =
-            !is_pending && self.may_repeat() && self.state.take_retry(&self.call.service);
+        let may_retry = !is_pending && self.may_repeat() && self.take_retry();
         if cause != "failed" || is_pending || may_retry {
             log_failed_attempt(&self.call, permit, cause, detail);
         }
@@ -252,7 +266,7 @@
         }
         let may_retry = (self.tried.len() as u32) < self.call.authorized.route.attempts
             && !self.call.time_left().is_zero()
-            && self.state.take_retry(&self.call.service);
+            && self.take_retry();
         let retries = self.state.metrics.retries.get("not-run");
         retries.inc_by(may_retry.into());
         (!may_retry).then_some(Reason::Overloaded)
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -28,6 +28,8 @@
     source: Option<Source>,
     /// Ids of the servers that were sent the request.
     tried: Vec<Arc<str>>,
+    /// Number of retries taken from the budget for which nothing was sent yet.
+    unused_retries: u32,
     /// Id of the last event that was relayed.
     last_event: Option<u64>,
     /// Number of events relayed from former servers.
@@ -56,6 +58,7 @@
         call,
         source: Some(source),
         tried,
+        unused_retries: 0,
         last_event: None,
         former_events: 0,
         first_event_after: None,
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -30,7 +30,6 @@
         let taken = self.take_retry();
         self.log_interruption(server, step, taken);
         taken.ok()?;
-        state.metrics.retries.get(cause(step)).inc();
         let tried = self.tried.clone();
         let acquiring = acquire::acquire_resuming_permit(&state, &call, &tried);
         let permit = match self.race(acquiring).await {
@@ -45,6 +44,8 @@
             log::info!(call = call.id.as_str(), content:% = call.content.short(), age_ms = call.age_ms(); "stream not resumed because servers crash under it");
             return None;
         }
+        state.metrics.retries.get(cause(step)).inc();
+        self.unused_retries = 0;
         self.tried.push(Arc::clone(&permit.choice.record.id));
         if let Some(source) = &self.source {
             log_asked_beside(&call, &source.permit, &permit, self.events());
@@ -75,8 +76,8 @@
         }
     }
 
-    /// Takes a retry from the budget to ask another server.
-    fn take_retry(&self) -> Result<(), Denial> {
+    /// Takes a retry from the budget to ask another server, unless one that was taken before has not been used.
+    fn take_retry(&mut self) -> Result<(), Denial> {
         let call = &self.call;
         if self.last_event.is_none() {
             return Err(Denial::NoEventId);
@@ -87,8 +88,15 @@
         if self.state.suspect_delay(&call.content).is_some() {
             return Err(Denial::CrashSuspect);
         }
-        if !self.state.take_retry(&call.service) {
-            return Err(Denial::RetryBudget);
+        // A stream without a source waits for one that may be listed yet.
+        if self.source.is_some() && !acquire::has_other_server(&self.state, call, &self.tried) {
+            return Err(Denial::NoServer);
+        }
+        if self.unused_retries == 0 {
+            if !self.state.take_retry(&call.service) {
+                return Err(Denial::RetryBudget);
+            }
+            self.unused_retries = 1;
         }
         Ok(())
     }
--- a/crates/pistachiolug_gateway/src/silence.rs
+++ b/crates/pistachiolug_gateway/src/silence.rs
@@ -52,6 +52,8 @@
     NoEventId,
     /// Servers crashed while they ran requests with the same content.
     CrashSuspect,
+    /// No other server could take the request.
+    NoServer,
     /// The retry budget is used up.
     RetryBudget,
 }
@@ -63,6 +65,7 @@
             Self::Attempts => "attempts",
             Self::NoEventId => "no event id",
             Self::CrashSuspect => "crash suspect",
+            Self::NoServer => "no server",
             Self::RetryBudget => "retry budget",
         }
     }
--- a/crates/pistachiolug_gateway/tests/silence_review.rs
+++ b/crates/pistachiolug_gateway/tests/silence_review.rs
@@ -180,9 +180,9 @@
     });
 }
 
-/// Guards against requests that take two retries from the budget for one further send.
+/// Guards against requests that take two retries from the budget for one further send, as the first ask found no slot.
 #[test]
-fn a_retry_is_taken_once_when_a_silent_server_breaks_off_during_the_wait_for_a_slot() {
+fn an_ask_without_a_free_slot_takes_no_retry() {
     run(async {
         let pause = Duration::from_millis(700);
         let first = Server::start(vec![Action::Break(String::new(), pause)]).await;
@@ -194,7 +194,7 @@
         wait_for_arrival(&first).await;
         list(&entry, "i-second", second.address);
         let permits = take_slots(&entry);
-        sleep(pause + Duration::from_millis(20)).await;
+        sleep(Duration::from_millis(600)).await;
         drop(permits);
 
         let response = read_all(stream).await;
