Serve requests behind one that can't use the free slots

Callers were refused with 503 although a server of their service had free slots. Only the first waiting request was offered a slot, and any request ahead kept new ones from taking one. A stream that is to be resumed waits first in the queue, but not for the server that it comes from; while all others were full, nobody got the slots of that one.

A waiting request that was sent to a server before is now passed over if it can't use the free slot, and new requests take free slots past such ones. Requests that were not sent yet keep their order: none of them is passed over.

`the_queue_orders_by_rank_then_by_arrival` reads the order by `iter`, as `pop` is gone; it checks the same order and count.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -41,7 +41,7 @@
     let requirements = call.requirements(state, tried);
     let rank = call.rank();
     let ahead = state.count_ahead(&call.service, rank);
-    let permit = if ahead == 0 {
+    let permit = if state.is_next(&call.service, rank) {
         state.reserve(&requirements)
     } else {
         None
--- a/crates/pistachiolug_gateway/src/queue.rs
+++ b/crates/pistachiolug_gateway/src/queue.rs
@@ -51,23 +51,19 @@
         self.waiting.remove(&position)
     }
 
-    /// Returns the number of requests that would be served before a new one of this rank.
-    pub fn count_ahead(&self, rank: Rank) -> usize {
+    /// Returns the requests that would be served before a new one of this rank.
+    pub fn ahead(&self, rank: Rank) -> impl Iterator<Item = &T> {
         let bound = Position {
             rank,
             sequence: u64::MAX,
         };
-        self.waiting.range(..bound).count()
+        self.waiting.range(..bound).map(|(_, waiter)| waiter)
     }
 
-    /// Returns the request that is served next; `None` if the queue is empty.
-    pub fn first(&self) -> Option<&T> {
-        self.waiting.first_key_value().map(|(_, waiter)| waiter)
-    }
-
-    /// Removes and returns the request that is served next; `None` if the queue is empty.
-    pub fn pop(&mut self) -> Option<T> {
-        self.waiting.pop_first().map(|(_, waiter)| waiter)
+    /// Returns all requests with their positions, in the order in which they are served.
+    pub fn iter(&self) -> impl Iterator<Item = (Position, &T)> {
+        let waiting = self.waiting.iter();
+        waiting.map(|(position, waiter)| (*position, waiter))
     }
 
     /// Returns whether no request waits.
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -331,7 +331,17 @@
         let queues = self.queues.borrow();
         queues
             .get(service)
-            .map_or(0, |queue| queue.count_ahead(rank))
+            .map_or(0, |queue| queue.ahead(rank).count())
+    }
+
+    /// Returns whether a request of this rank may take a free slot before the waiting ones. Those that were sent to a
+    /// server before can't use the slots there, and have been offered all others.
+    pub fn is_next(&self, service: &Arc<str>, rank: Rank) -> bool {
+        let queues = self.queues.borrow();
+        queues.get(service).is_none_or(|queue| {
+            let mut ahead = queue.ahead(rank);
+            ahead.all(|(requirements, _)| !requirements.tried.is_empty())
+        })
     }
 
     /// Adds a request to the queue of its service; the receiver gets its permit.
@@ -370,18 +380,33 @@
         service: &Arc<str>,
         freed: Option<&Arc<str>>,
     ) -> Option<Served> {
-        let requirements = {
-            let queues = self.queues.borrow();
-            let (requirements, _) = queues.get(service)?.first()?;
-            Requirements {
+        let (position, permit) = self.reserve_next(service, freed)?;
+        let mut queues = self.queues.borrow_mut();
+        let (_, sender) = queues.get_mut(service)?.remove(position)?;
+        Some((permit, sender))
+    }
+
+    /// Reserves a slot for the first waiting request that can use one. Requests that were sent to a server before, and
+    /// have to wait for another one, don't hold up those behind them.
+    fn reserve_next(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        freed: Option<&Arc<str>>,
+    ) -> Option<(Position, Permit)> {
+        let queues = self.queues.borrow();
+        for (position, (requirements, _)) in queues.get(service)?.iter() {
+            let requirements = Requirements {
                 freed_server: freed.cloned(),
                 ..requirements.clone()
+            };
+            if let Some(permit) = self.reserve(&requirements) {
+                return Some((position, permit));
             }
-        };
-        let permit = self.reserve(&requirements)?;
-        let mut queues = self.queues.borrow_mut();
-        let (_, sender) = queues.get_mut(service)?.pop()?;
-        Some((permit, sender))
+            if requirements.tried.is_empty() {
+                break;
+            }
+        }
+        None
     }
 
     /// Gives free slots to the waiting requests of all services.
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -393,8 +393,8 @@
     let position = queue.push(rank(false, 0), "removed");
     queue.remove(position);
 
-    assert_eq!(queue.count_ahead(rank(false, 1)), 3);
-    let order: Vec<&str> = std::iter::from_fn(|| queue.pop()).collect();
+    assert_eq!(queue.ahead(rank(false, 1)).count(), 3);
+    let order: Vec<&str> = queue.iter().map(|(_, name)| *name).collect();
     assert_eq!(order, ["first", "second", "third", "late"]);
 }
 
--- a/crates/pistachiolug_gateway/tests/silence_review.rs
+++ b/crates/pistachiolug_gateway/tests/silence_review.rs
@@ -106,6 +106,32 @@
     }
 }
 
+/// Guards against requests that are refused although there are free slots, because a silent stream waits for others.
+#[test]
+fn other_requests_are_served_while_a_silent_stream_waits_for_a_full_server() {
+    run(async {
+        let begun = stream_head("a1") + &chunk(ONE);
+        let silent = Action::Pause(begun, PAUSE, chunk(TWO) + END);
+        let whole = stream_head("a2") + &chunk(ONE) + END;
+        let first = Server::start(vec![silent, Action::Write(whole)]).await;
+        let second = Server::start(Vec::new()).await;
+        let entry = Entry::start(parts(route(Kind::Stream, 2)), &[&first]);
+        let _silent_stream = entry.open(&request("a1")).await;
+        wait_for_arrival(&first).await;
+        list(&entry, "i-second", second.address);
+        let mut permits = take_slots(&entry);
+        permits.retain(|permit| &*permit.choice.record.id == "i-second");
+        sleep(ASKED_AFTER).await;
+
+        let sent_at = Instant::now();
+        let response = entry.call(&request("a2")).await;
+
+        assert!(response.ends_with(END), "{response}");
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < Duration::from_millis(100), "{elapsed:?}");
+    });
+}
+
 /// Guards against streams that are cut when the server that should resume them fails too, with attempts left.
 #[test]
 fn a_stream_is_resumed_elsewhere_when_the_second_server_fails() {
