Resume a stream elsewhere when the server asked to resume it fails

Callers got the first events of a stream and a cut connection although the route's attempts and the retry budget allowed another server. After a server had broken off, `ask` tried one other server; if that one refused the connection, was full, broke off or did not resume, the stream ended. A server that could not be reached also counted as an attempt.

Without a source, `ask` now goes on to the next server, within the attempts, the budget, the crash suspects and the deadline. A server that could not be reached takes neither an attempt nor a retry, and at most as many of them are tried as for a new request. What a failed resumption says about the server (full, another one, lost) is recorded in the pool, as for new requests.

`a_stream_is_resumed_elsewhere_when_the_second_server_fails` and `a_stream_is_resumed_elsewhere_when_the_second_server_refuses_connections` failed before and pass now. The latter kept its listener open by mistake, so that connections were accepted; it failed also once that was mended.

--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -19,7 +19,7 @@
 
 /// Largest number of servers that could not be reached for one request. Nothing was sent to them, so they don't count
 /// as attempts.
-const MAX_UNSENT: u32 = 4;
+pub const MAX_UNSENT: u32 = 4;
 
 /// Multiple of the target latency after which another server is asked beside one that does not answer.
 const SILENCE_PER_TARGET: f64 = 2.5;
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -97,7 +97,7 @@
                 Step::Interrupted(_) | Step::Outdated => self.end_source(Some(&step)),
                 step => return step,
             }
-            if let Some(step) = self.ask(&server, &step).await {
+            if let Some(step) = self.ask(server, step).await {
                 return step;
             }
         }
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -9,42 +9,70 @@
 use super::Relay;
 use crate::{
     acquire,
+    attempts::MAX_UNSENT,
     call::Call,
     contest::{log_asked_beside, withdraw},
+    permit::Permit,
     send::{self, Outcome},
     silence::{self, Denial, Progress, Side},
     source::{Source, Step},
 };
 
+/// Result of asking one other server to resume the stream.
+enum Resumption {
+    /// What came first from the server that goes on.
+    Step(Step),
+    /// The source is to be read; there may be none any more.
+    Source,
+    /// The server with this id failed for this reason, and there is no source.
+    Failed(Arc<str>, String),
+}
+
 impl Relay {
-    /// Asks another server to resume the stream, beside the source if there still is one. Returns what came first from
-    /// the server that goes on; `None` if the source is to be read, or if there is none any more.
+    /// Asks another server to resume the stream, beside the source if there still is one. Without a source, further
+    /// servers are asked while one fails. Returns what came first from the server that goes on; `None` if the source is
+    /// to be read, or if there is none any more.
     ///
     /// # Arguments
     /// `server` is the one whose `step` is the reason.
-    pub(super) async fn ask(&mut self, server: &str, step: &Step) -> Option<Step> {
-        let (state, call) = (Rc::clone(&self.state), Rc::clone(&self.call));
+    pub(super) async fn ask(&mut self, server: Arc<str>, step: Step) -> Option<Step> {
         if let Some(source) = &mut self.source {
             source.silence.record_ask(Instant::now());
         }
-        let taken = self.take_retry();
-        self.log_interruption(server, step, taken);
-        taken.ok()?;
+        let (mut server, mut step) = (server, step);
+        for _ in 0..=MAX_UNSENT {
+            let taken = self.take_retry();
+            self.log_interruption(&server, &step, taken);
+            taken.ok()?;
+            match self.try_resume(cause(&step)).await {
+                Resumption::Step(first) => return Some(first),
+                Resumption::Source => return None,
+                Resumption::Failed(failed, reason) => {
+                    (server, step) = (failed, Step::Interrupted(reason));
+                }
+            }
+        }
+        None
+    }
+
+    /// Asks one other server to resume the stream.
+    async fn try_resume(&mut self, cause: &'static str) -> Resumption {
+        let (state, call) = (Rc::clone(&self.state), Rc::clone(&self.call));
         let tried = self.tried.clone();
         let acquiring = acquire::acquire_resuming_permit(&state, &call, &tried);
         let permit = match self.race(acquiring).await {
-            Either::Left(step) => return Some(step),
+            Either::Left(step) => return Resumption::Step(step),
             Either::Right(permit) => permit,
         };
         let Some(permit) = permit.map(Rc::new) else {
             log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no slot to resume the stream");
-            return None;
+            return Resumption::Source;
         };
         if !state.try_run(&call.content) {
             log::info!(call = call.id.as_str(), content:% = call.content.short(), age_ms = call.age_ms(); "stream not resumed because servers crash under it");
-            return None;
+            return Resumption::Source;
         }
-        state.metrics.retries.get(cause(step)).inc();
+        state.metrics.retries.get(cause).inc();
         self.unused_retries = 0;
         self.tried.push(Arc::clone(&permit.choice.record.id));
         if let Some(source) = &self.source {
@@ -56,24 +84,46 @@
         let outcome = match self.race(sending).await {
             Either::Left(step) => {
                 withdraw(&call, &permit, "another server went on", self.events());
-                return Some(step);
+                return Resumption::Step(step);
             }
             Either::Right(outcome) => outcome,
         };
         match outcome {
             Outcome::Answer(response, connection) if response.status() == StatusCode::OK => {
                 let (_, other) = Source::new(&call, permit, response, connection, sent_at);
-                self.compare(other).await
+                let step = self.compare(other).await;
+                step.map_or(Resumption::Source, Resumption::Step)
             }
-            outcome => {
-                let server = &*permit.choice.record.id;
-                log::info!(call = call.id.as_str(), server, outcome:?, age_ms = call.age_ms(); "resuming the stream failed");
-                if let Outcome::Answer(..) = outcome {
-                    permit.record_outcome();
-                }
-                None
+            outcome => self.end_resumption(&permit, &outcome),
+        }
+    }
+
+    /// Records that a server could not resume the stream.
+    fn end_resumption(&mut self, permit: &Permit, outcome: &Outcome) -> Resumption {
+        let call = &self.call;
+        let server = &permit.choice.record.id;
+        log::info!(call = call.id.as_str(), server = &**server, outcome:?; "resuming the stream failed");
+        match outcome {
+            Outcome::Answer(..) => permit.record_outcome(),
+            Outcome::Unsent(_) => {
+                permit.record_failure();
+                // Nothing was sent, so that the retry is left, and the server is no attempt.
+                self.unused_retries = 1;
+                self.tried.retain(|tried| tried != server);
             }
+            Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => permit.record_mismatch(),
+            Outcome::NotRun(_) => permit.record_full(),
+            Outcome::Lost(_) | Outcome::Silent => {
+                permit.record_failure();
+                permit.record_answer(false);
+            }
+            Outcome::Outdated => {}
+        }
+        if self.source.is_some() || call.time_left().is_zero() {
+            return Resumption::Source;
         }
+        let reason = "resuming the stream failed".to_owned();
+        Resumption::Failed(Arc::clone(server), reason)
     }
 
     /// Takes a retry from the budget to ask another server, unless one that was taken before has not been used.
--- a/crates/pistachiolug_gateway/tests/silence_review.rs
+++ b/crates/pistachiolug_gateway/tests/silence_review.rs
@@ -171,8 +171,9 @@
         let first = Server::start(vec![Action::Break(begun, pause)]).await;
         let rest = stream_head("a1") + &chunk(TWO) + END;
         let third = Server::start(vec![Action::Write(rest)]).await;
-        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let closed = closed.local_addr().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let closed = listener.local_addr().unwrap();
+        drop(listener);
         let entry = Entry::start(parts(route(Kind::Stream, 2)), &[&first]);
         let stream = entry.open(&request("a1")).await;
         wait_for_arrival(&first).await;
