Read the body of a denied request before answering it

A caller that was denied (404, 401, or 503 before the first configuration) while it was still sending its body had its connection closed at once. Its next write failed with a broken pipe or a reset, and a caller that does not read after that saw neither an answer nor a refusal. Denials of proper requests happen beside changes of the configuration, at an entry that does not have the route or key yet, or not any more.

hyper reads at most one part of a body that the handler dropped. The entry now reads and drops it for up to a second before it answers, without keeping it.

--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -20,6 +20,9 @@
 /// Time before the caller's deadline at which the entry answers itself, so that the answer arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
 
+/// Longest time for which the body of a denied request is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Looks up a request's route and workspace and reads its body.
 ///
 /// # Errors
@@ -32,8 +35,18 @@
     arrived: Instant,
 ) -> Result<Call, Reason> {
     let open_request = state.open_request();
-    let config = state.config().ok_or(Reason::Starting)?;
-    let authorized = authorize(&config, state, &head)?;
+    let config = state.config().ok_or(Reason::Starting);
+    let allowed = config.and_then(|config| {
+        let authorized = authorize(&config, state, &head)?;
+        Ok((config, authorized))
+    });
+    let (config, authorized) = match allowed {
+        Ok(allowed) => allowed,
+        Err(reason) => {
+            discard_body(body, arrived + DISCARD_TIME).await;
+            return Err(reason);
+        }
+    };
     let names = &state.options.names;
     let route = &authorized.route;
     let time_limit = headers::time_limit(&head.headers, names).unwrap_or(route.timeout);
@@ -86,6 +99,14 @@
     })
 }
 
+/// Reads the body of a denied request. If the connection were closed before, the reset would meet a caller that is still
+/// sending, which then may not see the answer.
+async fn discard_body(mut body: Incoming, until: Instant) {
+    let discard = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The answer is the same if the body takes longer.
+    let _ = timeout_at(until, discard).await;
+}
+
 async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, Reason> {
     match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
