Keep a silent server until the answer of the other one is whole

Callers got a 502 in the place of an answer that was on its way. Once the head of an answer had arrived, `forward` withdrew the request from all other servers and then read the body; if that broke off, nothing was left to wait for, and often no attempt either.

The body is now read as one more stage of a server's run, as the first events of a stream are. The first whole answer is used, and the other servers keep the request until then. No further server is asked while a body arrives; if it breaks off, the silence counts on.

--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -2,19 +2,21 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use http::StatusCode;
+use http::{Response, StatusCode};
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     acquire,
     call::Call,
-    contest::{Arrival, Begun, Contest, Run, log_asked_beside},
+    contest::{Arrival, Begun, Contest, Run, Stage, log_asked_beside},
     metrics::CALLER_LEFT,
     permit::Permit,
     reply::Reason,
     send::Outcome,
     silence::{self, Denial, Progress, Side, Silence},
     state::State,
+    upstream::Connection,
 };
 
 /// Largest number of servers that could not be reached for one request. Nothing was sent to them, so they don't count
@@ -43,6 +45,8 @@
     may_have_run: bool,
     /// Number of retries taken from the budget for which nothing was sent yet.
     unused_retries: u32,
+    /// Number of servers whose answer is being read; no other server is asked meanwhile.
+    reading: u32,
     /// Whether a server has sent the head of a stream.
     has_head: bool,
     /// Whether the caller gets an answer; otherwise it has left when this is dropped.
@@ -64,6 +68,7 @@
             unsent: 0,
             may_have_run: false,
             unused_retries: 0,
+            reading: 0,
             has_head: false,
             is_ended: false,
         }
@@ -88,13 +93,23 @@
         self.contest.add(Run {
             permit,
             started_at: self.call.arrived,
-            stream: Some(stream),
+            stage: Stage::Stream(stream),
         });
     }
 
-    /// Withdraws the request from all servers that still have it.
-    pub fn withdraw(&mut self) {
-        self.contest.withdraw(&self.call);
+    /// Reads the body of an answer whose head has arrived. Other servers keep the request until it is whole.
+    pub fn read(
+        &mut self,
+        permit: Rc<Permit>,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) {
+        self.reading += 1;
+        self.contest.add(Run {
+            permit,
+            started_at: self.call.arrived,
+            stage: Stage::Answer(response, connection),
+        });
     }
 
     /// Waits for what comes next from a server. Sends the request if no server has it, and beside silent servers.
@@ -107,7 +122,8 @@
                 let permit = self.acquire_permit().await?;
                 self.start(permit);
             }
-            let next = match self.silence.ask_at().filter(|_| self.may_repeat()) {
+            let may_ask = self.reading == 0 && self.may_repeat();
+            let next = match self.silence.ask_at().filter(|_| may_ask) {
                 Some(ask_at) => timeout_at(ask_at, self.contest.next()).await,
                 None => Ok(self.contest.next().await),
             };
@@ -172,7 +188,7 @@
         self.contest.add(Run {
             permit: Rc::new(permit),
             started_at: if is_first { self.call.arrived } else { now },
-            stream: None,
+            stage: Stage::Send,
         });
     }
 
@@ -243,6 +259,12 @@
         (!goes_on).then(|| lost_or_late(&self.call))
     }
 
+    /// Handles an answer whose body broke off; returns what [`Attempts::handle_failure`] does.
+    pub fn handle_cut(&mut self, permit: &Permit, reason: String) -> Option<Reason> {
+        self.reading -= 1;
+        self.handle_failure(permit, Outcome::Lost(reason))
+    }
+
     fn handle_unsent(&mut self, permit: &Permit, reason: &str) -> Option<Reason> {
         permit.record_failure();
         let server = &permit.choice.record.id;
--- a/crates/pistachiolug_gateway/src/contest.rs
+++ b/crates/pistachiolug_gateway/src/contest.rs
@@ -2,13 +2,16 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Response, response};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     call::Call,
+    headers,
     permit::Permit,
     send::{self, Outcome},
     source::{Source, Step},
@@ -31,8 +34,19 @@
     pub permit: Rc<Permit>,
     /// When the request arrived at the entry, for its first server; when it was sent, for others.
     pub started_at: Instant,
-    /// Stream whose head has arrived; `None` before that.
-    pub stream: Option<Begun>,
+    /// What is to be done next.
+    pub stage: Stage,
+}
+
+/// Stage of a request at a server.
+#[derive(Debug)]
+pub enum Stage {
+    /// The request is to be sent.
+    Send,
+    /// The first events of a stream are to be read.
+    Stream(Begun),
+    /// The body of an answer that is no stream is to be read.
+    Answer(Response<Incoming>, Connection),
 }
 
 /// Stream whose head has arrived.
@@ -49,6 +63,10 @@
 pub enum Arrival {
     /// Signed head of an answer that is no stream.
     Answer(Response<Incoming>, Connection),
+    /// Whole answer that is no stream.
+    Whole(Response<Bytes>),
+    /// The body of an answer broke off, for this reason.
+    Cut(String),
     /// Signed head of a stream.
     Head(Begun),
     /// First events of a stream, or its end without events.
@@ -67,7 +85,7 @@
         }
     }
 
-    /// Sends the request to a server, or waits further for one from which only the head of a stream has come.
+    /// Sends the request to a server, or waits further for one from which only a head has come.
     pub fn add(&mut self, run: Run) {
         self.permits.push(Rc::clone(&run.permit));
         self.runs.push((self.advance)(run));
@@ -94,12 +112,25 @@
     }
 }
 
-/// Waits for the head of a server's answer, or for the first events of a stream whose head has arrived.
+/// Waits for the head of a server's answer, or for what follows a head that has arrived.
 pub async fn advance(state: Rc<State>, call: Rc<Call>, run: Run) -> (Rc<Permit>, Arrival) {
     let permit = run.permit;
-    if let Some(stream) = run.stream {
-        let arrival = read_first(&call, &permit, stream).await;
-        return (permit, arrival);
+    match run.stage {
+        Stage::Send => {}
+        Stage::Stream(stream) => {
+            let arrival = read_first(&call, &permit, stream).await;
+            return (permit, arrival);
+        }
+        Stage::Answer(response, _connection) => {
+            let arrival = match read_whole(&call, response).await {
+                Ok(response) => Arrival::Whole(response),
+                Err(reason) => {
+                    permit.record_loss();
+                    Arrival::Cut(reason)
+                }
+            };
+            return (permit, arrival);
+        }
     }
     let outcome = send::send(&state, &call, &permit, None, call.deadline).await;
     let arrival = match outcome {
@@ -119,6 +150,16 @@
     call.is_stream() && response.status().is_success()
 }
 
+/// Reads the whole body of an answer.
+async fn read_whole(call: &Call, response: Response<Incoming>) -> Result<Response<Bytes>, String> {
+    let (mut head, body) = response.into_parts();
+    let body = timeout_at(call.deadline, body.collect()).await;
+    let body = body.map_err(|_| "answer incomplete at the deadline".to_owned())?;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    headers::remove_hop_by_hop(&mut head.headers);
+    Ok(Response::from_parts(head, body))
+}
+
 async fn read_first(call: &Call, permit: &Permit, mut stream: Begun) -> Arrival {
     let outcome = match stream.source.read(call).await {
         Step::Interrupted(reason) => Outcome::Lost(reason),
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Either, Full, StreamBody};
+use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use rand::RngExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     admission,
@@ -64,8 +64,22 @@
             Ok(next) => next,
             Err(reason) => break reason,
         };
-        let (response, _connection) = match arrival {
+        let (response, connection) = match arrival {
             Arrival::Answer(response, connection) => (response, connection),
+            Arrival::Whole(response) => {
+                permit.record_outcome();
+                let status = response.status();
+                if status.is_success() {
+                    state.record_success(&call.content);
+                }
+                log_answer(&call, &permit, status, attempts.end().len());
+                state.metrics.outcomes.get(ANSWERED).inc();
+                return response.map(|body| Either::Left(Full::new(body)));
+            }
+            Arrival::Cut(reason) => match attempts.handle_cut(&permit, reason) {
+                Some(reason) => break reason,
+                None => continue,
+            },
             Arrival::Head(stream) => {
                 record_head(&state, &call, &permit, true);
                 attempts.resume(permit, stream);
@@ -89,25 +103,7 @@
                 continue;
             }
         }
-        attempts.withdraw();
-        match read_whole(&call, response).await {
-            Ok(response) => {
-                permit.record_outcome();
-                if status.is_success() {
-                    state.record_success(&call.content);
-                }
-                log_answer(&call, &permit, status, attempts.end().len());
-                state.metrics.outcomes.get(ANSWERED).inc();
-                return response.map(|body| Either::Left(Full::new(body)));
-            }
-            Err(error) => {
-                permit.record_failure();
-                permit.record_loss();
-                if !attempts.try_repeat(&permit, "lost", &error) {
-                    break lost_or_late(&call);
-                }
-            }
-        }
+        attempts.read(permit, response, connection);
     };
     let may_have_run = attempts.may_have_run();
     refuse(&state, &call, reason, may_have_run, attempts.end().len())
@@ -135,16 +131,6 @@
     Response::from_parts(head, Either::Right(StreamBody::new(stream)))
 }
 
-/// Reads the whole body of an answer.
-async fn read_whole(call: &Call, response: Response<Incoming>) -> Result<Response<Bytes>, String> {
-    let (mut head, body) = response.into_parts();
-    let body = timeout_at(call.deadline, body.collect()).await;
-    let body = body.map_err(|_| "answer incomplete at the deadline".to_owned())?;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
-    headers::remove_hop_by_hop(&mut head.headers);
-    Ok(Response::from_parts(head, body))
-}
-
 /// Builds and logs the final answer to a request that no server answered.
 fn refuse<S>(
     state: &State,
