Reproduce an answer that a stop may cut in a failing test

A request counts as open until its handler returns, not until its answer is written. A process that stops then ends with the rest of a large answer in its buffer. `a_request_counts_as_open_until_its_answer_is_written` fails: no request is open while the caller has not read 16 MB.

--- a/crates/pistachiolug_gateway/tests/silence_review.rs
+++ b/crates/pistachiolug_gateway/tests/silence_review.rs
@@ -299,3 +299,21 @@
         assert!(response.starts_with("HTTP/1.1 404"), "{response}");
     });
 }
+
+/// Guards against a stop that cuts an answer which the caller has not read yet.
+#[test]
+fn a_request_counts_as_open_until_its_answer_is_written() {
+    run(async {
+        let whole = answer("a1", "200 OK", &"a".repeat(16 << 20));
+        let server = Server::start(vec![Action::Write(whole)]).await;
+        let entry = Entry::start(parts(route(Kind::Once, 1)), &[&server]);
+        let stream = entry.open(&request("a1")).await;
+        sleep(Duration::from_millis(500)).await;
+
+        let open_requests = entry.state.count_open_requests();
+
+        assert_eq!(entry.state.metrics.outcomes.get("answered").get(), 1);
+        assert_eq!(open_requests, 1);
+        drop(stream);
+    });
+}
