Check both servers of a stream that are silent at the deadline

A server that had crashed without a reset was not checked if it was asked beside a silent one and the deadline passed: it was recorded as withdrawn because another server went on, though none did. Contents that crash servers were recognized later by that.

At the deadline both slots are now dropped as they are, which records a loss at each server that has been silent, as for a caller that leaves.

--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -83,7 +83,10 @@
         let sending = send::send(&state, &call, &permit, self.last_event, call.deadline);
         let outcome = match self.race(sending).await {
             Either::Left(step) => {
-                withdraw(&call, &permit, "another server went on", self.events());
+                // At the deadline no server went on, and dropping the permit records a loss if this one was silent.
+                if !matches!(step, Step::DeadlinePassed) {
+                    withdraw(&call, &permit, "another server went on", self.events());
+                }
                 return Resumption::Step(step);
             }
             Either::Right(outcome) => outcome,
@@ -190,7 +193,8 @@
         let chosen = progress.map_or(side, |progress| silence::choose(side, progress));
         let loser_step = (chosen != side).then_some(&step);
         match chosen {
-            _ if progress.is_none() => end(&call, &other, None, self.events()),
+            // As above, both servers are dropped at the deadline.
+            _ if progress.is_none() => {}
             Side::Former => {
                 if let Some(step) = loser_step {
                     let server = &**other.server();
--- a/crates/pistachiolug_gateway/tests/silence_review.rs
+++ b/crates/pistachiolug_gateway/tests/silence_review.rs
@@ -279,6 +279,28 @@
     });
 }
 
+/// Guards against a server that is silent at the deadline and is not checked, because another one was silent as well.
+#[test]
+fn both_servers_are_checked_when_both_are_silent_at_the_deadline() {
+    for action in [Action::Hang, Action::Stall(stream_head("a1"))] {
+        run(async move {
+            let begun = stream_head("a1") + &chunk(ONE);
+            let first = Server::start(vec![Action::Stall(begun)]).await;
+            let second = Server::start(vec![action]).await;
+            let entry = Entry::start(parts(route(Kind::Stream, 2)), &[&first]);
+            let stream = entry.open(&request("a1")).await;
+            wait_for_arrival(&first).await;
+            list(&entry, "i-second", second.address);
+
+            let response = read_all(stream).await;
+
+            assert!(!response.ends_with(END), "{response}");
+            assert_eq!(second.arrivals(), 1);
+            assert_eq!(entry.state.start_checks().len(), 2);
+        });
+    }
+}
+
 /// Guards against callers whose connection is reset while they send the body of a denied request.
 #[test]
 fn a_denied_request_is_read_whole_before_its_answer() {
