--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -2,19 +2,21 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use http::StatusCode;
+use http::{Response, StatusCode};
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     acquire,
     call::Call,
-    contest::{Arrival, Begun, Contest, Run, log_asked_beside},
+    contest::{Arrival, Begun, Contest, Run, Stage, log_asked_beside},
     metrics::CALLER_LEFT,
     permit::Permit,
     reply::Reason,
     send::Outcome,
     silence::{self, Denial, Progress, Side, Silence},
     state::State,
+    upstream::Connection,
 };
 
 /// Largest number of servers that could not be reached for one request. Nothing was sent to them, so they don't count
@@ -41,6 +43,10 @@
     unsent: u32,
     /// Whether a server may have run the request.
     may_have_run: bool,
+    /// Number of retries taken from the budget for which nothing was sent yet.
+    unused_retries: u32,
+    /// Number of servers whose answer is being read; no other server is asked meanwhile.
+    reading: u32,
     /// Whether a server has sent the head of a stream.
     has_head: bool,
     /// Whether the caller gets an answer; otherwise it has left when this is dropped.
@@ -61,6 +67,8 @@
             tried: Vec::new(),
             unsent: 0,
             may_have_run: false,
+            unused_retries: 0,
+            reading: 0,
             has_head: false,
             is_ended: false,
         }
@@ -85,13 +93,23 @@
         self.contest.add(Run {
             permit,
             started_at: self.call.arrived,
-            stream: Some(stream),
+            stage: Stage::Stream(stream),
         });
     }
 
-    /// Withdraws the request from all servers that still have it.
-    pub fn withdraw(&mut self) {
-        self.contest.withdraw(&self.call);
+    /// Reads the body of an answer whose head has arrived. Other servers keep the request until it is whole.
+    pub fn read(
+        &mut self,
+        permit: Rc<Permit>,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) {
+        self.reading += 1;
+        self.contest.add(Run {
+            permit,
+            started_at: self.call.arrived,
+            stage: Stage::Answer(response, connection),
+        });
     }
 
     /// Waits for what comes next from a server. Sends the request if no server has it, and beside silent servers.
@@ -104,7 +122,8 @@
                 let permit = self.acquire_permit().await?;
                 self.start(permit);
             }
-            let next = match self.silence.ask_at().filter(|_| self.may_repeat()) {
+            let may_ask = self.reading == 0 && self.may_repeat();
+            let next = match self.silence.ask_at().filter(|_| may_ask) {
                 Some(ask_at) => timeout_at(ask_at, self.contest.next()).await,
                 None => Ok(self.contest.next().await),
             };
@@ -140,10 +159,9 @@
     /// meanwhile.
     async fn ask_beside(&mut self) -> Option<(Rc<Permit>, Arrival)> {
         self.silence.record_ask(Instant::now());
-        let taken = self.take_retry();
+        let taken = self.take_retry_beside();
         self.log_silent(taken);
         taken.ok()?;
-        self.state.metrics.retries.get("silent").inc();
         let acquiring = acquire_permit(&self.state, &self.call, &self.tried, self.has_head);
         let permit = tokio::select! {
             biased;
@@ -151,6 +169,7 @@
             permit = acquiring => permit,
         };
         if let Ok(permit) = permit {
+            self.state.metrics.retries.get("silent").inc();
             for silent in self.contest.permits() {
                 silent.record_failure();
                 log_asked_beside(&self.call, silent, &permit, 0);
@@ -165,10 +184,11 @@
         let is_first = self.tried.is_empty();
         self.tried.push(Arc::clone(&permit.choice.record.id));
         self.silence = begin_silence(&self.call);
+        self.unused_retries = 0;
         self.contest.add(Run {
             permit: Rc::new(permit),
             started_at: if is_first { self.call.arrived } else { now },
-            stream: None,
+            stage: Stage::Send,
         });
     }
 
@@ -185,23 +205,33 @@
     }
 
     /// Takes a retry from the budget to ask another server beside a silent one.
-    fn take_retry(&self) -> Result<(), Denial> {
+    fn take_retry_beside(&mut self) -> Result<(), Denial> {
         if self.state.suspect_delay(&self.call.fingerprint).is_some() {
             return Err(Denial::CrashSuspect);
         }
-        if !self.state.take_retry(&self.call.service) {
+        if !acquire::has_other_server(&self.state, &self.call, &self.tried) {
+            return Err(Denial::NoServer);
+        }
+        if !self.take_retry() {
             return Err(Denial::RetryBudget);
         }
         Ok(())
     }
 
+    /// Takes a retry from the budget, unless one that was taken before has not been used; returns whether there is one.
+    fn take_retry(&mut self) -> bool {
+        if self.unused_retries == 0 && self.state.take_retry(&self.call.service) {
+            self.unused_retries = 1;
+        }
+        self.unused_retries > 0
+    }
+
     /// Logs an attempt without a usable answer, and returns whether the request goes on: at a server that still has it,
     /// or by a retry, which is taken from the budget.
     pub fn try_repeat(&mut self, permit: &Permit, cause: &'static str, detail: &str) -> bool {
         self.may_have_run = true;
         let is_pending = !self.contest.permits().is_empty();
-        let may_retry =
-            !is_pending && self.may_repeat() && self.state.take_retry(&self.call.service);
+        let may_retry = !is_pending && self.may_repeat() && self.take_retry();
         if cause != "failed" || is_pending || may_retry {
             log_failed_attempt(&self.call, permit, cause, detail);
         }
@@ -229,6 +259,12 @@
         (!goes_on).then(|| lost_or_late(&self.call))
     }
 
+    /// Handles an answer whose body broke off; returns what [`Attempts::handle_failure`] does.
+    pub fn handle_cut(&mut self, permit: &Permit, reason: String) -> Option<Reason> {
+        self.reading -= 1;
+        self.handle_failure(permit, Outcome::Lost(reason))
+    }
+
     fn handle_unsent(&mut self, permit: &Permit, reason: &str) -> Option<Reason> {
         permit.record_failure();
         let server = &permit.choice.record.id;
@@ -252,7 +288,7 @@
         }
         let may_retry = (self.tried.len() as u32) < self.call.authorized.route.attempts
             && !self.call.time_left().is_zero()
-            && self.state.take_retry(&self.call.service);
+            && self.take_retry();
         let retries = self.state.metrics.retries.get("not-run");
         retries.inc_by(may_retry.into());
         (!may_retry).then_some(Reason::Overloaded)
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -1,6 +1,6 @@
 //! Resumption of a stream at another server, beside a silent one or in place of one that broke off.
 
-use std::{ops::ControlFlow, pin::pin, rc::Rc, sync::Arc};
+use std::{pin::pin, rc::Rc, sync::Arc};
 
 use http::StatusCode;
 use http_body_util::Either;
@@ -18,45 +18,62 @@
     source::{Source, Step},
 };
 
+/// Result of asking one other server to resume the stream.
+enum Resumption {
+    /// What came first from the server that goes on.
+    Step(Step),
+    /// The source is to be read; there may be none any more.
+    Source,
+    /// The server with this id failed for this reason, and there is no source.
+    Failed(Arc<str>, String),
+}
+
 impl Relay {
-    /// Asks another server to resume the stream, beside the source if there still is one. Returns what came first from
-    /// the server that goes on; `None` if the source is to be read, or if there is none any more.
+    /// Asks another server to resume the stream, beside the source if there still is one. Without a source, further
+    /// servers are asked while one fails. Returns what came first from the server that goes on; `None` if the source is
+    /// to be read, or if there is none any more.
     ///
     /// # Arguments
     /// `server` is the one whose `step` is the reason.
-    pub(super) async fn ask(&mut self, server: &str, step: &Step) -> Option<Step> {
+    pub(super) async fn ask(&mut self, server: Arc<str>, step: Step) -> Option<Step> {
         if let Some(source) = &mut self.source {
             source.silence.record_ask(Instant::now());
         }
-        let taken = self.take_retry();
-        self.log_interruption(server, step, taken);
-        taken.ok()?;
-        self.state.metrics.retries.get(cause(step)).inc();
-        for _ in 0..MAX_UNSENT {
-            if let ControlFlow::Break(step) = self.open().await {
-                return step;
+        let (mut server, mut step) = (server, step);
+        for _ in 0..=MAX_UNSENT {
+            let taken = self.take_retry();
+            self.log_interruption(&server, &step, taken);
+            taken.ok()?;
+            match self.try_resume(cause(&step)).await {
+                Resumption::Step(first) => return Some(first),
+                Resumption::Source => return None,
+                Resumption::Failed(failed, reason) => {
+                    (server, step) = (failed, Step::Interrupted(reason));
+                }
             }
         }
         None
     }
 
-    /// Sends the request to another server; `Continue` if that could not be reached, so that nothing was sent to it.
-    async fn open(&mut self) -> ControlFlow<Option<Step>> {
+    /// Asks one other server to resume the stream.
+    async fn try_resume(&mut self, cause: &'static str) -> Resumption {
         let (state, call) = (Rc::clone(&self.state), Rc::clone(&self.call));
         let tried = self.tried.clone();
         let acquiring = acquire::acquire_resuming_permit(&state, &call, &tried);
         let permit = match self.race(acquiring).await {
-            Either::Left(step) => return ControlFlow::Break(Some(step)),
+            Either::Left(step) => return Resumption::Step(step),
             Either::Right(permit) => permit,
         };
         let Some(permit) = permit.map(Rc::new) else {
             log::info!(call = call.id.as_str(), age_ms = call.age_ms(); "no slot to resume the stream");
-            return ControlFlow::Break(None);
+            return Resumption::Source;
         };
         if !state.try_run(&call.fingerprint) {
             log::info!(call = call.id.as_str(), content:% = call.content.short(), parts:% = call.prefix, age_ms = call.age_ms(); "stream not resumed because servers crash under it");
-            return ControlFlow::Break(None);
+            return Resumption::Source;
         }
+        state.metrics.retries.get(cause).inc();
+        self.unused_retries = 0;
         self.tried.push(Arc::clone(&permit.choice.record.id));
         if let Some(source) = &self.source {
             log_asked_beside(&call, &source.permit, &permit, self.events());
@@ -66,32 +83,54 @@
         let sending = send::send(&state, &call, &permit, self.last_event, call.deadline);
         let outcome = match self.race(sending).await {
             Either::Left(step) => {
-                withdraw(&call, &permit, "another server went on", self.events());
-                return ControlFlow::Break(Some(step));
+                // At the deadline no server went on, and dropping the permit records a loss if this one was silent.
+                if !matches!(step, Step::DeadlinePassed) {
+                    withdraw(&call, &permit, "another server went on", self.events());
+                }
+                return Resumption::Step(step);
             }
             Either::Right(outcome) => outcome,
         };
-        if let Outcome::Answer(response, connection) = outcome {
-            if response.status() == StatusCode::OK {
+        match outcome {
+            Outcome::Answer(response, connection) if response.status() == StatusCode::OK => {
                 let (_, other) = Source::new(&call, permit, response, connection, sent_at);
-                return ControlFlow::Break(self.compare(other).await);
+                let step = self.compare(other).await;
+                step.map_or(Resumption::Source, Resumption::Step)
+            }
+            outcome => self.end_resumption(&permit, &outcome),
+        }
+    }
+
+    /// Records that a server could not resume the stream.
+    fn end_resumption(&mut self, permit: &Permit, outcome: &Outcome) -> Resumption {
+        let call = &self.call;
+        let server = &permit.choice.record.id;
+        log::info!(call = call.id.as_str(), server = &**server, outcome:?; "resuming the stream failed");
+        match outcome {
+            Outcome::Answer(..) => permit.record_outcome(),
+            Outcome::Unsent(_) => {
+                permit.record_failure();
+                // Nothing was sent, so that the retry is left, and the server is no attempt.
+                self.unused_retries = 1;
+                self.tried.retain(|tried| tried != server);
+            }
+            Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => permit.record_mismatch(),
+            Outcome::NotRun(_) => permit.record_full(),
+            Outcome::Lost(_) | Outcome::Silent => {
+                permit.record_failure();
+                permit.record_answer(false);
             }
-            permit.record_outcome();
-            log_failed_resume(&call, &permit, response.status().as_str());
-            return ControlFlow::Break(None);
-        }
-        log_failed_resume(&call, &permit, &format!("{outcome:?}"));
-        if let Outcome::Unsent(_) = outcome {
-            permit.record_failure();
-            // Nothing was sent, so it doesn't count as an attempt.
-            self.tried.pop();
-            return ControlFlow::Continue(());
-        }
-        ControlFlow::Break(None)
+            Outcome::Outdated => {}
+        }
+        if self.source.is_some() || call.time_left().is_zero() {
+            return Resumption::Source;
+        }
+        let reason = "resuming the stream failed".to_owned();
+        Resumption::Failed(Arc::clone(server), reason)
     }
 
-    /// Takes a retry from the budget to ask another server.
-    fn take_retry(&self) -> Result<(), Denial> {
+    /// Takes a retry from the budget to ask another server, unless one that was taken before has not been used.
+    fn take_retry(&mut self) -> Result<(), Denial> {
         let call = &self.call;
         if self.last_event.is_none() {
             return Err(Denial::NoEventId);
@@ -102,8 +141,15 @@
         if self.state.suspect_delay(&call.fingerprint).is_some() {
             return Err(Denial::CrashSuspect);
         }
-        if !self.state.take_retry(&call.service) {
-            return Err(Denial::RetryBudget);
+        // A stream without a source waits for one that may be listed yet.
+        if self.source.is_some() && !acquire::has_other_server(&self.state, call, &self.tried) {
+            return Err(Denial::NoServer);
+        }
+        if self.unused_retries == 0 {
+            if !self.state.take_retry(&call.service) {
+                return Err(Denial::RetryBudget);
+            }
+            self.unused_retries = 1;
         }
         Ok(())
     }
@@ -147,10 +193,12 @@
         let chosen = progress.map_or(side, |progress| silence::choose(side, progress));
         let loser_step = (chosen != side).then_some(&step);
         match chosen {
-            _ if progress.is_none() => end(&call, &other, None, self.events()),
+            // As above, both servers are dropped at the deadline.
+            _ if progress.is_none() => {}
             Side::Former => {
                 if let Some(step) = loser_step {
-                    log_failed_resume(&call, &other.permit, &format!("{step:?}"));
+                    let server = &**other.server();
+                    log::info!(call = call.id.as_str(), server, step:?, age_ms = call.age_ms(); "resuming the stream failed");
                 }
                 end(&call, &other, loser_step, self.events());
             }
@@ -201,12 +249,6 @@
     }
 }
 
-/// Logs that a server was asked to resume a stream, and did not.
-fn log_failed_resume(call: &Call, permit: &Permit, reason: &str) {
-    let server = &*permit.choice.record.id;
-    log::info!(call = call.id.as_str(), server, reason, age_ms = call.age_ms(); "resuming the stream failed");
-}
-
 /// Records how a server's part of a stream ended: by `step`, or because another server went on.
 fn end(call: &Call, source: &Source, step: Option<&Step>, events: u64) {
     let reason = match step {
