Check a silent server that is withdrawn

A server that had crashed without a reset was no longer counted once another one had gone on in its place: the change that keeps silent servers recorded it as withdrawn. A content, or a part of prompts, that ends servers in this way would not have been recognized.

A request that is withdrawn from a server which was silent for half a second is now recorded as lost, as when its caller leaves; the check tells whether the server is gone. A sound one accepts the connection and counts for nothing.

a_silent_server_that_has_crashed_is_counted_after_another_one_went_on failed before and passes now.

--- a/crates/pistachiolug_gateway/src/contest.rs
+++ b/crates/pistachiolug_gateway/src/contest.rs
@@ -171,9 +171,9 @@
     Arrival::Failure(outcome)
 }
 
-/// Logs that a request is withdrawn from a server, and records neither a loss nor a success there.
+/// Withdraws a request from a server and logs the reason.
 pub fn withdraw(call: &Call, permit: &Permit, reason: &'static str, events: u64) {
-    permit.record_outcome();
+    permit.record_withdrawal();
     log::info!(
         call = call.id.as_str(),
         server = &*permit.choice.record.id,
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -32,8 +32,8 @@
     heard_at: Duration,
 }
 
-/// Silence after which a request whose caller disconnects counts as lost. Callers leave servers that are alive as well,
-/// but most of these have begun to answer by then.
+/// Silence after which a request that is withdrawn, or whose caller disconnects, counts as lost. Callers leave servers that
+/// are alive as well, but most of these have begun to answer by then.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
 impl Permit {
@@ -59,6 +59,21 @@
         self.sent.replace(None);
     }
 
+    /// Records that the request is withdrawn because it is not needed. A server that has been silent is checked: it may
+    /// have crashed.
+    pub fn record_withdrawal(&self) {
+        if self.is_silent() {
+            self.record_loss();
+        } else {
+            self.record_outcome();
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        let heard_at = self.sent.borrow().as_ref().map(|sent| sent.heard_at);
+        heard_at.is_some_and(|heard_at| self.state.now() >= heard_at + MIN_SILENCE)
+    }
+
     /// Records that the server gave no complete answer to the request; it may have crashed.
     pub fn record_loss(&self) {
         self.lose(false);
@@ -127,11 +142,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let now = self.state.now();
-        let heard_at = self.sent.borrow().as_ref().map(|sent| sent.heard_at);
-        if heard_at.is_some_and(|heard_at| now >= heard_at + MIN_SILENCE) {
-            self.record_loss();
-        }
+        self.record_withdrawal();
         let id = &self.choice.record.id;
         let state = Rc::clone(&self.state);
         state.with_pool(|pool| pool.end_request(id, self.unread_prompt_tokens.get()));
