Wait in a stop until answers are written

A planned stop could cut an answer that its server had completed: a request counts as open until its handler returns, and the process ended with the rest of a large answer in its buffer while the caller still read.

The server now counts the connections that have carried a request and are still open. Once it is closing, idle ones are gone and the others close after their answer, so that what is left is not written yet; the stop waits for these too, within the time allowed for it. Connections that never carried a request don't hold it up.

--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use pistachiolug_http::{
     client::Client,
-    local_server::{self, Limit},
+    local_server::{self, Limit, UsedConnections},
 };
 use pistachiolug_kernel::{
     kernel::Kernel,
@@ -126,12 +126,15 @@
     spawn_local(prober::run(Rc::clone(&state)));
     spawn_local(serve_ready(Rc::clone(&state), kernel.clone(), ready));
     spawn_local(serve_internal(Rc::clone(&state), kernel.clone(), internal));
-    let front = spawn_local(serve_front(Rc::clone(&state), front, closed));
+    let used = UsedConnections::default();
+    let front = serve_front(Rc::clone(&state), front, closed, used.clone());
+    let front = spawn_local(front);
     let has_config = wait_for_config(Rc::clone(&state));
     let stop = Stop {
         state,
         closing,
         front,
+        used,
         started_at: Cell::new(None),
     };
     let drain = grace.saturating_sub(STOP_MARGIN);
@@ -160,6 +163,8 @@
     closing: watch::Sender<bool>,
     /// Task that accepts connections of callers.
     front: JoinHandle<()>,
+    /// Connections of callers.
+    used: UsedConnections,
     started_at: Cell<Option<Instant>>,
 }
 
@@ -171,7 +176,9 @@
             Instant::now()
         });
         self.started_at.set(Some(started_at));
-        let stage = stop::stage(started_at.elapsed(), self.state.count_open_requests());
+        // The answer to a request may still have to be written after the request has ended.
+        let open = self.state.count_open_requests() + self.used.count();
+        let stage = stop::stage(started_at.elapsed(), open);
         if stage != Stage::Accepting {
             // Aborting the task closes the listener; connections have tasks of their own.
             self.front.abort();
@@ -180,7 +187,12 @@
     }
 }
 
-async fn serve_front(state: Rc<State>, listener: TcpListener, closing: watch::Receiver<bool>) {
+async fn serve_front(
+    state: Rc<State>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+    used: UsedConnections,
+) {
     let limits = {
         let state = Rc::clone(&state);
         move || {
@@ -189,7 +201,7 @@
         }
     };
     let handler = move |request| forward::serve(Rc::clone(&state), request);
-    local_server::serve(listener, limits, closing, handler).await;
+    local_server::serve(listener, limits, closing, used, handler).await;
 }
 
 fn connection_limit(limits: Limits) -> Limit {
--- a/crates/pistachiolug_gateway/src/stop.rs
+++ b/crates/pistachiolug_gateway/src/stop.rs
@@ -21,11 +21,12 @@
 /// Returns the stage of a stop.
 ///
 /// # Arguments
-/// `elapsed` is the time since the stop signal, `open_requests` the number of open requests.
-pub fn stage(elapsed: Duration, open_requests: usize) -> Stage {
+/// `elapsed` is the time since the stop signal, `open` the number of open requests and of connections whose answer is not
+/// written yet.
+pub fn stage(elapsed: Duration, open: usize) -> Stage {
     if elapsed < ACCEPT_TIME {
         Stage::Accepting
-    } else if open_requests > 0 {
+    } else if open > 0 {
         Stage::Finishing
     } else {
         Stage::Done
--- a/crates/pistachiolug_gateway/tests/silence_review.rs
+++ b/crates/pistachiolug_gateway/tests/silence_review.rs
@@ -12,16 +12,18 @@
     pool::Requirements,
     prober,
     state::Options,
+    stop::{self, Stage},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     task::spawn_local,
     time::{Instant, sleep},
 };
 
 use support::{
-    Action, Entry, MODEL, SERVICE, Server, answer, chunk, parts, request, route, run, stream_head,
+    Action, Entry, MODEL, SERVICE, Server, answer, chunk, parts, read_all, request, route, run,
+    stream_head,
 };
 
 /// Pause of a sound server; longer than all bounds after which another server is asked.
@@ -50,12 +52,6 @@
     }
 }
 
-async fn read_all(mut stream: TcpStream) -> String {
-    let mut response = Vec::new();
-    let _ = stream.read_to_end(&mut response).await;
-    String::from_utf8_lossy(&response).into_owned()
-}
-
 async fn wait_for_arrival(server: &Server) {
     while server.arrivals() == 0 {
         sleep(Duration::from_millis(1)).await;
@@ -324,18 +320,30 @@
 
 /// Guards against a stop that cuts an answer which the caller has not read yet.
 #[test]
-fn a_request_counts_as_open_until_its_answer_is_written() {
+fn a_stop_waits_until_an_answer_is_written() {
     run(async {
         let whole = answer("a1", "200 OK", &"a".repeat(16 << 20));
         let server = Server::start(vec![Action::Write(whole)]).await;
         let entry = Entry::start(parts(route(Kind::Once, 1)), &[&server]);
+        let idle = TcpStream::connect(entry.address).await.unwrap();
         let stream = entry.open(&request("a1")).await;
         sleep(Duration::from_millis(500)).await;
 
-        let open_requests = entry.state.count_open_requests();
+        entry.closing.send_replace(true);
+        let while_unread = stage(&entry);
+        let response = read_all(stream).await;
+        let after = stage(&entry);
 
         assert_eq!(entry.state.metrics.outcomes.get("answered").get(), 1);
-        assert_eq!(open_requests, 1);
-        drop(stream);
+        assert_eq!(while_unread, Stage::Finishing);
+        assert!(response.len() > 16 << 20);
+        assert_eq!(after, Stage::Done);
+        drop(idle);
     });
 }
+
+/// Returns the stage of an entry that got its stop signal a minute ago.
+fn stage(entry: &Entry) -> Stage {
+    let open = entry.state.count_open_requests() + entry.used.count();
+    stop::stage(Duration::from_secs(60), open)
+}
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -18,7 +18,7 @@
     server::{Model, Record},
     state::{Options, State},
 };
-use pistachiolug_http::local_server::{self, Limit};
+use pistachiolug_http::local_server::{self, Limit, UsedConnections};
 use pistachiolug_wire::position::Position;
 use rustc_hash::FxHashMap;
 use tokio::{
@@ -173,6 +173,7 @@
     pub state: Rc<State>,
     pub address: SocketAddr,
     pub closing: watch::Sender<bool>,
+    pub used: UsedConnections,
 }
 
 impl Entry {
@@ -194,11 +195,14 @@
         let (closing, closed) = watch::channel(false);
         let serving = Rc::clone(&state);
         let handler = move |request| forward::serve(Rc::clone(&serving), request);
-        spawn_local(local_server::serve(listener, || LIMIT, closed, handler));
+        let used = UsedConnections::default();
+        let serving = local_server::serve(listener, || LIMIT, closed, used.clone(), handler);
+        spawn_local(serving);
         Self {
             state,
             address,
             closing,
+            used,
         }
     }
 
--- a/crates/pistachiolug_http/src/local_server.rs
+++ b/crates/pistachiolug_http/src/local_server.rs
@@ -3,7 +3,10 @@
 //! Unlike those of [`crate::server`], its handlers read request bodies as they arrive and are dropped when the peer
 //! disconnects. Open connections can be closed after their current answer.
 
-use std::{convert::Infallible, error::Error, future::Future, io, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, error::Error, future::Future, io, net::SocketAddr, rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -42,6 +45,42 @@
     pub head_timeout: Duration,
 }
 
+/// Connections that have carried a request and are still open. Once the server is closing, these are the ones whose answer
+/// is not written yet.
+#[derive(Debug, Clone, Default)]
+pub struct UsedConnections(Rc<Cell<usize>>);
+
+impl UsedConnections {
+    /// Returns their number.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// Use of one connection, which ends when it is dropped.
+struct Use {
+    connections: UsedConnections,
+    has_begun: Cell<bool>,
+}
+
+impl Use {
+    fn begin(&self) {
+        if !self.has_begun.replace(true) {
+            let count = &self.connections.0;
+            count.set(count.get() + 1);
+        }
+    }
+}
+
+impl Drop for Use {
+    fn drop(&mut self) {
+        if self.has_begun.get() {
+            let count = &self.connections.0;
+            count.set(count.get() - 1);
+        }
+    }
+}
+
 /// Converts a reply of the handlers of [`crate::server`] into an answer of this server; a streamed body becomes empty.
 pub fn convert_reply(reply: Reply) -> Response<Full<Bytes>> {
     reply.map(|body| match body {
@@ -69,11 +108,12 @@
 ///
 /// # Arguments
 /// `limit` is called for each new connection. `handler` answers one request; its future is dropped when the peer
-/// disconnects.
+/// disconnects. `used` counts the connections.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     limit: impl Fn() -> Limit,
     closing: watch::Receiver<bool>,
+    used: UsedConnections,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
@@ -84,9 +124,17 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, limit(), closing.clone(), handler.clone());
-                spawn_local(connection);
+                let usage = Use {
+                    connections: used.clone(),
+                    has_begun: Cell::default(),
+                };
+                spawn_local(serve_connection(
+                    stream,
+                    limit(),
+                    closing.clone(),
+                    usage,
+                    handler.clone(),
+                ));
             }
             Err(error) => {
                 log::warn!(error:%; "could not accept a connection");
@@ -105,7 +153,8 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let (_open, never) = watch::channel(false);
-    serve(listener, || limit, never, handler).await;
+    let used = UsedConnections::default();
+    serve(listener, || limit, never, used, handler).await;
 }
 
 /// Waits until the server is closing.
@@ -121,6 +170,7 @@
     stream: TcpStream,
     limit: Limit,
     mut closing: watch::Receiver<bool>,
+    usage: Use,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
@@ -132,7 +182,8 @@
         // The peer has disconnected already.
         return;
     }
-    let service = service_fn(move |request| {
+    let service = service_fn(|request| {
+        usage.begin();
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
     });
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use pistachiolug_http::{
     client::Client,
-    local_server::{self, Limit},
+    local_server::{self, Limit, UsedConnections},
 };
 use pistachiolug_kernel::timer::Timer;
 use pistachiolug_loader::{
@@ -381,7 +381,8 @@
             peer_server::serve_piece(state, engine, path).await
         }
     };
-    local_server::serve(listener, || LIMIT, never, handler).await;
+    let used = UsedConnections::default();
+    local_server::serve(listener, || LIMIT, never, used, handler).await;
 }
 
 fn run(test: impl Future<Output = ()>) {
