--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -9,7 +9,7 @@
 use crate::{
     acquire,
     call::Call,
-    contest::{Arrival, Begun, Contest, Run, Stage, log_asked_beside},
+    hedge::{Arrival, Begun, Hedge, Run, Stage, log_asked_beside},
     metrics::CALLER_LEFT,
     permit::Permit,
     reply::Reason,
@@ -35,7 +35,7 @@
     state: Rc<State>,
     call: Rc<Call>,
     /// Servers that have the request.
-    contest: Contest<F, A>,
+    hedge: Hedge<F, A>,
     silence: Silence,
     /// Ids of the servers that were sent the request.
     tried: Vec<Arc<str>>,
@@ -57,13 +57,13 @@
     /// Creates the attempts of a request that no server has yet.
     ///
     /// # Arguments
-    /// `advance` is [`crate::contest::advance`] for the request.
+    /// `advance` is [`crate::hedge::advance`] for the request.
     pub fn new(state: Rc<State>, call: Rc<Call>, advance: A) -> Self {
         Self {
             silence: begin_silence(&call),
             state,
             call,
-            contest: Contest::new(advance),
+            hedge: Hedge::new(advance),
             tried: Vec::new(),
             unsent: 0,
             may_have_run: false,
@@ -81,16 +81,16 @@
 
     /// Ends the attempts with an answer or a refusal; returns the ids of the servers that were sent the request.
     pub fn end(mut self) -> Vec<Arc<str>> {
-        self.contest.withdraw(&self.call);
+        self.hedge.withdraw(&self.call);
         self.is_ended = true;
         std::mem::take(&mut self.tried)
     }
 
     /// Waits further for the events of a stream whose head has arrived.
-    pub fn resume(&mut self, permit: Rc<Permit>, stream: Begun) {
+    pub fn wait_for_events(&mut self, permit: Rc<Permit>, stream: Begun) {
         self.has_head = true;
         self.silence = stream.source.silence;
-        self.contest.add(Run {
+        self.hedge.add(Run {
             permit,
             started_at: self.call.arrived,
             stage: Stage::Stream(stream),
@@ -98,14 +98,14 @@
     }
 
     /// Reads the body of an answer whose head has arrived. Other servers keep the request until it is whole.
-    pub fn read(
+    pub fn read_body(
         &mut self,
         permit: Rc<Permit>,
         response: Response<Incoming>,
         connection: Connection,
     ) {
         self.reading += 1;
-        self.contest.add(Run {
+        self.hedge.add(Run {
             permit,
             started_at: self.call.arrived,
             stage: Stage::Answer(response, connection),
@@ -118,14 +118,14 @@
     /// Returns the reason if no server can be sent the request and none has it.
     pub async fn next(&mut self) -> Result<(Rc<Permit>, Arrival), Reason> {
         loop {
-            if self.contest.permits().is_empty() {
+            if self.hedge.permits().is_empty() {
                 let permit = self.acquire_permit().await?;
                 self.start(permit);
             }
             let may_ask = self.reading == 0 && self.may_repeat();
             let next = match self.silence.ask_at().filter(|_| may_ask) {
-                Some(ask_at) => timeout_at(ask_at, self.contest.next()).await,
-                None => Ok(self.contest.next().await),
+                Some(ask_at) => timeout_at(ask_at, self.hedge.next()).await,
+                None => Ok(self.hedge.next().await),
             };
             let next = match next {
                 Ok(next) => next,
@@ -146,7 +146,7 @@
             return arrival;
         };
         let progress = stream.source.progress(step).unwrap_or(Progress::Failed);
-        let is_alone = self.contest.permits().is_empty();
+        let is_alone = self.hedge.permits().is_empty();
         if is_alone || silence::choose(Side::Other, progress) == Side::Other {
             return arrival;
         }
@@ -165,12 +165,12 @@
         let acquiring = acquire_permit(&self.state, &self.call, &self.tried, self.has_head);
         let permit = tokio::select! {
             biased;
-            next = self.contest.next() => return next,
+            next = self.hedge.next() => return next,
             permit = acquiring => permit,
         };
         if let Ok(permit) = permit {
             self.state.metrics.retries.get("silent").inc();
-            for silent in self.contest.permits() {
+            for silent in self.hedge.permits() {
                 silent.record_failure();
                 log_asked_beside(&self.call, silent, &permit, 0);
             }
@@ -185,7 +185,7 @@
         self.tried.push(Arc::clone(&permit.choice.record.id));
         self.silence = begin_silence(&self.call);
         self.unused_retries = 0;
-        self.contest.add(Run {
+        self.hedge.add(Run {
             permit: Rc::new(permit),
             started_at: if is_first { self.call.arrived } else { now },
             stage: Stage::Send,
@@ -230,7 +230,7 @@
     /// or by a retry, which is taken from the budget.
     pub fn try_repeat(&mut self, permit: &Permit, cause: &'static str, detail: &str) -> bool {
         self.may_have_run = true;
-        let is_pending = !self.contest.permits().is_empty();
+        let is_pending = !self.hedge.permits().is_empty();
         let may_retry = !is_pending && self.may_repeat() && self.take_retry();
         if cause != "failed" || is_pending || may_retry {
             log_failed_attempt(&self.call, permit, cause, detail);
@@ -272,7 +272,7 @@
         self.unsent += 1;
         log_failed_attempt(&self.call, permit, "unsent", reason);
         self.state.metrics.retries.get("unsent").inc();
-        let is_last = self.contest.permits().is_empty() && self.unsent >= MAX_UNSENT;
+        let is_last = self.hedge.permits().is_empty() && self.unsent >= MAX_UNSENT;
         is_last.then_some(Reason::Unavailable)
     }
 
@@ -283,7 +283,7 @@
             permit.record_full();
         }
         log_failed_attempt(&self.call, permit, "not-run", status.as_str());
-        if !self.contest.permits().is_empty() {
+        if !self.hedge.permits().is_empty() {
             return None;
         }
         let may_retry = (self.tried.len() as u32) < self.call.authorized.route.attempts
@@ -296,7 +296,7 @@
 
     fn log_silent(&self, taken: Result<(), Denial>) {
         let call = &self.call;
-        for permit in self.contest.permits() {
+        for permit in self.hedge.permits() {
             log::info!(
                     call = call.id.as_str(),
                     content:% = call.content.short(),
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -14,8 +14,8 @@
     admission,
     attempts::{Attempts, lost_or_late},
     call::Call,
-    contest::{self, Arrival, Begun},
     headers,
+    hedge::{self, Arrival, Begun},
     metrics::ANSWERED,
     permit::Permit,
     receive, relay,
@@ -57,7 +57,7 @@
     call: Rc<Call>,
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
     let mut attempts = Attempts::new(Rc::clone(&state), Rc::clone(&call), |run| {
-        contest::advance(Rc::clone(&state), Rc::clone(&call), run)
+        hedge::advance(Rc::clone(&state), Rc::clone(&call), run)
     });
     let reason = loop {
         let (permit, arrival) = match attempts.next().await {
@@ -83,7 +83,7 @@
             },
             Arrival::Head(stream) => {
                 record_head(&state, &call, &permit, true);
-                attempts.resume(permit, stream);
+                attempts.wait_for_events(permit, stream);
                 continue;
             }
             Arrival::Stream(stream, first) => {
@@ -104,7 +104,7 @@
                 continue;
             }
         }
-        attempts.read(permit, response, connection);
+        attempts.read_body(permit, response, connection);
     };
     let may_have_run = attempts.may_have_run();
     refuse(&state, &call, reason, may_have_run, attempts.end().len())
--- a/crates/pistachiolug_gateway/src/contest.rs
+++ b/crates/pistachiolug_gateway/src/hedge.rs
@@ -1,4 +1,5 @@
-//! Servers that have one request at the same time; the first answer is used and the other servers are withdrawn.
+//! Hedged requests: several servers have one request at the same time, because the former one is silent. The first whole
+//! answer, or the first stream to begin, is used, and the request is withdrawn from the other servers.
 
 use std::rc::Rc;
 
@@ -19,11 +20,13 @@
     upstream::Connection,
 };
 
-/// Servers of one request, each with its run.
+/// Servers that have one request, each with its run.
 #[derive(Debug)]
-pub struct Contest<F, A> {
+pub struct Hedge<F, A> {
     runs: FuturesUnordered<F>,
+    /// Slots at the servers of `runs`, in any order.
     permits: Vec<Rc<Permit>>,
+    /// Starts the next stage of a run.
     advance: A,
 }
 
@@ -75,8 +78,8 @@
     Failure(Outcome),
 }
 
-impl<F: Future<Output = (Rc<Permit>, Arrival)>, A: Fn(Run) -> F> Contest<F, A> {
-    /// Creates a contest without servers; `advance` is [`advance`] for the request.
+impl<F: Future<Output = (Rc<Permit>, Arrival)>, A: Fn(Run) -> F> Hedge<F, A> {
+    /// Creates a hedge without servers; `advance` is [`advance`] for the request.
     pub fn new(advance: A) -> Self {
         Self {
             runs: FuturesUnordered::new(),
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -11,7 +11,7 @@
     acquire,
     attempts::MAX_UNSENT,
     call::Call,
-    contest::{log_asked_beside, withdraw},
+    hedge::{log_asked_beside, withdraw},
     permit::Permit,
     send::{self, Outcome},
     silence::{self, Denial, Progress, Side},
@@ -34,7 +34,7 @@
     /// to be read, or if there is none any more.
     ///
     /// # Arguments
-    /// `server` is the one whose `step` is the reason.
+    /// `server` is the one that is silent or has broken off, as its `step` says.
     pub(super) async fn ask(&mut self, server: Arc<str>, step: Step) -> Option<Step> {
         if let Some(source) = &mut self.source {
             source.silence.record_ask(Instant::now());
