--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -30,12 +30,14 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::{Notify, oneshot},
+    sync::{Notify, mpsc, oneshot},
     task::{JoinSet, spawn_local, yield_now},
     time::{sleep, timeout},
 };
 
-use super::{answer, chunk, options, parts, read_request, record, request, route, stream_head};
+use super::{
+    MODEL, answer, chunk, options, parts, read_request, record, request, route, stream_head,
+};
 
 /// Body of a request that crashes each server that runs it.
 pub const CRASHING_BODY: &str = "crash";
@@ -86,6 +88,7 @@
 const ENTRY_PREFIX: &str = "entries/";
 const SUSPECT_PREFIX: &str = "suspects/";
 const CULPRIT_PREFIX: &str = "culprits/";
+const TARGET_KEY: &str = "target";
 
 /// Returns the API key that is valid in one version of the configuration only; `key-1` is valid in all.
 fn version_key(version: u64) -> String {
@@ -126,6 +129,10 @@
                 keys[0].1.push(version_key(parts.version));
                 Row::Config(parts)
             }
+            Subject::Other if key == TARGET_KEY => Row::Version {
+                model: MODEL.to_owned(),
+                version: text.parse().unwrap(),
+            },
             Subject::Culprit(_) | Subject::Other => Row::Other,
         }
     }
@@ -171,19 +178,21 @@
     front: SocketAddr,
     ready: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
+    freezes: mpsc::UnboundedSender<Duration>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
 impl Process {
-    fn start(name: &str, addresses: Addresses, store: Memory, format: Format) -> Self {
-        let options = Options {
-            name: name.to_owned(),
-            internal: addresses.internal,
-            ..options()
-        };
+    fn start(options: Options, addresses: Addresses, store: Memory, format: Format) -> Self {
         let (stop, stopped) = oneshot::channel();
+        let (freezes, mut frozen) = mpsc::unbounded_channel();
         let thread = thread::spawn(move || {
             super::run(async move {
+                spawn_local(async move {
+                    while let Some(duration) = frozen.recv().await {
+                        thread::sleep(duration);
+                    }
+                });
                 let entry = process::run(options, addresses, store, format, Duration::ZERO);
                 tokio::select! {
                     result = entry => eprintln!("entry ended: {result:?}"),
@@ -195,6 +204,7 @@
             front: addresses.front,
             ready: addresses.ready,
             stop: Some(stop),
+            freezes,
             thread: Some(thread),
         }
     }
@@ -211,6 +221,8 @@
 pub struct Deployment {
     store: Memory,
     format: Format,
+    /// Settings of all entries but for names and addresses.
+    options: Options,
     network: Ipv4Addr,
     entries: Vec<Process>,
     /// State of the store before the entries started.
@@ -236,6 +248,17 @@
 impl Deployment {
     /// Starts entries and servers of one service, and waits until the entries are ready; needs a local task set.
     pub async fn start(kind: Kind, attempts: u32, entries: u8, servers: u8) -> Self {
+        Self::start_with(options(), kind, attempts, entries, servers).await
+    }
+
+    /// Does the same with the given settings of the entries.
+    pub async fn start_with(
+        options: Options,
+        kind: Kind,
+        attempts: u32,
+        entries: u8,
+        servers: u8,
+    ) -> Self {
         let mut random = rand::rng();
         let network = Ipv4Addr::new(
             127,
@@ -246,6 +269,7 @@
         let mut deployment = Self {
             store: Memory::new(1),
             format: Format { kind, attempts },
+            options,
             network,
             entries: Vec::new(),
             first_copy: kv::state::State::default(),
@@ -281,6 +305,16 @@
         self.store.put(CONFIG_KEY, version.to_string().as_bytes())
     }
 
+    /// Sets the target version of the model; all servers keep the first version.
+    pub fn set_target(&self, version: u64) {
+        self.store.put(TARGET_KEY, version.to_string().as_bytes());
+    }
+
+    /// Stops all work of an entry for a time; what arrives meanwhile waits in its sockets.
+    pub fn freeze_entry(&self, entry: usize, duration: Duration) {
+        self.entries[entry].freezes.send(duration).unwrap();
+    }
+
     /// Writes rows that entries don't use until the store has a revision.
     pub fn advance_store(&self, revision: u64) {
         while self.store.put("unused", b"") < revision {}
@@ -382,8 +416,12 @@
                 ready,
                 internal,
             };
-            let name = format!("entry-{index}");
-            let process = Process::start(&name, addresses, self.store.clone(), self.format);
+            let options = Options {
+                name: format!("entry-{index}"),
+                internal: addresses.internal,
+                ..self.options.clone()
+            };
+            let process = Process::start(options, addresses, self.store.clone(), self.format);
             self.entries.push(process);
         }
         for entry in &self.entries {
