Log the version of the weights that a chosen server is believed to hold

A request that began on an outdated version may have been sent by an entry that did not know the newer one, or to a server of which the entry believed the wrong version. The line "request assigned to server" now has both, the oldest version allowed and the one believed to be there, so that the two can be told apart.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -148,6 +148,8 @@
 
 fn log_placed(call: &Call, permit: &Permit, requirements: &Requirements, ahead: usize) {
     let choice = &permit.choice;
+    let model = call.model.as_deref();
+    let held_version = model.and_then(|model| choice.record.version(model));
     log::info!(
         call = call.id.as_str(),
         content:% = call.content.short(),
@@ -159,6 +161,7 @@
         expected_ms = choice.expected_wait_ms as u64,
         calls = choice.calls,
         ahead,
+        held_version:?,
         oldest_version:? = requirements.min_version,
         age_ms = call.age_ms();
         "request assigned to server"
