--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use http::Request;
 use pistachiolug_http::client::Client;
-use pistachiolug_kernel::timer::Ticks;
+use pistachiolug_kernel::{
+    inbox::{self, Inbox},
+    timer::Ticks,
+};
 use pistachiolug_replica::{follow::Observer, snapshot};
 use pistachiolug_wire::{
     datagram::{self, Crash, Datagram},
@@ -28,6 +31,9 @@
 /// Rounds between two that send all refused suspects; about a second. These rounds also reach the other regions.
 const ROUNDS_PER_REFRESH: u32 = 32;
 
+/// Largest number of target versions in one datagram, so that it fits into one packet.
+const MAX_TARGETS_PER_DATAGRAM: usize = 12;
+
 /// Largest number of suspects in one datagram, so that it fits into one packet.
 const MAX_SUSPECTS_PER_DATAGRAM: usize = 12;
 
@@ -82,6 +88,7 @@
             }),
             Err(error) => log::warn!(error:%; "encoding a beacon failed"),
         }
+        send_targets(&state, &socket, round, &peers);
         send_suspects(&state, &socket, round, &peers);
         send_parts(&state, &socket, round, &peers);
         let peer = state.newer_peer();
@@ -99,6 +106,24 @@
     }
 }
 
+/// Sends the target versions that this entry has learned of lately, and now and then all that are not due.
+fn send_targets(state: &State, socket: &UdpSocket, round: u32, peers: &[SocketAddr]) {
+    let targets = if round.is_multiple_of(ROUNDS_PER_REFRESH) {
+        state.pending_targets()
+    } else {
+        state.target_updates(ANNOUNCE_TIME)
+    };
+    for targets in targets.chunks(MAX_TARGETS_PER_DATAGRAM) {
+        match datagram::encode(&Datagram::Targets(targets.to_vec())) {
+            // A lost datagram is replaced by the next ones.
+            Ok(message) => peers.iter().for_each(|peer| {
+                let _ = socket.try_send_to(&message, *peer);
+            }),
+            Err(error) => log::warn!(error:%; "encoding target versions failed"),
+        }
+    }
+}
+
 /// Sends what this entry has found out about suspects lately, and now and then all that are refused.
 fn send_suspects(state: &State, socket: &UdpSocket, round: u32, peers: &[SocketAddr]) {
     let mut suspects = state.suspect_updates(ANNOUNCE_TIME);
@@ -173,14 +198,24 @@
 }
 
 /// Receives the datagrams of entries and agents.
-pub async fn receive_datagrams(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+pub async fn receive_datagrams<D: Decoder>(
+    state: Rc<State>,
+    updater: Updater<D>,
+    socket: Rc<UdpSocket>,
+) {
+    let mut inbox = Inbox::new(socket, state.clock(), MAX_DATAGRAM_BYTES);
     loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match datagram::decode(&buffer[..length]) {
-                Ok(Datagram::Beacon(beacon)) => {
-                    let now = state.now();
-                    state.with_peers(|peers| peers.record_beacon(beacon, now));
+        match inbox.receive().await {
+            Ok(inbox::Datagram {
+                bytes,
+                from,
+                arrived_after,
+            }) => match datagram::decode(bytes) {
+                Ok(Datagram::Beacon(beacon)) => state.record_beacon(beacon, arrived_after),
+                Ok(Datagram::Targets(targets)) => {
+                    for target in targets {
+                        updater.merge_target(target, arrived_after);
+                    }
                 }
                 Ok(Datagram::Notice(notice)) => state.apply_notice(&notice),
                 Ok(Datagram::Suspects(suspects)) => {
@@ -206,15 +241,19 @@
     };
     let rows = match client.fetch(request, MAX_ROWS_BYTES, ROWS_TIMEOUT).await {
         Ok(response) => updater
-            .with_rows(|rows| snapshot::apply(response.body(), rows))
-            .map_err(|error| error.to_string()),
+            .with_rows(|rows| {
+                let made_after = rows.complete_at();
+                let changes = snapshot::apply(response.body(), rows)?;
+                Ok((changes, made_after))
+            })
+            .map_err(|error: snapshot::Error| error.to_string()),
         Err(error) => Err(error.to_string()),
     };
     match rows {
-        Ok(changes) => {
+        Ok((changes, made_after)) => {
             let position = updater.with_rows(|rows| rows.position());
             log::info!(peer:%, after = revision, era = position.era, revision = position.revision, changes = changes.len(); "rows read from another entry");
-            updater.on_changes(changes);
+            updater.on_changes(changes, made_after);
         }
         Err(error) => log::warn!(peer:%, error = error.as_str(); "reading rows of a peer failed"),
     }
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -103,6 +103,7 @@
     ));
     spawn_local(gossip::receive_datagrams(
         Rc::clone(&state),
+        updater.clone(),
         Rc::clone(&socket),
     ));
     spawn_local(gossip::send_beacons(
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -13,7 +13,7 @@
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::{attribution::Attribution, retry::WindowBudget, suspect::Suspects};
 use pistachiolug_wire::{
-    datagram::{Beacon, Notice},
+    datagram::{self, Beacon, Notice},
     digest::Digest,
     weights,
 };
@@ -39,7 +39,7 @@
     rate::{self, Rate},
     reachability::Reachability,
     server::Version,
-    versions::Versions,
+    versions::{self, Update, Versions},
 };
 
 /// Share of the retry budget that is used; the rest covers retries that entries learn of late from each other.
@@ -180,6 +180,11 @@
         self.clock.now()
     }
 
+    /// Returns the process's clock.
+    pub fn clock(&self) -> System {
+        self.clock
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub fn open_request(self: &Rc<Self>) -> OpenRequest {
         self.open_count.set(self.open_count.get() + 1);
@@ -226,18 +231,72 @@
         action(&mut self.pool.borrow_mut())
     }
 
-    /// Sets the version that a model's servers should hold; returns `false` unless it is newer than all known ones.
+    /// Sets the version that a model's servers should hold.
     ///
     /// # Arguments
-    /// `is_new` tells that the row was seen when it was written, not read at the process's start.
-    pub fn set_target_version(&self, model: &str, version: Version, is_new: bool) -> bool {
+    /// `set_after` is a time after which it was set; `None` if it may have been set at any time.
+    pub fn set_target_version(
+        &self,
+        model: &str,
+        version: Version,
+        set_after: Option<Duration>,
+    ) -> Update {
         let now = self.now();
         let mut versions = self.versions.borrow_mut();
-        let is_newer = versions.record_target(model, version, is_new, now);
-        if is_newer {
+        let update = versions.record_target(model, version, set_after, now);
+        self.wake_for_target(update);
+        update
+    }
+
+    /// Merges what another entry has sent of a target version. The datagram arrived after `arrived_after`.
+    pub fn merge_target(&self, target: &datagram::Target, arrived_after: Duration) -> Update {
+        let max_age = target
+            .max_age_ms
+            .map(|age_ms| Duration::from_millis(age_ms.into()));
+        // One that may be older than this process may have been set at any time.
+        let set_after = max_age.and_then(|max_age| arrived_after.checked_sub(max_age));
+        let (now, model) = (self.now(), &target.model);
+        let mut versions = self.versions.borrow_mut();
+        let update = versions.merge_target(model, target.version, set_after, now);
+        self.wake_for_target(update);
+        update
+    }
+
+    fn wake_for_target(&self, update: Update) {
+        if update != Update::Unchanged {
             self.target_set.notify_waiters();
         }
-        is_newer
+    }
+
+    /// Returns the bound of a target version's age in milliseconds; `None` if it may have been set at any time.
+    pub fn target_age_ms(&self, model: &str, version: Version) -> Option<u32> {
+        let versions = self.versions.borrow();
+        versions.max_age_ms(model, version, self.now())
+    }
+
+    /// Returns what to tell other entries of target versions that have changed within a time.
+    pub fn target_updates(&self, within: Duration) -> Vec<datagram::Target> {
+        let now = self.now();
+        let versions = self.versions.borrow();
+        versions.changed_since(now.saturating_sub(within), now)
+    }
+
+    /// Returns what to tell other entries of target versions that are not due.
+    pub fn pending_targets(&self) -> Vec<datagram::Target> {
+        self.versions.borrow().pending(self.now())
+    }
+
+    /// Records another entry's beacon, which arrived after `arrived_after`. If that entry has the same rows, they are as
+    /// complete as it knows.
+    pub fn record_beacon(&self, beacon: Beacon, arrived_after: Duration) {
+        if let Some(age_ms) = beacon.rows_age_ms {
+            let complete_at = arrived_after.checked_sub(Duration::from_millis(age_ms.into()));
+            if let Some(complete_at) = complete_at {
+                self.with_rows(|rows| rows.confirm(beacon.position, complete_at));
+            }
+        }
+        let now = self.now();
+        self.with_peers(|peers| peers.record_beacon(beacon, now));
     }
 
     /// Waits until a target version is set after this call.
@@ -487,12 +546,15 @@
     /// Returns the beacon of a round and the addresses to send it to.
     pub fn build_beacon(&self, round: u32) -> (Beacon, Vec<SocketAddr>) {
         let peers = self.peers.borrow();
+        let rows = self.rows.borrow();
+        let rows_age = rows.complete_at().map(|at| self.now().saturating_sub(at));
         let beacon = Beacon {
             name: self.options.name.clone(),
             address: self.options.internal,
             region: peers.region().to_owned(),
             in_touch: self.reachability.borrow().is_reachable(),
-            position: self.rows.borrow().position(),
+            position: rows.position(),
+            rows_age_ms: rows_age.map(versions::millis),
             work: self.pool.borrow().own_work(),
         };
         (beacon, peers.beacon_targets(round).collect())
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -1,6 +1,6 @@
 //! Updates an entry's state from the rows of the key-value service.
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use pistachiolug_platform::kv;
 use pistachiolug_replica::{
@@ -18,6 +18,7 @@
     decoder::{Decoder, Row, Subject},
     server::Record,
     state::State,
+    versions::Update,
 };
 
 /// Updater of an entry's state from changed rows.
@@ -34,8 +35,8 @@
 struct Source {
     /// Era of the rows.
     era: u64,
-    /// Whether these are the first rows that the process reads.
-    is_first_read: bool,
+    /// Time after which the changes were made; `None` if they may have been made at any time.
+    made_after: Option<Duration>,
     /// Whether these are all rows of a service that has come back from an earlier copy.
     is_restored: bool,
 }
@@ -58,10 +59,9 @@
                 self.put_server(record, position, source.is_restored);
             }
             Row::Version { model, version } => {
-                if self
-                    .state
-                    .set_target_version(&model, version, !source.is_first_read)
-                {
+                let state = &self.state;
+                let update = state.set_target_version(&model, version, source.made_after);
+                if update != Update::Unchanged {
                     self.notify_agents(model, version);
                 }
             }
@@ -81,10 +81,25 @@
         }
     }
 
-    /// Notifies the agents of a new target version, because their own watch may have missed it.
+    /// Merges what another entry has sent of a target version, and notifies the agents if they may not know it. The
+    /// datagram arrived after `arrived_after`.
+    pub fn merge_target(&self, target: datagram::Target, arrived_after: Duration) {
+        let update = self.state.merge_target(&target, arrived_after);
+        if update != Update::Unchanged {
+            self.notify_agents(target.model, target.version);
+        }
+    }
+
+    /// Notifies the agents of a target version, because their own watch may have missed it or told them late.
     fn notify_agents(&self, model: String, version: u64) {
         let agents = self.state.agent_addresses(&model);
-        match datagram::encode(&AgentDatagram::Named { model, version }) {
+        let max_age_ms = self.state.target_age_ms(&model, version);
+        let named = AgentDatagram::Named {
+            model,
+            version,
+            max_age_ms,
+        };
+        match datagram::encode(&named) {
             // A lost datagram does no harm: each entry sends one, and agents also watch the service.
             Ok(message) => agents.iter().for_each(|agent| {
                 let _ = self.socket.try_send_to(&message, *agent);
@@ -180,12 +195,12 @@
         self.state.with_rows(act)
     }
 
-    fn on_changes(&self, changes: Vec<Change>) {
+    fn on_changes(&self, changes: Vec<Change>, made_after: Option<Duration>) {
         self.state.record_rows(self.have_own_row(&changes));
         let era = self.state.with_rows(|rows| rows.position().era);
         let source = Source {
             era,
-            is_first_read: self.state.config().is_none(),
+            made_after,
             is_restored: self.state.record_era(era),
         };
         let mut removed = Vec::new();
@@ -206,6 +221,10 @@
         self.state.refresh();
     }
 
+    fn now(&self) -> Duration {
+        self.state.now()
+    }
+
     fn is_active(&self) -> bool {
         self.state.is_active()
     }
--- a/crates/pistachiolug_gateway/src/versions.rs
+++ b/crates/pistachiolug_gateway/src/versions.rs
@@ -1,35 +1,58 @@
 //! Target versions of each model, and which versions may begin a request.
+//!
+//! The time allowed for a target counts from the moment at which it was set, which no entry knows. An entry knows a time
+//! before which the target was not set: that of the last answer without it. Entries tell each other, and the latest of
+//! these times counts.
 
 use std::time::Duration;
 
+use pistachiolug_wire::datagram;
 use rustc_hash::FxHashMap;
 
 use crate::server::Version;
 
-/// Time before a target is due from which older versions are already excluded, because a request may wait at its server
-/// and the target may have been learned late.
+/// Time before a target is due from which older versions are already excluded, because a request may wait at its server.
 const ENFORCE_MARGIN: Duration = Duration::from_millis(800);
 
 /// Time before a target version is due at which requests are withdrawn from a server that holds an older version and
 /// has not begun them.
 const WITHDRAW_MARGIN: Duration = Duration::from_millis(250);
 
+/// Smallest correction of the time of a target that is worth telling others.
+const MIN_CORRECTION: Duration = Duration::from_millis(100);
+
+/// Largest number of targets of a model that are kept; older ones are excluded by the oldest of these.
+const MAX_TARGETS: usize = 32;
+
 /// Target versions by model; times are those of the process's clock.
 #[derive(Debug)]
 pub struct Versions {
     /// Time between the setting of a target and the moment from which no older version may begin a request.
     grace: Duration,
-    /// Time after the process's start from which targets that were set before it are enforced.
+    /// Time after the process's start from which targets are enforced that may have been set at any time.
     startup_grace: Duration,
-    /// Targets by model in ascending order, without those that are superseded by a newer one that is due as well.
+    /// Targets by model in ascending order, at most [`MAX_TARGETS`] each.
     targets: FxHashMap<String, Vec<Target>>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Target {
     version: Version,
-    /// When no older version may begin a request any more.
-    due: Duration,
+    /// Time after which the target was set; `None` if it may have been set at any time. Only grows.
+    set_after: Option<Duration>,
+    /// When the target was learned of, or `set_after` was last corrected.
+    changed_at: Duration,
+}
+
+/// What a record of a target has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Update {
+    /// The target is newer than all known ones.
+    New,
+    /// A target was set later than known, or is earlier than the newest one and was not known.
+    Corrected,
+    /// Nothing that matters to others.
+    Unchanged,
 }
 
 impl Versions {
@@ -42,34 +65,79 @@
         }
     }
 
-    /// Records the version that a model's servers should hold; returns `false` unless it is newer than all known ones.
+    /// Records the version that a model's servers should hold; a version older than the newest known one is ignored.
     ///
     /// # Arguments
-    /// `is_new` tells that the row was seen when it was written. Otherwise the target may have been set long before the
-    /// process's start.
+    /// `set_after` is a time after which the target was set; `None` if it may have been set at any time.
     pub fn record_target(
         &mut self,
         model: &str,
         version: Version,
-        is_new: bool,
+        set_after: Option<Duration>,
         now: Duration,
-    ) -> bool {
-        let due = if is_new {
-            now + self.grace
-        } else {
-            self.startup_grace
-        };
+    ) -> Update {
         let targets = self.targets.entry(model.to_owned()).or_default();
         let previous = targets.last().map_or(0, |target| target.version);
         if version <= previous {
-            return false;
+            return Update::Unchanged;
+        }
+        if targets.len() >= MAX_TARGETS {
+            targets.remove(0);
         }
-        log::info!(model, version, before = previous; "target version set");
-        // Of the targets that are due, only the newest is needed: it excludes all versions that the others exclude.
-        let bound = targets.iter().rposition(|target| target.is_due(now));
-        targets.drain(..bound.unwrap_or_default());
-        targets.push(Target { version, due });
-        true
+        targets.push(Target {
+            version,
+            set_after,
+            changed_at: now,
+        });
+        let max_age_ms = set_after.map(|set_after| millis(now.saturating_sub(set_after)));
+        log::info!(model, version, before = previous, max_age_ms:?; "target version set");
+        Update::New
+    }
+
+    /// Records what another entry knows of a target.
+    ///
+    /// A newest target that may have been set at any time is ignored: the rows date it better.
+    ///
+    /// # Arguments
+    /// `set_after` is a time after which the target was set; `None` if it may have been set at any time.
+    pub fn merge_target(
+        &mut self,
+        model: &str,
+        version: Version,
+        set_after: Option<Duration>,
+        now: Duration,
+    ) -> Update {
+        let targets = self.targets.entry(model.to_owned()).or_default();
+        let index = match targets.binary_search_by_key(&version, |target| target.version) {
+            Ok(index) => index,
+            Err(index) if index == targets.len() => {
+                return match set_after {
+                    Some(_) => self.record_target(model, version, set_after, now),
+                    None => Update::Unchanged,
+                };
+            }
+            Err(index) => {
+                let target = Target {
+                    version,
+                    set_after,
+                    changed_at: now,
+                };
+                targets.insert(index, target);
+                log::info!(model, version; "earlier target version learned");
+                return Update::Corrected;
+            }
+        };
+        let target = &mut targets[index];
+        let previous = target.set_after;
+        target.set_after = previous.max(set_after);
+        let is_told = previous.map(|previous| previous + MIN_CORRECTION);
+        if set_after <= is_told {
+            return Update::Unchanged;
+        }
+        target.changed_at = now;
+        let max_age_ms = target.max_age_ms(now);
+        log::info!(model, version, max_age_ms:?; "target version was set later than known");
+        Update::Corrected
     }
 
     /// Returns the newest target of a model; `None` if none was set.
@@ -77,10 +145,48 @@
         self.targets.get(model)?.last().map(|target| target.version)
     }
 
+    /// Returns the bound of a target's age; `None` if the target is not known or may have been set at any time.
+    pub fn max_age_ms(&self, model: &str, version: Version, now: Duration) -> Option<u32> {
+        let mut targets = self.targets.get(model)?.iter();
+        let target = targets.find(|target| target.version == version)?;
+        target.max_age_ms(now)
+    }
+
+    /// Returns what to tell others of the models that have a target which has changed since a time.
+    pub fn changed_since(&self, time: Duration, now: Duration) -> Vec<datagram::Target> {
+        self.describe(now, |target| target.changed_at >= time)
+    }
+
+    /// Returns what to tell others of the models that have a target which is not due.
+    pub fn pending(&self, now: Duration) -> Vec<datagram::Target> {
+        self.describe(now, |target| now < self.due(target))
+    }
+
+    /// Describes the targets of models of which one is wanted, but for those that a newer due target makes needless.
+    fn describe(
+        &self,
+        now: Duration,
+        is_wanted: impl Fn(&Target) -> bool,
+    ) -> Vec<datagram::Target> {
+        let models = self.targets.iter();
+        let models = models.filter(|(_, targets)| targets.iter().any(&is_wanted));
+        let described = models.flat_map(|(model, targets)| {
+            let due = targets.iter().rposition(|target| now >= self.due(target));
+            let needed = &targets[due.unwrap_or_default()..];
+            needed.iter().map(move |target| datagram::Target {
+                model: model.clone(),
+                version: target.version,
+                max_age_ms: target.max_age_ms(now),
+            })
+        });
+        described.collect()
+    }
+
     /// Returns the oldest version of a model that may begin a request now; `None` if any may.
     pub fn minimum(&self, model: &str, now: Duration) -> Option<Version> {
         let targets = self.targets.get(model)?.iter().rev();
-        let mut due = targets.filter(|target| target.is_due(now));
+        let mut due =
+            targets.filter(|target| now >= self.due(target).saturating_sub(ENFORCE_MARGIN));
         due.next().map(|target| target.version)
     }
 
@@ -89,13 +195,30 @@
     pub fn time_to_begin(&self, model: &str, held: Version, now: Duration) -> Option<Duration> {
         let targets = self.targets.get(model)?.iter();
         let newer = targets.filter(|target| target.version > held);
-        let due = newer.map(|target| target.due).min()?;
+        let due = newer.map(|target| self.due(target)).min()?;
         Some(due.saturating_sub(now + WITHDRAW_MARGIN))
     }
+
+    /// Returns when no older version may begin a request any more.
+    fn due(&self, target: &Target) -> Duration {
+        target
+            .set_after
+            .map_or(self.startup_grace, |set_after| set_after + self.grace)
+    }
 }
 
 impl Target {
-    fn is_due(self, now: Duration) -> bool {
-        now >= self.due.saturating_sub(ENFORCE_MARGIN)
+    fn max_age_ms(&self, now: Duration) -> Option<u32> {
+        let age = now.saturating_sub(self.set_after?);
+        Some(millis(age))
     }
 }
+
+/// Returns whole milliseconds, rounded up so that an age is not understated.
+pub(crate) fn millis(duration: Duration) -> u32 {
+    duration
+        .as_millis()
+        .saturating_add(1)
+        .try_into()
+        .unwrap_or(u32::MAX)
+}
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -53,7 +53,7 @@
     let waiting = state(options());
     let due = state(without_grace());
     for state in [&waiting, &due] {
-        state.set_target_version("m", 2, true);
+        state.set_target_version("m", 2, Some(state.now()));
     }
 
     assert_eq!(waiting.min_version("m"), None);
@@ -70,9 +70,9 @@
         startup_grace: Duration::ZERO,
         ..options()
     });
-    state.set_target_version("m", 2, false);
-    state.set_target_version("m", 3, true);
-    state.set_target_version("m", 2, true);
+    state.set_target_version("m", 2, None);
+    state.set_target_version("m", 3, Some(state.now()));
+    state.set_target_version("m", 2, Some(state.now()));
 
     assert_eq!(state.min_version("m"), Some(2));
     assert_eq!(state.target_version("m"), Some(3));
@@ -137,6 +137,7 @@
         region: "inland".to_owned(),
         in_touch: true,
         position: Position::without_era(1),
+        rows_age_ms: None,
         work: Vec::<(u32, Work)>::new(),
     };
     for name in ["entry-2", "entry-3", "entry-4"] {
@@ -162,6 +163,7 @@
         region: "inland".to_owned(),
         in_touch: true,
         position: Position::without_era(revision),
+        rows_age_ms: None,
         work: Vec::new(),
     };
 
@@ -196,6 +198,7 @@
                     region: "inland".to_owned(),
                     in_touch,
                     position: Position::without_era(1),
+                    rows_age_ms: None,
                     work: Vec::new(),
                 },
             );
@@ -214,8 +217,8 @@
 #[test]
 fn a_request_may_begin_on_an_old_version_only_until_the_new_one_is_due() {
     let state = state(options());
-    state.set_target_version("m", 2, true);
-    state.set_target_version("m", 3, true);
+    state.set_target_version("m", 2, Some(state.now()));
+    state.set_target_version("m", 3, Some(state.now()));
 
     let old = state.time_to_begin("m", 1).unwrap();
     let newest = state.time_to_begin("m", 3);
@@ -236,6 +239,7 @@
             region: region.to_owned(),
             in_touch: true,
             position: Position::without_era(1),
+            rows_age_ms: None,
             work: Vec::new(),
         };
         record_beacon(&state, beacon);
--- a/crates/pistachiolug_gateway/tests/forward.rs
+++ b/crates/pistachiolug_gateway/tests/forward.rs
@@ -411,7 +411,7 @@
         let new = Server::start(vec![Action::Write(rest)]).await;
         let entry = Entry::start_with(with_short_grace(), parts(route(Kind::Stream, 2)), &[&old]);
         let state = std::rc::Rc::clone(&entry.state);
-        state.set_target_version(support::MODEL, 2, true);
+        state.set_target_version(support::MODEL, 2, Some(state.now()));
         let mut stream = entry.open(&request("a1")).await;
         while old.arrivals() == 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
--- a/crates/pistachiolug_gateway/tests/restored_list.rs
+++ b/crates/pistachiolug_gateway/tests/restored_list.rs
@@ -203,6 +203,7 @@
         region: "inland".to_owned(),
         in_touch: true,
         position: AFTER,
+        rows_age_ms: None,
         work: Vec::new(),
     }
 }
--- a/crates/pistachiolug_gateway/tests/silence.rs
+++ b/crates/pistachiolug_gateway/tests/silence.rs
@@ -382,7 +382,7 @@
         let server = Server::start(vec![Action::Stall(stream_head("a1"))]).await;
         let entry = Entry::start_with(options, parts(route(Kind::Stream, 1)), &[&server]);
         let state = Rc::clone(&entry.state);
-        state.set_target_version(MODEL, 2, true);
+        state.set_target_version(MODEL, 2, Some(state.now()));
 
         let response = entry.call(&request("a1")).await;
 
@@ -435,7 +435,9 @@
             while server.arrivals() == 0 {
                 sleep(Duration::from_millis(1)).await;
             }
-            entry.state.set_target_version(MODEL, 2, true);
+            entry
+                .state
+                .set_target_version(MODEL, 2, Some(entry.state.now()));
 
             let response = read_all(stream).await;
 
--- a/crates/pistachiolug_gateway/tests/spread.rs
+++ b/crates/pistachiolug_gateway/tests/spread.rs
@@ -85,6 +85,7 @@
         region: "inland".to_owned(),
         in_touch: true,
         position: support::POSITION,
+        rows_age_ms: None,
         work: Vec::new(),
     }
 }
--- a/crates/pistachiolug_gateway/tests/versions.rs
+++ b/crates/pistachiolug_gateway/tests/versions.rs
@@ -6,13 +6,17 @@
 
 use std::time::Duration;
 
-use pistachiolug_gateway::{config::Kind, state::Options};
+use pistachiolug_gateway::{
+    config::Kind,
+    state::Options,
+    versions::{Update, Versions},
+};
 use tokio::time::{Instant, sleep};
 
 use support::{deployment::Deployment, request};
 
 /// Time between the setting of a target version and the moment from which no older version may begin a request.
-const GRACE: Duration = Duration::from_millis(3000);
+const GRACE: Duration = Duration::from_secs(3);
 
 /// Time between two requests to each entry.
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -58,3 +62,87 @@
         });
     }
 }
+
+/// Time of the decisions below.
+const NOW: Duration = Duration::from_secs(100);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn records() -> Versions {
+    Versions::new(seconds(8.0), seconds(3.0))
+}
+
+/// Guards against deadlines that count from when a process learned of a target.
+#[test]
+fn a_target_is_due_by_the_latest_time_after_which_it_was_set() {
+    let rows: [(&str, Option<f64>, Option<f64>, f64); 5] = [
+        ("learned at once", Some(99.9), None, 107.9),
+        ("learned after a gap", Some(97.0), None, 105.0),
+        ("a peer knows better", Some(97.0), Some(99.5), 107.5),
+        ("a peer knows less", Some(99.5), Some(97.0), 107.5),
+        ("unknown, and a peer knows", None, Some(99.0), 107.0),
+    ];
+    for (name, learned, told, due) in rows {
+        let mut versions = records();
+        versions.record_target("m", 2, learned.map(seconds), NOW);
+        if let Some(told) = told {
+            versions.merge_target("m", 2, Some(seconds(told)), NOW);
+        }
+
+        let excluded_before = versions.minimum("m", seconds(due - 0.81));
+        let excluded = versions.minimum("m", seconds(due - 0.79));
+        let left = versions.time_to_begin("m", 1, NOW).unwrap();
+
+        assert_eq!(excluded_before, None, "{name}");
+        assert_eq!(excluded, Some(2), "{name}");
+        assert!(NOW + left <= seconds(due), "{name}: {left:?}");
+    }
+}
+
+/// Guards against old versions that are allowed again because a peer tells only when a newer target was set.
+#[test]
+fn a_target_that_a_restarted_entry_missed_stays_enforced() {
+    let mut peer = records();
+    peer.record_target("m", 2, Some(seconds(91.0)), seconds(91.0));
+    peer.record_target("m", 3, Some(seconds(99.0)), seconds(99.0));
+    let mut restarted = records();
+    restarted.record_target("m", 3, None, NOW);
+
+    let told = peer.pending(NOW);
+    for target in &told {
+        let max_age = target
+            .max_age_ms
+            .map(|age_ms| Duration::from_millis(age_ms.into()));
+        let set_after = max_age.and_then(|max_age| NOW.checked_sub(max_age));
+        restarted.merge_target("m", target.version, set_after, NOW);
+    }
+
+    assert_eq!(told.len(), 2);
+    assert_eq!(restarted.minimum("m", NOW), Some(2));
+    assert_eq!(restarted.minimum("m", seconds(107.0)), Some(3));
+}
+
+/// Guards against a new version that is enforced at once everywhere, because an entry that has just started tells of it.
+#[test]
+fn a_new_target_of_unknown_age_is_not_taken_from_a_peer() {
+    let mut versions = records();
+
+    let update = versions.merge_target("m", 2, None, NOW);
+
+    assert_eq!(update, Update::Unchanged);
+    assert_eq!(versions.minimum("m", NOW), None);
+}
+
+/// Guards against messages that entries send each other without end.
+#[test]
+fn small_corrections_are_not_told() {
+    let mut versions = records();
+    versions.record_target("m", 2, Some(seconds(99.0)), seconds(99.0));
+
+    let update = versions.merge_target("m", 2, Some(seconds(99.05)), NOW);
+
+    assert_eq!(update, Update::Unchanged);
+    assert!(versions.changed_since(seconds(99.5), NOW).is_empty());
+}
--- a/crates/pistachiolug_kernel/src/lib.rs
+++ b/crates/pistachiolug_kernel/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod clock;
 pub mod dump;
+pub mod inbox;
 pub mod kernel;
 pub mod logs;
 pub mod metric;
--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -1,7 +1,8 @@
 //! Datagrams with which agents announce versions and query each other's staged pieces.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use pistachiolug_kernel::inbox::{self, Inbox};
 use pistachiolug_weights::{bitmap::Bitmap, order::Key, planner::Have};
 use pistachiolug_wire::datagram::{self, AgentDatagram};
 use rand::seq::IndexedRandom;
@@ -60,6 +61,7 @@
             from: self.state.options.member.address,
             model: model.to_owned(),
             version,
+            max_age_ms: self.state.version_age_ms(model, version),
         };
         self.send(agent, &message);
     }
@@ -70,6 +72,7 @@
         let message = AgentDatagram::Named {
             model: model.to_owned(),
             version,
+            max_age_ms: self.state.version_age_ms(model, version),
         };
         let roster = self.state.roster();
         let own_address = self.state.options.member.address;
@@ -82,11 +85,16 @@
 
     /// Handles incoming datagrams until the process ends.
     pub async fn run(self) {
-        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let socket = Rc::clone(&self.socket);
+        let mut inbox = Inbox::new(socket, self.state.clock(), MAX_DATAGRAM_BYTES);
         loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match datagram::decode(&buffer[..length]) {
-                    Ok(message) => self.handle(message),
+            match inbox.receive().await {
+                Ok(inbox::Datagram {
+                    bytes,
+                    from,
+                    arrived_after,
+                }) => match datagram::decode(bytes) {
+                    Ok(message) => self.handle(message, arrived_after),
                     Err(error) => log::warn!(from:%, error:%; "malformed datagram"),
                 },
                 Err(error) => log::debug!(error:%; "datagram not received"),
@@ -94,16 +102,28 @@
         }
     }
 
-    fn handle(&self, message: AgentDatagram) {
+    fn handle(&self, message: AgentDatagram, arrived_after: Duration) {
         match message {
-            AgentDatagram::Named { model, version } => {
-                self.state.record_version(&model, version, "datagram");
+            AgentDatagram::Named {
+                model,
+                version,
+                max_age_ms,
+            } => {
+                let announced_after = find_announcement(max_age_ms, arrived_after);
+                self.state
+                    .learn_version(&model, version, announced_after, "datagram");
             }
             AgentDatagram::Ask {
                 from,
                 model,
                 version,
-            } => self.answer(from, model, version),
+                max_age_ms,
+            } => {
+                let announced_after = find_announcement(max_age_ms, arrived_after);
+                self.state
+                    .learn_version(&model, version, announced_after, "agent");
+                self.answer(from, model, version);
+            }
             AgentDatagram::Have {
                 from,
                 model,
@@ -132,7 +152,6 @@
     /// Answers a query. A query for a version newer than the known one also announces that version: the sender learned
     /// of it from the key-value service.
     fn answer(&self, from: SocketAddr, model: String, version: u64) {
-        self.state.record_version(&model, version, "agent");
         let held = match self.state.staged(&model, version) {
             Some(staged) => staged.held(),
             None => match self.state.target() {
@@ -163,3 +182,10 @@
         }
     }
 }
+
+/// Returns a time after which a version was announced of which a datagram states the largest possible age; `None` if it may
+/// have been announced at any time.
+fn find_announcement(max_age_ms: Option<u32>, arrived_after: Duration) -> Option<Duration> {
+    let max_age = Duration::from_millis(max_age_ms?.into());
+    arrived_after.checked_sub(max_age)
+}
--- a/crates/pistachiolug_loader/src/peer_server.rs
+++ b/crates/pistachiolug_loader/src/peer_server.rs
@@ -32,7 +32,7 @@
     let Some((model, version, index)) = parse_piece_path(&path) else {
         return respond(StatusCode::NOT_FOUND, Bytes::new());
     };
-    state.record_version(model, version, "agent");
+    state.learn_version(model, version, None, "agent");
     let Some(staged) = state.staged(model, version) else {
         return respond(StatusCode::NOT_FOUND, Bytes::new());
     };
--- a/crates/pistachiolug_loader/src/schedule.rs
+++ b/crates/pistachiolug_loader/src/schedule.rs
@@ -27,12 +27,15 @@
     spread.mul_f64(position as f64 / members.max(1) as f64)
 }
 
-/// Waits until it is the agent's turn to load. The delay is computed again if a newer version is announced meanwhile.
+/// Waits until it is the agent's turn to load. The delay is computed again if a newer version is announced meanwhile, or if
+/// it becomes known when this one was announced.
 pub async fn wait_for_turn(state: &State, target: &Target) {
     loop {
         let name = format!("{}/{}", target.model, target.version);
         let (position, members) = state.position(&name);
-        let left = target.deadline.saturating_sub(state.now());
+        let newest = state.newest_target();
+        let deadline = newest.map_or(target.deadline, |newest| newest.deadline);
+        let left = deadline.saturating_sub(state.now());
         let awaited = state.has_newer_version(target);
         let delay = load_delay(left, position, members, awaited);
         let (left_ms, wait_ms) = (left.as_millis() as u64, delay.as_millis() as u64);
@@ -42,7 +45,7 @@
         }
         tokio::select! {
             () = sleep(delay) => return,
-            () = state.wait_for_newer_version(target) => {}
+            () = state.wait_for_announcement() => {}
         }
     }
 }
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -36,6 +36,9 @@
 /// Interval at which the deadline of the current version is checked.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Smallest correction of the time of an announcement that is used.
+const MIN_CORRECTION: Duration = Duration::from_millis(100);
+
 /// Version that every model starts with.
 const FIRST_VERSION: u64 = 1;
 
@@ -91,8 +94,8 @@
     version: u64,
     /// When the agent learned of the version, as time since its start.
     announced_at: Duration,
-    /// Time since the agent's start from which requests may no longer start on an older version.
-    deadline: Duration,
+    /// Time since the agent's start after which the version was announced. Only grows.
+    announced_after: Duration,
 }
 
 /// Record of the pieces of one version that are staged at the engine.
@@ -245,7 +248,7 @@
             pieces: model.pieces,
             piece_bytes: model.piece_bytes,
             deadline: ahead
-                .map(|announced| announced.deadline)
+                .map(|announced| announced.announced_after + self.options.version_grace)
                 .min()
                 .unwrap_or_default(),
         })
@@ -263,30 +266,82 @@
         newest
     }
 
-    /// Records an announced version; versions that are not newer than the known one are ignored.
+    /// Records an announced version; versions older than the newest known one are ignored.
+    ///
+    /// Deadlines count from the latest time after which a source knows that the version was announced. A process learns
+    /// of versions late if it was suspended or lost its watch.
     ///
-    /// `from` names the source in the log.
-    pub fn record_version(&self, model: &str, version: u64, from: &str) {
-        let deadline = self.now() + self.options.version_grace;
+    /// # Arguments
+    /// `announced_after` is such a time, since the agent's start; `None` if it may have been announced at any time. `from`
+    /// names the source in the log.
+    pub fn record_version(
+        &self,
+        model: &str,
+        version: u64,
+        announced_after: Option<Duration>,
+        from: &str,
+    ) {
+        let announced_after = announced_after.unwrap_or_default();
         let mut versions = self.versions.borrow_mut();
         let announced = versions.entry(model.to_owned()).or_default();
         let known = announced
             .last()
             .map_or(FIRST_VERSION, |announced| announced.version);
-        if version <= known {
+        let now = self.now();
+        let max_age_ms = now.saturating_sub(announced_after).as_millis() as u64;
+        let mut earlier = announced.iter_mut();
+        if let Some(announcement) = earlier.find(|announcement| announcement.version == version) {
+            if announced_after < announcement.announced_after + MIN_CORRECTION {
+                return;
+            }
+            announcement.announced_after = announced_after;
+            log::info!(model, version, max_age_ms, from; "version was announced later than known");
+        } else if version > known {
+            announced.push(Announcement {
+                version,
+                announced_at: now,
+                announced_after,
+            });
+            log::info!(model, version, before = known, max_age_ms, from; "version announced");
+        } else {
             return;
         }
-        let announced_at = self.now();
-        announced.push(Announcement {
-            version,
-            announced_at,
-            deadline,
-        });
-        log::info!(model, version, before = known, from; "version announced");
         self.wake.notify_one();
         self.version_announced.notify_waiters();
     }
 
+    /// Records a version of which another process has told. One that is not known was announced after the rows were last
+    /// known to be complete.
+    ///
+    /// # Arguments
+    /// As for [`State::record_version`].
+    pub fn learn_version(
+        &self,
+        model: &str,
+        version: u64,
+        announced_after: Option<Duration>,
+        from: &str,
+    ) {
+        let is_known = self.version_age_ms(model, version).is_some();
+        let rows_complete_at = self.rows.borrow().complete_at();
+        let announced_after = announced_after.max(rows_complete_at.filter(|_| !is_known));
+        self.record_version(model, version, announced_after, from);
+    }
+
+    /// Returns the bound of a version's age in milliseconds; `None` if the version is not known.
+    pub fn version_age_ms(&self, model: &str, version: u64) -> Option<u32> {
+        let versions = self.versions.borrow();
+        let mut announced = versions.get(model)?.iter();
+        let announced = announced.find(|announced| announced.version == version)?;
+        let age = self.now().saturating_sub(announced.announced_after);
+        age.as_millis().saturating_add(1).try_into().ok()
+    }
+
+    /// Waits until a version is announced, or until it becomes known that one was announced later than known.
+    pub async fn wait_for_announcement(&self) {
+        self.version_announced.notified().await;
+    }
+
     /// Waits until work on a version should be abandoned for a newer one.
     ///
     /// A version that has been in progress for a while is finished first, unless it misses its deadline: its pieces
@@ -302,13 +357,14 @@
 
     fn is_superseded(&self, target: &Target) -> bool {
         let now = self.now();
-        let has_newer = self
-            .newest_target()
-            .is_some_and(|newest| !newest.is_same_version(target));
+        let Some(newest) = self.newest_target() else {
+            return false;
+        };
+        let has_newer = !newest.is_same_version(target);
         let is_recent = now < target.announced_at + MIN_AGE_TO_FINISH;
         let staged = self.staged(&target.model, target.version);
         let is_complete = staged.is_some_and(|staged| staged.missing().is_empty());
-        has_newer && (is_recent || (now >= target.deadline && !is_complete))
+        has_newer && (is_recent || (now >= newest.deadline && !is_complete))
     }
 
     /// Returns whether a newer version waits for `target` to be finished.
@@ -390,7 +446,8 @@
     pub fn apply_view(&self, view: weights::View) {
         self.without_view_since.set(None);
         for model in &view.models {
-            self.record_version(&model.name, model.version, "view");
+            // Entries also send a version's age.
+            self.learn_version(&model.name, model.version, None, "view");
         }
         *self.models.borrow_mut() = view.models;
         *self.origin.borrow_mut() = view.origin;
@@ -451,7 +508,7 @@
         act(&mut self.state.rows.borrow_mut())
     }
 
-    fn on_changes(&self, changes: Vec<Change>) {
+    fn on_changes(&self, changes: Vec<Change>, made_after: Option<Duration>) {
         for change in changes {
             let Change::Put(entry) = change else {
                 continue;
@@ -459,13 +516,17 @@
             match self.decoder.decode(&entry.key, &entry.value) {
                 Row::Version { model, version } => {
                     self.state
-                        .record_version(&model, version, "key-value service");
+                        .record_version(&model, version, made_after, "key-value service");
                 }
                 Row::Weights(_) | Row::Entry(_) | Row::Other => {}
             }
         }
     }
 
+    fn now(&self) -> Duration {
+        self.state.now()
+    }
+
     fn is_active(&self) -> bool {
         true
     }
--- /dev/null
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -0,0 +1,71 @@
+//! Deadlines of versions of which an agent learns late.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use pistachiolug_loader::{
+    metrics::Metrics,
+    state::{Options, State},
+};
+use pistachiolug_weights::roster::Member;
+use pistachiolug_wire::weights::{Model, View};
+
+const MODEL: &str = "ravioli";
+
+const GRACE: Duration = Duration::from_secs(8);
+
+fn agent() -> Rc<State> {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let options = Options {
+        name: "agent-1".to_owned(),
+        service: "desk".to_owned(),
+        member: Member {
+            name: "agent-1".to_owned(),
+            address,
+            region: "inland".to_owned(),
+        },
+        server_address: address,
+        link_bytes_per_second: 1_000_000,
+        version_grace: GRACE,
+    };
+    let metrics = Metrics::register(&prometheus::Registry::new()).unwrap();
+    let state = State::new(options, metrics);
+    state.apply_view(View {
+        models: vec![Model {
+            name: MODEL.to_owned(),
+            pieces: 4,
+            piece_bytes: 1,
+            version: 1,
+        }],
+        ..View::default()
+    });
+    state
+}
+
+/// Guards against agents that load in a schedule which ends after the version's deadline, because they learned of it late.
+#[test]
+fn a_version_is_due_by_the_latest_time_after_which_it_was_announced() {
+    let rows = [
+        ("learned after a gap", vec![Some(2)], 2),
+        ("an entry knows better", vec![Some(2), Some(5)], 5),
+        ("an entry knows less", vec![Some(5), Some(2)], 5),
+        ("an agent does not know", vec![Some(5), None], 5),
+        ("any time", vec![None], 0),
+    ];
+    for (name, told, announced_after) in rows {
+        let state = agent();
+        for seconds in told {
+            let announced_after = seconds.map(Duration::from_secs);
+            state.learn_version(MODEL, 2, announced_after, "test");
+        }
+
+        let target = state.newest_target().unwrap();
+
+        assert_eq!(
+            target.deadline,
+            Duration::from_secs(announced_after) + GRACE,
+            "{name}"
+        );
+    }
+}
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -666,11 +666,11 @@
         };
         let state = State::new(options(&place, address), metrics());
         state.apply_view(view(vec![place]));
-        state.record_version(MODEL, 2, "test");
+        state.record_version(MODEL, 2, Some(state.now()), "test");
         let target = state.newest_target().unwrap();
         // Wait until the version is old enough to be finished first, and has missed its deadline.
         sleep(Duration::from_millis(1100)).await;
-        state.record_version(MODEL, 3, "test");
+        state.record_version(MODEL, 3, Some(state.now()), "test");
         let manifest = FakeOrigin::default().read_manifest(address, MODEL, 2).await;
         let staged = Rc::new(StagedVersion::new(
             &target,
@@ -714,14 +714,14 @@
             };
             let state = State::new(options, metrics());
             state.apply_view(view(members.clone()));
-            state.record_version(MODEL, 2, "test");
+            state.record_version(MODEL, 2, Some(state.now()), "test");
             let target = state.newest_target().unwrap();
             runtime.block_on(async {
                 let start = tokio::time::Instant::now();
                 let name_newer = async {
                     sleep(Duration::from_secs(1)).await;
                     if newer {
-                        state.record_version(MODEL, 3, "test");
+                        state.record_version(MODEL, 3, Some(state.now()), "test");
                     }
                 };
                 tokio::join!(schedule::wait_for_turn(&state, &target), name_newer);
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -34,7 +34,14 @@
     fn with_rows<T>(&self, act: impl FnOnce(&mut Rows) -> T) -> T;
 
     /// Handles changes that were made to the rows, in order; `changes` may be empty.
-    fn on_changes(&self, changes: Vec<Change>);
+    ///
+    /// # Arguments
+    /// `made_after` is a time after which all of them were made, by [`Observer::now`]; `None` if they may have been made at
+    /// any time before.
+    fn on_changes(&self, changes: Vec<Change>, made_after: Option<Duration>);
+
+    /// Returns the time of the process's clock.
+    fn now(&self) -> Duration;
 
     /// Returns whether to call the service now; `false` while another process follows it on behalf of this one.
     fn is_active(&self) -> bool;
@@ -97,6 +104,7 @@
 /// Reads all rows; returns `false`, because no pause for further changes is needed.
 async fn read<S: Store, O: Observer>(store: &S, prefix: &str, observer: &O) -> Result<bool, Error> {
     let start = Instant::now();
+    let asked_at = observer.now();
     let range = timeout(READ_TIMEOUT, store.range(prefix)).await;
     let range = range.unwrap_or_else(|_| {
         Err(Error::Unavailable {
@@ -110,8 +118,14 @@
     let taken_ms = start.elapsed().as_millis() as u64;
     let Position { era, revision } = range.position;
     log::info!(prefix, era, revision, rows = range.entries.len(), bytes, taken_ms; "read all rows under the prefix");
-    let changes = observer.with_rows(|rows| rows.reset(range));
-    observer.on_changes(changes);
+    let (changes, made_after) = observer.with_rows(|rows| {
+        let made_after = rows.complete_at();
+        let position = range.position;
+        let changes = rows.reset(range);
+        rows.confirm(position, asked_at);
+        (changes, made_after)
+    });
+    observer.on_changes(changes, made_after);
     Ok(false)
 }
 
@@ -123,13 +137,29 @@
     observer: &O,
 ) -> Result<bool, Error> {
     let after = observer.with_rows(|rows| rows.position());
+    let asked_at = observer.now();
     let events = tokio::select! {
         events = store.watch(prefix, after, wait) => events?,
         () = wait_for_later_era(store, after.era) => return Err(Error::Compacted { oldest: 0 }),
     };
-    let changes = observer.with_rows(|rows| rows.apply(after.era, events));
+    // A watch without events was answered once its wait was over.
+    let waited = observer.now() >= asked_at + wait;
+    let answered_at = if events.is_empty() && waited {
+        asked_at + wait
+    } else {
+        asked_at
+    };
+    let (changes, made_after) = observer.with_rows(|rows| {
+        let made_after = rows.complete_at();
+        let changes = rows.apply(after.era, events);
+        let position = rows.position();
+        if position.era == after.era {
+            rows.confirm(position, answered_at);
+        }
+        (changes, made_after)
+    });
     let has_changes = !changes.is_empty();
-    observer.on_changes(changes);
+    observer.on_changes(changes, made_after);
     Ok(has_changes)
 }
 
--- a/crates/pistachiolug_replica/src/rows.rs
+++ b/crates/pistachiolug_replica/src/rows.rs
@@ -1,6 +1,9 @@
 //! Rows under one prefix at one position.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use pistachiolug_platform::kv::{Entry, Event, Position, Range};
 
@@ -26,6 +29,8 @@
     entries: BTreeMap<String, Entry>,
     /// Position up to which all changes are included; the default before the first read.
     position: Position,
+    /// Time up to which all changes are known to be included; `None` before the first read. Never goes back.
+    complete_at: Option<Duration>,
     /// Keys of rows that were removed in this era with the revisions of the removals, oldest first.
     removals: VecDeque<(String, u64)>,
     /// Revision after which `removals` is complete.
@@ -56,6 +61,23 @@
         self.position != Position::default()
     }
 
+    /// Returns the time up to which all changes are known to be included; `None` before the first read. A change that is
+    /// applied next was made after it.
+    pub fn complete_at(&self) -> Option<Duration> {
+        self.complete_at
+    }
+
+    /// Records that the rows at `position` include all changes up to a time. Ignored if the rows are at another position.
+    ///
+    /// # Arguments
+    /// `at` must not be later than the moment at which the service, or a peer that knew, had no later changes: the time
+    /// at which it was asked is safe, the arrival of its answer is not.
+    pub fn confirm(&mut self, position: Position, at: Duration) {
+        if position == self.position {
+            self.complete_at = self.complete_at.max(Some(at));
+        }
+    }
+
     /// Iterates over the rows in the order of their keys.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
--- a/crates/pistachiolug_replica/tests/follow.rs
+++ b/crates/pistachiolug_replica/tests/follow.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     collections::VecDeque,
     rc::Rc,
     sync::{
@@ -22,6 +22,8 @@
     snapshot,
 };
 
+use tokio::time::{Instant, sleep};
+
 type WatchResult = Result<Vec<Event>, Error>;
 
 /// Key-value service that answers reads and watches from a script, and never answers after its end.
@@ -29,6 +31,8 @@
 struct ScriptedStore {
     reads: Arc<Mutex<VecDeque<Result<Range, Error>>>>,
     watches: Arc<Mutex<VecDeque<WatchResult>>>,
+    /// Time until a watch is answered.
+    watch_time: Duration,
     /// Era that answers to other calls have named; those of the script name none.
     named_era: Arc<AtomicU64>,
 }
@@ -58,6 +62,7 @@
 
     async fn watch(&self, _: &str, _: Position, _: Duration) -> WatchResult {
         let next = self.watches.lock().unwrap().pop_front();
+        sleep(self.watch_time).await;
         match next {
             Some(result) => result,
             None => std::future::pending().await,
@@ -84,6 +89,9 @@
     changes: Rc<RefCell<Vec<Change>>>,
     /// Whether the service answered, for each call to `on_contact`.
     answered: Rc<RefCell<Vec<bool>>>,
+    /// Times after which changes were made, for each call to `on_changes`.
+    made_after: Rc<RefCell<Vec<Option<Duration>>>>,
+    start: Rc<OnceCell<Instant>>,
 }
 
 impl Observer for Recorder {
@@ -91,10 +99,15 @@
         act(&mut self.rows.borrow_mut())
     }
 
-    fn on_changes(&self, changes: Vec<Change>) {
+    fn on_changes(&self, changes: Vec<Change>, made_after: Option<Duration>) {
+        self.made_after.borrow_mut().push(made_after);
         self.changes.borrow_mut().extend(changes);
     }
 
+    fn now(&self) -> Duration {
+        self.start.get_or_init(Instant::now).elapsed()
+    }
+
     fn is_active(&self) -> bool {
         true
     }
@@ -144,11 +157,18 @@
     watches: Vec<WatchResult>,
     era: u64,
 ) -> Recorder {
-    let store = ScriptedStore {
-        reads: Arc::new(Mutex::new(reads.into())),
-        watches: Arc::new(Mutex::new(watches.into())),
-        named_era: Arc::default(),
-    };
+    follow_store(
+        ScriptedStore {
+            reads: Arc::new(Mutex::new(reads.into())),
+            watches: Arc::new(Mutex::new(watches.into())),
+            watch_time: Duration::ZERO,
+            named_era: Arc::default(),
+        },
+        era,
+    )
+}
+
+fn follow_store(store: ScriptedStore, era: u64) -> Recorder {
     let recorder = Recorder::default();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -158,7 +178,7 @@
     let named_era = Arc::clone(&store.named_era);
     let follow = follow::run(store, "", Duration::from_secs(1), recorder.clone());
     let name_era = async {
-        tokio::time::sleep(Duration::from_secs(10)).await;
+        sleep(Duration::from_secs(10)).await;
         named_era.store(era, Ordering::Relaxed);
     };
     let follow = async { tokio::join!(follow, name_era) };
@@ -184,6 +204,50 @@
     assert_eq!(recorder.changes.borrow().len(), 4);
 }
 
+/// Guards against changes that are taken for newer than they are, because their watch was answered or read late.
+#[test]
+fn changes_are_dated_from_the_last_answer_without_them() {
+    let put = |revision| Ok(vec![Event::Put(entry("a", revision))]);
+    let rows = [
+        (
+            "events",
+            vec![put(6), put(7), put(8)],
+            700,
+            vec![None, Some(0), Some(0), Some(850)],
+        ),
+        (
+            "no events",
+            vec![Ok(vec![]), put(6)],
+            1000,
+            vec![None, Some(0), Some(1000)],
+        ),
+        (
+            "answered early",
+            vec![Ok(vec![]), put(6)],
+            400,
+            vec![None, Some(0), Some(0)],
+        ),
+    ];
+    for (name, watches, watch_ms, made_after_ms) in rows {
+        let store = ScriptedStore {
+            reads: Arc::new(Mutex::new([Ok(range(5, vec![]))].into())),
+            watches: Arc::new(Mutex::new(watches.into())),
+            watch_time: Duration::from_millis(watch_ms),
+            named_era: Arc::default(),
+        };
+
+        let recorder = follow_store(store, 0);
+
+        let made_after = recorder.made_after.borrow().clone();
+        let millis = |after: Duration| after.as_millis() as u64;
+        let made_after: Vec<Option<u64>> = made_after
+            .into_iter()
+            .map(|after| after.map(millis))
+            .collect();
+        assert_eq!(made_after, made_after_ms, "{name}");
+    }
+}
+
 /// Guards against rows that stay stale: a failed watch may have missed changes, and the service may have compacted the
 /// history, so that a new watch does not return them either.
 #[test]
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -28,6 +28,8 @@
     pub in_touch: bool,
     /// Position of the rows of the sender.
     pub position: Position,
+    /// Milliseconds for which the rows may lack later changes; `None` before their first read.
+    pub rows_age_ms: Option<u32>,
     /// Work by the short hash of the id of the backend server; servers without work are left out.
     pub work: Vec<(u32, Work)>,
 }
@@ -116,6 +118,17 @@
     pub age_ms: u32,
 }
 
+/// Target version of a model's weights.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Name of the model.
+    pub model: String,
+    /// Version that the model's servers should hold.
+    pub version: u64,
+    /// Milliseconds within which the target was set, at most; `None` if it may have been set at any time.
+    pub max_age_ms: Option<u32>,
+}
+
 /// Datagram to an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -129,6 +142,8 @@
     Crashes(Vec<Crash>),
     /// Sent by another entry: parts of prompts that are refused. It adds to what was sent before.
     Culprits(Vec<Culprit>),
+    /// Sent by another entry: target versions that are not long due. It adds to what was sent before.
+    Targets(Vec<Target>),
 }
 
 /// Datagram to an agent.
@@ -140,6 +155,8 @@
         model: String,
         /// Newest version.
         version: u64,
+        /// Milliseconds within which the version was set, at most; `None` if it may have been set at any time.
+        max_age_ms: Option<u32>,
     },
     /// Sent by another agent: asks which pieces of a version are staged here.
     Ask {
@@ -149,6 +166,8 @@
         model: String,
         /// Version of the weights.
         version: u64,
+        /// Milliseconds within which the version was set, at most; `None` if it may have been set at any time.
+        max_age_ms: Option<u32>,
     },
     /// Sent by another agent: says which pieces of a version it has staged.
     Have {
