Give waiting requests slots by the versions that count when a slot is free

A request that waited in the queue while a version became due was assigned to a server of an older one, by the conditions of when it was queued. It was withdrawn at once, counted as one that may have run and got 502, where it could have waited for another server or been refused as not run.

The conditions on versions are now taken anew for each free slot. a_waiting_request_gets_no_slot_at_a_server_that_became_outdated failed before.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -72,7 +72,6 @@
         log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable; "no slot expected in time");
         return Err(refusal_reason(servable));
     };
-    let min_version = requirements.min_version;
     let (position, receiver) = state.enqueue(requirements, rank);
     let until = call.deadline.min(Instant::now() + max_wait);
     let guard = QueueGuard {
@@ -85,10 +84,7 @@
     let waited = call.arrived.elapsed();
     state.metrics.wait_seconds.observe(waited.as_secs_f64());
     if let Ok(Ok(permit)) = permit {
-        let requirements = Requirements {
-            min_version,
-            ..Requirements::default()
-        };
+        let requirements = call.requirements(state, tried);
         log_placed(call, &permit, &requirements, ahead);
         return Ok(permit);
     }
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -74,19 +74,18 @@
     /// # Arguments
     /// `tried` are the ids of the servers that were already sent the request.
     pub fn requirements(&self, state: &State, tried: &[Arc<str>]) -> Requirements {
-        let model = self.model.clone();
-        Requirements {
+        let mut requirements = Requirements {
             service: Arc::clone(&self.service),
-            target_version: model
-                .as_deref()
-                .and_then(|model| state.target_version(model)),
-            min_version: model.as_deref().and_then(|model| state.min_version(model)),
-            model,
+            target_version: None,
+            min_version: None,
+            model: self.model.clone(),
             prompt_tokens: self.tokens.prompt,
             tried: tried.to_vec(),
             is_late: !self.is_first_attempt,
             freed_server: None,
-        }
+        };
+        state.update_versions(&mut requirements);
+        requirements
     }
 
     /// Returns whether the answer is a stream of events.
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -481,10 +481,12 @@
     ) -> Option<(Position, Permit)> {
         let queues = self.queues.borrow();
         for (position, (requirements, _)) in queues.get(service)?.iter() {
-            let requirements = Requirements {
+            let mut requirements = Requirements {
                 freed_server: freed.cloned(),
                 ..requirements.clone()
             };
+            // A target may have become due, or may have been set, during the wait.
+            self.update_versions(&mut requirements);
             if let Some(permit) = self.reserve(&requirements) {
                 return Some((position, permit));
             }
@@ -495,6 +497,14 @@
         None
     }
 
+    /// Sets the versions that a server has to hold now.
+    pub fn update_versions(&self, requirements: &mut Requirements) {
+        let versions = self.versions.borrow();
+        let model = requirements.model.as_deref();
+        requirements.target_version = model.and_then(|model| versions.target(model));
+        requirements.min_version = model.and_then(|model| versions.minimum(model, self.now()));
+    }
+
     /// Gives free slots to the waiting requests of all services.
     pub fn serve_queues(self: &Rc<Self>) {
         let queues = self.queues.borrow();
--- a/crates/pistachiolug_gateway/tests/versions.rs
+++ b/crates/pistachiolug_gateway/tests/versions.rs
@@ -7,13 +7,16 @@
 use std::time::Duration;
 
 use pistachiolug_gateway::{
-    config::Kind,
-    state::Options,
+    config::{Config, Kind},
+    permit::Permit,
+    pool::Requirements,
+    queue::Rank,
+    state::{Options, State},
     versions::{Update, Versions},
 };
 use tokio::time::{Instant, sleep};
 
-use support::{deployment::Deployment, request};
+use support::{MODEL, POSITION, SERVICE, deployment::Deployment, parts, record, request, route};
 
 /// Time between the setting of a target version and the moment from which no older version may begin a request.
 const GRACE: Duration = Duration::from_secs(3);
@@ -28,6 +31,12 @@
     }
 }
 
+async fn wait_until_enforced(state: &State) {
+    while state.min_version(MODEL).is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// Sends requests to all entries for a time, and returns the number that reached servers.
 async fn count_arrivals(deployment: &Deployment, entries: usize, time: Duration) -> usize {
     let before = deployment.arrivals("plate");
@@ -63,6 +72,41 @@
     }
 }
 
+/// Guards against waiting requests that get a slot at a server whose version became outdated while they waited.
+#[test]
+fn a_waiting_request_gets_no_slot_at_a_server_that_became_outdated() {
+    support::run(async {
+        let state = State::new(with_grace(), support::metrics());
+        state.set_config(Config::new(parts(route(Kind::Stream, 2))));
+        let old = record("i-old", "127.0.0.1:1".parse().unwrap());
+        state.with_pool(|pool| pool.put(old, POSITION, Duration::ZERO));
+        let requirements = Requirements {
+            service: SERVICE.into(),
+            model: Some(MODEL.into()),
+            ..Requirements::default()
+        };
+        let slots: Vec<Permit> = std::iter::from_fn(|| state.reserve(&requirements)).collect();
+        let rank = Rank {
+            is_late: false,
+            priority: 1,
+        };
+        let (_position, mut receiver) = state.enqueue(requirements, rank);
+
+        state.set_target_version(MODEL, 2, Some(Duration::ZERO));
+        wait_until_enforced(&state).await;
+        drop(slots);
+        let from_old = receiver.try_recv();
+        let mut new = record("i-new", "127.0.0.1:2".parse().unwrap());
+        new.models[0].version = 2;
+        state.with_pool(|pool| pool.put(new, POSITION, Duration::ZERO));
+        state.refresh();
+        let from_new = receiver.try_recv();
+
+        assert!(from_old.is_err());
+        assert_eq!(&*from_new.unwrap().choice.record.id, "i-new");
+    });
+}
+
 /// Time of the decisions below.
 const NOW: Duration = Duration::from_secs(100);
 
