Tell a server which version it must hold as soon as it is believed to hold the newest one

A request to a server that is believed to hold the newest version is not withdrawn when that becomes due. If the belief was wrong, as after a start under the same id, the server ran the request on an outdated version: it was told the version only once older ones were excluded, so a request that waited there across the deadline could begin late.

It is now told as soon as it is believed to hold the newest version; it then refuses the request as not run. a_server_is_told_its_version_unless_it_may_change failed before in the row of the server that has loaded.

--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -132,11 +132,10 @@
             authorized: &self.authorized,
             choice: &permit.choice,
             time_left: self.time_left(),
-            // Sent only if older versions are excluded: a lagging server list would otherwise make servers reject valid
-            // requests.
-            version: model
-                .filter(|model| state.min_version(model).is_some())
-                .and_then(|model| permit.choice.record.version(model)),
+            version: model.and_then(|model| {
+                let held = permit.choice.record.version(model)?;
+                state.is_version_required(model, held).then_some(held)
+            }),
             priority: self.engine_priority(),
             last_event,
         };
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -314,6 +314,14 @@
         self.versions.borrow().minimum(model, self.now())
     }
 
+    /// Returns whether a server that is believed to hold a version must not run a request on another one.
+    ///
+    /// While older versions are allowed and the server has to load, it may be further than its record says.
+    pub fn is_version_required(&self, model: &str, held: Version) -> bool {
+        let is_newest = self.target_version(model) == Some(held);
+        is_newest || self.min_version(model).is_some()
+    }
+
     /// Returns how long a request that has not begun may still begin on version `held`; `None` if no newer one is
     /// known.
     pub fn time_to_begin(&self, model: &str, held: Version) -> Option<Duration> {
--- a/crates/pistachiolug_gateway/tests/versions.rs
+++ b/crates/pistachiolug_gateway/tests/versions.rs
@@ -16,7 +16,10 @@
 };
 use tokio::time::{Instant, sleep};
 
-use support::{MODEL, POSITION, SERVICE, deployment::Deployment, parts, record, request, route};
+use support::{
+    Action, Entry, MODEL, POSITION, SERVICE, Server, chunk, deployment::Deployment, parts, record,
+    request, route, stream_head,
+};
 
 /// Time between the setting of a target version and the moment from which no older version may begin a request.
 const GRACE: Duration = Duration::from_secs(3);
@@ -107,6 +110,37 @@
     });
 }
 
+/// Guards against requests that begin on an outdated version because the server holds another one than the entry believes.
+#[test]
+fn a_server_is_told_its_version_unless_it_may_change() {
+    let rows = [
+        ("no target", 1, None, None),
+        ("the server has to load", 1, Some(2), None),
+        ("the server has loaded", 2, Some(2), Some("x-version: 2")),
+    ];
+    for (name, held, target, expected) in rows {
+        support::run(async move {
+            let whole = stream_head("a") + &chunk("id: 1\ndata: ravi\n\n") + "0\r\n\r\n";
+            let server = Server::start(vec![Action::Write(whole)]).await;
+            let entry = Entry::start(parts(route(Kind::Stream, 2)), &[]);
+            let mut record = record("i-1", server.address);
+            record.models[0].version = held;
+            let state = &entry.state;
+            state.with_pool(|pool| pool.put(record, POSITION, Duration::ZERO));
+            if let Some(target) = target {
+                state.set_target_version(MODEL, target, Some(state.now()));
+            }
+
+            entry.call(&request("a")).await;
+
+            let requests = server.requests.borrow();
+            let mut lines = requests[0].lines();
+            let header = lines.find(|line| line.starts_with("x-version"));
+            assert_eq!(header, expected, "{name}");
+        });
+    }
+}
+
 /// Time of the decisions below.
 const NOW: Duration = Duration::from_secs(100);
 
