--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -20,6 +20,7 @@
 };
 use pistachiolug_replica::{follow, snapshot};
 use pistachiolug_wire::{codec, datagram::Suspect, digest::Digest, weights};
+use rand::RngExt;
 use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -98,7 +99,7 @@
     spawn_local(follow::run(
         store.clone(),
         "",
-        MAX_WATCH_WAIT,
+        choose_watch_wait,
         updater.clone(),
     ));
     spawn_local(gossip::receive_datagrams(
@@ -145,6 +146,12 @@
         .context(KernelSnafu)
 }
 
+/// Returns a random wait of one watch. The last answer that an entry has bounds the age of the next change; as the watches
+/// of entries end at different times, one of them has a recent answer.
+fn choose_watch_wait() -> Duration {
+    rand::rng().random_range(MAX_WATCH_WAIT / 2..MAX_WATCH_WAIT)
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     local_server::bind(address).context(ListenSnafu { address })
 }
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -67,7 +67,12 @@
     let listener = local_server::bind(address).context(ListenSnafu { address })?;
     let observer = RowObserver::new(Rc::clone(&state), decoder.clone());
     let prefix = decoder.versions_prefix();
-    spawn_local(follow::run(store.clone(), prefix, WATCH_TIMEOUT, observer));
+    spawn_local(follow::run(
+        store.clone(),
+        prefix,
+        || WATCH_TIMEOUT,
+        observer,
+    ));
     let shared = Rc::clone(&state);
     spawn_local(serve(shared, engine.clone(), kernel.clone(), listener));
     let socket = UdpSocket::bind(address).await;
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -267,7 +267,7 @@
             let store = stores[index % stores.len()].clone();
             let engine = engines[index].clone();
             let observer = RowObserver::new(Rc::clone(&state), Rows);
-            let wait = Duration::from_secs(5);
+            let wait = || Duration::from_secs(5);
             spawn_local(follow::run(store.clone(), "version/", wait, observer));
             spawn_local(serve(Rc::clone(&state), engine.clone(), listener));
             let (exchange, reports) = Exchange::new(socket, Rc::clone(&state));
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -56,9 +56,14 @@
 /// the service has named a newer era than that of the rows.
 ///
 /// # Arguments
-/// `wait` is the longest time of one watch. If the service loses a watch without an error, this is noticed only when
-/// the time is over, so `wait` bounds how long changes can be missed.
-pub async fn run<S: Store, O: Observer>(store: S, prefix: &str, wait: Duration, observer: O) {
+/// `wait` chooses the longest time of one watch. If the service loses a watch without an error, this is noticed only when
+/// the time is over, so it bounds how long changes can be missed.
+pub async fn run<S: Store, O: Observer>(
+    store: S,
+    prefix: &str,
+    wait: impl Fn() -> Duration,
+    observer: O,
+) {
     let mut backoff = INITIAL_BACKOFF;
     let mut has_rows = false;
     loop {
@@ -69,7 +74,7 @@
         let start = Instant::now();
         let is_outdated = observer.with_rows(|rows| rows.position().era < store.era());
         let result = if has_rows && !is_outdated {
-            watch(&store, prefix, wait, &observer).await
+            watch(&store, prefix, wait(), &observer).await
         } else {
             read(&store, prefix, &observer).await
         };
--- a/crates/pistachiolug_replica/tests/follow.rs
+++ b/crates/pistachiolug_replica/tests/follow.rs
@@ -176,7 +176,7 @@
         .build()
         .unwrap();
     let named_era = Arc::clone(&store.named_era);
-    let follow = follow::run(store, "", Duration::from_secs(1), recorder.clone());
+    let follow = follow::run(store, "", || Duration::from_secs(1), recorder.clone());
     let name_era = async {
         sleep(Duration::from_secs(10)).await;
         named_era.store(era, Ordering::Relaxed);
