Count the time of suspensions in all ages and deadlines

The steady clock does not count the time for which a machine is suspended. After a suspension of 2.4 s an entry sent requests to an engine of the older version for 2.4 s longer than permitted (a test). The ages of servers, peers, retry budgets and suspects use the same clock (not measured).

The clock of the processes is now the time since the machine's boot, which counts suspensions.

Evidence: no_request_is_sent_to_an_old_version_after_a_suspension got 'HTTP/1.1 200 OK' with the steady clock.

--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -175,14 +175,14 @@
         })
     }
 
-    /// Returns the time since the process's start.
+    /// Returns the time since the process's start, including the time for which the machine was suspended.
     pub fn now(&self) -> Duration {
         self.clock.now()
     }
 
     /// Returns the process's clock.
     pub fn clock(&self) -> System {
-        self.clock
+        self.clock.clone()
     }
 
     /// Counts a request as open until the returned guard is dropped.
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -222,7 +222,7 @@
         })
     }
 
-    /// Returns the time since the agent's start.
+    /// Returns the time since the agent's start, including the time for which the machine was suspended.
     pub fn now(&self) -> Duration {
         self.clock.now()
     }
@@ -397,7 +397,7 @@
 
     /// Returns the agent's clock.
     pub fn clock(&self) -> System {
-        self.clock
+        self.clock.clone()
     }
 
     /// Returns the addresses of the first `count` agents of the service in the rendezvous order for `name`.
