Withdraw requests from outdated servers at once after a suspension

A request that waits at a server of an older version is withdrawn by a timer. Timers stand still while the machine is suspended, so that the request was withdrawn late by the length of the suspension, and began on the older version meanwhile.

An entry now compares its clock with the steady one at each beacon tick. After a suspension it logs 'instance was suspended' and wakes the requests, which compute their deadlines again. The detector is pure; it never takes a pause between the reads of the two clocks for a suspension.

--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -14,6 +14,7 @@
     kernel::Kernel,
     phase::Phase,
     process::{Error, KernelSnafu, ListenSnafu, MetricSnafu},
+    suspension,
 };
 use pistachiolug_platform::kv::{
     Entry, Position, Precondition, Store, Swap, held_lease::HeldLease,
@@ -114,6 +115,10 @@
         client,
         ticks,
     ));
+    let ticks = kernel.timer.subscribe(BEACON_INTERVAL, Duration::ZERO);
+    let suspended = Rc::clone(&state);
+    let handle = move || suspended.move_deadlines();
+    spawn_local(suspension::watch(state.clock(), ticks, handle));
     let ticks = kernel
         .timer
         .subscribe(REGISTER_INTERVAL, REGISTER_INTERVAL / 4);
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -120,8 +120,8 @@
     let state = &permit.state;
     let mut arrival = pin!(arrival);
     loop {
-        // Created first, so that no target is missed that is set after the deadline was read.
-        let target_set = state.wait_for_target();
+        // Created first, so that no change is missed after the deadline was read.
+        let deadlines_moved = state.wait_for_moved_deadlines();
         let begin_by = begin_deadline(state, call, permit);
         let bound = begin_by.map_or(until, |begin_by| begin_by.min(until));
         tokio::select! {
@@ -130,7 +130,7 @@
             () = sleep_until(bound) => {
                 return Err(if bound < until { Expired::Outdated } else { Expired::Deadline });
             }
-            () = target_set => {}
+            () = deadlines_moved => {}
         }
     }
 }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -107,8 +107,8 @@
     config: RefCell<Option<Arc<Config>>>,
     pool: RefCell<Pool>,
     versions: RefCell<Versions>,
-    /// Wakes the requests that wait for their servers to begin, after a new target version was set.
-    target_set: Notify,
+    /// Wakes requests whose deadlines have come closer: a target version was set, or the machine was suspended.
+    deadlines_moved: Notify,
     queues: RefCell<FxHashMap<Arc<str>, Queue<Waiter>>>,
     /// Slot rates by service.
     rates: RefCell<FxHashMap<Arc<str>, Rates>>,
@@ -154,7 +154,7 @@
             config: RefCell::default(),
             pool: RefCell::default(),
             versions: RefCell::new(versions),
-            target_set: Notify::new(),
+            deadlines_moved: Notify::new(),
             queues: RefCell::default(),
             rates: RefCell::default(),
             budgets: RefCell::default(),
@@ -264,7 +264,7 @@
 
     fn wake_for_target(&self, update: Update) {
         if update != Update::Unchanged {
-            self.target_set.notify_waiters();
+            self.move_deadlines();
         }
     }
 
@@ -299,9 +299,14 @@
         self.with_peers(|peers| peers.record_beacon(beacon, now));
     }
 
-    /// Waits until a target version is set after this call.
-    pub(crate) fn wait_for_target(&self) -> Notified<'_> {
-        self.target_set.notified()
+    /// Makes requests compute again how long they wait; called when timers that were set before are too late.
+    pub fn move_deadlines(&self) {
+        self.deadlines_moved.notify_waiters();
+    }
+
+    /// Waits until deadlines come closer after this call.
+    pub(crate) fn wait_for_moved_deadlines(&self) -> Notified<'_> {
+        self.deadlines_moved.notified()
     }
 
     /// Returns the version that a model's servers should hold; `None` if none was set.
--- a/crates/pistachiolug_kernel/src/lib.rs
+++ b/crates/pistachiolug_kernel/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod registry;
 pub mod signal;
 pub mod supervisor;
+pub mod suspension;
 pub mod timer;
