Compute an engine's turn to load again after a suspension

What callers saw: nothing known. An agent sleeps until its engine's turn. After a suspension it loaded late by the length of the suspension, when older versions might not begin requests any more, so that the engine served none until then.

The agent looks for suspensions when it checks its engine, and computes the turn again.

--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -11,6 +11,7 @@
 use pistachiolug_kernel::{
     kernel::Kernel,
     process::{Error, KernelSnafu, ListenSnafu, MetricSnafu},
+    suspension,
 };
 use pistachiolug_platform::kv::Store;
 use pistachiolug_replica::follow;
@@ -64,6 +65,12 @@
     let metrics = Metrics::register(&kernel.metrics).context(MetricSnafu)?;
     let address = options.member.address;
     let state = State::new(options, metrics);
+    let ticks = kernel
+        .timer
+        .subscribe(ENGINE_CHECK_INTERVAL, Duration::ZERO);
+    let suspended = Rc::clone(&state);
+    let handle = move || suspended.move_deadlines();
+    spawn_local(suspension::watch(state.clock(), ticks, handle));
     let listener = local_server::bind(address).context(ListenSnafu { address })?;
     let observer = RowObserver::new(Rc::clone(&state), decoder.clone());
     let prefix = decoder.versions_prefix();
--- a/crates/pistachiolug_loader/src/schedule.rs
+++ b/crates/pistachiolug_loader/src/schedule.rs
@@ -27,8 +27,8 @@
     spread.mul_f64(position as f64 / members.max(1) as f64)
 }
 
-/// Waits until it is the agent's turn to load. The delay is computed again if a newer version is announced meanwhile, or if
-/// it becomes known when this one was announced.
+/// Waits until it is the agent's turn to load. The delay is computed again if a newer version is announced meanwhile, if it
+/// becomes known when this one was announced, and after a suspension of the machine.
 pub async fn wait_for_turn(state: &State, target: &Target) {
     loop {
         let name = format!("{}/{}", target.model, target.version);
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -175,7 +175,7 @@
     pub upload_bucket: Bucket,
     /// Paces downloads of pieces, since the link also carries live requests.
     pub download_bucket: Bucket,
-    /// Wakes tasks that work on a version when a newer one is announced.
+    /// Wakes tasks that work on a version when a newer one is announced, and after a suspension of the machine.
     version_announced: Notify,
     clock: System,
     rows: RefCell<Rows>,
@@ -337,7 +337,13 @@
         age.as_millis().saturating_add(1).try_into().ok()
     }
 
-    /// Waits until a version is announced, or until it becomes known that one was announced later than known.
+    /// Makes tasks compute again how long they wait; called when timers that were set before are too late.
+    pub fn move_deadlines(&self) {
+        self.version_announced.notify_waiters();
+    }
+
+    /// Waits until a version is announced, until it becomes known that one was announced later than known, or until a
+    /// suspension of the machine has ended.
     pub async fn wait_for_announcement(&self) {
         self.version_announced.notified().await;
     }
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -690,10 +690,8 @@
     });
 }
 
-/// An agent waits for its turn to load. If the delay were not computed again, the newer version would wait for the
-/// whole schedule.
-#[test]
-fn load_is_scheduled_earlier_when_a_newer_version_is_announced() {
+/// Returns the longest wait of 20 agents for their turn to load within 20 s; `act` runs after a second.
+fn longest_wait_for_turn(act: impl Fn(&State)) -> Duration {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
@@ -705,38 +703,51 @@
             region: REGIONS[0].to_owned(),
         })
         .collect();
-    // Returns the longest wait of all members; if `newer`, a newer version is announced after a second.
-    let longest = |newer: bool| {
-        let waits = members.iter().map(|me| {
-            let options = Options {
-                version_grace: Duration::from_secs(20),
-                ..options(me, me.address)
+    let waits = members.iter().map(|me| {
+        let options = Options {
+            version_grace: Duration::from_secs(20),
+            ..options(me, me.address)
+        };
+        let state = State::new(options, metrics());
+        state.apply_view(view(members.clone()));
+        state.record_version(MODEL, 2, Some(state.now()), "test");
+        let target = state.newest_target().unwrap();
+        runtime.block_on(async {
+            let start = tokio::time::Instant::now();
+            let acting = async {
+                sleep(Duration::from_secs(1)).await;
+                act(&state);
             };
-            let state = State::new(options, metrics());
-            state.apply_view(view(members.clone()));
-            state.record_version(MODEL, 2, Some(state.now()), "test");
-            let target = state.newest_target().unwrap();
-            runtime.block_on(async {
-                let start = tokio::time::Instant::now();
-                let name_newer = async {
-                    sleep(Duration::from_secs(1)).await;
-                    if newer {
-                        state.record_version(MODEL, 3, Some(state.now()), "test");
-                    }
-                };
-                tokio::join!(schedule::wait_for_turn(&state, &target), name_newer);
-                start.elapsed()
-            })
-        });
-        waits.max().unwrap()
-    };
+            tokio::join!(schedule::wait_for_turn(&state, &target), acting);
+            start.elapsed()
+        })
+    });
+    waits.max().unwrap()
+}
 
-    let (alone, awaited) = (longest(false), longest(true));
+/// An agent waits for its turn to load. If the delay were not computed again, the newer version would wait for the
+/// whole schedule.
+#[test]
+fn load_is_scheduled_earlier_when_a_newer_version_is_announced() {
+    let alone = longest_wait_for_turn(|_| {});
+    let awaited =
+        longest_wait_for_turn(|state| state.record_version(MODEL, 3, Some(state.now()), "test"));
 
     assert!(alone > Duration::from_secs(15), "{alone:?}");
     assert!(awaited < Duration::from_secs(5), "{awaited:?}");
 }
 
+/// Guards against engines that load after the deadline because the timers of their agents stood still.
+#[test]
+fn load_is_scheduled_earlier_after_a_suspension() {
+    let awaited = longest_wait_for_turn(|state| {
+        state.clock().suspend(Duration::from_secs(15));
+        state.move_deadlines();
+    });
+
+    assert!(awaited < Duration::from_secs(5), "{awaited:?}");
+}
+
 /// After the previous version is loaded, the deadline of the next one must be its own. With the older deadline it would
 /// be loaded too early.
 #[test]
