Count the time of suspensions in callers' deadlines

The deadline of a request was a time of the steady clock. After a suspension of 1.2 s a second server was handed 2772 ms of the caller's 3 s, and a caller whose deadline had passed in a suspension of 3 s got its answer late by as much.

The deadline is a time of the entry's clock. What waits for it, or for a slot, waits through deadline::run_until, which reads the clock again after a suspension.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -2,11 +2,10 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use tokio::time::{Instant, timeout_at};
-
 use crate::{
     admission::{self, Decision, Request},
     call::Call,
+    deadline,
     permit::Permit,
     pool::Requirements,
     queue::{Position, Rank},
@@ -73,13 +72,13 @@
         return Err(refusal_reason(servable));
     };
     let (position, receiver) = state.enqueue(requirements, rank);
-    let until = call.deadline.min(Instant::now() + max_wait);
+    let until = call.deadline.min(state.now() + max_wait);
     let guard = QueueGuard {
         state,
         service: &call.service,
         position,
     };
-    let permit = timeout_at(until, receiver).await;
+    let permit = deadline::run_until(state, until, receiver).await;
     drop(guard);
     let waited = call.arrived.elapsed();
     state.metrics.wait_seconds.observe(waited.as_secs_f64());
@@ -110,8 +109,9 @@
         service: &service,
         position,
     };
-    let until = call.deadline.min(Instant::now() + RESUME_WAIT);
-    timeout_at(until, receiver).await.ok()?.ok()
+    let until = call.deadline.min(state.now() + RESUME_WAIT);
+    let permit = deadline::run_until(state, until, receiver).await;
+    permit.ok()?.ok()
 }
 
 /// Returns whether a server that was not tried could take the request, though maybe only once a slot is free.
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     config::{Authorized, Kind},
+    deadline::{self, Passed},
     fingerprint::Fingerprint,
     headers::{self, Outgoing, Tokens},
     permit::{OpenRequest, Permit},
@@ -50,8 +51,8 @@
     pub prefix: Prefix,
     /// When the request arrived.
     pub arrived: Instant,
-    /// When the entry has to answer; shortly before the caller's own deadline.
-    pub deadline: Instant,
+    /// When the entry has to answer, as time of [`State::now`]; shortly before the caller's own deadline.
+    pub deadline: Duration,
     /// Whether it is the caller's first attempt, which can still be answered on time.
     pub is_first_attempt: bool,
     /// Counts the request as open while it lives.
@@ -61,7 +62,19 @@
 impl Call {
     /// Returns the time until the deadline; zero after it.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let state = &self.open_request.state;
+        self.deadline.saturating_sub(state.now())
+    }
+
+    /// Waits for a future until the deadline.
+    ///
+    /// # Errors
+    /// [`Passed`] if the future is not ready then.
+    pub async fn run_until_deadline<T>(
+        &self,
+        future: impl Future<Output = T>,
+    ) -> Result<T, Passed> {
+        deadline::run_until(&self.open_request.state, self.deadline, future).await
     }
 
     /// Returns the milliseconds since the request arrived.
--- a/crates/pistachiolug_gateway/src/hedge.rs
+++ b/crates/pistachiolug_gateway/src/hedge.rs
@@ -8,7 +8,7 @@
 use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     call::Call,
@@ -156,7 +156,7 @@
 /// Reads the whole body of an answer.
 async fn read_whole(call: &Call, response: Response<Incoming>) -> Result<Response<Bytes>, String> {
     let (mut head, body) = response.into_parts();
-    let body = timeout_at(call.deadline, body.collect()).await;
+    let body = call.run_until_deadline(body.collect()).await;
     let body = body.map_err(|_| "answer incomplete at the deadline".to_owned())?;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
     headers::remove_connection(&mut head);
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempts;
 pub mod call;
 pub mod config;
+pub mod deadline;
 pub mod decoder;
 pub mod event;
 pub mod fingerprint;
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -12,6 +12,7 @@
 use crate::{
     call::Call,
     config::{Authorized, Config, Denial},
+    deadline,
     fingerprint::Fingerprint,
     headers,
     prefix::Prefix,
@@ -52,8 +53,10 @@
     let names = &state.options.names;
     let route = &authorized.route;
     let time_limit = headers::time_limit(&head.headers, names).unwrap_or(route.timeout);
-    let deadline = arrived + time_limit.min(route.timeout).saturating_sub(ANSWER_MARGIN);
-    let body = read_body(body, config.limits().body_bytes, deadline).await?;
+    let deadline = state.now() + time_limit.min(route.timeout).saturating_sub(ANSWER_MARGIN);
+    let body = read_body(body, config.limits().body_bytes);
+    let body = deadline::run_until(state, deadline, body).await;
+    let body = body.unwrap_or(Err(Reason::BadBody))?;
     let is_first_attempt = state.record_time_limit(&route.name, time_limit);
     let service = Arc::clone(route.pick_service(&mut rand::rng()));
     let model = find_engine(&config, &service)
@@ -114,10 +117,10 @@
     let _ = timeout_at(until, discard).await;
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, Reason> {
-    match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(Reason::BadBody),
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
+        Err(_) => Err(Reason::BadBody),
     }
 }
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -1,14 +1,13 @@
 //! One attempt of a request at a server.
 
-use std::pin::pin;
+use std::{pin::pin, time::Duration};
 
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep_until};
 
 use crate::{
     call::Call,
-    headers,
+    deadline, headers,
     permit::Permit,
     state::State,
     upstream::{self, Connection, Failure},
@@ -36,13 +35,14 @@
 /// Records with the permit whether the request was lost. After an answer, the caller of this function does so.
 ///
 /// # Arguments
-/// `last_event` is the id of the last event that the caller has, if a stream is resumed. The attempt ends at `until`.
+/// `last_event` is the id of the last event that the caller has, if a stream is resumed. The attempt ends at `until`, a time
+/// of [`State::now`].
 pub async fn send(
     state: &State,
     call: &Call,
     permit: &Permit,
     last_event: Option<u64>,
-    until: Instant,
+    until: Duration,
 ) -> Outcome {
     permit.record_contact(&call.fingerprint);
     let outcome = exchange(state, call, permit, last_event, until).await;
@@ -70,7 +70,7 @@
     call: &Call,
     permit: &Permit,
     last_event: Option<u64>,
-    until: Instant,
+    until: Duration,
 ) -> Outcome {
     let request = call.build_request(state, permit, last_event);
     let exchange = upstream::exchange(permit.choice.record.address, request);
@@ -114,7 +114,7 @@
 pub async fn wait_to_begin<T>(
     call: &Call,
     permit: &Permit,
-    until: Instant,
+    until: Duration,
     arrival: impl Future<Output = T>,
 ) -> Result<T, Expired> {
     let state = &permit.state;
@@ -127,7 +127,7 @@
         tokio::select! {
             biased;
             arrived = &mut arrival => return Ok(arrived),
-            () = sleep_until(bound) => {
+            () = deadline::sleep_until(state, bound) => {
                 return Err(if bound < until { Expired::Outdated } else { Expired::Deadline });
             }
             () = deadlines_moved => {}
@@ -137,8 +137,8 @@
 
 /// Returns when a request is withdrawn from its server if it has not begun, because the server's version will be too
 /// old to begin it. Returns `None` if no newer version is known.
-fn begin_deadline(state: &State, call: &Call, permit: &Permit) -> Option<Instant> {
+fn begin_deadline(state: &State, call: &Call, permit: &Permit) -> Option<Duration> {
     let model = call.model.as_deref()?;
     let held = permit.choice.record.version(model)?;
-    Some(Instant::now() + state.time_to_begin(model, held)?)
+    Some(state.now() + state.time_to_begin(model, held)?)
 }
--- a/crates/pistachiolug_gateway/src/source.rs
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -153,7 +153,7 @@
         if !has_begun {
             return send::wait_to_begin(call, &self.permit, call.deadline, frame).await;
         }
-        let frame = timeout_at(call.deadline, frame).await;
+        let frame = call.run_until_deadline(frame).await;
         frame.map_err(|_| Expired::Deadline)
     }
 
