Date rows by when a watch had not been answered

A watch that was cut and answered without events, and whose answer was read only after the process had stood still, was taken for one that had waited to its end, so that the rows counted as complete up to a moment after the answer was made.

A follower now notes ten times a second that its watch has not been answered, and dates an answer without events from the last of these.

--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -1,6 +1,6 @@
 //! Keeps [`Rows`] up to date with a key-value service.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use pistachiolug_platform::kv::{Error, Position, Store};
 use rand::RngExt;
@@ -21,6 +21,9 @@
 /// begun.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which a process notes that a call has not been answered.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest wait before all rows are read again because the service doesn't have the events. All followers find that out
 /// at the same moment.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(250);
@@ -143,14 +146,17 @@
 ) -> Result<bool, Error> {
     let after = observer.with_rows(|rows| rows.position());
     let asked_at = observer.now();
-    let events = tokio::select! {
-        events = store.watch(prefix, after, wait) => events?,
-        () = wait_for_later_era(store, after.era) => return Err(Error::Compacted { oldest: 0 }),
+    let watching = async {
+        tokio::select! {
+            events = store.watch(prefix, after, wait) => events,
+            () = wait_for_later_era(store, after.era) => Err(Error::Compacted { oldest: 0 }),
+        }
     };
-    // A watch without events was answered once its wait was over.
-    let waited = observer.now() >= asked_at + wait;
-    let answered_at = if events.is_empty() && waited {
-        asked_at + wait
+    let (events, unanswered_at) = run_looking(watching, observer).await;
+    let events = events?;
+    // A watch without events is answered once its wait is over, or earlier if it is cut.
+    let answered_at = if events.is_empty() {
+        unanswered_at.min(asked_at + wait)
     } else {
         asked_at
     };
@@ -168,6 +174,21 @@
     Ok(has_changes)
 }
 
+/// Runs a call and returns a time at which its answer had not arrived. If the process stood still before the answer was
+/// read, that may be long ago.
+async fn run_looking<T, O: Observer>(call: impl Future<Output = T>, observer: &O) -> (T, Duration) {
+    let mut call = pin!(call);
+    let mut unanswered_at = observer.now();
+    loop {
+        let looked_at = observer.now();
+        match timeout(LOOK_INTERVAL, &mut call).await {
+            Ok(answer) => return (answer, unanswered_at),
+            // The timer fires after a look at the connection, and the process may have stood still since.
+            Err(_) => unanswered_at = looked_at + LOOK_INTERVAL,
+        }
+    }
+}
+
 /// Waits until an answer to another call has named a later era.
 async fn wait_for_later_era<S: Store>(store: &S, era: u64) {
     while store.era() <= era {
