Tell other entries only bounds that no entry has corrected

The time after which a target version was set moved on by the transit of each datagram, because an entry told the others what it had itself been told: its own bound came back later than it was. The same held for the time up to which the rows are complete, which each beacon carries; between entries of different regions it ran ahead of all answers of the key-value service. With 40 ms between two datagrams and a transit of 20 ms the deadline moved by over 0.8 s within 2.4 s.

Beacons now carry only what answers of the service say, and a target's age is told as it was when the target was learned of. The error is one transit for each entry that has learned from another one, and does not add up.

a_target_that_entries_tell_each_other_becomes_due_in_time and rows_do_not_become_more_complete_by_what_entries_were_told failed before and pass.

--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -292,7 +292,7 @@
         if let Some(age_ms) = beacon.rows_age_ms {
             let complete_at = arrived_after.checked_sub(Duration::from_millis(age_ms.into()));
             if let Some(complete_at) = complete_at {
-                self.with_rows(|rows| rows.confirm(beacon.position, complete_at));
+                self.with_rows(|rows| rows.confirm_by_peer(beacon.position, complete_at));
             }
         }
         let now = self.now();
@@ -565,7 +565,7 @@
     pub fn build_beacon(&self, round: u32) -> (Beacon, Vec<SocketAddr>) {
         let peers = self.peers.borrow();
         let rows = self.rows.borrow();
-        let rows_age = rows.complete_at().map(|at| self.now().saturating_sub(at));
+        let rows_age = rows.answered_at().map(|at| self.now().saturating_sub(at));
         let beacon = Beacon {
             name: self.options.name.clone(),
             address: self.options.internal,
--- a/crates/pistachiolug_gateway/src/versions.rs
+++ b/crates/pistachiolug_gateway/src/versions.rs
@@ -40,6 +40,9 @@
     version: Version,
     /// Time after which the target was set; `None` if it may have been set at any time. Only grows.
     set_after: Option<Duration>,
+    /// `set_after` as it was when the target was learned of. What a peer tells is too late by the transit of its message;
+    /// if corrections were told on, the error would add up.
+    told_set_after: Option<Duration>,
     /// When the target was learned of, or `set_after` was last corrected.
     changed_at: Duration,
 }
@@ -87,9 +90,10 @@
         targets.push(Target {
             version,
             set_after,
+            told_set_after: set_after,
             changed_at: now,
         });
-        let max_age_ms = set_after.map(|set_after| millis(now.saturating_sub(set_after)));
+        let max_age_ms = max_age_ms(set_after, now);
         log::info!(model, version, before = previous, max_age_ms:?; "target version set");
         Update::New
     }
@@ -120,6 +124,7 @@
                 let target = Target {
                     version,
                     set_after,
+                    told_set_after: set_after,
                     changed_at: now,
                 };
                 targets.insert(index, target);
@@ -135,7 +140,7 @@
             return Update::Unchanged;
         }
         target.changed_at = now;
-        let max_age_ms = target.max_age_ms(now);
+        let max_age_ms = max_age_ms(target.set_after, now);
         log::info!(model, version, max_age_ms:?; "target version was set later than known");
         Update::Corrected
     }
@@ -149,7 +154,7 @@
     pub fn max_age_ms(&self, model: &str, version: Version, now: Duration) -> Option<u32> {
         let mut targets = self.targets.get(model)?.iter();
         let target = targets.find(|target| target.version == version)?;
-        target.max_age_ms(now)
+        max_age_ms(target.set_after, now)
     }
 
     /// Returns what to tell others of the models that have a target which has changed since a time.
@@ -176,7 +181,7 @@
             needed.iter().map(move |target| datagram::Target {
                 model: model.clone(),
                 version: target.version,
-                max_age_ms: target.max_age_ms(now),
+                max_age_ms: max_age_ms(target.told_set_after, now),
             })
         });
         described.collect()
@@ -207,11 +212,9 @@
     }
 }
 
-impl Target {
-    fn max_age_ms(&self, now: Duration) -> Option<u32> {
-        let age = now.saturating_sub(self.set_after?);
-        Some(millis(age))
-    }
+/// Returns the bound of the age of a target that was set after a time.
+fn max_age_ms(set_after: Option<Duration>, now: Duration) -> Option<u32> {
+    set_after.map(|set_after| millis(now.saturating_sub(set_after)))
 }
 
 /// Returns whole milliseconds, rounded up so that an age is not understated.
--- a/crates/pistachiolug_replica/src/rows.rs
+++ b/crates/pistachiolug_replica/src/rows.rs
@@ -31,6 +31,8 @@
     position: Position,
     /// Time up to which all changes are known to be included; `None` before the first read. Never goes back.
     complete_at: Option<Duration>,
+    /// Time up to which answers of the service say so; `None` before the first one. Never goes back.
+    answered_at: Option<Duration>,
     /// Keys of rows that were removed in this era with the revisions of the removals, oldest first.
     removals: VecDeque<(String, u64)>,
     /// Revision after which `removals` is complete.
@@ -67,12 +69,31 @@
         self.complete_at
     }
 
-    /// Records that the rows at `position` include all changes up to a time. Ignored if the rows are at another position.
+    /// Returns the time up to which answers of the service say that all changes are included; `None` before the first
+    /// one. Unlike [`Rows::complete_at`], it contains nothing that peers have told.
+    pub fn answered_at(&self) -> Option<Duration> {
+        self.answered_at
+    }
+
+    /// Records an answer of the service: the rows at `position` include all changes up to a time. Ignored if the rows are
+    /// at another position.
     ///
     /// # Arguments
-    /// `at` must not be later than the moment at which the service, or a peer that knew, had no later changes: the time
-    /// at which it was asked is safe, the arrival of its answer is not.
+    /// `at` must not be later than the moment at which the service had no later changes: the time at which it was asked is
+    /// safe, the arrival of its answer is not.
     pub fn confirm(&mut self, position: Position, at: Duration) {
+        if position == self.position {
+            self.answered_at = self.answered_at.max(Some(at));
+            self.complete_at = self.complete_at.max(Some(at));
+        }
+    }
+
+    /// Records what a peer that has rows at `position` knows of their completeness. Ignored if the rows are at another
+    /// position.
+    ///
+    /// The time is too late by the transit of the peer's message, so it must be the peer's [`Rows::answered_at`]: told
+    /// back and forth, the error would add up.
+    pub fn confirm_by_peer(&mut self, position: Position, at: Duration) {
         if position == self.position {
             self.complete_at = self.complete_at.max(Some(at));
         }
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -28,7 +28,8 @@
     pub in_touch: bool,
     /// Position of the rows of the sender.
     pub position: Position,
-    /// Milliseconds for which the rows may lack later changes; `None` before their first read.
+    /// Milliseconds for which the rows may lack later changes, by answers of the key-value service to the sender; `None`
+    /// before the first one.
     pub rows_age_ms: Option<u32>,
     /// Work by the short hash of the id of the backend server; servers without work are left out.
     pub work: Vec<(u32, Work)>,
