Bound a newer version's age by that of the versions before it

A process bounds the age of a version by its last answer that did not have it. A watch that brings one version is answered at once but was sent up to 20 s before (agents) or 1.2 s (entries), so the bound of a second version, set while the next watch was under way, could be before the first version, and its deadline passed when it was learned of: agents abandoned an almost complete version, or loaded at once, and entries excluded all servers too early, until another process told them better.

Versions are set one after the other, so a newer one was set after all times after which an older one was.

--- a/crates/pistachiolug_gateway/src/versions.rs
+++ b/crates/pistachiolug_gateway/src/versions.rs
@@ -80,17 +80,21 @@
         now: Duration,
     ) -> Update {
         let targets = self.targets.entry(model.to_owned()).or_default();
-        let previous = targets.last().map_or(0, |target| target.version);
+        let last = targets.last().copied();
+        let previous = last.map_or(0, |target| target.version);
         if version <= previous {
             return Update::Unchanged;
         }
+        // Versions are set one after the other.
+        let told_set_after = set_after.max(last.and_then(|target| target.told_set_after));
+        let set_after = set_after.max(last.and_then(|target| target.set_after));
         if targets.len() >= MAX_TARGETS {
             targets.remove(0);
         }
         targets.push(Target {
             version,
             set_after,
-            told_set_after: set_after,
+            told_set_after,
             changed_at: now,
         });
         let max_age_ms = max_age_ms(set_after, now);
@@ -128,6 +132,7 @@
                     changed_at: now,
                 };
                 targets.insert(index, target);
+                raise_later(targets, index);
                 log::info!(model, version; "earlier target version learned");
                 return Update::Corrected;
             }
@@ -140,7 +145,8 @@
             return Update::Unchanged;
         }
         target.changed_at = now;
-        let max_age_ms = max_age_ms(target.set_after, now);
+        raise_later(targets, index);
+        let max_age_ms = max_age_ms(set_after, now);
         log::info!(model, version, max_age_ms:?; "target version was set later than known");
         Update::Corrected
     }
@@ -212,6 +218,15 @@
     }
 }
 
+/// Corrects the targets after the one at `index`, which were set after it.
+fn raise_later(targets: &mut [Target], index: usize) {
+    let mut earlier = None;
+    for target in &mut targets[index..] {
+        target.set_after = target.set_after.max(earlier);
+        earlier = target.set_after;
+    }
+}
+
 /// Returns the bound of the age of a target that was set after a time.
 fn max_age_ms(set_after: Option<Duration>, now: Duration) -> Option<u32> {
     set_after.map(|set_after| millis(now.saturating_sub(set_after)))
--- a/crates/pistachiolug_gateway/tests/versions_review.rs
+++ b/crates/pistachiolug_gateway/tests/versions_review.rs
@@ -96,3 +96,25 @@
         assert!(Duration::from_millis(age) >= TRANSIT * 10, "{age} ms");
     });
 }
+
+/// Guards against a newer target that excludes all servers before an older one is due.
+#[test]
+fn a_newer_target_is_not_due_before_an_older_one() {
+    let rows = [
+        ("known before", vec![(2, 105), (3, 101)]),
+        ("corrected after", vec![(2, 101), (3, 101), (2, 105)]),
+    ];
+    for (name, told) in rows {
+        let mut versions = records();
+        for (version, set_after) in told {
+            let set_after = Some(Duration::from_secs(set_after));
+            versions.merge_target("m", version, set_after, Duration::from_secs(106));
+        }
+
+        let before = versions.minimum("m", Duration::from_secs(104) + GRACE);
+        let after = versions.minimum("m", Duration::from_secs(105) + GRACE);
+
+        assert_eq!(before, None, "{name}");
+        assert_eq!(after, Some(3), "{name}");
+    }
+}
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -289,14 +289,21 @@
             .map_or(FIRST_VERSION, |announced| announced.version);
         let now = self.now();
         let max_age_ms = now.saturating_sub(announced_after).as_millis() as u64;
-        let mut earlier = announced.iter_mut();
-        if let Some(announcement) = earlier.find(|announcement| announcement.version == version) {
-            if announced_after < announcement.announced_after + MIN_CORRECTION {
+        let index = announced
+            .iter()
+            .position(|announcement| announcement.version == version);
+        if let Some(index) = index {
+            if announced_after < announced[index].announced_after + MIN_CORRECTION {
                 return;
             }
-            announcement.announced_after = announced_after;
+            for announcement in &mut announced[index..] {
+                announcement.announced_after = announcement.announced_after.max(announced_after);
+            }
             log::info!(model, version, max_age_ms, from; "version was announced later than known");
         } else if version > known {
+            // Versions are announced one after the other.
+            let previous = announced.last().map(|earlier| earlier.announced_after);
+            let announced_after = announced_after.max(previous.unwrap_or_default());
             announced.push(Announcement {
                 version,
                 announced_at: now,
--- a/crates/pistachiolug_loader/tests/announcements.rs
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -69,3 +69,23 @@
         );
     }
 }
+
+/// Guards against a version that is abandoned, or loaded at once, because the agent's last answer is older than that version.
+#[test]
+fn a_newer_version_is_not_due_before_an_older_one() {
+    let rows = [
+        ("known before", vec![(2, 5), (3, 1)]),
+        ("corrected after", vec![(2, 1), (3, 1), (2, 5)]),
+    ];
+    for (name, told) in rows {
+        let state = agent();
+        for (version, seconds) in told {
+            let announced_after = Some(Duration::from_secs(seconds));
+            state.learn_version(MODEL, version, announced_after, "test");
+        }
+
+        let target = state.newest_target().unwrap();
+
+        assert_eq!(target.deadline, Duration::from_secs(5) + GRACE, "{name}");
+    }
+}
