Tell no age of a version that was announced before an agent's start

An agent that was restarted reads a version of unknown age. It counted the age from its own start and told that to other agents, whose deadlines moved to its start plus the whole grace; they loaded after the entries had excluded their engines.

The bound of a version's age is now unknown in that case: the agent's own deadline is as before, and nothing is told.

an_agent_that_was_restarted_tells_no_age_of_a_version_from_before failed before (1 ms instead of none) and passes.

--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -94,8 +94,9 @@
     version: u64,
     /// When the agent learned of the version, as time since its start.
     announced_at: Duration,
-    /// Time since the agent's start after which the version was announced. Only grows.
-    announced_after: Duration,
+    /// Time since the agent's start after which the version was announced; `None` if it may have been announced at any
+    /// time. Only grows.
+    announced_after: Option<Duration>,
 }
 
 /// Record of the pieces of one version that are staged at the engine.
@@ -248,7 +249,8 @@
             pieces: model.pieces,
             piece_bytes: model.piece_bytes,
             deadline: ahead
-                .map(|announced| announced.announced_after + self.options.version_grace)
+                .map(|announced| announced.announced_after.unwrap_or_default())
+                .map(|announced_after| announced_after + self.options.version_grace)
                 .min()
                 .unwrap_or_default(),
         })
@@ -281,35 +283,37 @@
         announced_after: Option<Duration>,
         from: &str,
     ) {
-        let announced_after = announced_after.unwrap_or_default();
         let mut versions = self.versions.borrow_mut();
         let announced = versions.entry(model.to_owned()).or_default();
         let known = announced
             .last()
             .map_or(FIRST_VERSION, |announced| announced.version);
         let now = self.now();
-        let max_age_ms = now.saturating_sub(announced_after).as_millis() as u64;
+        let max_age = announced_after.map(|announced_after| now.saturating_sub(announced_after));
+        let max_age_ms = max_age.map(|max_age| max_age.as_millis() as u64);
         let index = announced
             .iter()
             .position(|announcement| announcement.version == version);
         if let Some(index) = index {
-            if announced_after < announced[index].announced_after + MIN_CORRECTION {
+            let known_after = announced[index].announced_after;
+            if announced_after <= known_after.map(|known_after| known_after + MIN_CORRECTION) {
                 return;
             }
             for announcement in &mut announced[index..] {
                 announcement.announced_after = announcement.announced_after.max(announced_after);
             }
-            log::info!(model, version, max_age_ms, from; "version was announced later than known");
+            log::info!(model, version, max_age_ms:?, from; "version was announced later than known");
         } else if version > known {
             // Versions are announced one after the other.
-            let previous = announced.last().map(|earlier| earlier.announced_after);
-            let announced_after = announced_after.max(previous.unwrap_or_default());
+            let previous = announced.last();
+            let announced_after =
+                announced_after.max(previous.and_then(|earlier| earlier.announced_after));
             announced.push(Announcement {
                 version,
                 announced_at: now,
                 announced_after,
             });
-            log::info!(model, version, before = known, max_age_ms, from; "version announced");
+            log::info!(model, version, before = known, max_age_ms:?, from; "version announced");
         } else {
             return;
         }
@@ -329,21 +333,30 @@
         announced_after: Option<Duration>,
         from: &str,
     ) {
-        let is_known = self.version_age_ms(model, version).is_some();
+        let is_known = self.has_announcement(model, version);
         let rows_complete_at = self.rows.borrow().complete_at();
         let announced_after = announced_after.max(rows_complete_at.filter(|_| !is_known));
         self.record_version(model, version, announced_after, from);
     }
 
-    /// Returns the bound of a version's age in milliseconds; `None` if the version is not known.
+    /// Returns the bound of a version's age in milliseconds; `None` if the version is not known, or may have been
+    /// announced at any time.
     pub fn version_age_ms(&self, model: &str, version: u64) -> Option<u32> {
         let versions = self.versions.borrow();
         let mut announced = versions.get(model)?.iter();
         let announced = announced.find(|announced| announced.version == version)?;
-        let age = self.now().saturating_sub(announced.announced_after);
+        let age = self.now().saturating_sub(announced.announced_after?);
         age.as_millis().saturating_add(1).try_into().ok()
     }
 
+    fn has_announcement(&self, model: &str, version: u64) -> bool {
+        let versions = self.versions.borrow();
+        let announced = versions.get(model).map_or(&[][..], Vec::as_slice);
+        announced
+            .iter()
+            .any(|announced| announced.version == version)
+    }
+
     /// Waits until a version is announced, or until it becomes known that one was announced later than known.
     pub async fn wait_for_announcement(&self) {
         self.version_announced.notified().await;
--- a/crates/pistachiolug_loader/tests/announcements.rs
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -89,3 +89,14 @@
         assert_eq!(target.deadline, Duration::from_secs(5) + GRACE, "{name}");
     }
 }
+
+/// Guards against loads after the deadline because an agent that was restarted counts a version's age from its own start.
+#[test]
+fn an_agent_that_was_restarted_tells_no_age_of_a_version_from_before() {
+    let state = agent();
+    state.record_version(MODEL, 2, None, "test");
+
+    let told = state.version_age_ms(MODEL, 2);
+
+    assert_eq!(told, None);
+}
