Let agents tell entries of new versions

Each agent tells a few entries, and these tell the others. A version that was not known was set after an entry's own rows were last complete, which bounds its age better than what agents know.

--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -248,14 +248,17 @@
         update
     }
 
-    /// Merges what another entry has sent of a target version. The datagram arrived after `arrived_after`.
+    /// Merges what another entry, or an agent, has sent of a target version. The datagram arrived after `arrived_after`.
     pub fn merge_target(&self, target: &datagram::Target, arrived_after: Duration) -> Update {
         let max_age = target
             .max_age_ms
             .map(|age_ms| Duration::from_millis(age_ms.into()));
         // One that may be older than this process may have been set at any time.
-        let set_after = max_age.and_then(|max_age| arrived_after.checked_sub(max_age));
+        let told = max_age.and_then(|max_age| arrived_after.checked_sub(max_age));
         let (now, model) = (self.now(), &target.model);
+        // A newer one than the known ones was set after the rows were last known to be complete.
+        let is_new = self.target_version(model) < Some(target.version);
+        let set_after = told.max(self.with_rows(|rows| rows.complete_at()).filter(|_| is_new));
         let mut versions = self.versions.borrow_mut();
         let update = versions.merge_target(model, target.version, set_after, now);
         self.wake_for_target(update);
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Merges what another entry has sent of a target version, and notifies the agents if they may not know it. The
+    /// Merges what another entry, or an agent, has sent of a target version, and notifies the agents if they may not know it. The
     /// datagram arrived after `arrived_after`.
     pub fn merge_target(&self, target: datagram::Target, arrived_after: Duration) {
         let update = self.state.merge_target(&target, arrived_after);
--- a/crates/pistachiolug_gateway/tests/versions_review.rs
+++ b/crates/pistachiolug_gateway/tests/versions_review.rs
@@ -9,7 +9,7 @@
 use pistachiolug_gateway::{state::State, versions::Versions};
 use pistachiolug_platform::kv::Range;
 use pistachiolug_replica::rows::Rows;
-use pistachiolug_wire::datagram::Beacon;
+use pistachiolug_wire::datagram::{self, Beacon};
 use tokio::time::sleep;
 
 use support::POSITION;
@@ -118,3 +118,22 @@
         assert_eq!(after, Some(3), "{name}");
     }
 }
+
+/// Guards against entries that begin requests on an outdated version because the key-value service refuses them all.
+#[test]
+fn a_target_that_only_agents_know_is_due_by_the_entry_s_own_rows() {
+    let entry = entry_with_rows();
+    let (model, version) = ("m".to_owned(), 2);
+    let target = datagram::Target {
+        model,
+        version,
+        max_age_ms: None,
+    };
+
+    entry.merge_target(&target, entry.now());
+
+    let age = entry.target_age_ms("m", 2);
+    let rows_age = beacon(&entry).rows_age_ms;
+    assert_eq!(entry.target_version("m"), Some(2));
+    assert!(age.is_some() && age <= rows_age, "{age:?}, {rows_age:?}");
+}
--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use pistachiolug_kernel::inbox::{self, Inbox};
 use pistachiolug_weights::{bitmap::Bitmap, order::Key, planner::Have};
-use pistachiolug_wire::datagram::{self, AgentDatagram};
+use pistachiolug_wire::datagram::{self, AgentDatagram, Datagram};
 use rand::seq::IndexedRandom;
 use tokio::{
     net::UdpSocket,
@@ -16,7 +16,7 @@
 /// Size of the receive buffer, and so of the largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
-/// Number of agents to which each agent forwards the announcement of a version.
+/// Number of agents, and of entries, to which each agent forwards the announcement of a version.
 const ANNOUNCE_FANOUT: usize = 3;
 
 /// Reports that may wait for the fetcher; further ones are dropped, since later reports repeat them.
@@ -68,7 +68,10 @@
 
     /// Announces a version to a few random agents of any region. Each of them does the same, so that the announcement
     /// reaches all agents.
+    ///
+    /// A few random entries are told as well, because the key-value service may serve agents while it refuses entries.
     pub fn announce(&self, model: &str, version: u64) {
+        self.tell_entries(model, version);
         let message = AgentDatagram::Named {
             model: model.to_owned(),
             version,
@@ -83,6 +86,21 @@
         }
     }
 
+    fn tell_entries(&self, model: &str, version: u64) {
+        let target = datagram::Target {
+            model: model.to_owned(),
+            version,
+            max_age_ms: self.state.version_age_ms(model, version),
+        };
+        let entries = self.state.entries();
+        let chosen = entries.sample(&mut rand::rng(), ANNOUNCE_FANOUT);
+        match datagram::encode(&Datagram::Targets(vec![target])) {
+            // A lost datagram does no harm: other agents send one, and entries also watch the service.
+            Ok(bytes) => chosen.for_each(|entry| drop(self.socket.try_send_to(&bytes, *entry))),
+            Err(error) => log::warn!(error:%; "datagram not encoded"),
+        }
+    }
+
     /// Handles incoming datagrams until the process ends.
     pub async fn run(self) {
         let socket = Rc::clone(&self.socket);
--- a/crates/pistachiolug_loader/tests/announcements.rs
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -5,11 +5,16 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use pistachiolug_loader::{
+    exchange::Exchange,
     metrics::Metrics,
     state::{Options, State},
 };
 use pistachiolug_weights::roster::Member;
-use pistachiolug_wire::weights::{Model, View};
+use pistachiolug_wire::{
+    datagram::{self, Datagram},
+    weights::{Model, View},
+};
+use tokio::{net::UdpSocket, time::timeout};
 
 const MODEL: &str = "ravioli";
 
@@ -43,6 +48,14 @@
     state
 }
 
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
+
 /// Guards against agents that load in a schedule which ends after the version's deadline, because they learned of it late.
 #[test]
 fn a_version_is_due_by_the_latest_time_after_which_it_was_announced() {
@@ -100,3 +113,30 @@
 
     assert_eq!(told, None);
 }
+
+/// Guards against entries that do not know a version because the key-value service refuses them all.
+#[test]
+fn an_agent_tells_entries_of_a_version() {
+    run(async {
+        let entry = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let state = agent();
+        state.apply_view(View {
+            entries: vec![entry.local_addr().unwrap()],
+            ..View::default()
+        });
+        state.record_version(MODEL, 2, Some(Duration::ZERO), "test");
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        socket.writable().await.unwrap();
+        let (exchange, _reports) = Exchange::new(socket, Rc::clone(&state));
+
+        exchange.announce(MODEL, 2);
+
+        let mut buffer = [0; 1024];
+        let received = timeout(Duration::from_secs(5), entry.recv(&mut buffer)).await;
+        let length = received.unwrap().unwrap();
+        let Datagram::Targets(targets) = datagram::decode(&buffer[..length]).unwrap() else {
+            panic!("not a datagram with targets");
+        };
+        assert_eq!((&*targets[0].model, targets[0].version), (MODEL, 2));
+    });
+}
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -143,7 +143,7 @@
     Crashes(Vec<Crash>),
     /// Sent by another entry: parts of prompts that are refused. It adds to what was sent before.
     Culprits(Vec<Culprit>),
-    /// Sent by another entry: target versions that are not long due. It adds to what was sent before.
+    /// Sent by another entry or an agent: target versions that are not long due. It adds to what was sent before.
     Targets(Vec<Target>),
 }
 
