End the avoidance of a loading server when the list names a newer version

An agent tells the entries when its engine begins to load and when it is done. If the second notice was lost, the entry did not use the server for up to 8 s from the first one, although the list named the new version: the time counts from the arrival of the notice, and nothing but another notice ended it.

a_server_that_is_listed_with_a_newer_version_has_loaded_it failed before and passes.

--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -102,6 +102,8 @@
     slowdown: f64,
     /// Whether its agent has announced a loaded version.
     has_notice: bool,
+    /// Whether its agent has announced a load of which no end is known.
+    is_loading: bool,
     /// When the server is removed; set once the server list no longer names it.
     remove_at: Option<Duration>,
     /// Position of the server's row in the key-value service.
@@ -166,13 +168,18 @@
 }
 
 impl Server {
-    /// Replaces the record. Keeps a version that the agent has announced if the list still names an older one.
+    /// Replaces the record. Keeps a version that the agent has announced if the list still names an older one. A newer
+    /// version in the list ends a load, because the agent's notice of its end may have been lost.
     fn update(&mut self, record: Record, position: Position, now: Duration) {
         let previous = std::mem::replace(&mut self.record, record);
         self.position = position;
         self.remove_at = None;
         for model in &previous.models {
             let listed = self.record.version(&model.name);
+            if self.is_loading && listed > Some(model.version) {
+                self.is_loading = false;
+                self.avoid_until = now;
+            }
             if self.has_notice && listed.is_none_or(|listed| listed < model.version) {
                 self.record.set_model(model.clone());
             }
@@ -305,6 +312,7 @@
                 failure_rate: 0.0,
                 slowdown: SLOWDOWN_RANGE.0,
                 has_notice: false,
+                is_loading: false,
                 remove_at: None,
                 position,
                 models_changed_at: now,
@@ -428,10 +436,12 @@
         };
         match notice.change {
             Change::Loading { for_ms } => {
+                server.is_loading = true;
                 server.avoid_until = now + Duration::from_millis(for_ms.into());
             }
             Change::Holds { version } => {
                 server.has_notice = true;
+                server.is_loading = false;
                 server.avoid_until = now;
                 server.models_changed_at = now;
                 let name = Arc::from(notice.model.as_str());
--- a/crates/pistachiolug_gateway/tests/versions_review.rs
+++ b/crates/pistachiolug_gateway/tests/versions_review.rs
@@ -6,13 +6,17 @@
 
 use std::{rc::Rc, time::Duration};
 
-use pistachiolug_gateway::{state::State, versions::Versions};
+use pistachiolug_gateway::{
+    pool::{Pool, Requirements},
+    state::State,
+    versions::Versions,
+};
 use pistachiolug_platform::kv::Range;
 use pistachiolug_replica::rows::Rows;
-use pistachiolug_wire::datagram::{self, Beacon};
+use pistachiolug_wire::datagram::{self, Beacon, Change, Notice};
 use tokio::time::sleep;
 
-use support::POSITION;
+use support::{MODEL, POSITION, SERVICE};
 
 /// Time between the setting of a target version and the moment from which no older version may begin a request.
 const GRACE: Duration = Duration::from_secs(8);
@@ -137,3 +141,35 @@
     assert_eq!(entry.target_version("m"), Some(2));
     assert!(age.is_some() && age <= rows_age, "{age:?}, {rows_age:?}");
 }
+
+/// Guards against engines that stay unused after a load because the agent's notice of its end was lost.
+#[test]
+fn a_server_that_is_listed_with_a_newer_version_has_loaded_it() {
+    let mut pool = Pool::default();
+    let start = Duration::from_secs(1);
+    let record = support::record("i-1", "127.0.0.1:1".parse().unwrap());
+    pool.put(record.clone(), POSITION, start);
+    let change = Change::Loading { for_ms: 8000 };
+    let notice = Notice {
+        server: record.address,
+        started: record.started_ms,
+        model: MODEL.to_owned(),
+        change,
+    };
+    let requirements = Requirements {
+        service: SERVICE.into(),
+        model: Some(MODEL.into()),
+        ..Requirements::default()
+    };
+
+    pool.apply_notice(&notice, start);
+    pool.put(record.clone(), POSITION, start);
+    let during = pool.can_serve(&requirements, start);
+    let mut loaded = record;
+    loaded.models[0].version = 2;
+    pool.put(loaded, POSITION, start);
+    let after = pool.can_serve(&requirements, start);
+
+    assert!(!during, "loading");
+    assert!(after, "loaded");
+}
