--- a/crates/pistachiolug_gateway/src/versions.rs
+++ b/crates/pistachiolug_gateway/src/versions.rs
@@ -41,6 +41,9 @@
     version: Version,
     /// Time after which the target was set; `None` if it may have been set at any time. Only grows.
     set_after: Option<Duration>,
+    /// `set_after` as it was when the target was learned of. What a peer tells is too late by the transit of its message;
+    /// if corrections were told on, the error would add up.
+    told_set_after: Option<Duration>,
     /// When the target was learned of, or `set_after` was last corrected.
     changed_at: Duration,
 }
@@ -78,19 +81,24 @@
         now: Duration,
     ) -> Update {
         let targets = self.targets.entry(model.to_owned()).or_default();
-        let previous = targets.last().map_or(0, |target| target.version);
+        let last = targets.last().copied();
+        let previous = last.map_or(0, |target| target.version);
         if version <= previous {
             return Update::Unchanged;
         }
+        // Versions are set one after the other.
+        let told_set_after = set_after.max(last.and_then(|target| target.told_set_after));
+        let set_after = set_after.max(last.and_then(|target| target.set_after));
         if targets.len() >= MAX_TARGETS {
             targets.remove(0);
         }
         targets.push(Target {
             version,
             set_after,
+            told_set_after,
             changed_at: now,
         });
-        let max_age_ms = set_after.map(|set_after| millis(now.saturating_sub(set_after)));
+        let max_age_ms = max_age_ms(set_after, now);
         log::info!(model, version, before = previous, max_age_ms:?; "target version set");
         Update::New
     }
@@ -121,9 +129,11 @@
                 let target = Target {
                     version,
                     set_after,
+                    told_set_after: set_after,
                     changed_at: now,
                 };
                 targets.insert(index, target);
+                raise_later(targets, index);
                 log::info!(model, version; "earlier target version learned");
                 return Update::Corrected;
             }
@@ -136,7 +146,8 @@
             return Update::Unchanged;
         }
         target.changed_at = now;
-        let max_age_ms = target.max_age_ms(now);
+        raise_later(targets, index);
+        let max_age_ms = max_age_ms(set_after, now);
         log::info!(model, version, max_age_ms:?; "target version was set later than known");
         Update::Corrected
     }
@@ -150,7 +161,7 @@
     pub fn max_age_ms(&self, model: &str, version: Version, now: Duration) -> Option<u32> {
         let mut targets = self.targets.get(model)?.iter();
         let target = targets.find(|target| target.version == version)?;
-        target.max_age_ms(now)
+        max_age_ms(target.set_after, now)
     }
 
     /// Returns what to tell others of the models that have a target which has changed since a time.
@@ -177,7 +188,7 @@
             needed.iter().map(move |target| datagram::Target {
                 model: model.clone(),
                 version: target.version,
-                max_age_ms: target.max_age_ms(now),
+                max_age_ms: max_age_ms(target.told_set_after, now),
             })
         });
         described.collect()
@@ -208,13 +219,20 @@
     }
 }
 
-impl Target {
-    fn max_age_ms(&self, now: Duration) -> Option<u32> {
-        let age = now.saturating_sub(self.set_after?);
-        Some(millis(age))
+/// Corrects the targets after the one at `index`, which were set after it.
+fn raise_later(targets: &mut [Target], index: usize) {
+    let mut earlier = None;
+    for target in &mut targets[index..] {
+        target.set_after = target.set_after.max(earlier);
+        earlier = target.set_after;
     }
 }
 
+/// Returns the bound of the age of a target that was set after a time.
+fn max_age_ms(set_after: Option<Duration>, now: Duration) -> Option<u32> {
+    set_after.map(|set_after| millis(now.saturating_sub(set_after)))
+}
+
 /// Returns whole milliseconds, rounded up so that an age is not understated.
 pub(crate) fn millis(duration: Duration) -> u32 {
     duration
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -28,7 +28,8 @@
     pub in_touch: bool,
     /// Position of the rows of the sender.
     pub position: Position,
-    /// Milliseconds for which the rows may lack later changes; `None` before their first read.
+    /// Milliseconds for which the rows may lack later changes, by answers of the key-value service to the sender; `None`
+    /// before the first one.
     pub rows_age_ms: Option<u32>,
     /// Work by the short hash of the id of the backend server; servers without work are left out.
     pub work: Vec<(u32, Work)>,
@@ -142,7 +143,7 @@
     Crashes(Vec<Crash>),
     /// Sent by another entry: parts of prompts that are refused. It adds to what was sent before.
     Culprits(Vec<Culprit>),
-    /// Sent by another entry: target versions that are not long due. It adds to what was sent before.
+    /// Sent by another entry or an agent: target versions that are not long due. It adds to what was sent before.
     Targets(Vec<Target>),
 }
 
