--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -32,7 +32,7 @@
     net::{TcpListener, TcpStream},
     sync::{Notify, mpsc, oneshot},
     task::{JoinSet, spawn_local, yield_now},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{
@@ -241,6 +241,28 @@
     crashes: Cell<usize>,
     /// Crashes the running incarnation of a server, by its index.
     triggers: RefCell<FxHashMap<u8, Arc<Notify>>>,
+    /// Answers that servers give to all requests, by their index.
+    fixed_answers: RefCell<FxHashMap<u8, FixedAnswer>>,
+    /// Requests that servers gave their fixed answers, in the order of their arrival.
+    fixed_answer_log: RefCell<Vec<Answered>>,
+}
+
+/// Status and further header lines of an answer.
+#[derive(Clone, Copy)]
+struct FixedAnswer {
+    status: &'static str,
+    headers: &'static str,
+}
+
+/// Request that a server gave its fixed answer.
+#[derive(Debug, Clone)]
+pub struct Answered {
+    /// Index of the server.
+    pub server: u8,
+    /// Id of the attempt.
+    pub attempt: String,
+    /// When it was answered.
+    pub at: Instant,
 }
 
 type Arrival = (u8, String);
@@ -466,6 +488,24 @@
             .count()
     }
 
+    /// Lets a server answer all requests with a status and header lines, and run none.
+    pub fn fix_answer(&self, server: u8, status: &'static str, headers: &'static str) {
+        let mut answers = self.servers.fixed_answers.borrow_mut();
+        answers.insert(server, FixedAnswer { status, headers });
+    }
+
+    /// Returns the requests that servers gave their fixed answers.
+    pub fn fixed_answers(&self) -> Vec<Answered> {
+        self.servers.fixed_answer_log.borrow().clone()
+    }
+
+    /// Writes the row of a server's first incarnation again, which says that it is ready.
+    pub async fn write_server_row(&self, index: u8) {
+        let key = format!("{SERVER_PREFIX}i-{index}-1");
+        let entries = self.store.range(&key).await.unwrap().entries;
+        self.store.put(&key, &entries[0].value);
+    }
+
     /// Returns the number of requests with the crashing part that arrived at servers.
     pub fn part_arrivals(&self) -> usize {
         self.servers.part_arrivals.get()
@@ -541,6 +581,20 @@
         return;
     };
     seen.arrivals.borrow_mut().push((index, body.to_owned()));
+    let fixed_answer = seen.fixed_answers.borrow().get(&index).copied();
+    if let Some(FixedAnswer { status, headers }) = fixed_answer {
+        let attempt = find_attempt(head).to_owned();
+        let response = answer(&attempt, status, "ravioli");
+        let response = response.replacen("\r\n", &format!("\r\n{headers}"), 1);
+        seen.fixed_answer_log.borrow_mut().push(Answered {
+            server: index,
+            attempt,
+            at: Instant::now(),
+        });
+        let _ = stream.write_all(response.as_bytes()).await;
+        let _ = stream.shutdown().await;
+        return;
+    }
     let has_crashing_part = shared_parts(head).any(|part| part == CRASHING_PART);
     if has_crashing_part {
         seen.part_arrivals.set(seen.part_arrivals.get() + 1);
