Send no requests to a server for the time that its Retry-After states

Cause: the gateway did not read the header. After any answer that said "not run" the server was avoided for 80 ms, and then chosen again as an idle one. The time for which a server is avoided has several writers (failures, agents' notices), so it could not hold the server's own wish.

Each incarnation of a server now has a backoff of its own. It is learnt in `send`, which all sends share: first ones, retries, hedged requests, resumed streams. Believed is a 503 to the request at hand that is signed, says "not run" or echoes the attempt id. Only a later end replaces the end; rows, failures, notices, answers to former requests and an absence from the list don't. A server in backoff is neither chosen nor offered to the queue, its slots count as neither free nor freed, and a request that was assigned before the answer came is withheld once its connection is open. If all servers are in backoff, a request that can't wait for the first end is refused at once (`backoff`) with a delay that reaches it as far as callers honor one. After the end each entry sends one request at a time until one is answered. A backoff is no failure: it does not count in the failure rate and starts no check.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -51,26 +51,19 @@
         return Ok(permit);
     }
     let servable = state.with_pool(|pool| pool.can_serve(&requirements, state.now()));
-    let request = Request {
-        target_latency: call
-            .authorized
-            .route
-            .target_latency
-            .saturating_sub(call.arrived.elapsed()),
-        is_first_attempt: call.is_first_attempt,
-        time_left: call.time_left(),
-        ahead,
-    };
+    let reopens_in = state.with_pool(|pool| pool.time_to_reopening(&requirements, state.now()));
+    let request = admission_request(call, ahead, reopens_in);
     let rates = state.slot_rates(&call.service);
-    let decision = if servable || tried.is_empty() {
+    let decision = if servable || reopens_in.is_some() || tried.is_empty() {
         admission::decide(&request, &rates)
     } else {
         Decision::Refuse
     };
+    let reopens_in_ms = reopens_in.map(|reopens_in| reopens_in.as_millis() as u64);
     let (places, fresh_places) = (rates.freed_per_second, rates.first_attempts_per_second);
     let Decision::Wait(max_wait) = decision else {
-        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable; "no slot expected in time");
-        return Err(refusal_reason(servable));
+        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable, reopens_in_ms:?; "no slot expected in time");
+        return Err(refusal_reason(servable, reopens_in));
     };
     let (position, receiver) = state.enqueue(requirements, rank);
     let until = call.deadline.min(Instant::now() + max_wait);
@@ -89,8 +82,8 @@
         return Ok(permit);
     }
     let patience_ms = max_wait.as_millis() as u64;
-    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, patience_ms, servable; "no slot became free in time");
-    Err(refusal_reason(servable))
+    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, patience_ms, servable, reopens_in_ms:?; "no slot became free in time");
+    Err(refusal_reason(servable, reopens_in))
 }
 
 /// Acquires a slot at a server that may resume a stream; `None` if none becomes free in time.
@@ -120,9 +113,40 @@
     state.with_pool(|pool| pool.can_serve(&requirements, state.now()))
 }
 
-/// Returns the reason of a refusal; `servable` tells whether a usable server exists.
-fn refusal_reason(servable: bool) -> Reason {
-    if servable {
+/// Returns the time until the first server that was not tried is out of its backoff, if all that could take the request
+/// are in one.
+pub fn time_to_reopening(state: &State, call: &Call, tried: &[Arc<str>]) -> Option<Duration> {
+    let requirements = call.requirements(state, tried);
+    state.with_pool(|pool| pool.time_to_reopening(&requirements, state.now()))
+}
+
+/// Returns whether all servers that could take the request are in backoffs that last longer than it may wait.
+pub fn is_backoff_too_long(state: &State, call: &Call, tried: &[Arc<str>]) -> bool {
+    let reopens_in = time_to_reopening(state, call, tried);
+    let max_wait = admission_request(call, 0, reopens_in).max_wait();
+    reopens_in.is_some_and(|reopens_in| reopens_in > max_wait)
+}
+
+fn admission_request(call: &Call, ahead: usize, reopens_in: Option<Duration>) -> Request {
+    Request {
+        target_latency: call
+            .authorized
+            .route
+            .target_latency
+            .saturating_sub(call.arrived.elapsed()),
+        is_first_attempt: call.is_first_attempt,
+        time_left: call.time_left(),
+        ahead,
+        reopens_in: reopens_in.unwrap_or_default(),
+    }
+}
+
+/// Returns the reason of a refusal; `servable` tells whether a usable server exists, `reopens_in` whether all are in a
+/// backoff.
+fn refusal_reason(servable: bool, reopens_in: Option<Duration>) -> Reason {
+    if reopens_in.is_some() {
+        Reason::Backoff
+    } else if servable {
         Reason::Overloaded
     } else {
         Reason::Unavailable
--- a/crates/pistachiolug_gateway/src/admission.rs
+++ b/crates/pistachiolug_gateway/src/admission.rs
@@ -21,6 +21,9 @@
 /// Longest retry delay of a refused caller, as a share of its time left; callers honor delays of up to a third of it.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.32;
 
+/// Smallest range over which the returns of refused callers are spread, as a share of their time left.
+const MIN_RETRY_SPREAD_SHARE: f64 = 0.06;
+
 /// Request that finds no free slot.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Request {
@@ -32,6 +35,19 @@
     pub time_left: Duration,
     /// Number of waiting requests that are served before it.
     pub ahead: usize,
+    /// Time until the first server is out of its backoff; zero if one is in none.
+    pub reopens_in: Duration,
+}
+
+impl Request {
+    /// Returns the longest time that it may wait for a slot.
+    pub fn max_wait(&self) -> Duration {
+        if self.is_first_attempt {
+            self.target_latency.mul_f64(MAX_WAIT_SHARE_OF_TARGET)
+        } else {
+            self.time_left.mul_f64(MAX_WAIT_SHARE_OF_TIME_LEFT)
+        }
+    }
 }
 
 /// Rates at which slots become free for an entry's requests to a service.
@@ -64,16 +80,13 @@
     Refuse,
 }
 
-/// Decides by the expected wait, which follows from the requests ahead and the rates of freed slots.
+/// Decides by the expected wait, which follows from the servers' backoffs, the requests ahead and the rates of freed
+/// slots.
 pub fn decide(request: &Request, rates: &SlotRates) -> Decision {
     let slots_per_second = rates.available(request.is_first_attempt);
-    let max_wait = if request.is_first_attempt {
-        request.target_latency.mul_f64(MAX_WAIT_SHARE_OF_TARGET)
-    } else {
-        request.time_left.mul_f64(MAX_WAIT_SHARE_OF_TIME_LEFT)
-    };
-    let expected_wait_s = (request.ahead + 1) as f64 / slots_per_second.max(f64::MIN_POSITIVE);
-    if expected_wait_s > max_wait.as_secs_f64() {
+    let max_wait = request.max_wait();
+    let slot_wait_s = (request.ahead + 1) as f64 / slots_per_second.max(f64::MIN_POSITIVE);
+    if request.reopens_in.as_secs_f64() + slot_wait_s > max_wait.as_secs_f64() {
         return Decision::Refuse;
     }
     Decision::Wait(max_wait)
@@ -81,7 +94,19 @@
 
 /// Returns the delay after which a refused caller should retry. `point` in 0.0..1.0 spreads the delays, so that refused
 /// callers do not return all at once.
-pub fn retry_after(time_left: Duration, point: f64) -> Duration {
-    let share = MIN_RETRY_AFTER_SHARE + (MAX_RETRY_AFTER_SHARE - MIN_RETRY_AFTER_SHARE) * point;
-    time_left.mul_f64(share)
+///
+/// # Arguments
+/// `reopens_in` is the time until the first server is out of its backoff, if all are in one. Callers return after it as
+/// far as they honor the delay.
+pub fn retry_after(time_left: Duration, reopens_in: Option<Duration>, point: f64) -> Duration {
+    let latest = time_left.mul_f64(MAX_RETRY_AFTER_SHARE);
+    let soonest = match reopens_in {
+        None => time_left.mul_f64(MIN_RETRY_AFTER_SHARE),
+        Some(reopens_in) => {
+            reopens_in.min(latest.saturating_sub(time_left.mul_f64(MIN_RETRY_SPREAD_SHARE)))
+        }
+    };
+    let usual_spread = time_left.mul_f64(MAX_RETRY_AFTER_SHARE - MIN_RETRY_AFTER_SHARE);
+    let spread = usual_spread.min(latest.saturating_sub(soonest));
+    soonest + spread.mul_f64(point)
 }
--- a/crates/pistachiolug_gateway/src/attempts.rs
+++ b/crates/pistachiolug_gateway/src/attempts.rs
@@ -231,7 +231,10 @@
     pub fn try_repeat(&mut self, permit: &Permit, cause: &'static str, detail: &str) -> bool {
         self.may_have_run = true;
         let is_pending = !self.hedge.permits().is_empty();
-        let may_retry = !is_pending && self.may_repeat() && self.take_retry();
+        let may_retry = !is_pending
+            && self.may_repeat()
+            && !acquire::is_backoff_too_long(&self.state, &self.call, &self.tried)
+            && self.take_retry();
         if cause != "failed" || is_pending || may_retry {
             log_failed_attempt(&self.call, permit, cause, detail);
         }
@@ -245,6 +248,10 @@
     pub fn handle_failure(&mut self, permit: &Permit, outcome: Outcome) -> Option<Reason> {
         let (cause, detail) = match outcome {
             Outcome::Answer(..) => return None,
+            Outcome::Withheld => {
+                self.handle_withheld(permit);
+                return None;
+            }
             Outcome::Unsent(reason) => return self.handle_unsent(permit, &reason),
             Outcome::NotRun(status) => return self.handle_not_run(permit, status),
             Outcome::Lost(reason) => ("lost", reason),
@@ -276,6 +283,14 @@
         is_last.then_some(Reason::Unavailable)
     }
 
+    /// Lets the request go on at another server, or be refused if there is none.
+    fn handle_withheld(&mut self, permit: &Permit) {
+        let server = &permit.choice.record.id;
+        self.tried.retain(|tried| tried != server);
+        log_failed_attempt(&self.call, permit, "withheld", "");
+        self.state.metrics.retries.get("withheld").inc();
+    }
+
     fn handle_not_run(&mut self, permit: &Permit, status: StatusCode) -> Option<Reason> {
         if status == StatusCode::MISDIRECTED_REQUEST {
             permit.record_mismatch();
@@ -286,6 +301,9 @@
         if !self.hedge.permits().is_empty() {
             return None;
         }
+        if acquire::is_backoff_too_long(&self.state, &self.call, &self.tried) {
+            return Some(Reason::Backoff);
+        }
         let may_retry = (self.tried.len() as u32) < self.call.authorized.route.attempts
             && !self.call.time_left().is_zero()
             && self.take_retry();
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission,
+    acquire, admission,
     attempts::{Attempts, lost_or_late},
     call::Call,
     headers,
@@ -82,7 +82,7 @@
                 None => continue,
             },
             Arrival::Head(stream) => {
-                record_head(&state, &call, &permit, true);
+                record_head(&state, &call, &permit, Some(true));
                 attempts.wait_for_events(permit, stream);
                 continue;
             }
@@ -96,7 +96,9 @@
             },
         };
         let status = response.status();
-        record_head(&state, &call, &permit, !status.is_server_error());
+        let is_backoff = matches!(headers::retry_after(&response), Ok(Some(_)));
+        let is_success = (!is_backoff).then_some(!status.is_server_error());
+        record_head(&state, &call, &permit, is_success);
         if status.is_server_error() {
             // The server has not crashed.
             permit.record_outcome();
@@ -110,9 +112,12 @@
     refuse(&state, &call, reason, may_have_run, attempts.end().len())
 }
 
-/// Records the arrival of the head of a server's answer.
-fn record_head(state: &State, call: &Call, permit: &Permit, is_success: bool) {
-    permit.record_answer(is_success);
+/// Records the arrival of the head of a server's answer. A server that asks for a backoff has neither succeeded nor
+/// failed.
+fn record_head(state: &State, call: &Call, permit: &Permit, is_success: Option<bool>) {
+    if let Some(is_success) = is_success {
+        permit.record_answer(is_success);
+    }
     let age = call.arrived.elapsed();
     state.metrics.head_seconds.observe(age.as_secs_f64());
 }
@@ -142,15 +147,18 @@
 ) -> Answer<S> {
     // These tell the caller that the request did not run, which must be true.
     let reason = match reason {
-        Reason::Overloaded | Reason::Unavailable | Reason::CrashSuspect if may_have_run => {
+        Reason::Overloaded | Reason::Backoff | Reason::Unavailable | Reason::CrashSuspect
+            if may_have_run =>
+        {
             lost_or_late(call)
         }
         reason => reason,
     };
     let retry_after = match reason {
-        Reason::Overloaded | Reason::Unavailable => {
+        Reason::Overloaded | Reason::Backoff | Reason::Unavailable => {
             let point = rand::rng().random_range(0.0..1.0);
-            Some(admission::retry_after(call.time_left(), point))
+            let reopens_in = acquire::time_to_reopening(state, call, &[]);
+            Some(admission::retry_after(call.time_left(), reopens_in, point))
         }
         Reason::CrashSuspect => state.suspect_delay(&call.fingerprint),
         _ => None,
--- a/crates/pistachiolug_gateway/src/headers.rs
+++ b/crates/pistachiolug_gateway/src/headers.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, Response, header, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header, request, response};
 use hyper::body::Body;
 
-use crate::{config::Authorized, names::Names, pool::Choice, server::Version};
+use crate::{backoff, config::Authorized, names::Names, pool::Choice, server::Version};
 
 /// Headers that apply to one connection only (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -48,6 +48,21 @@
     }
 }
 
+/// Returns the time for which the sender of an answer wants no requests; `None` if it is zero or not stated.
+///
+/// # Errors
+/// Returns the value of the header if it is not a number of seconds.
+pub fn retry_after<T>(response: &Response<T>) -> Result<Option<Duration>, &HeaderValue> {
+    let value = response.headers().get(header::RETRY_AFTER);
+    let value = value.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE);
+    let Some(value) = value else {
+        return Ok(None);
+    };
+    let retry_after = value.to_str().ok().and_then(backoff::parse_retry_after);
+    let retry_after = retry_after.ok_or(value)?;
+    Ok((!retry_after.is_zero()).then_some(retry_after))
+}
+
 /// Returns whether the end of an answer can be told from the end of its connection: it has a length, chunks or no body.
 pub fn is_framed(response: &Response<impl Body>) -> bool {
     let encoding = text(response.headers(), &header::TRANSFER_ENCODING).unwrap_or_default();
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod acquire;
 pub mod admission;
 pub mod attempts;
+pub mod backoff;
 pub mod call;
 pub mod config;
 pub mod decoder;
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -33,6 +33,9 @@
 /// Label of a run of a request with a named part.
 pub const RERUN: &str = "rerun";
 
+/// Cause for which a server gets no requests: it has asked for a backoff.
+pub const BACKOFF: &str = "backoff";
+
 /// Metrics of an entry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -46,6 +49,8 @@
     pub crashes: Counters,
     /// Parts of prompts by what became of them: named as the cause of crashes, no longer named, run again.
     pub parts: Counters,
+    /// Servers that have said in an answer that they want no requests, by cause.
+    pub servers_withdrawn: Counters,
     /// Seconds from a request's arrival to the head of a server's answer.
     pub head_seconds: Histogram,
     /// Seconds from a request's arrival to its stream's first event.
@@ -71,6 +76,7 @@
             Reason::BadBody.as_str(),
             Reason::CrashSuspect.as_str(),
             Reason::Overloaded.as_str(),
+            Reason::Backoff.as_str(),
             Reason::Unavailable.as_str(),
             Reason::Lost.as_str(),
             Reason::Late.as_str(),
@@ -88,7 +94,9 @@
                 "pistachiolug_gateway_retries_total",
                 "Further sends of a request by cause.",
                 "cause",
-                &["unsent", "not-run", "lost", "failed", "silent", "outdated"],
+                &[
+                    "unsent", "withheld", "not-run", "lost", "failed", "silent", "outdated",
+                ],
             )?,
             loss_checks: Counters::register(
                 registry,
@@ -116,6 +124,13 @@
                 "change",
                 &[NAMED, CLEARED, RERUN],
             )?,
+            servers_withdrawn: Counters::register(
+                registry,
+                "pistachiolug_gateway_servers_withdrawn_total",
+                "Servers that have said in an answer that they want no requests, by cause.",
+                "cause",
+                &[BACKOFF],
+            )?,
             head_seconds: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_event_seconds: histogram(
                 registry,
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use crate::{fingerprint::Fingerprint, losses::Loss, pool::Choice, state::State};
+use http::StatusCode;
+
+use crate::{fingerprint::Fingerprint, losses::Loss, metrics::BACKOFF, pool::Choice, state::State};
 
 /// Slot of one request at a server; dropping it frees the slot and serves the queue.
 #[derive(Debug)]
@@ -125,6 +127,33 @@
         self.state.with_pool(|pool| pool.record_full(id, now));
     }
 
+    /// Records that the server wants no requests for a time.
+    pub fn record_backoff(&self, status: StatusCode, retry_after: Duration) {
+        let now = self.state.now();
+        let record = &self.choice.record;
+        let begins = self
+            .state
+            .with_pool(|pool| pool.record_backoff(record, retry_after, now));
+        if begins {
+            let retry_after_ms = retry_after.as_millis() as u64;
+            log::info!(server = &*record.id, service = &*record.service, status = status.as_u16(), retry_after_ms; "server asked for a backoff");
+            self.state.metrics.servers_withdrawn.get(BACKOFF).inc();
+        }
+    }
+
+    /// Records that the server has answered the request, so that more may be sent after a backoff.
+    pub fn record_reopening(&self) {
+        let choice = &self.choice;
+        self.state.with_pool(|pool| pool.record_reopening(choice));
+    }
+
+    /// Returns whether the request may still be sent to the server. It may have asked for a backoff since it was chosen.
+    pub fn may_send(&self) -> bool {
+        let now = self.state.now();
+        let record = &self.choice.record;
+        self.state.with_pool(|pool| pool.may_send(record, now))
+    }
+
     /// Records that the server is not the expected one, or does not hold the expected version.
     pub fn record_mismatch(&self) {
         let now = self.state.now();
@@ -146,7 +175,10 @@
         let id = &self.choice.record.id;
         let state = Rc::clone(&self.state);
         state.with_pool(|pool| pool.end_request(id, self.unread_prompt_tokens.get()));
-        state.count_freed(&self.service);
+        // Slots of a server that takes no requests are not free.
+        if self.may_send() {
+            state.count_freed(&self.service);
+        }
         state.serve_queue(&self.service, Some(id));
     }
 }
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -10,6 +10,7 @@
 use rustc_hash::{FxHashMap, FxHasher};
 
 use crate::{
+    backoff::Backoff,
     config::Engine,
     selection::{self, Candidate, Distance, UpcomingLoad},
     server::{Model, Record, Version},
@@ -69,12 +70,21 @@
     services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
     /// Number of other entries.
     peer_count: u32,
-    /// Incarnations that ended, with the times of their ends, oldest first; at most [`MAX_ENDED`].
-    ended: VecDeque<(u64, Duration)>,
+    /// Incarnations that ended, oldest first; at most [`MAX_ENDED`].
+    ended: VecDeque<Ended>,
     /// Servers by id that ended and are listed again by an earlier copy of the list.
     unconfirmed: FxHashMap<Arc<str>, Unconfirmed>,
 }
 
+/// Incarnation that ended, or that the list no longer names.
+#[derive(Debug)]
+struct Ended {
+    incarnation: u64,
+    at: Duration,
+    /// Kept for an incarnation that is listed again.
+    backoff: Backoff,
+}
+
 /// Server that is not used until its row has been listed for a while.
 #[derive(Debug)]
 struct Unconfirmed {
@@ -96,6 +106,8 @@
     consecutive_failures: u32,
     /// Time before which the server is not chosen.
     avoid_until: Duration,
+    /// Time for which the server wants no requests. Only its own answers change it.
+    backoff: Backoff,
     /// Moving average of failures among answers, within 0.0..=1.0.
     failure_rate: f64,
     /// Factor by which first events arrive later than expected.
@@ -163,6 +175,8 @@
     pub expected_wait_ms: f64,
     /// Open requests at the server, without this one.
     pub calls: u32,
+    /// Time of the choice.
+    pub chosen_at: Duration,
 }
 
 impl Server {
@@ -187,6 +201,15 @@
         &self.record
     }
 
+    /// Returns the time for which the server wants no requests; `None` if it may get some.
+    pub fn backoff_left(&self, now: Duration) -> Option<Duration> {
+        self.backoff.time_left(now)
+    }
+
+    fn is_incarnation(&self, record: &Record) -> bool {
+        self.record.id == record.id && self.record.started_ms == record.started_ms
+    }
+
     /// Returns the open requests that this entry has sent to the server.
     pub fn own_work(&self) -> Work {
         self.own_work
@@ -199,6 +222,11 @@
 
     /// Returns whether the server may get the request, whether or not it has a free slot.
     fn is_usable(&self, requirements: &Requirements, now: Duration) -> bool {
+        self.meets(requirements) && !self.backoff.is_active(now) && self.avoid_until <= now
+    }
+
+    /// Returns whether the server may get the request if it is not avoided and wants requests.
+    fn meets(&self, requirements: &Requirements) -> bool {
         let has_version = match &requirements.model {
             None => true,
             Some(model) => {
@@ -206,10 +234,7 @@
                 held.is_some_and(|held| requirements.min_version.is_none_or(|min| held >= min))
             }
         };
-        has_version
-            && !self.record.leaving
-            && self.avoid_until <= now
-            && !requirements.tried.contains(&self.record.id)
+        has_version && !self.record.leaving && !requirements.tried.contains(&self.record.id)
     }
 
     fn upcoming_load(&self, requirements: &Requirements) -> UpcomingLoad {
@@ -237,6 +262,9 @@
         peer_count: u32,
         now: Duration,
     ) -> bool {
+        if !self.backoff.may_send(now) {
+            return false;
+        }
         let Some(engine) = engine else {
             return self.open_calls() < self.record.slots.max(1) * PLAIN_CALLS_PER_SLOT;
         };
@@ -291,7 +319,11 @@
             self.drop_server(previous, now);
         }
         let incarnation = record.incarnation();
-        self.ended.retain(|(ended, _)| *ended != incarnation);
+        let known = self
+            .ended
+            .iter()
+            .position(|ended| ended.incarnation == incarnation);
+        let known = known.and_then(|index| self.ended.remove(index));
         let ids = self.services.entry(Arc::clone(&record.service));
         ids.or_default().push(Arc::clone(&record.id));
         self.servers.insert(
@@ -302,6 +334,7 @@
                 peer_work: Work::default(),
                 consecutive_failures: 0,
                 avoid_until: Duration::ZERO,
+                backoff: known.map(|known| known.backoff).unwrap_or_default(),
                 failure_rate: 0.0,
                 slowdown: SLOWDOWN_RANGE.0,
                 has_notice: false,
@@ -317,7 +350,7 @@
     pub fn has_ended(&self, record: &Record, now: Duration) -> bool {
         let incarnation = record.incarnation();
         let mut ended = self.ended.iter();
-        ended.any(|(ended, at)| *ended == incarnation && now < *at + ENDED_RETENTION)
+        ended.any(|ended| ended.incarnation == incarnation && now < ended.at + ENDED_RETENTION)
     }
 
     /// Adds or updates a server from a list that has come back from an earlier copy, so that the record may be older than
@@ -409,7 +442,11 @@
         if self.ended.len() >= MAX_ENDED {
             self.ended.pop_front();
         }
-        self.ended.push_back((server.record.incarnation(), now));
+        self.ended.push_back(Ended {
+            incarnation: server.record.incarnation(),
+            at: now,
+            backoff: server.backoff,
+        });
         if let Some(ids) = self.services.get_mut(&server.record.service) {
             ids.retain(|known| known != id);
         }
@@ -491,6 +528,7 @@
             record: usable[index].record.clone(),
             expected_wait_ms: candidates[index].expected_wait_ms,
             calls: usable[index].open_calls(),
+            chosen_at: now,
         })
     }
 
@@ -501,6 +539,58 @@
         ids.any(|id| self.servers[id].is_usable(requirements, now))
     }
 
+    /// Returns the time until the first server is out of its backoff, if all that could take the request are in one.
+    pub fn time_to_reopening(
+        &self,
+        requirements: &Requirements,
+        now: Duration,
+    ) -> Option<Duration> {
+        let ids = self.services.get(&requirements.service)?;
+        let servers = ids.iter().map(|id| &self.servers[id]);
+        let servers = servers.filter(|server| server.meets(requirements));
+        let left = servers.map(|server| server.backoff.time_left(now).unwrap_or_default());
+        left.min().filter(|left| !left.is_zero())
+    }
+
+    /// Returns whether a request may still be sent to the server that was chosen for it.
+    pub fn may_send(&self, record: &Record, now: Duration) -> bool {
+        let server = self.servers.get(&record.id);
+        let server = server.filter(|server| server.is_incarnation(record));
+        server.is_none_or(|server| !server.backoff.is_active(now))
+    }
+
+    /// Records that a server has asked for no requests for a time; returns whether a backoff begins.
+    pub fn record_backoff(
+        &mut self,
+        record: &Record,
+        retry_after: Duration,
+        now: Duration,
+    ) -> bool {
+        let server = self.servers.get_mut(&record.id);
+        if let Some(server) = server.filter(|server| server.is_incarnation(record)) {
+            return server.backoff.extend(retry_after, now);
+        }
+        let incarnation = record.incarnation();
+        let mut ended = self.ended.iter_mut();
+        let ended = ended.find(|ended| ended.incarnation == incarnation);
+        ended.is_some_and(|ended| ended.backoff.extend(retry_after, now))
+    }
+
+    /// Records that a request was assigned to a server.
+    pub fn record_assignment(&mut self, choice: &Choice) {
+        if let Some(server) = self.servers.get_mut(&choice.record.id) {
+            server.backoff.record_assignment(choice.chosen_at);
+        }
+    }
+
+    /// Records that a server answered a request; after a backoff it gets more than one at a time again.
+    pub fn record_reopening(&mut self, choice: &Choice) {
+        let server = self.servers.get_mut(&choice.record.id);
+        if let Some(server) = server.filter(|server| server.is_incarnation(&choice.record)) {
+            server.backoff.record_answer(choice.chosen_at);
+        }
+    }
+
     /// Counts a request as open at a server.
     pub fn start_request(&mut self, id: &str, prompt_tokens: u32) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/pistachiolug_gateway/src/relay/resume.rs
+++ b/crates/pistachiolug_gateway/src/relay/resume.rs
@@ -108,8 +108,10 @@
         log::info!(call = call.id.as_str(), server = &**server, outcome:?; "resuming the stream failed");
         match outcome {
             Outcome::Answer(..) => permit.record_outcome(),
-            Outcome::Unsent(_) => {
-                permit.record_failure();
+            Outcome::Unsent(_) | Outcome::Withheld => {
+                if matches!(outcome, Outcome::Unsent(_)) {
+                    permit.record_failure();
+                }
                 // Nothing was sent, so that the retry is left, and the server is no attempt.
                 self.unused_retries = 1;
                 self.tried.retain(|tried| tried != server);
--- a/crates/pistachiolug_gateway/src/reply.rs
+++ b/crates/pistachiolug_gateway/src/reply.rs
@@ -33,6 +33,8 @@
     BadBody,
     /// No server can take the request in time; it did not and will not run.
     Overloaded,
+    /// All servers that could take the request have asked for a backoff; it did not and will not run.
+    Backoff,
     /// No server that could take the request is known; it did not and will not run.
     Unavailable,
     /// Servers crashed while they ran requests with the same content; this one did not and will not run.
@@ -53,6 +55,7 @@
             Self::TooLarge => "too-large",
             Self::BadBody => "bad-body",
             Self::Overloaded => "overloaded",
+            Self::Backoff => "backoff",
             Self::Unavailable => "unavailable",
             Self::CrashSuspect => "crash-suspect",
             Self::Lost => "lost",
@@ -63,9 +66,11 @@
     /// Returns the HTTP status.
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::Starting | Self::Overloaded | Self::Unavailable | Self::CrashSuspect => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting
+            | Self::Overloaded
+            | Self::Backoff
+            | Self::Unavailable
+            | Self::CrashSuspect => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -23,6 +23,8 @@
     NotRun(StatusCode),
     /// Nothing was sent, because the server could not be reached.
     Unsent(String),
+    /// Nothing was sent, because the server has asked for a backoff since it was chosen.
+    Withheld,
     /// The request may have run, but there is no valid answer.
     Lost(String),
     /// The server did not answer within the given time.
@@ -60,7 +62,9 @@
         match self {
             Self::Answer(..) => {}
             Self::Lost(_) | Self::Silent => permit.record_loss(),
-            Self::NotRun(_) | Self::Unsent(_) | Self::Outdated => permit.record_outcome(),
+            Self::NotRun(_) | Self::Unsent(_) | Self::Withheld | Self::Outdated => {
+                permit.record_outcome();
+            }
         }
     }
 }
@@ -73,10 +77,12 @@
     until: Instant,
 ) -> Outcome {
     let request = call.build_request(state, permit, last_event);
-    let exchange = upstream::exchange(permit.choice.record.address, request);
+    let address = permit.choice.record.address;
+    let exchange = upstream::exchange(address, request, || permit.may_send());
     let (response, connection) = match wait_to_begin(call, permit, until, exchange).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
+        Ok(Err(Failure::Withheld)) => return Outcome::Withheld,
         Ok(Err(Failure::Lost(reason))) => return Outcome::Lost(reason),
         Err(Expired::Outdated) => return Outcome::Outdated,
         Err(Expired::Deadline) => return Outcome::Silent,
@@ -88,15 +94,34 @@
     if attempt_id.is_some_and(|attempt_id| attempt_id != call.id) {
         return Outcome::Lost("answer belongs to another request".to_owned());
     }
-    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+    let is_not_run = headers.contains_key(&names.not_run);
+    let is_signed = headers.contains_key(&names.signature);
+    // Anything else may come from something that is not the server.
+    if is_signed || is_not_run || attempt_id.is_some() {
+        record_state(call, permit, &response);
+    }
+    if is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(status);
     }
-    if !headers.contains_key(&names.signature) {
+    if !is_signed {
         return Outcome::Lost(format!("answer with status {status} is not signed"));
     }
     Outcome::Answer(response, connection)
 }
 
+/// Records what a server says of itself in its answer to a request.
+fn record_state<T>(call: &Call, permit: &Permit, response: &Response<T>) {
+    let status = response.status();
+    match headers::retry_after(response) {
+        Ok(Some(retry_after)) => permit.record_backoff(status, retry_after),
+        Ok(None) if status == StatusCode::SERVICE_UNAVAILABLE => {}
+        Ok(None) => permit.record_reopening(),
+        Err(value) => {
+            log::warn!(call = call.id.as_str(), server = &*permit.choice.record.id, value:?; "retry delay of a server is not a number of seconds");
+        }
+    }
+}
+
 /// Why the wait for a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Expired {
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -406,6 +406,7 @@
         let location = &self.options.location;
         let choice = pool.choose(requirements, engine, location, self.now(), &mut rand::rng())?;
         pool.start_request(&choice.record.id, requirements.prompt_tokens);
+        pool.record_assignment(&choice);
         drop(pool);
         if !requirements.is_late {
             self.with_rates(&requirements.service, |rates, now| rates.taken.count(now));
@@ -664,6 +665,7 @@
                 "id": &*record.id,
                 "service": &*record.service,
                 "leaving": record.leaving,
+                "backoff_ms": server.backoff_left(self.now()).map(|left| left.as_millis() as u64),
                 "calls": server.own_work().calls,
             })
         });
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -23,6 +23,8 @@
 pub enum Failure {
     /// Nothing was sent.
     Unsent(String),
+    /// Nothing was sent, because the request may no longer be sent to the server.
+    Withheld,
     /// The request may have run.
     Lost(String),
 }
@@ -42,11 +44,15 @@
 
 /// Sends a request and waits for the head of its answer.
 ///
+/// # Arguments
+/// `may_send` tells whether the request may still be sent; it is called once the connection is open.
+///
 /// # Errors
 /// [`Failure`], which tells whether the request may have run.
 pub async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    may_send: impl FnOnce() -> bool,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -64,6 +70,9 @@
         }
     });
     let connection = Connection { task };
+    if !may_send() {
+        return Err(Failure::Withheld);
+    }
     match sender.send_request(request).await {
         Ok(response) => Ok((response, connection)),
         Err(error) if error.is_canceled() => Err(Failure::Unsent(error.to_string())),
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -407,6 +407,7 @@
         is_first_attempt: true,
         time_left: Duration::from_secs(5),
         ahead,
+        reopens_in: Duration::ZERO,
     }
 }
 
@@ -555,8 +556,8 @@
 fn retry_delays_are_spread_within_the_time_that_callers_honor() {
     let left = Duration::from_secs(6);
 
-    let soonest = admission::retry_after(left, 0.0);
-    let latest = admission::retry_after(left, 1.0);
+    let soonest = admission::retry_after(left, None, 0.0);
+    let latest = admission::retry_after(left, None, 1.0);
 
     assert!(soonest >= left / 10 && soonest < latest && latest <= left / 3);
 }
