Send no new requests to a server that has said in an answer that it drains

Cause: the gateway did not read the header, and what it knows of a server was the listed record alone.

The header is now read beside the backoff, from any answer to the request at hand but 421, which may come from another server at the address: successes, failures, refusals, heads of streams and of resumed ones. It is kept by incarnation, over rows, failures, notices and an absence from the list. The server takes no new request from that moment, including those that were assigned and not sent; its running requests go on, and a request that it loses does not count as a crash, as with servers that the list names. Answers pass on the header unchanged. Entries don't tell each other: the rule is per entry, and each learns it with the first answer.

Evidence: `servers_that_say_that_they_drain_get_no_requests` failed before with

requests to a draining server: [("answer", 18, {"HTTP/1.1 200 OK"}), ("failure", 0, {"HTTP/1.1 200 OK"}), ("refusal", 3, {"HTTP/1.1 200 OK"})]

and passes now.

--- a/crates/pistachiolug_gateway/src/headers.rs
+++ b/crates/pistachiolug_gateway/src/headers.rs
@@ -48,6 +48,11 @@
     }
 }
 
+/// Returns whether an answer states that its server is draining.
+pub fn is_draining(headers: &HeaderMap, names: &Names) -> bool {
+    text(headers, &names.draining).is_some_and(|value| value.trim() != "0")
+}
+
 /// Returns the time for which the sender of an answer wants no requests; `None` if it is zero or not stated.
 ///
 /// # Errors
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -36,6 +36,9 @@
 /// Cause for which a server gets no requests: it has asked for a backoff.
 pub const BACKOFF: &str = "backoff";
 
+/// Cause for which a server gets no requests: it has stated that it is draining.
+pub const DRAINING: &str = "draining";
+
 /// Metrics of an entry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -129,7 +132,7 @@
                 "pistachiolug_gateway_servers_withdrawn_total",
                 "Servers that have said in an answer that they want no requests, by cause.",
                 "cause",
-                &[BACKOFF],
+                &[BACKOFF, DRAINING],
             )?,
             head_seconds: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_event_seconds: histogram(
--- a/crates/pistachiolug_gateway/src/names.rs
+++ b/crates/pistachiolug_gateway/src/names.rs
@@ -31,4 +31,6 @@
     pub signature: HeaderName,
     /// Present if the backend server did not run the request.
     pub not_run: HeaderName,
+    /// Present, and not `0`, if the backend server is draining.
+    pub draining: HeaderName,
 }
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -9,7 +9,13 @@
 
 use http::StatusCode;
 
-use crate::{fingerprint::Fingerprint, losses::Loss, metrics::BACKOFF, pool::Choice, state::State};
+use crate::{
+    fingerprint::Fingerprint,
+    losses::Loss,
+    metrics::{BACKOFF, DRAINING},
+    pool::Choice,
+    state::State,
+};
 
 /// Slot of one request at a server; dropping it frees the slot and serves the queue.
 #[derive(Debug)]
@@ -141,13 +147,24 @@
         }
     }
 
+    /// Records that the server has stated that it is draining.
+    pub fn record_draining(&self, status: StatusCode) {
+        let record = &self.choice.record;
+        let is_new = self.state.with_pool(|pool| pool.record_draining(record));
+        if is_new {
+            log::info!(server = &*record.id, service = &*record.service, status = status.as_u16(); "server stated that it is draining");
+            self.state.metrics.servers_withdrawn.get(DRAINING).inc();
+        }
+    }
+
     /// Records that the server has answered the request, so that more may be sent after a backoff.
     pub fn record_reopening(&self) {
         let choice = &self.choice;
         self.state.with_pool(|pool| pool.record_reopening(choice));
     }
 
-    /// Returns whether the request may still be sent to the server. It may have asked for a backoff since it was chosen.
+    /// Returns whether the request may still be sent to the server. It may have asked for a backoff, or begun to drain,
+    /// since it was chosen.
     pub fn may_send(&self) -> bool {
         let now = self.state.now();
         let record = &self.choice.record;
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -82,7 +82,16 @@
     incarnation: u64,
     at: Duration,
     /// Kept for an incarnation that is listed again.
+    statement: Statement,
+}
+
+/// What an incarnation has stated of itself. Only its answers change it.
+#[derive(Debug, Clone, Copy, Default)]
+struct Statement {
+    /// Time for which it wants no requests.
     backoff: Backoff,
+    /// Whether it is draining; it never takes that back.
+    is_draining: bool,
 }
 
 /// Server that is not used until its row has been listed for a while.
@@ -106,8 +115,7 @@
     consecutive_failures: u32,
     /// Time before which the server is not chosen.
     avoid_until: Duration,
-    /// Time for which the server wants no requests. Only its own answers change it.
-    backoff: Backoff,
+    statement: Statement,
     /// Moving average of failures among answers, within 0.0..=1.0.
     failure_rate: f64,
     /// Factor by which first events arrive later than expected.
@@ -203,7 +211,12 @@
 
     /// Returns the time for which the server wants no requests; `None` if it may get some.
     pub fn backoff_left(&self, now: Duration) -> Option<Duration> {
-        self.backoff.time_left(now)
+        self.statement.backoff.time_left(now)
+    }
+
+    /// Returns whether the server is draining, as the list or its own answers say.
+    pub fn is_leaving(&self) -> bool {
+        self.record.leaving || self.statement.is_draining
     }
 
     fn is_incarnation(&self, record: &Record) -> bool {
@@ -222,7 +235,9 @@
 
     /// Returns whether the server may get the request, whether or not it has a free slot.
     fn is_usable(&self, requirements: &Requirements, now: Duration) -> bool {
-        self.meets(requirements) && !self.backoff.is_active(now) && self.avoid_until <= now
+        self.meets(requirements)
+            && !self.statement.backoff.is_active(now)
+            && self.avoid_until <= now
     }
 
     /// Returns whether the server may get the request if it is not avoided and wants requests.
@@ -234,7 +249,7 @@
                 held.is_some_and(|held| requirements.min_version.is_none_or(|min| held >= min))
             }
         };
-        has_version && !self.record.leaving && !requirements.tried.contains(&self.record.id)
+        has_version && !self.is_leaving() && !requirements.tried.contains(&self.record.id)
     }
 
     fn upcoming_load(&self, requirements: &Requirements) -> UpcomingLoad {
@@ -262,7 +277,7 @@
         peer_count: u32,
         now: Duration,
     ) -> bool {
-        if !self.backoff.may_send(now) {
+        if !self.statement.backoff.may_send(now) {
             return false;
         }
         let Some(engine) = engine else {
@@ -334,7 +349,7 @@
                 peer_work: Work::default(),
                 consecutive_failures: 0,
                 avoid_until: Duration::ZERO,
-                backoff: known.map(|known| known.backoff).unwrap_or_default(),
+                statement: known.map(|known| known.statement).unwrap_or_default(),
                 failure_rate: 0.0,
                 slowdown: SLOWDOWN_RANGE.0,
                 has_notice: false,
@@ -410,9 +425,12 @@
     /// none.
     pub fn find_other_incarnation(&self, record: &Record) -> Option<Record> {
         let by_address = self.find_by_address(record.address);
-        let previous = self.servers.get(&record.id).or(by_address)?.record();
-        let is_other = previous.incarnation() != record.incarnation();
-        is_other.then(|| previous.clone())
+        let previous = self.servers.get(&record.id).or(by_address)?;
+        let is_other = previous.record.incarnation() != record.incarnation();
+        is_other.then(|| Record {
+            leaving: previous.is_leaving(),
+            ..previous.record.clone()
+        })
     }
 
     /// Schedules the removal of a server that the list no longer names; it is used until `at`. An earlier schedule
@@ -445,7 +463,7 @@
         self.ended.push_back(Ended {
             incarnation: server.record.incarnation(),
             at: now,
-            backoff: server.backoff,
+            statement: server.statement,
         });
         if let Some(ids) = self.services.get_mut(&server.record.service) {
             ids.retain(|known| known != id);
@@ -548,15 +566,18 @@
         let ids = self.services.get(&requirements.service)?;
         let servers = ids.iter().map(|id| &self.servers[id]);
         let servers = servers.filter(|server| server.meets(requirements));
-        let left = servers.map(|server| server.backoff.time_left(now).unwrap_or_default());
+        let left = servers.map(|server| {
+            let backoff = server.statement.backoff;
+            backoff.time_left(now).unwrap_or_default()
+        });
         left.min().filter(|left| !left.is_zero())
     }
 
     /// Returns whether a request may still be sent to the server that was chosen for it.
     pub fn may_send(&self, record: &Record, now: Duration) -> bool {
-        let server = self.servers.get(&record.id);
-        let server = server.filter(|server| server.is_incarnation(record));
-        server.is_none_or(|server| !server.backoff.is_active(now))
+        let statement = self.statement(record);
+        statement
+            .is_none_or(|statement| !statement.is_draining && !statement.backoff.is_active(now))
     }
 
     /// Records that a server has asked for no requests for a time; returns whether a backoff begins.
@@ -566,20 +587,43 @@
         retry_after: Duration,
         now: Duration,
     ) -> bool {
+        let statement = self.statement_mut(record);
+        statement.is_some_and(|statement| statement.backoff.extend(retry_after, now))
+    }
+
+    /// Records that a server has stated that it is draining; returns whether that is new.
+    pub fn record_draining(&mut self, record: &Record) -> bool {
+        let statement = self.statement_mut(record);
+        statement.is_some_and(|statement| !std::mem::replace(&mut statement.is_draining, true))
+    }
+
+    fn statement(&self, record: &Record) -> Option<&Statement> {
+        let server = self.servers.get(&record.id);
+        if let Some(server) = server.filter(|server| server.is_incarnation(record)) {
+            return Some(&server.statement);
+        }
+        let incarnation = record.incarnation();
+        let mut ended = self.ended.iter();
+        let ended = ended.find(|ended| ended.incarnation == incarnation);
+        ended.map(|ended| &ended.statement)
+    }
+
+    fn statement_mut(&mut self, record: &Record) -> Option<&mut Statement> {
         let server = self.servers.get_mut(&record.id);
         if let Some(server) = server.filter(|server| server.is_incarnation(record)) {
-            return server.backoff.extend(retry_after, now);
+            return Some(&mut server.statement);
         }
         let incarnation = record.incarnation();
         let mut ended = self.ended.iter_mut();
         let ended = ended.find(|ended| ended.incarnation == incarnation);
-        ended.is_some_and(|ended| ended.backoff.extend(retry_after, now))
+        ended.map(|ended| &mut ended.statement)
     }
 
     /// Records that a request was assigned to a server.
     pub fn record_assignment(&mut self, choice: &Choice) {
         if let Some(server) = self.servers.get_mut(&choice.record.id) {
-            server.backoff.record_assignment(choice.chosen_at);
+            let backoff = &mut server.statement.backoff;
+            backoff.record_assignment(choice.chosen_at);
         }
     }
 
@@ -587,7 +631,7 @@
     pub fn record_reopening(&mut self, choice: &Choice) {
         let server = self.servers.get_mut(&choice.record.id);
         if let Some(server) = server.filter(|server| server.is_incarnation(&choice.record)) {
-            server.backoff.record_answer(choice.chosen_at);
+            server.statement.backoff.record_answer(choice.chosen_at);
         }
     }
 
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -23,7 +23,7 @@
     NotRun(StatusCode),
     /// Nothing was sent, because the server could not be reached.
     Unsent(String),
-    /// Nothing was sent, because the server has asked for a backoff since it was chosen.
+    /// Nothing was sent, because the server has asked for a backoff, or begun to drain, since it was chosen.
     Withheld,
     /// The request may have run, but there is no valid answer.
     Lost(String),
@@ -112,6 +112,12 @@
 /// Records what a server says of itself in its answer to a request.
 fn record_state<T>(call: &Call, permit: &Permit, response: &Response<T>) {
     let status = response.status();
+    let names = &permit.state.options.names;
+    // A misdirected request may have reached another server at the address.
+    if status != StatusCode::MISDIRECTED_REQUEST && headers::is_draining(response.headers(), names)
+    {
+        permit.record_draining(status);
+    }
     match headers::retry_after(response) {
         Ok(Some(retry_after)) => permit.record_backoff(status, retry_after),
         Ok(None) if status == StatusCode::SERVICE_UNAVAILABLE => {}
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -664,7 +664,7 @@
             serde_json::json!({
                 "id": &*record.id,
                 "service": &*record.service,
-                "leaving": record.leaving,
+                "leaving": server.is_leaving(),
                 "backoff_ms": server.backoff_left(self.now()).map(|left| left.as_millis() as u64),
                 "calls": server.own_work().calls,
             })
--- a/crates/pistachiolug_gateway/src/state/suspects.rs
+++ b/crates/pistachiolug_gateway/src/state/suspects.rs
@@ -36,10 +36,10 @@
     /// Records that a server gave no complete answer to a request, or one that ended with its connection; the server is
     /// checked.
     pub fn record_loss(&self, record: &Record, loss: Loss) {
-        // The list may have named the server as leaving since it was chosen.
+        // The list or the server may have said that it is leaving since it was chosen.
         let is_leaving = self.with_pool(|pool| {
-            let listed = pool.get(&record.id).map(Server::record);
-            listed.is_some_and(|listed| listed.leaving)
+            let server = pool.get(&record.id);
+            server.is_some_and(Server::is_leaving)
         });
         if !is_leaving {
             self.losses.borrow_mut().record(record, loss);
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -256,6 +256,7 @@
         last_event: name("last-event-id"),
         signature: name("x-signature"),
         not_run: name("x-not-run"),
+        draining: name("x-draining"),
     }
 }
 
