Bind agents of the loader's tests to ports that are free for datagrams too

restarted_engine_loads_the_pieces_still_staged failed once with 'Address already in use' while tests of other worktrees ran on the machine: the port that a listener was given was in use for datagrams by another process. The fixture now takes another port.

--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -235,16 +235,25 @@
 
 const REGIONS: [&str; 2] = ["inland", "sea"];
 
+/// Returns a listener and a socket for datagrams with the same free port, and their address.
+async fn bind_same_port() -> (tokio::net::TcpListener, UdpSocket, SocketAddr) {
+    loop {
+        let listener = local_server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        // A port that is free for connections may be in use for datagrams, by another process too.
+        if let Ok(socket) = UdpSocket::bind(address).await {
+            return (listener, socket, address);
+        }
+    }
+}
+
 impl Cluster {
     /// Starts an agent for each engine; `dead` further agents are listed but do not run.
     async fn start(engines: Vec<FakeEngine>, stores: Vec<Memory>, dead: usize) -> Self {
         let origin = FakeOrigin::default();
         let mut sockets = Vec::new();
         for _ in 0..engines.len() + dead {
-            let listener = local_server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-            let address = listener.local_addr().unwrap();
-            let socket = UdpSocket::bind(address).await.unwrap();
-            sockets.push((listener, socket, address));
+            sockets.push(bind_same_port().await);
         }
         let agents: Vec<Place> = sockets
             .iter()
