Keep to a version's deadline at an agent that was restarted since

An agent that was restarted did not know when a version had been announced, and could not use what others told of it: the time was before its own start. It planned its load up to its start plus the whole grace, while entries excluded its engine from the real deadline on.

An agent now keeps the deadline, which can be told from an age at any time, instead of the time of the announcement. Agents answer an announcement without an age with the age that they know.

--- a/crates/pistachiolug_loader/src/exchange.rs
+++ b/crates/pistachiolug_loader/src/exchange.rs
@@ -112,7 +112,7 @@
                     from,
                     arrived_after,
                 }) => match datagram::decode(bytes) {
-                    Ok(message) => self.handle(message, arrived_after),
+                    Ok(message) => self.handle(from, message, arrived_after),
                     Err(error) => log::warn!(from:%, error:%; "malformed datagram"),
                 },
                 Err(error) => log::debug!(error:%; "datagram not received"),
@@ -120,16 +120,18 @@
         }
     }
 
-    fn handle(&self, message: AgentDatagram, arrived_after: Duration) {
+    fn handle(&self, sender: SocketAddr, message: AgentDatagram, arrived_after: Duration) {
         match message {
             AgentDatagram::Named {
                 model,
                 version,
                 max_age_ms,
             } => {
-                let announced_after = find_announcement(max_age_ms, arrived_after);
                 self.state
-                    .learn_version(&model, version, announced_after, "datagram");
+                    .learn_age(&model, version, max_age_ms, arrived_after, "datagram");
+                if max_age_ms.is_none() {
+                    self.tell_age(sender, model, version);
+                }
             }
             AgentDatagram::Ask {
                 from,
@@ -137,9 +139,8 @@
                 version,
                 max_age_ms,
             } => {
-                let announced_after = find_announcement(max_age_ms, arrived_after);
                 self.state
-                    .learn_version(&model, version, announced_after, "agent");
+                    .learn_age(&model, version, max_age_ms, arrived_after, "agent");
                 self.answer(from, model, version);
             }
             AgentDatagram::Have {
@@ -167,6 +168,24 @@
         }
     }
 
+    /// Tells an agent that does not know a version's age, because it has started since, what is known here.
+    fn tell_age(&self, agent: SocketAddr, model: String, version: u64) {
+        let roster = self.state.roster();
+        let mut members = roster.members().iter();
+        // Entries send their announcements to agents as well, but don't understand the answer.
+        if !members.any(|member| member.address == agent) {
+            return;
+        }
+        if let Some(max_age_ms) = self.state.version_age_ms(&model, version) {
+            let message = AgentDatagram::Named {
+                model,
+                version,
+                max_age_ms: Some(max_age_ms),
+            };
+            self.send(agent, &message);
+        }
+    }
+
     /// Answers a query. A query for a version newer than the known one also announces that version: the sender learned
     /// of it from the key-value service.
     fn answer(&self, from: SocketAddr, model: String, version: u64) {
@@ -200,10 +219,3 @@
         }
     }
 }
-
-/// Returns a time after which a version was announced of which a datagram states the largest possible age; `None` if it may
-/// have been announced at any time.
-fn find_announcement(max_age_ms: Option<u32>, arrived_after: Duration) -> Option<Duration> {
-    let max_age = Duration::from_millis(max_age_ms?.into());
-    arrived_after.checked_sub(max_age)
-}
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -94,9 +94,10 @@
     version: u64,
     /// When the agent learned of the version, as time since its start.
     announced_at: Duration,
-    /// Time since the agent's start after which the version was announced; `None` if it may have been announced at any
-    /// time. Only grows.
-    announced_after: Option<Duration>,
+    /// Time since the agent's start from which requests may no longer start on older versions: the grace after a time after
+    /// which the version was announced. That time may be before the agent's start. `None` if the version may have been
+    /// announced at any time. Only grows.
+    due: Option<Duration>,
 }
 
 /// Record of the pieces of one version that are staged at the engine.
@@ -249,8 +250,7 @@
             pieces: model.pieces,
             piece_bytes: model.piece_bytes,
             deadline: ahead
-                .map(|announced| announced.announced_after.unwrap_or_default())
-                .map(|announced_after| announced_after + self.options.version_grace)
+                .map(|announced| announced.due.unwrap_or(self.options.version_grace))
                 .min()
                 .unwrap_or_default(),
         })
@@ -283,35 +283,38 @@
         announced_after: Option<Duration>,
         from: &str,
     ) {
+        let due = announced_after.map(|after| after + self.options.version_grace);
+        self.record_due(model, version, due, from);
+    }
+
+    fn record_due(&self, model: &str, version: u64, due: Option<Duration>, from: &str) {
         let mut versions = self.versions.borrow_mut();
         let announced = versions.entry(model.to_owned()).or_default();
         let known = announced
             .last()
             .map_or(FIRST_VERSION, |announced| announced.version);
         let now = self.now();
-        let max_age = announced_after.map(|announced_after| now.saturating_sub(announced_after));
-        let max_age_ms = max_age.map(|max_age| max_age.as_millis() as u64);
+        let max_age_ms = due.map(|due| self.max_age(due).as_millis() as u64);
         let index = announced
             .iter()
             .position(|announcement| announcement.version == version);
         if let Some(index) = index {
-            let known_after = announced[index].announced_after;
-            if announced_after <= known_after.map(|known_after| known_after + MIN_CORRECTION) {
+            let known_due = announced[index].due;
+            if due <= known_due.map(|known_due| known_due + MIN_CORRECTION) {
                 return;
             }
             for announcement in &mut announced[index..] {
-                announcement.announced_after = announcement.announced_after.max(announced_after);
+                announcement.due = announcement.due.max(due);
             }
             log::info!(model, version, max_age_ms:?, from; "version was announced later than known");
         } else if version > known {
             // Versions are announced one after the other.
             let previous = announced.last();
-            let announced_after =
-                announced_after.max(previous.and_then(|earlier| earlier.announced_after));
+            let due = due.max(previous.and_then(|earlier| earlier.due));
             announced.push(Announcement {
                 version,
                 announced_at: now,
-                announced_after,
+                due,
             });
             log::info!(model, version, before = known, max_age_ms:?, from; "version announced");
         } else {
@@ -333,10 +336,40 @@
         announced_after: Option<Duration>,
         from: &str,
     ) {
+        let due = announced_after.map(|after| after + self.options.version_grace);
+        self.learn_due(model, version, due, from);
+    }
+
+    fn learn_due(&self, model: &str, version: u64, due: Option<Duration>, from: &str) {
         let is_known = self.has_announcement(model, version);
-        let rows_complete_at = self.rows.borrow().complete_at();
-        let announced_after = announced_after.max(rows_complete_at.filter(|_| !is_known));
-        self.record_version(model, version, announced_after, from);
+        let complete_at = self.rows.borrow().complete_at().filter(|_| !is_known);
+        let due_by_rows = complete_at.map(|at| at + self.options.version_grace);
+        self.record_due(model, version, due.max(due_by_rows), from);
+    }
+
+    /// Records a version of which a datagram has told. It may have been announced before the agent's start.
+    ///
+    /// # Arguments
+    /// `max_age_ms` is the largest possible age in milliseconds; `None` if that is unknown. The datagram arrived after
+    /// `arrived_after`. `from` names the source in the log.
+    pub fn learn_age(
+        &self,
+        model: &str,
+        version: u64,
+        max_age_ms: Option<u32>,
+        arrived_after: Duration,
+        from: &str,
+    ) {
+        let due = max_age_ms.map(|max_age_ms| {
+            let max_age = Duration::from_millis(max_age_ms.into());
+            (arrived_after + self.options.version_grace).saturating_sub(max_age)
+        });
+        self.learn_due(model, version, due, from);
+    }
+
+    /// Returns the largest possible age of a version that is due at a time.
+    fn max_age(&self, due: Duration) -> Duration {
+        (self.now() + self.options.version_grace).saturating_sub(due)
     }
 
     /// Returns the bound of a version's age in milliseconds; `None` if the version is not known, or may have been
@@ -345,7 +378,7 @@
         let versions = self.versions.borrow();
         let mut announced = versions.get(model)?.iter();
         let announced = announced.find(|announced| announced.version == version)?;
-        let age = self.now().saturating_sub(announced.announced_after?);
+        let age = self.max_age(announced.due?);
         age.as_millis().saturating_add(1).try_into().ok()
     }
 
--- a/crates/pistachiolug_loader/tests/announcements.rs
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -11,17 +11,24 @@
 };
 use pistachiolug_weights::roster::Member;
 use pistachiolug_wire::{
-    datagram::{self, Datagram},
-    weights::{Model, View},
+    datagram::{self, AgentDatagram, Datagram},
+    weights::{Model, Place, View},
+};
+use tokio::{
+    net::UdpSocket,
+    task::{LocalSet, spawn_local},
+    time::{sleep, timeout},
 };
-use tokio::{net::UdpSocket, time::timeout};
 
 const MODEL: &str = "ravioli";
 
 const GRACE: Duration = Duration::from_secs(8);
 
 fn agent() -> Rc<State> {
-    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    agent_at("127.0.0.1:1".parse().unwrap())
+}
+
+fn agent_at(address: SocketAddr) -> Rc<State> {
     let options = Options {
         name: "agent-1".to_owned(),
         service: "desk".to_owned(),
@@ -53,7 +60,7 @@
         .enable_all()
         .build()
         .unwrap();
-    runtime.block_on(test);
+    LocalSet::new().block_on(&runtime, test);
 }
 
 /// Guards against agents that load in a schedule which ends after the version's deadline, because they learned of it late.
@@ -140,3 +147,71 @@
         assert_eq!((&*targets[0].model, targets[0].version), (MODEL, 2));
     });
 }
+
+/// Guards against a load after the deadline because an agent can't count an age from before its own start.
+#[test]
+fn an_agent_that_was_restarted_keeps_to_the_deadline_of_a_version() {
+    run(async {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let address = socket.local_addr().unwrap();
+        let state = agent();
+        let (exchange, _reports) = Exchange::new(socket, Rc::clone(&state));
+        state.record_version(MODEL, 2, None, "test");
+        let named = AgentDatagram::Named {
+            model: MODEL.to_owned(),
+            version: 2,
+            max_age_ms: Some(5000),
+        };
+
+        let sender = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let message = datagram::encode(&named).unwrap();
+        sender.send_to(&message, address).await.unwrap();
+        let _ = timeout(Duration::from_millis(500), exchange.run()).await;
+
+        let left = state.newest_target().unwrap().deadline;
+        assert!(left <= Duration::from_secs(4), "{left:?}");
+    });
+}
+
+/// Starts an agent that answers datagrams; returns its address as well.
+async fn start_agent() -> (Exchange, Rc<State>, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.writable().await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let state = agent_at(address);
+    let (exchange, _reports) = Exchange::new(socket, Rc::clone(&state));
+    spawn_local(exchange.clone().run());
+    (exchange, state, address)
+}
+
+fn set_neighbour(state: &State, address: SocketAddr) {
+    state.apply_view(View {
+        agents: vec![Place {
+            address,
+            region: "inland".to_owned(),
+        }],
+        ..View::default()
+    });
+}
+
+/// Guards against a load after the deadline because an agent that was restarted does not know when a version was announced.
+#[test]
+fn an_agent_that_was_restarted_learns_the_age_of_a_version() {
+    run(async {
+        let (_, neighbour, neighbour_address) = start_agent().await;
+        let (exchange, restarted, address) = start_agent().await;
+        set_neighbour(&neighbour, address);
+        set_neighbour(&restarted, neighbour_address);
+        neighbour.record_version(MODEL, 2, Some(Duration::ZERO), "test");
+        restarted.record_version(MODEL, 2, None, "test");
+
+        let told = async {
+            while restarted.version_age_ms(MODEL, 2).is_none() {
+                exchange.announce(MODEL, 2);
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+
+        timeout(Duration::from_secs(5), told).await.unwrap();
+    });
+}
