Bound the memory of answers, and pass large ones on as they arrive

A server whose answer has no end grew the entry until it was killed: `hedge::read_whole` collected each body whole. A test with one such server held 420 MB after 1 s (debug build), 100 at once exceed the limit of any entry, and an idempotent request got 504 at its deadline although another server had the answer.

A body is now copied into at most 4 MiB, and all bodies beyond their first 16 KiB share 32 MiB until callers have them (`memory::Budget`, pure). A body that does not fit is passed on as fast as the caller reads if it states a length, so that large answers are still returned whole; without a length it has no end that could be relied on, and the request is lost, and repeated where allowed. A connection's read buffer has 32 KiB instead of 408 KiB.

--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{Stream, future::Either as Source};
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -24,7 +24,7 @@
     state::{State, hex},
 };
 
-/// Answer to a caller: a whole body or a relayed stream.
+/// Answer to a caller: a whole body, or one that is relayed as it arrives.
 type Answer<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
 
 /// Handles one request of a caller and returns the answer.
@@ -77,6 +77,11 @@
                 state.metrics.outcomes.get(ANSWERED).inc();
                 return response.map(|body| Either::Left(Full::new(body)));
             }
+            Arrival::Large(large) => {
+                let sends = attempts.end().len();
+                let answer = large.pass_on(Rc::clone(&state), Rc::clone(&call), permit, sends);
+                return answer.map(|body| Either::Right(StreamBody::new(Source::Right(body))));
+            }
             Arrival::Cut(reason) => match attempts.handle_cut(&permit, reason) {
                 Some(reason) => break reason,
                 None => continue,
@@ -88,7 +93,9 @@
             }
             Arrival::Stream(stream, first) => {
                 let tried = attempts.end();
-                return relay_stream(Rc::clone(&state), Rc::clone(&call), stream, first, tried);
+                let answer =
+                    relay_stream(Rc::clone(&state), Rc::clone(&call), stream, first, tried);
+                return answer.map(|body| Either::Right(StreamBody::new(Source::Left(body))));
             }
             Arrival::Failure(outcome) => match attempts.handle_failure(&permit, outcome) {
                 Some(reason) => break reason,
@@ -123,13 +130,13 @@
     stream: Begun,
     first: Step,
     tried: Vec<Arc<str>>,
-) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
+) -> Response<impl Stream<Item = Result<Frame<Bytes>, Broken>>> {
     let Begun { mut head, source } = stream;
     headers::remove_connection(&mut head);
     // The first server's length is not valid if the stream is resumed elsewhere.
     head.headers.remove(header::CONTENT_LENGTH);
     let stream = relay::stream(state, call, source, first, tried);
-    Response::from_parts(head, Either::Right(StreamBody::new(stream)))
+    Response::from_parts(head, stream)
 }
 
 /// Builds and logs the final answer to a request that no server answered.
--- a/crates/pistachiolug_gateway/src/hedge.rs
+++ b/crates/pistachiolug_gateway/src/hedge.rs
@@ -6,13 +6,12 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Response, response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::{
+    answer::{self, Large},
     call::Call,
-    headers,
     permit::Permit,
     send::{self, Outcome},
     source::{Source, Step},
@@ -68,6 +67,8 @@
     Answer(Response<Incoming>, Connection),
     /// Whole answer that is no stream.
     Whole(Response<Bytes>),
+    /// Answer that is no stream and too large to be kept until it is whole.
+    Large(Box<Large>),
     /// The body of an answer broke off, for this reason.
     Cut(String),
     /// Signed head of a stream.
@@ -124,9 +125,10 @@
             let arrival = read_first(&call, &permit, stream).await;
             return (permit, arrival);
         }
-        Stage::Answer(response, _connection) => {
-            let arrival = match read_whole(&call, response).await {
-                Ok(response) => Arrival::Whole(response),
+        Stage::Answer(response, connection) => {
+            let arrival = match answer::read(&state.memory, &call, response, connection).await {
+                Ok(answer::Read::Whole(response)) => Arrival::Whole(response),
+                Ok(answer::Read::Large(large)) => Arrival::Large(large),
                 Err(reason) => {
                     permit.record_loss();
                     Arrival::Cut(reason)
@@ -153,16 +155,6 @@
     call.is_stream() && response.status().is_success()
 }
 
-/// Reads the whole body of an answer.
-async fn read_whole(call: &Call, response: Response<Incoming>) -> Result<Response<Bytes>, String> {
-    let (mut head, body) = response.into_parts();
-    let body = call.run_until_deadline(body.collect()).await;
-    let body = body.map_err(|_| "answer incomplete at the deadline".to_owned())?;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
-    headers::remove_connection(&mut head);
-    Ok(Response::from_parts(head, body))
-}
-
 async fn read_first(call: &Call, permit: &Permit, mut stream: Begun) -> Arrival {
     let outcome = match stream.source.read(call).await {
         Step::Interrupted(reason) => Outcome::Lost(reason),
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod acquire;
 pub mod admission;
+pub mod answer;
 pub mod attempts;
 pub mod call;
 pub mod config;
@@ -17,6 +18,7 @@
 pub mod headers;
 pub mod hedge;
 pub mod losses;
+pub mod memory;
 pub mod metrics;
 pub mod names;
 pub mod peers;
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -30,6 +30,7 @@
     admission::SlotRates,
     config::{Config, Engine, Service},
     losses::Losses,
+    memory::{self, Budget},
     metrics::Metrics,
     names::Names,
     peers::Peers,
@@ -102,6 +103,8 @@
     pub options: Options,
     /// Metrics of the entry.
     pub metrics: Metrics,
+    /// Memory for the answers of servers.
+    pub memory: Budget,
     clock: System,
     rows: RefCell<Rows>,
     config: RefCell<Option<Arc<Config>>>,
@@ -149,6 +152,7 @@
         Rc::new(Self {
             options,
             metrics,
+            memory: Budget::new(memory::TOTAL_BYTES),
             clock: System::default(),
             rows: RefCell::default(),
             config: RefCell::default(),
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -18,6 +18,10 @@
 /// Longest time that opening a connection may take; a hundred times the delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest head of an answer, and largest part of a body that is read at once, in bytes. Each connection may take this
+/// much memory, and an entry has some thousand.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// Reason why there is no answer.
 #[derive(Debug)]
 pub enum Failure {
@@ -56,7 +60,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         return Err(Failure::Unsent(error.to_string()));
     }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|error| Failure::Unsent(error.to_string()))?;
     let task = spawn_local(async move {
         if let Err(error) = driver.await {
--- /dev/null
+++ b/crates/pistachiolug_gateway/tests/endless.rs
@@ -0,0 +1,292 @@
+//! Answers of servers that have no end.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{
+    alloc::System,
+    rc::Rc,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use futures_util::future::join_all;
+use pistachiolug_gateway::{
+    config::Kind,
+    memory::{Budget, Exhausted, SMALL_BYTES, TOTAL_BYTES},
+    metrics::ANSWERED,
+};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use tokio::{io::AsyncReadExt, net::TcpStream};
+
+use support::{Action, Entry, Server, answer, chunk, parts, request, route, run};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Memory in bytes of the smallest entry; that of this process includes the servers and callers.
+const MEMORY_BYTES: usize = 160_000_000;
+
+/// Interval between two measurements of memory.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Number of requests at once.
+const MANY: usize = 100;
+
+/// Keeps tests from measuring each other's memory.
+static MEASURED: Mutex<()> = Mutex::new(());
+
+/// Runs a test and returns the most memory in bytes that this process held meanwhile.
+fn measure(test: impl Future<Output = ()>) -> usize {
+    let _alone = MEASURED.lock().unwrap_or_else(PoisonError::into_inner);
+    let ended = Arc::new(AtomicBool::new(false));
+    let sampler = thread::spawn({
+        let ended = Arc::clone(&ended);
+        move || {
+            let mut peak = 0;
+            while !ended.load(Ordering::Relaxed) {
+                let stats = ALLOCATOR.stats();
+                // Counted one after the other, so that a block may be freed in between.
+                let held = stats
+                    .bytes_allocated
+                    .saturating_sub(stats.bytes_deallocated);
+                peak = peak.max(held);
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+            peak
+        }
+    });
+    run(test);
+    ended.store(true, Ordering::Relaxed);
+    sampler.join().unwrap()
+}
+
+/// Returns a signed head with this header.
+fn head(header: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Signature: s1\r\n{header}\r\n\r\n")
+}
+
+/// Starts a server with room for all requests, each of which gets the same answer, and an entry.
+async fn start(kind: Kind, action: &Action, requests: usize) -> (Entry, Server) {
+    let server = Server::start(vec![action.clone(); requests]).await;
+    let entry = Entry::start(parts(route(kind, 1)), &[]);
+    let mut record = support::record("i-0", server.address);
+    record.slots = requests as u32;
+    let state = Rc::clone(&entry.state);
+    state.with_pool(|pool| pool.put(record, support::POSITION, Duration::ZERO));
+    (entry, server)
+}
+
+/// Answer as a caller sees it.
+#[derive(Debug, Default)]
+struct Received {
+    head: String,
+    /// Number of bytes of the body with its framing.
+    bytes: usize,
+    last: Vec<u8>,
+    ended_regularly: bool,
+}
+
+impl Received {
+    fn is_success(&self) -> bool {
+        self.head.starts_with("http/1.1 2")
+    }
+
+    /// Returns whether the length or the last chunk shows that the body is complete.
+    fn is_complete(&self) -> bool {
+        let length = self
+            .head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        match length {
+            Some(length) => length.parse() == Ok(self.bytes),
+            None if self.head.contains("transfer-encoding: chunked") => {
+                self.last.ends_with(b"0\r\n\r\n")
+            }
+            None => self.ended_regularly && !self.head.is_empty(),
+        }
+    }
+}
+
+/// Reads an answer until its connection ends, and keeps only its head and the last bytes.
+async fn read(mut stream: TcpStream) -> Received {
+    let mut received = Received::default();
+    let mut head = Vec::new();
+    let mut buffer = vec![0; 64 << 10];
+    loop {
+        let read = match stream.read(&mut buffer).await {
+            Ok(0) => {
+                received.ended_regularly = true;
+                return received;
+            }
+            Ok(read) => &buffer[..read],
+            Err(_) => return received,
+        };
+        if received.head.is_empty() {
+            head.extend_from_slice(read);
+            let text = String::from_utf8_lossy(&head).to_ascii_lowercase();
+            if let Some((head, body)) = text.split_once("\r\n\r\n") {
+                head.clone_into(&mut received.head);
+                received.bytes = body.len();
+            }
+        } else {
+            received.bytes += read.len();
+        }
+        received.last.extend_from_slice(read);
+        received.last = received
+            .last
+            .split_off(received.last.len().saturating_sub(16));
+    }
+}
+
+/// Sends a request and reads its answer.
+async fn call(entry: &Entry, time_limit_ms: u32) -> Received {
+    let limit = format!("X-Deadline: {time_limit_ms}");
+    let request = request("a1").replace("X-Deadline: 3000", &limit);
+    read(entry.open(&request).await).await
+}
+
+/// Returns bodies without end, each with its head.
+fn endless_bodies() -> [(&'static str, Action); 4] {
+    let block = "x".repeat(64 << 10);
+    let tiny = chunk("x").repeat(10_000);
+    let length = head("Content-Length: 1000000000000");
+    [
+        (
+            "no length",
+            Action::Endless(head("X-Kept: yes"), block.clone()),
+        ),
+        (
+            "chunks",
+            Action::Endless(head("Transfer-Encoding: chunked"), chunk(&block)),
+        ),
+        (
+            "tiny chunks",
+            Action::Endless(head("Transfer-Encoding: chunked"), tiny),
+        ),
+        ("length", Action::Endless(length, block)),
+    ]
+}
+
+/// Guards against entries that collect answers without end in memory, and answers that look complete then.
+#[test]
+fn an_answer_without_end_takes_bounded_memory_and_does_not_look_complete() {
+    for (name, action) in endless_bodies() {
+        let peak = measure(async {
+            let (entry, server) = start(Kind::Once, &action, 1).await;
+
+            let received = call(&entry, 1000).await;
+
+            let is_whole = received.is_success() && received.is_complete();
+            assert!(!is_whole, "{name}: {received:?}");
+            server.wait_for_disconnects(1).await;
+        });
+
+        assert!(peak < MEMORY_BYTES, "{name}: {peak} bytes");
+    }
+}
+
+/// Guards against many answers without end that together exceed the memory of an entry.
+#[test]
+fn many_answers_without_end_take_bounded_memory_together() {
+    for (name, action) in endless_bodies() {
+        let peak = measure(async {
+            let (entry, server) = start(Kind::Once, &action, MANY).await;
+
+            let all = join_all((0..MANY).map(|_| call(&entry, 1000))).await;
+
+            assert_eq!(server.arrivals(), MANY, "{name}");
+            for received in all {
+                let is_whole = received.is_success() && received.is_complete();
+                assert!(!is_whole, "{name}: {received:?}");
+            }
+            server.wait_for_disconnects(MANY).await;
+        });
+
+        assert!(peak < MEMORY_BYTES, "{name}: {peak} bytes");
+    }
+}
+
+/// Guards against a request that fails although another server has a whole answer to it.
+#[test]
+fn a_request_with_an_answer_without_end_is_repeated_where_allowed() {
+    run(async {
+        let endless = Action::Endless(head("X-Kept: yes"), "x".repeat(64 << 10));
+        let first = Server::start(vec![endless]).await;
+        let second = Server::start(vec![Action::Write(answer("a1", "200 OK", "yours"))]).await;
+        let entry = Entry::start(parts(route(Kind::Idempotent, 2)), &[&first]);
+        let mut stream = entry.open(&request("a1")).await;
+        while first.arrivals() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let record = support::record("i-second", second.address);
+        entry
+            .state
+            .with_pool(|pool| pool.put(record, support::POSITION, Duration::ZERO));
+
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(response.ends_with("\r\n\r\nyours"), "{response}");
+    });
+}
+
+/// Guards against large answers that are refused, shortened or kept in memory until slow callers have read them.
+#[test]
+fn large_answers_of_a_stated_length_are_returned_whole_within_bounded_memory() {
+    for (bytes, requests) in [(6 << 20, 1), (6 << 20, MANY), (3 << 20, MANY)] {
+        let body = "y".repeat(1 << 10);
+        let peak = measure(async {
+            // The server goes on, and its further bytes belong to no answer.
+            let action = Action::Endless(head(&format!("Content-Length: {bytes}")), body);
+            let (entry, server) = start(Kind::Once, &action, requests).await;
+            let mut opened = Vec::new();
+            for _ in 0..requests {
+                opened.push(entry.open(&request("a1")).await);
+            }
+            // Callers read late, when the entry has got what it takes.
+            while server.arrivals() < requests {
+                tokio::time::sleep(SAMPLE_INTERVAL).await;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+
+            let all = join_all(opened.into_iter().map(read)).await;
+
+            for received in all {
+                assert!(received.is_success(), "{received:?}");
+                assert_eq!(received.bytes, bytes);
+                assert!(received.is_complete(), "{received:?}");
+            }
+            let outcomes = &entry.state.metrics.outcomes;
+            assert_eq!(outcomes.get(ANSWERED).get(), requests as u64);
+            assert_eq!(entry.state.memory.free(), TOTAL_BYTES);
+        });
+
+        assert!(peak < MEMORY_BYTES, "{bytes} bytes: {peak} bytes");
+    }
+}
+
+/// Guards against memory that is counted twice or never given back, and small answers that large ones keep out.
+#[test]
+fn the_memory_for_answers_is_shared_and_given_back() {
+    let budget = Budget::new(100);
+    let mut one = budget.share();
+    let mut other = budget.share();
+
+    assert_eq!(one.try_resize(SMALL_BYTES + 80), Ok(()));
+    assert_eq!(other.try_resize(SMALL_BYTES + 21), Err(Exhausted));
+    assert_eq!(other.try_resize(SMALL_BYTES), Ok(()));
+    assert_eq!(other.try_resize(SMALL_BYTES + 20), Ok(()));
+    assert_eq!(budget.free(), 0);
+    assert_eq!(one.try_resize(SMALL_BYTES + 10), Ok(()));
+    assert_eq!(budget.free(), 70);
+    drop(one);
+    drop(other);
+    assert_eq!(budget.free(), 100);
+}
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -51,6 +51,8 @@
     /// Writes these bytes, writes the others after a pause, and closes the connection regularly. Counts a client that
     /// disconnects in the pause.
     Pause(String, Duration, String),
+    /// Writes the first bytes once and the others again and again until the client disconnects, which it counts.
+    Endless(String, String),
     /// Writes these bytes, and resets the connection after a pause.
     Break(String, Duration),
 }
@@ -126,6 +128,11 @@
                     }
                 }
             }
+            Some(Action::Endless(bytes, repeated)) => {
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                while stream.write_all(repeated.as_bytes()).await.is_ok() {}
+                *self.disconnects.borrow_mut() += 1;
+            }
             Some(Action::Break(bytes, pause)) => {
                 let _ = stream.write_all(bytes.as_bytes()).await;
                 tokio::time::sleep(pause).await;
