Break off streams whose bytes form no event

Blank lines without end went to the caller as events: each counted as one, so that the first of them ended the wait for the first event and all of them reset the silence. A test saw a 200 and 10 MB of blank lines within 3 s (debug build), and a stream that was neither broken off nor resumed elsewhere.

Only an event, or the begin of one, ends a silence. Bytes that form no whole event share the memory for answers: 200 unfinished events of 1 MiB would exceed the smallest entry.

--- a/crates/pistachiolug_gateway/src/source.rs
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -12,6 +12,7 @@
     call::Call,
     event::Splitter,
     headers,
+    memory::Share,
     permit::Permit,
     send::{self, Expired},
     silence::{Progress, Silence},
@@ -31,6 +32,8 @@
     body: Incoming,
     _connection: Connection,
     splitter: Splitter,
+    /// Memory of the bytes that form no whole event yet.
+    share: Share,
     started_at: Instant,
     is_framed: bool,
 }
@@ -38,7 +41,7 @@
 /// Result of reading from a server.
 #[derive(Debug)]
 pub enum Step {
-    /// Whole events.
+    /// Whole events, or what follows the last one.
     Events(Bytes),
     /// End of the stream after a whole event.
     Complete,
@@ -66,12 +69,14 @@
     ) -> (response::Parts, Self) {
         let is_framed = headers::is_framed(&response);
         let (head, body) = response.into_parts();
+        let share = permit.state.memory.share();
         let source = Self {
             permit,
             silence: Silence::new(silence_bound(call), Instant::now()),
             body,
             _connection: connection,
             splitter: Splitter::default(),
+            share,
             started_at,
             is_framed,
         };
@@ -125,22 +130,36 @@
                 let reason = "stream ended inside an event".to_owned();
                 return Some(Step::Interrupted(reason));
             }
-            Ok(None) => return Some(Step::Complete),
+            Ok(None) => {
+                // Without an event, blank lines and comments would look like progress.
+                let rest = self.splitter.take_rest().filter(|_| self.events() > 0);
+                return Some(rest.map_or(Step::Complete, Step::Events));
+            }
             Err(Expired::Outdated) => return Some(Step::Outdated),
             Err(Expired::Deadline) => return Some(Step::DeadlinePassed),
         };
         let data = frame.into_data().ok()?;
-        self.silence.record_data(Instant::now());
         self.permit.record_contact(&call.fingerprint);
         let has_begun = self.events() > 0;
         match self.splitter.push(&data) {
             Ok(events) => {
+                if self
+                    .share
+                    .try_resize(self.splitter.buffered_bytes())
+                    .is_err()
+                {
+                    let reason = "no memory for an unfinished event".to_owned();
+                    return Some(Step::Interrupted(reason));
+                }
+                if events.is_some() || self.splitter.is_in_event() {
+                    self.silence.record_data(Instant::now());
+                }
                 if events.is_some() && !has_begun {
                     self.permit.record_first_event(self.started_at.elapsed());
                 }
                 events.map(Step::Events)
             }
-            Err(_) => Some(Step::Interrupted("event too large".to_owned())),
+            Err(flaw) => Some(Step::Interrupted(flaw.to_string())),
         }
     }
 
--- a/crates/pistachiolug_gateway/tests/endless.rs
+++ b/crates/pistachiolug_gateway/tests/endless.rs
@@ -24,7 +24,7 @@
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
-use support::{Action, Entry, Server, answer, chunk, parts, request, route, run};
+use support::{Action, Entry, Server, answer, chunk, parts, request, route, run, stream_head};
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
@@ -272,6 +272,139 @@
     }
 }
 
+const ONE: &str = "id: 1\ndata: ravi\n\n";
+const TWO: &str = "id: 2\ndata: .\n\n";
+
+/// Marks the end of a chunked body.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Returns bytes that form no event, however many there are.
+fn empty_blocks() -> [(&'static str, &'static str); 4] {
+    [
+        ("blank lines", "\n"),
+        ("blank lines of two bytes", "\r\n"),
+        ("comments", ": here\n\n"),
+        ("unknown fields", "x: y\n\n"),
+    ]
+}
+
+/// Guards against bytes that form no event and are relayed without end, or are taken for the first event.
+#[test]
+fn a_stream_without_an_event_fails_and_is_not_relayed() {
+    for (name, block) in empty_blocks() {
+        run(async {
+            let flood = chunk(&block.repeat(1_000));
+            let action = Action::Endless(stream_head("a1"), flood);
+            let (entry, server) = start(Kind::Stream, &action, 1).await;
+
+            let received = call(&entry, 3000).await;
+
+            assert!(
+                received.head.starts_with("http/1.1 502"),
+                "{name}: {received:?}"
+            );
+            server.wait_for_disconnects(1).await;
+        });
+    }
+}
+
+/// Guards against blank lines without end that reach the caller after an event, or look like a whole stream.
+#[test]
+fn a_stream_that_goes_on_without_events_is_broken_off() {
+    for (name, block) in empty_blocks() {
+        run(async {
+            let flood = chunk(&block.repeat(1_000));
+            let action = Action::Endless(stream_head("a1") + &chunk(ONE), flood);
+            let (entry, server) = start(Kind::Stream, &action, 1).await;
+
+            let received = call(&entry, 3000).await;
+
+            assert!(received.is_success(), "{name}: {received:?}");
+            assert!(!received.is_complete(), "{name}: {received:?}");
+            assert!(received.bytes <= chunk(ONE).len(), "{name}: {received:?}");
+            server.wait_for_disconnects(1).await;
+        });
+    }
+}
+
+/// Guards against a caller that gets no more events because blank lines count as progress of their server.
+#[test]
+fn a_stream_that_goes_on_without_events_is_resumed_elsewhere() {
+    let slow = Action::Stall(stream_head("a1") + &chunk(ONE) + &chunk("\n"));
+    let flood = Action::Endless(stream_head("a1") + &chunk(ONE), chunk(&"\n".repeat(1_000)));
+    for action in [flood, slow] {
+        run(async {
+            let first = Server::start(vec![action]).await;
+            let rest = stream_head("a1") + &chunk(TWO) + LAST_CHUNK;
+            let second = Server::start(vec![Action::Write(rest)]).await;
+            let entry = Entry::start(parts(route(Kind::Stream, 2)), &[&first]);
+            let stream = entry.open(&request("a1")).await;
+            while first.arrivals() == 0 {
+                tokio::task::yield_now().await;
+            }
+            let record = support::record("i-second", second.address);
+            entry
+                .state
+                .with_pool(|pool| pool.put(record, support::POSITION, Duration::ZERO));
+
+            let response = support::read_all(stream).await;
+
+            let (_, body) = response.split_once("\r\n\r\n").unwrap();
+            let whole = chunk(ONE) + &chunk(TWO) + LAST_CHUNK;
+            assert_eq!(body.to_lowercase(), whole);
+        });
+    }
+}
+
+/// Guards against comments and blank lines of sound streams that are lost.
+#[test]
+fn what_stands_between_events_is_relayed_with_them() {
+    let sent = [": begin\n\n", ONE, "\n: more\n\n", TWO, "\n: end\n\n"];
+    let chunks: String = sent.iter().map(|text| chunk(text)).collect();
+    let body = sent.concat();
+    for answer in [
+        stream_head("a1") + &chunks + LAST_CHUNK,
+        support::unframed_head("a1") + &body,
+    ] {
+        run(async {
+            let (entry, _server) = start(Kind::Stream, &Action::Write(answer), 1).await;
+
+            let response = entry.call(&request("a1")).await;
+
+            let (_, received) = response.split_once("\r\n\r\n").unwrap();
+            assert!(received.ends_with(LAST_CHUNK), "{received}");
+            let lines = received.split_inclusive('\n');
+            let text: String = lines.filter(|line| !is_framing(line)).collect();
+            assert_eq!(text.replace('\n', ""), body.replace('\n', ""));
+        });
+    }
+}
+
+/// Returns whether a line belongs to the chunked encoding.
+fn is_framing(line: &str) -> bool {
+    line.ends_with("\r\n")
+}
+
+/// Guards against many unfinished events, each below its limit, that together exceed the memory of an entry.
+#[test]
+fn an_unfinished_event_takes_memory_that_other_answers_leave() {
+    let large = support::unframed_head("a1") + &"x".repeat(100_000);
+    let small = stream_head("a1") + &chunk(ONE) + LAST_CHUNK;
+    for (answer, status) in [(large, "http/1.1 502"), (small, "http/1.1 200")] {
+        run(async {
+            let (entry, _server) = start(Kind::Stream, &Action::Stall(answer), 1).await;
+            let mut others = entry.state.memory.share();
+            others.try_resize(TOTAL_BYTES + SMALL_BYTES).unwrap();
+
+            let received = call(&entry, 3000).await;
+
+            assert!(received.head.starts_with(status), "{received:?}");
+            drop(others);
+            assert_eq!(entry.state.memory.free(), TOTAL_BYTES);
+        });
+    }
+}
+
 /// Guards against memory that is counted twice or never given back, and small answers that large ones keep out.
 #[test]
 fn the_memory_for_answers_is_shared_and_given_back() {
