Lose a request at once if its answer's head has no end

Interim answers (status 1xx) without end kept a request at its server until the deadline: the HTTP library skips any number of them.

`head_limit::Limited` counts what a connection reads until the final head has arrived, and fails it beyond 64 KiB (and one read buffer, which may bring the begin of the body). The reason of a lost request now names the cause of the library's error, so that a log line tells this from a reset.

--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fingerprint;
 pub mod forward;
 pub mod gossip;
+pub mod head_limit;
 pub mod headers;
 pub mod hedge;
 pub mod losses;
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection that is not reused can't be stale, and no bytes of an earlier answer can be mistaken for the next one.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -15,6 +15,8 @@
     time::timeout,
 };
 
+use crate::head_limit::{Allowance, Limited};
+
 /// Longest time that opening a connection may take; a hundred times the delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -22,6 +24,9 @@
 /// much memory, and an entry has some thousand.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
 
+/// Largest number of bytes of interim answers (status 1xx) and of the head that follows them.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Reason why there is no answer.
 #[derive(Debug)]
 pub enum Failure {
@@ -62,6 +67,9 @@
     }
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
+    // The read that completes the head may bring the begin of the body.
+    let allowance = Allowance::new(MAX_HEAD_BYTES + MAX_BUFFER_BYTES);
+    let stream = Limited::new(stream, allowance.clone());
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|error| Failure::Unsent(error.to_string()))?;
     let task = spawn_local(async move {
@@ -71,8 +79,19 @@
     });
     let connection = Connection { task };
     match sender.send_request(request).await {
-        Ok(response) => Ok((response, connection)),
+        Ok(response) => {
+            allowance.lift();
+            Ok((response, connection))
+        }
         Err(error) if error.is_canceled() => Err(Failure::Unsent(error.to_string())),
-        Err(error) => Err(Failure::Lost(error.to_string())),
+        Err(error) => Err(Failure::Lost(describe(&error))),
+    }
+}
+
+/// Returns the text of an error with that of its cause.
+fn describe(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
     }
 }
--- a/crates/pistachiolug_gateway/tests/endless.rs
+++ b/crates/pistachiolug_gateway/tests/endless.rs
@@ -278,6 +278,59 @@
 /// Marks the end of a chunked body.
 const LAST_CHUNK: &str = "0\r\n\r\n";
 
+/// Returns heads without end.
+fn endless_heads() -> [(&'static str, Action); 4] {
+    let repeat = |begin: &str, block: &str| Action::Endless(begin.to_owned(), block.repeat(1_000));
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    [
+        (
+            "interim answers",
+            repeat("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ),
+        ("interim answers with headers", repeat("", interim)),
+        ("headers", repeat("HTTP/1.1 200 OK\r\n", "X-More: yes\r\n")),
+        ("a header", repeat("HTTP/1.1 200 OK\r\nX-More: ", "yes")),
+    ]
+}
+
+/// Guards against requests that wait until their deadline for a server whose head has no end.
+#[test]
+fn a_head_without_end_loses_the_request_before_its_deadline() {
+    for (name, action) in endless_heads() {
+        for kind in [Kind::Once, Kind::Stream] {
+            let peak = measure(async {
+                let (entry, server) = start(kind, &action, 1).await;
+
+                let received = call(&entry, 3000).await;
+
+                assert!(
+                    received.head.starts_with("http/1.1 502"),
+                    "{name}: {received:?}"
+                );
+                server.wait_for_disconnects(1).await;
+            });
+
+            assert!(peak < MEMORY_BYTES, "{name}: {peak} bytes");
+        }
+    }
+}
+
+/// Guards against a limit on heads that interim answers reach before the final one, or that the body counts towards.
+#[test]
+fn an_answer_after_interim_ones_is_returned_whole() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n".repeat(100);
+    let body = "z".repeat(500_000);
+    run(async {
+        let answer = Action::Write(interim + &answer("a1", "200 OK", &body));
+        let (entry, _server) = start(Kind::Once, &answer, 1).await;
+
+        let response = entry.call(&request("a1")).await;
+
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:.200}");
+        assert!(response.ends_with(&body));
+    });
+}
+
 /// Returns bytes that form no event, however many there are.
 fn empty_blocks() -> [(&'static str, &'static str); 4] {
     [
