Bound the memory of what agents and entries read by the HTTP client

An agent, which has 128 MB, collected up to 16 MiB for each answer of its engine, the origin and other agents, and each chunk kept the whole read buffer that it came from.

`Client::fetch` copies a body into a `memory::Buffer`, whose limits are those of the answer (8 MiB for the agent) and of all bodies of the client (12 MiB for each of the agent's five), so that the agent's clients together take half of its memory. `memory` moved from the gateway, which uses the same buffer. The read buffer of a connection has 64 KiB instead of 408 KiB.

--- a/crates/pistachiolug_gateway/src/answer.rs
+++ b/crates/pistachiolug_gateway/src/answer.rs
@@ -7,11 +7,11 @@
 use http::{Response, StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
+use pistachiolug_http::memory::{Budget, Buffer};
 
 use crate::{
     call::Call,
     headers,
-    memory::{Budget, Exhausted, Share},
     metrics::{ANSWERED, BROKEN, CALLER_LEFT},
     permit::Permit,
     reply::Broken,
@@ -22,6 +22,12 @@
 /// Largest body in bytes that is kept until it is whole.
 pub const MAX_WHOLE_BYTES: usize = 4 << 20;
 
+/// Memory in bytes that all answers of an entry take beyond the first [`SMALL_BYTES`] of each: a fifth of an entry's
+/// memory.
+///
+/// [`SMALL_BYTES`]: pistachiolug_http::memory::SMALL_BYTES
+pub const TOTAL_BYTES: usize = 32 << 20;
+
 /// Answer whose body was read as far as it is kept.
 #[derive(Debug)]
 pub enum Read {
@@ -36,55 +42,13 @@
 pub struct Large {
     head: response::Parts,
     /// What was read before it turned out that the answer is too large.
-    start: Collected,
+    start: Buffer,
     /// What was read last and did not fit.
     unkept: Option<Bytes>,
     body: Incoming,
     connection: Connection,
 }
 
-/// Bytes that are kept, within the memory for answers.
-#[derive(Debug)]
-struct Collected {
-    bytes: Vec<u8>,
-    share: Share,
-}
-
-impl AsRef<[u8]> for Collected {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl Collected {
-    fn new(budget: &Budget) -> Self {
-        Self {
-            bytes: Vec::new(),
-            share: budget.share(),
-        }
-    }
-
-    /// Appends bytes. They are copied, since small pieces of large buffers would keep the buffers.
-    fn push(&mut self, bytes: &[u8]) -> Result<(), Exhausted> {
-        let len = self.bytes.len() + bytes.len();
-        if len > MAX_WHOLE_BYTES {
-            return Err(Exhausted);
-        }
-        if len > self.bytes.capacity() {
-            let capacity = len.max(self.bytes.capacity() * 2).min(MAX_WHOLE_BYTES);
-            self.share.try_resize(capacity)?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(bytes);
-        Ok(())
-    }
-
-    /// Returns the bytes, which take their memory until the last reference to them is dropped.
-    fn freeze(self) -> Bytes {
-        Bytes::from_owner(self)
-    }
-}
-
 /// Reads the body of an answer until it is whole, or until it is too large to be kept.
 ///
 /// # Errors
@@ -99,7 +63,7 @@
     let (mut head, mut body) = response.into_parts();
     headers::remove_connection(&mut head);
     let length = body.size_hint().exact();
-    let mut start = Collected::new(budget);
+    let mut start = Buffer::new(budget, MAX_WHOLE_BYTES);
     let mut unkept = None;
     let mut fits = length.is_none_or(|length| length <= MAX_WHOLE_BYTES as u64);
     while fits {
@@ -116,7 +80,7 @@
         unkept = (!fits).then_some(data);
     }
     if length.is_none() {
-        let read = start.bytes.len();
+        let read = start.len();
         return Err(format!(
             "answer without a length is too large after {read} bytes"
         ));
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod headers;
 pub mod hedge;
 pub mod losses;
-pub mod memory;
 pub mod metrics;
 pub mod names;
 pub mod peers;
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -58,6 +58,9 @@
 /// Largest number of idle connections that are kept to the key-value service and to each other entry.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
+/// Memory in bytes of the rows that are read from other entries at once, beyond the first 16 KiB of each answer.
+const MAX_ROWS_MEMORY: usize = 16 << 20;
+
 /// Addresses on which an entry listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -95,7 +98,7 @@
         address: addresses.internal,
     })?);
     let updater = Updater::new(Rc::clone(&state), Rc::clone(&socket), decoder.clone());
-    let client = Client::new(MAX_IDLE_CONNECTIONS);
+    let client = Client::new(MAX_IDLE_CONNECTIONS).with_memory(MAX_ROWS_MEMORY);
     let ticks = kernel.timer.subscribe(BEACON_INTERVAL, Duration::ZERO);
     spawn_local(follow::run(
         store.clone(),
--- a/crates/pistachiolug_gateway/src/source.rs
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -6,13 +6,13 @@
 use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use pistachiolug_http::memory::Share;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     call::Call,
     event::Splitter,
     headers,
-    memory::Share,
     permit::Permit,
     send::{self, Expired},
     silence::{Progress, Silence},
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use pistachiolug_http::memory::Budget;
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::{attribution::Attribution, retry::WindowBudget, suspect::Suspects};
@@ -28,9 +29,9 @@
 
 use crate::{
     admission::SlotRates,
+    answer,
     config::{Config, Engine, Service},
     losses::Losses,
-    memory::{self, Budget},
     metrics::Metrics,
     names::Names,
     peers::Peers,
@@ -152,7 +153,7 @@
         Rc::new(Self {
             options,
             metrics,
-            memory: Budget::new(memory::TOTAL_BYTES),
+            memory: Budget::new(answer::TOTAL_BYTES),
             clock: System::default(),
             rows: RefCell::default(),
             config: RefCell::default(),
--- a/crates/pistachiolug_gateway/tests/endless.rs
+++ b/crates/pistachiolug_gateway/tests/endless.rs
@@ -16,11 +16,8 @@
 };
 
 use futures_util::future::join_all;
-use pistachiolug_gateway::{
-    config::Kind,
-    memory::{Budget, Exhausted, SMALL_BYTES, TOTAL_BYTES},
-    metrics::ANSWERED,
-};
+use pistachiolug_gateway::{answer::TOTAL_BYTES, config::Kind, metrics::ANSWERED};
+use pistachiolug_http::memory::{Budget, Exhausted, SMALL_BYTES};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
--- a/crates/pistachiolug_http/src/client.rs
+++ b/crates/pistachiolug_http/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
@@ -13,7 +13,10 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use crate::traffic;
+use crate::{
+    memory::{Budget, Buffer},
+    traffic,
+};
 
 /// Default limit on the time in which a TCP connection has to open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -21,6 +24,9 @@
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Largest head of an answer, and largest part of a body that is read at once, in bytes; memory of each connection.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Idle time after which TCP keepalive probes a connection, and the interval between probes.
 ///
 /// With [`MAX_PROBES`], an open connection whose peer no longer answers is detected within three seconds.
@@ -29,6 +35,9 @@
 /// Number of unanswered probes after which a connection counts as broken.
 const MAX_PROBES: u32 = 2;
 
+/// Error of a body that could not be read.
+type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Error of a request without a complete answer.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -49,7 +58,7 @@
     #[snafu(display("body broke: {source}"))]
     Body {
         /// Error of the body reader.
-        source: Box<dyn std::error::Error + Send + Sync>,
+        source: BodyError,
     },
     /// No answer arrived in time; the peer may have processed the request.
     #[snafu(display("no answer within {} ms", after.as_millis()))]
@@ -70,6 +79,8 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    /// Memory of the bodies that [`Client::fetch`] returns.
+    memory: Budget,
 }
 
 impl Client {
@@ -91,8 +102,18 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(hyper_util::rt::TokioTimer::new())
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_BUFFER_BYTES)
             .build(connector);
-        Self { inner }
+        let memory = Budget::new(usize::MAX);
+        Self { inner, memory }
+    }
+
+    /// Bounds the memory in bytes that all bodies which [`Client::fetch`] returns take together, beyond the first
+    /// [`SMALL_BYTES`](crate::memory::SMALL_BYTES) of each.
+    #[must_use]
+    pub fn with_memory(self, bytes: usize) -> Self {
+        let memory = Budget::new(bytes);
+        Self { memory, ..self }
     }
 
     /// Sends a request and returns the response with a body that is still to be read.
@@ -127,7 +148,8 @@
     /// Sends a request and reads the response with a body of at most `max_bytes` bytes, all within `time_limit`.
     ///
     /// # Errors
-    /// Returns the errors of [`Client::send`], and [`Error::Body`] if the body is cut short or too large.
+    /// Returns the errors of [`Client::send`], and [`Error::Body`] if the body is cut short or too large, also for the
+    /// memory that other bodies leave.
     pub async fn fetch(
         &self,
         request: Request<Bytes>,
@@ -138,11 +160,7 @@
         let exchange = async {
             let response = self.send(request, time_limit).await?;
             let (parts, body) = response.into_parts();
-            let bytes = Limited::new(body, max_bytes)
-                .collect()
-                .await
-                .context(BodySnafu)?
-                .to_bytes();
+            let bytes = self.read(body, max_bytes).await.context(BodySnafu)?;
             if is_control {
                 traffic::count_received(bytes.len());
             }
@@ -152,4 +170,14 @@
             .await
             .unwrap_or(Err(Error::Timeout { after: time_limit }))
     }
+
+    async fn read(&self, mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+        let mut bytes = Buffer::new(&self.memory, max_bytes);
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                bytes.push(&data)?;
+            }
+        }
+        Ok(bytes.freeze())
+    }
 }
--- a/crates/pistachiolug_http/src/lib.rs
+++ b/crates/pistachiolug_http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod limit;
 pub mod local_server;
+pub mod memory;
 pub mod pace;
 pub mod secret;
 pub mod server;
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -52,7 +52,7 @@
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Largest accepted piece in bytes.
-const MAX_PIECE_BYTES: usize = 16 << 20;
+const MAX_PIECE_BYTES: usize = 8 << 20;
 
 /// Number of corrupt pieces after which the manifest itself is suspected to be wrong and read again.
 const MAX_CORRUPT_PIECES: u32 = 6;
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -41,6 +41,10 @@
 /// Idle connections kept per agent.
 const IDLE_CONNECTIONS: usize = 2;
 
+/// Memory in bytes of the answers that one client of the agent reads at once, beyond the first 16 KiB of each. The
+/// agent's clients together, also those of its engine, origin and store, take half of its memory.
+const MAX_MEMORY: usize = 12 << 20;
+
 /// Timeout of connecting to another agent; a hundred times the delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -93,9 +97,10 @@
         discovery: Discovery {
             store,
             decoder,
-            client: Client::with_connect_timeout(0, CONNECT_TIMEOUT),
+            client: Client::with_connect_timeout(0, CONNECT_TIMEOUT).with_memory(MAX_MEMORY),
         },
-        client: Client::with_connect_timeout(IDLE_CONNECTIONS, CONNECT_TIMEOUT),
+        client: Client::with_connect_timeout(IDLE_CONNECTIONS, CONNECT_TIMEOUT)
+            .with_memory(MAX_MEMORY),
         socket: UdpSocket::bind(SocketAddr::new(address.ip(), 0))
             .await
             .context(ListenSnafu { address })?,
