--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod acquire;
 pub mod admission;
+pub mod answer;
 pub mod attempts;
 pub mod backoff;
 pub mod call;
@@ -15,6 +16,7 @@
 pub mod fingerprint;
 pub mod forward;
 pub mod gossip;
+pub mod head_limit;
 pub mod headers;
 pub mod hedge;
 pub mod losses;
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use pistachiolug_http::memory::Budget;
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::{attribution::Attribution, retry::WindowBudget, suspect::Suspects};
@@ -28,6 +29,7 @@
 
 use crate::{
     admission::SlotRates,
+    answer,
     config::{Config, Engine, Service},
     losses::Losses,
     metrics::Metrics,
@@ -102,6 +104,8 @@
     pub options: Options,
     /// Metrics of the entry.
     pub metrics: Metrics,
+    /// Memory for the answers of servers.
+    pub memory: Budget,
     clock: System,
     rows: RefCell<Rows>,
     config: RefCell<Option<Arc<Config>>>,
@@ -149,6 +153,7 @@
         Rc::new(Self {
             options,
             metrics,
+            memory: Budget::new(answer::TOTAL_BYTES),
             clock: System::default(),
             rows: RefCell::default(),
             config: RefCell::default(),
