--- a/crates/pistachiolug_gateway/tests/versions.rs
+++ b/crates/pistachiolug_gateway/tests/versions.rs
@@ -173,7 +173,7 @@
         }
 
         let excluded_before = versions.minimum("m", seconds(due - 2.5));
-        let excluded = versions.minimum("m", seconds(due) - MAX_SILENCE);
+        let excluded = versions.minimum("m", seconds(due).saturating_sub(MAX_SILENCE));
         let left = versions.time_to_begin("m", 1, NOW).unwrap();
 
         assert_eq!(excluded_before, None, "{name}");
