Build a request once its connection is open, and refuse it as not run if it was not sent

A request that became outdated while its connection was being opened counted as one that may have run, so that its caller got 502. Its time limit and expected version were those from before the connection, which a standstill of the process makes wrong.

The request is now built when the connection is open, unless its server's version is excluded by then; one that ends before goes to another server or is refused as not run. a_request_that_becomes_outdated_while_it_connects_is_refused_as_not_run got 502 with the former result.

--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at a server.
 
-use std::{pin::pin, time::Duration};
+use std::{cell::Cell, pin::pin, time::Duration};
 
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -76,14 +76,20 @@
     last_event: Option<u64>,
     until: Duration,
 ) -> Outcome {
-    let request = call.build_request(state, permit, last_event);
-    let address = permit.choice.record.address;
-    let exchange = upstream::exchange(address, request, || permit.may_send());
+    let is_sent = Cell::new(false);
+    // Built once the connection is open: until then the time left, or the oldest version allowed, may change.
+    let build = || {
+        let may_send = permit.may_send() && has_allowed_version(state, call, permit);
+        is_sent.set(may_send);
+        may_send.then(|| call.build_request(state, permit, last_event))
+    };
+    let exchange = upstream::exchange(permit.choice.record.address, build);
     let (response, connection) = match wait_to_begin(call, permit, until, exchange).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
         Ok(Err(Failure::Withheld)) => return Outcome::Withheld,
         Ok(Err(Failure::Lost(reason))) => return Outcome::Lost(reason),
+        Err(_) if !is_sent.get() => return Outcome::Withheld,
         Err(Expired::Outdated) => return Outcome::Outdated,
         Err(Expired::Deadline) => return Outcome::Silent,
     };
@@ -109,6 +115,13 @@
     Outcome::Answer(response, connection)
 }
 
+fn has_allowed_version(state: &State, call: &Call, permit: &Permit) -> bool {
+    let Some(model) = call.model.as_deref() else {
+        return true;
+    };
+    permit.choice.record.version(model) >= state.min_version(model)
+}
+
 /// Records what a server says of itself in its answer to a request.
 fn record_state<T>(call: &Call, permit: &Permit, response: &Response<T>) {
     let status = response.status();
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -54,14 +54,13 @@
 /// Sends a request and waits for the head of its answer.
 ///
 /// # Arguments
-/// `may_send` tells whether the request may still be sent; it is called once the connection is open.
+/// `build` is called once the connection is open; it returns `None` if the request may not be sent any more.
 ///
 /// # Errors
 /// [`Failure`], which tells whether the request may have run.
 pub async fn exchange(
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    may_send: impl FnOnce() -> bool,
+    build: impl FnOnce() -> Option<Request<Full<Bytes>>>,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -84,9 +83,7 @@
         }
     });
     let connection = Connection { task };
-    if !may_send() {
-        return Err(Failure::Withheld);
-    }
+    let request = build().ok_or(Failure::Withheld)?;
     match sender.send_request(request).await {
         Ok(response) => {
             allowance.lift();
--- a/crates/pistachiolug_gateway/tests/backoff.rs
+++ b/crates/pistachiolug_gateway/tests/backoff.rs
@@ -7,8 +7,6 @@
 use std::{iter::repeat_n, rc::Rc, time::Duration};
 
 use futures_util::future::join_all;
-use http::Request;
-use http_body_util::Full;
 use pistachiolug_gateway::{
     config::{Kind, Route},
     pool::Requirements,
@@ -319,9 +317,7 @@
 fn nothing_is_sent_if_a_backoff_begins_while_the_connection_is_opened() {
     run(async {
         let server = Server::start(Vec::new()).await;
-        let request = Request::new(Full::default());
-
-        let result = upstream::exchange(server.address, request, || false).await;
+        let result = upstream::exchange(server.address, || None).await;
         sleep(Duration::from_millis(50)).await;
 
         assert!(matches!(result, Err(Failure::Withheld)), "{result:?}");
--- a/crates/pistachiolug_gateway/tests/versions.rs
+++ b/crates/pistachiolug_gateway/tests/versions.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use pistachiolug_gateway::{
     config::{Config, Kind},
@@ -14,6 +14,7 @@
     state::{Options, State},
     versions::{Update, Versions},
 };
+use socket2::{Domain, Socket, Type};
 use tokio::time::{Instant, sleep};
 
 use support::{
@@ -110,6 +111,47 @@
     });
 }
 
+/// Returns an address at which connections are neither accepted nor refused, and what keeps it so.
+fn unanswered_address() -> (SocketAddr, Socket, Vec<Socket>) {
+    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let listener = socket();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    listener.bind(&any.into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let waiting = std::iter::repeat_with(|| {
+        let waiting = socket();
+        waiting.set_nonblocking(true).unwrap();
+        let _ = waiting.connect(&address);
+        waiting
+    });
+    let waiting = waiting.take(4).collect();
+    (address.as_socket().unwrap(), listener, waiting)
+}
+
+/// Guards against callers that are told that a request may have run although no server was sent it.
+#[test]
+fn a_request_that_becomes_outdated_while_it_connects_is_refused_as_not_run() {
+    support::run(async {
+        let (address, _listener, _waiting) = unanswered_address();
+        let options = Options {
+            version_grace: Duration::ZERO,
+            ..support::options()
+        };
+        let entry = Entry::start_with(options, parts(route(Kind::Stream, 2)), &[]);
+        let state = Rc::clone(&entry.state);
+        let server = record("i-1", address);
+        state.with_pool(|pool| pool.put(server, POSITION, Duration::ZERO));
+        let stream = entry.open(&request("a")).await;
+        sleep(Duration::from_millis(100)).await;
+
+        state.set_target_version(MODEL, 2, Some(Duration::ZERO));
+        let response = support::read_all(stream).await;
+
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    });
+}
+
 /// Guards against requests that begin on an outdated version because the server holds another one than the entry believes.
 #[test]
 fn a_server_is_told_its_version_unless_it_may_change() {
