List requests at servers that are frozen for long as a known failure

A server that is frozen for longer than older versions are excluded before the deadline begins a request late, because it does not see that its connection was closed. Nothing that an entry sends later reaches such a server, and a shorter time limit would cut sound streams.

--- a/crates/pistachiolug_gateway/tests/versions.rs
+++ b/crates/pistachiolug_gateway/tests/versions.rs
@@ -111,6 +111,27 @@
     });
 }
 
+/// Guards against requests that begin on an outdated version because a server that was frozen does not see their withdrawal.
+#[test]
+fn a_server_that_is_frozen_for_three_seconds_begins_no_request_on_an_outdated_version() {
+    let freeze = Duration::from_secs(3);
+    support::run(async move {
+        let frozen = Server::start(vec![Action::Hang]).await;
+        let entry = Entry::start_with(with_grace(), parts(route(Kind::Stream, 1)), &[&frozen]);
+        let set_at = Instant::now();
+        let state = &entry.state;
+        state.set_target_version(MODEL, 2, Some(state.now()));
+        sleep(Duration::from_millis(2500)).await;
+
+        let sent_at = Instant::now();
+        entry.call(&request("a")).await;
+
+        let is_sent = frozen.arrivals() > 0;
+        let begins_at = sent_at + freeze;
+        assert!(!is_sent || begins_at <= set_at + GRACE);
+    });
+}
+
 /// Returns an address at which connections are neither accepted nor refused, and what keeps it so.
 fn unanswered_address() -> (SocketAddr, Socket, Vec<Socket>) {
     let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
