--- a/crates/pistachiolug_gateway/src/backoff.rs
+++ b/crates/pistachiolug_gateway/src/backoff.rs
@@ -1,6 +1,6 @@
 //! Backoff of a backend server: the time for which it has asked for no requests.
 //!
-//! It is the server's own wish and no failure. Nothing but a restart of the server ends it early.
+//! The server has asked for it, so it is no failure, and only a restart of the server ends it early.
 
 use std::time::Duration;
 
