Reproduce a refusal that crosses the withdrawal of its request in a failing test

The entry did not learn of it, and three requests reached the server between 0.5 s and 0.7 s after its answer, where two are allowed.

--- a/crates/pistachiolug_gateway/tests/backoff.rs
+++ b/crates/pistachiolug_gateway/tests/backoff.rs
@@ -261,6 +261,34 @@
     });
 }
 
+/// Guards against backoffs that are missed because the request is withdrawn when another server goes on.
+#[test]
+fn a_backoff_is_learnt_from_a_refusal_that_crosses_the_withdrawal_of_its_request() {
+    run(async {
+        let silent_for = Duration::from_millis(1700);
+        let (event, end) = (chunk("id: 1\ndata: ravi\n\n"), "0\r\n\r\n");
+        let goes_on = Action::Pause(stream_head("a1"), silent_for, event + end);
+        let refuses = Action::Pause(String::new(), Duration::from_millis(540), refusal("a1"));
+        let first = Server::start(vec![goes_on]).await;
+        let second = Server::start(vec![refuses]).await;
+        let entry = Entry::start(parts(route(Kind::Stream, 2)), &[&first]);
+        let caller = entry.open(&request("a1")).await;
+        while first.arrivals() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        entry.state.with_pool(|pool| {
+            pool.put(record("i-1", second.address), POSITION, Duration::ZERO);
+        });
+
+        let response = read_all(caller).await;
+        sleep(Duration::from_millis(300)).await;
+
+        assert!(response.ends_with(end), "{response}");
+        assert_eq!(second.arrivals(), 1);
+        assert!(is_in_backoff(&entry, "i-1"));
+    });
+}
+
 /// Guards against backoffs that are missed because the server was asked to resume a stream.
 #[test]
 fn a_backoff_is_learnt_from_a_server_that_does_not_resume_a_stream() {
