Read what a server says of itself in an answer that crosses the withdrawal of its request

A server that woke from a silence refused a resumption and asked for a pause in the same milliseconds in which the former server went on. The entry had closed the connection, did not read the answer, and sent the server three requests in its pause.

A request that is withdrawn before the head of its answer keeps its connection for 100 ms more; an answer that arrives in that time counts for backoff and draining. The server learns a little later that nobody waits, within the time for that. a_backoff_is_learnt_from_a_refusal_that_crosses_the_withdrawal_of_its_request failed before and passes.

--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -7,15 +7,7 @@
     time::Duration,
 };
 
-use http::StatusCode;
-
-use crate::{
-    fingerprint::Fingerprint,
-    losses::Loss,
-    metrics::{BACKOFF, DRAINING},
-    pool::Choice,
-    state::State,
-};
+use crate::{fingerprint::Fingerprint, losses::Loss, pool::Choice, state::State};
 
 /// Slot of one request at a server; dropping it frees the slot and serves the queue.
 #[derive(Debug)]
@@ -133,30 +125,6 @@
         self.state.with_pool(|pool| pool.record_full(id, now));
     }
 
-    /// Records that the server wants no requests for a time.
-    pub fn record_backoff(&self, status: StatusCode, retry_after: Duration) {
-        let now = self.state.now();
-        let record = &self.choice.record;
-        let begins = self
-            .state
-            .with_pool(|pool| pool.record_backoff(record, retry_after, now));
-        if begins {
-            let retry_after_ms = retry_after.as_millis() as u64;
-            log::info!(server = &*record.id, service = &*record.service, status = status.as_u16(), retry_after_ms; "server asked for a backoff");
-            self.state.metrics.servers_withdrawn.get(BACKOFF).inc();
-        }
-    }
-
-    /// Records that the server has stated that it is draining.
-    pub fn record_draining(&self, status: StatusCode) {
-        let record = &self.choice.record;
-        let is_new = self.state.with_pool(|pool| pool.record_draining(record));
-        if is_new {
-            log::info!(server = &*record.id, service = &*record.service, status = status.as_u16(); "server stated that it is draining");
-            self.state.metrics.servers_withdrawn.get(DRAINING).inc();
-        }
-    }
-
     /// Records that the server has answered the request, so that more may be sent after a backoff.
     pub fn record_reopening(&self) {
         let choice = &self.choice;
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at a server.
 
-use std::{cell::Cell, pin::pin, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -9,6 +9,7 @@
     call::Call,
     deadline, headers,
     permit::Permit,
+    server::Record,
     state::State,
     upstream::{self, Connection, Failure},
 };
@@ -83,7 +84,14 @@
         is_sent.set(may_send);
         may_send.then(|| call.build_request(state, permit, last_event))
     };
-    let exchange = upstream::exchange(permit.choice.record.address, build);
+    let record = permit.choice.record.clone();
+    let (address, id, owner) = (record.address, call.id.clone(), Rc::clone(&permit.state));
+    let on_late = move |response: &Response<Incoming>| {
+        if is_own_answer(&owner, &id, response) {
+            record_statement(&owner, &id, &record, response);
+        }
+    };
+    let exchange = upstream::exchange(address, build, on_late);
     let (response, connection) = match wait_to_begin(call, permit, until, exchange).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
@@ -102,9 +110,10 @@
     }
     let is_not_run = headers.contains_key(&names.not_run);
     let is_signed = headers.contains_key(&names.signature);
-    // Anything else may come from something that is not the server.
-    if is_signed || is_not_run || attempt_id.is_some() {
-        record_state(call, permit, &response);
+    if is_own_answer(state, &call.id, &response)
+        && record_statement(state, &call.id, &permit.choice.record, &response)
+    {
+        permit.record_reopening();
     }
     if is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(status);
@@ -122,21 +131,34 @@
     permit.choice.record.version(model) >= state.min_version(model)
 }
 
-/// Records what a server says of itself in its answer to a request.
-fn record_state<T>(call: &Call, permit: &Permit, response: &Response<T>) {
+/// Returns whether an answer is that of the server to the attempt `id`; anything else may come from something that is not
+/// the server.
+fn is_own_answer<T>(state: &State, id: &str, response: &Response<T>) -> bool {
+    let (names, headers) = (&state.options.names, response.headers());
+    match headers::text(headers, &names.attempt) {
+        Some(attempt_id) => attempt_id == id,
+        None => headers.contains_key(&names.signature) || headers.contains_key(&names.not_run),
+    }
+}
+
+/// Records what a server says of itself in its answer to the attempt `id`; returns whether it takes requests.
+fn record_statement<T>(state: &State, id: &str, record: &Record, response: &Response<T>) -> bool {
     let status = response.status();
-    let names = &permit.state.options.names;
+    let names = &state.options.names;
     // A misdirected request may have reached another server at the address.
     if status != StatusCode::MISDIRECTED_REQUEST && headers::is_draining(response.headers(), names)
     {
-        permit.record_draining(status);
+        state.record_draining(record, status);
     }
     match headers::retry_after(response) {
-        Ok(Some(retry_after)) => permit.record_backoff(status, retry_after),
-        Ok(None) if status == StatusCode::SERVICE_UNAVAILABLE => {}
-        Ok(None) => permit.record_reopening(),
+        Ok(Some(retry_after)) => {
+            state.record_backoff(record, status, retry_after);
+            false
+        }
+        Ok(None) => status != StatusCode::SERVICE_UNAVAILABLE,
         Err(value) => {
-            log::warn!(call = call.id.as_str(), server = &*permit.choice.record.id, value:?; "retry delay of a server is not a number of seconds");
+            log::warn!(call = id, server = &*record.id, value:?; "retry delay of a server is not a number of seconds");
+            false
         }
     }
 }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use http::StatusCode;
 use pistachiolug_http::memory::Budget;
 use pistachiolug_kernel::clock::{Clock, System};
 use pistachiolug_replica::rows::Rows;
@@ -32,7 +33,7 @@
     answer,
     config::{Config, Engine, Service},
     losses::Losses,
-    metrics::Metrics,
+    metrics::{BACKOFF, DRAINING, Metrics},
     names::Names,
     peers::Peers,
     permit::{OpenRequest, Permit},
@@ -40,7 +41,7 @@
     queue::{Position, Queue, Rank},
     rate::{self, Rate},
     reachability::Reachability,
-    server::Version,
+    server::{Record, Version},
     versions::{self, Update, Versions},
 };
 
@@ -350,6 +351,26 @@
         self.serve_queues();
     }
 
+    /// Records that a server wants no requests for a time.
+    pub fn record_backoff(&self, record: &Record, status: StatusCode, retry_after: Duration) {
+        let now = self.now();
+        let begins = self.with_pool(|pool| pool.record_backoff(record, retry_after, now));
+        if begins {
+            let retry_after_ms = retry_after.as_millis() as u64;
+            log::info!(server = &*record.id, service = &*record.service, status = status.as_u16(), retry_after_ms; "server asked for a backoff");
+            self.metrics.servers_withdrawn.get(BACKOFF).inc();
+        }
+    }
+
+    /// Records that a server has stated that it is draining.
+    pub fn record_draining(&self, record: &Record, status: StatusCode) {
+        let is_new = self.with_pool(|pool| pool.record_draining(record));
+        if is_new {
+            log::info!(server = &*record.id, service = &*record.service, status = status.as_u16(); "server stated that it is draining");
+            self.metrics.servers_withdrawn.get(DRAINING).inc();
+        }
+    }
+
     /// Records a caller's time limit and returns whether the request is a first attempt. First attempts carry about the
     /// longest time limit of their route; retries have less time left.
     pub fn record_time_limit(&self, route: &Arc<str>, limit: Duration) -> bool {
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection that is not reused can't be stale, and no bytes of an earlier answer can be mistaken for the next one.
 
-use std::{error::Error, net::SocketAddr, time::Duration};
+use std::{error::Error, net::SocketAddr, pin::Pin, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -27,6 +27,10 @@
 /// Largest number of bytes of interim answers (status 1xx) and of the head that follows them.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Longest time for which the head of an answer is awaited after its request was withdrawn: much more than the delay
+/// between regions, and less than the time within which a server has to learn that nobody waits.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Reason why there is no answer.
 #[derive(Debug)]
 pub enum Failure {
@@ -51,16 +55,53 @@
     }
 }
 
+/// Request that was sent and has no answer. If it is dropped, its connection is closed a little later.
+struct Pending<S: Future<Output = Answer> + 'static, L: FnOnce(&Response<Incoming>) + 'static> {
+    /// `None` once there is an answer.
+    parts: Option<(Pin<Box<S>>, Connection, L)>,
+}
+
+type Answer = hyper::Result<Response<Incoming>>;
+
+impl<S: Future<Output = Answer> + 'static, L: FnOnce(&Response<Incoming>) + 'static> Pending<S, L> {
+    /// Waits for the head of the answer; `None` if there was one before.
+    async fn wait(&mut self) -> Option<(Answer, Connection)> {
+        let (sending, ..) = self.parts.as_mut()?;
+        let answer = sending.as_mut().await;
+        let (_, connection, _) = self.parts.take()?;
+        Some((answer, connection))
+    }
+}
+
+impl<S: Future<Output = Answer> + 'static, L: FnOnce(&Response<Incoming>) + 'static> Drop
+    for Pending<S, L>
+{
+    fn drop(&mut self) {
+        let Some((sending, connection, on_late)) = self.parts.take() else {
+            return;
+        };
+        spawn_local(async move {
+            if let Ok(Ok(response)) = timeout(LATE_ANSWER_TIME, sending).await {
+                on_late(&response);
+            }
+            drop(connection);
+        });
+    }
+}
+
 /// Sends a request and waits for the head of its answer.
 ///
 /// # Arguments
-/// `build` is called once the connection is open; it returns `None` if the request may not be sent any more.
+/// `build` is called once the connection is open; it returns `None` if the request may not be sent any more. `on_late` gets
+/// an answer that arrives shortly after the returned future was dropped: what a server says of itself counts even if nobody
+/// waits for the answer.
 ///
 /// # Errors
 /// [`Failure`], which tells whether the request may have run.
 pub async fn exchange(
     address: SocketAddr,
     build: impl FnOnce() -> Option<Request<Full<Bytes>>>,
+    on_late: impl FnOnce(&Response<Incoming>) + 'static,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -84,7 +125,14 @@
     });
     let connection = Connection { task };
     let request = build().ok_or(Failure::Withheld)?;
-    match sender.send_request(request).await {
+    let sending = Box::pin(async move { sender.send_request(request).await });
+    let mut pending = Pending {
+        parts: Some((sending, connection, on_late)),
+    };
+    let Some((answer, connection)) = pending.wait().await else {
+        return Err(Failure::Lost("the answer was taken before".to_owned()));
+    };
+    match answer {
         Ok(response) => {
             allowance.lift();
             Ok((response, connection))
