--- a/crates/pistachiolug_bench/src/spread/cluster.rs
+++ b/crates/pistachiolug_bench/src/spread/cluster.rs
@@ -190,6 +190,7 @@
             },
             stall_timeout: self.size.stall_timeout,
             ask_interval: self.size.stall_timeout / 4,
+            suspect_time: self.size.stall_timeout * 12,
             ..Tuning::default()
         };
         let options = Options {
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -258,7 +258,7 @@
     pub fn merge_target(&self, target: &datagram::Target, arrived_after: Duration) -> Update {
         let max_age = target
             .max_age_ms
-            .map(|age_ms| Duration::from_millis(age_ms.into()));
+            .map(|age_ms| Duration::from_millis(age_ms.into()) + datagram::MAX_TRANSIT);
         // One that may be older than this process may have been set at any time.
         let told = max_age.and_then(|max_age| arrived_after.checked_sub(max_age));
         let (now, model) = (self.now(), &target.model);
--- a/crates/pistachiolug_http/src/pace.rs
+++ b/crates/pistachiolug_http/src/pace.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::Future,
+    ops::Range,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -66,14 +67,33 @@
         self.taken.load(Ordering::Relaxed)
     }
 
-    /// Reserves the time that `bytes` take on the link and returns its end.
-    fn reserve(&self, bytes: usize, rate: u64) -> Instant {
+    /// Takes `bytes` without a wait; those who take bytes later wait longer.
+    pub fn charge(&self, bytes: usize) {
+        self.taken.fetch_add(bytes as u64, Ordering::Relaxed);
+        let rate = self.rate();
+        if rate > 0 {
+            self.reserve(bytes, rate);
+        }
+    }
+
+    /// Waits until all bytes taken before are transferred, and takes `bytes` more. They may be sent at once, so that an
+    /// idle link does not delay them.
+    pub async fn start(&self, bytes: usize) {
+        self.taken.fetch_add(bytes as u64, Ordering::Relaxed);
+        let rate = self.rate();
+        if rate > 0 {
+            sleep_until(self.reserve(bytes, rate).start).await;
+        }
+    }
+
+    /// Reserves the time that `bytes` take on the link.
+    fn reserve(&self, bytes: usize, rate: u64) -> Range<Instant> {
         let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let earliest_start = now.checked_sub(MAX_CREDIT).unwrap_or(now);
         let start = (*free_at).max(earliest_start);
         *free_at = start + Duration::from_secs_f64(bytes as f64 / rate as f64);
-        *free_at
+        start..*free_at
     }
 }
 
@@ -86,7 +106,7 @@
         self.taken.fetch_add(bytes as u64, Ordering::Relaxed);
         let rate = self.rate();
         if rate > 0 {
-            sleep_until(self.reserve(bytes, rate)).await;
+            sleep_until(self.reserve(bytes, rate).end).await;
         }
     }
 }
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -11,7 +11,7 @@
     planner::{
         Planner,
         fetch::{Fetch, Outcome, Via},
-        policy::{Policy, Tuning},
+        policy::{Policy, Scope, Tuning},
     },
     roster::Roster,
 };
@@ -23,19 +23,24 @@
 use crate::{
     engine::{Engine, Error, Origin},
     exchange::{Exchange, PeerReport},
-    state::{StagedVersion, State, Target},
+    staged::StagedVersion,
+    state::{State, Target},
 };
 
 /// Limits of a transfer of a few megabytes that has to finish within seconds.
 const TUNING: Tuning = Tuning {
     policy: Policy::BytesFirst,
-    slots: 4,
+    slots: 5,
     neighbour_slots: 2,
     source_slots: 1,
     neighbour_count: 6,
     source_count: 1,
     stall_timeout: Duration::from_millis(1500),
     ask_interval: Duration::from_millis(100),
+    // Agents that are killed are back within a second, and may hold the only copies of some pieces.
+    suspect_time: Duration::from_millis(1500),
+    max_readers: 12,
+    shares_reads: true,
 };
 
 /// Interval between two queries to each neighbour: about the time in which a link carries two pieces.
@@ -54,6 +59,9 @@
 /// Largest accepted piece in bytes.
 const MAX_PIECE_BYTES: usize = 8 << 20;
 
+/// Memory in bytes of the pieces that are fetched ahead.
+const MAX_BUFFERED_BYTES: usize = 4 << 20;
+
 /// Number of corrupt pieces after which the manifest itself is suspected to be wrong and read again.
 const MAX_CORRUPT_PIECES: u32 = 6;
 
@@ -85,6 +93,26 @@
     pub target: &'a Target,
 }
 
+/// Read of a piece from the origin, of which other agents are told; it ends when it is dropped.
+struct Reading<'a> {
+    staged: &'a StagedVersion,
+    piece: u32,
+}
+
+impl<'a> Reading<'a> {
+    fn begin(staged: &'a StagedVersion, exchange: &Exchange, piece: u32) -> Self {
+        staged.set_reading(piece, true);
+        exchange.report_change(&staged.model, staged.version);
+        Self { staged, piece }
+    }
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.staged.set_reading(self.piece, false);
+    }
+}
+
 /// Number of consecutive unanswered queries by neighbour.
 type UnansweredQueries = rustc_hash::FxHashMap<Key, u32>;
 
@@ -109,7 +137,10 @@
         let mut unanswered = UnansweredQueries::default();
         let mut corrupt_pieces = 0;
         while !planner.is_complete() && corrupt_pieces < MAX_CORRUPT_PIECES {
-            while let Some(fetch) = planner.next_fetch(start.elapsed(), &mut rand::rng()) {
+            planner.set_scope(self.scope(staged).unwrap_or_default());
+            while self.scope(staged).is_some()
+                && let Some(fetch) = planner.next_fetch(start.elapsed(), &mut rand::rng())
+            {
                 fetches.push(self.fetch_piece(staged, &roster, fetch));
             }
             tokio::select! {
@@ -122,14 +153,28 @@
                     if report.version == self.target.version {
                         unanswered.remove(&report.from);
                         planner.record_have(report.from, report.have, report.serving);
+                        planner.record_reading(report.from, report.reading);
                     }
                 }
                 _ = queries.tick() => self.query_neighbours(&mut planner, &roster, &mut unanswered, start.elapsed()),
             }
+            staged.set_unavailable(planner.unavailable());
         }
         planner.is_complete()
     }
 
+    /// Returns which pieces may be fetched now; `None` if none. A version that is fetched ahead uses the origin and the link
+    /// only while the older one does not need them.
+    fn scope(&self, staged: &StagedVersion) -> Option<Scope> {
+        if self.state.is_first(self.target.version) {
+            Some(Scope::All)
+        } else if staged.buffered_bytes() >= MAX_BUFFERED_BYTES {
+            None
+        } else {
+            self.state.ahead_scope()
+        }
+    }
+
     fn create_planner(&self, staged: &StagedVersion, roster: &Roster, home: &str) -> Planner {
         let member = &self.state.options.member;
         let pieces = 0..staged.manifest.digests.len() as u32;
@@ -185,7 +230,10 @@
                 }
                 None => Err(Outcome::Failed),
             },
-            Via::Source(_) => self.read_from_origin(staged, fetch.piece).await,
+            Via::Source(_) => {
+                let _reading = Reading::begin(staged, self.exchange, fetch.piece);
+                self.read_from_origin(staged, fetch.piece).await
+            }
         };
         let outcome = match read {
             Ok(bytes) => self.verify_and_stage(staged, fetch, bytes).await,
@@ -203,23 +251,44 @@
         fetch: Fetch,
         bytes: Bytes,
     ) -> Outcome {
+        let length = bytes.len();
+        let outcome = self.keep_piece(staged, fetch, bytes).await;
+        // The download is paced after the response: a response without a piece must not use up the link's budget, and
+        // others can have the piece meanwhile.
+        if matches!(fetch.via, Via::Source(_)) {
+            // The origin is the narrowest link, and must not wait for this one.
+            self.state.download_bucket.charge(length);
+        } else {
+            self.state.download_bucket.take(length).await;
+        }
+        outcome
+    }
+
+    async fn keep_piece(&self, staged: &Rc<StagedVersion>, fetch: Fetch, bytes: Bytes) -> Outcome {
         let index = fetch.piece as usize;
-        // The download is paced after the response: a response without a piece must not use up the link's budget.
-        self.state.download_bucket.take(bytes.len()).await;
         if !staged.manifest.matches(index, &bytes) {
             self.state.metrics.pieces.get("spoilt").inc();
             return Outcome::Corrupt;
         }
-        if let Err(error) = self.engine.stage(&staged.model, index, bytes).await {
-            log::warn!(model = staged.model.as_str(), index, error:%; "piece not staged");
-            return Outcome::Failed;
+        if matches!(fetch.via, Via::Source(_)) {
+            staged.keep_from_origin(index, bytes.clone());
+        }
+        if self.state.is_first(self.target.version) {
+            self.state.shelf.replace_piece(staged, index);
+            if let Err(error) = self.engine.stage(&staged.model, index, bytes).await {
+                log::warn!(model = staged.model.as_str(), index, error:%; "piece not staged");
+                return Outcome::Failed;
+            }
+            staged.set_staged(index, true);
+        } else {
+            staged.buffer(index, bytes);
         }
         let source = match fetch.via {
             Via::Source(_) => "origin",
             Via::Neighbour(_) | Via::Member(_) => "agent",
         };
         self.state.metrics.pieces.get(source).inc();
-        staged.set_held(index, true);
+        self.exchange.report_change(&staged.model, staged.version);
         Outcome::Arrived
     }
 
--- a/crates/pistachiolug_loader/src/lib.rs
+++ b/crates/pistachiolug_loader/src/lib.rs
@@ -1,6 +1,7 @@
 //! Keeps the model engine at the required version of its weights. Pieces are fetched from other agents or from the
 //! origin, verified against their SHA-256 digests, staged at the engine, verified again and then loaded.
 
+pub mod ahead;
 pub mod discovery;
 pub mod engine;
 pub mod exchange;
@@ -9,7 +10,11 @@
 pub mod manifest;
 pub mod metrics;
 pub mod peer_server;
+pub mod plan;
 pub mod process;
 pub mod row;
 pub mod schedule;
+pub mod staged;
 pub mod state;
+pub mod transfer;
+pub mod versions;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -1,22 +1,20 @@
 //! Control loop that brings the engine to the required version.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
-use pistachiolug_http::client::Client;
 use pistachiolug_kernel::timer::Ticks;
 use pistachiolug_platform::kv::Store;
 use pistachiolug_wire::datagram::{self, Change, Datagram, Notice};
-use tokio::{net::UdpSocket, sync::mpsc, time::sleep};
+use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
+    ahead,
     discovery::Discovery,
     engine::{Engine, Error, LoadResponse, Origin, Report},
-    exchange::{Exchange, PeerReport},
-    fetch::Fetcher,
-    manifest::ManifestReader,
     row::Decoder,
     schedule,
-    state::{StagedVersion, State, Target},
+    state::Target,
+    transfer::Transfer,
 };
 
 /// Interval between two reads of the engine's report during a load.
@@ -29,42 +27,40 @@
 /// requests.
 const NOTICE_DELAY: Duration = Duration::from_millis(300);
 
+/// Time before the deadline of a version from which entries send no requests to engines without it, so that a notice has
+/// no effect.
+const EXCLUSION: Duration = Duration::from_secs(1);
+
 /// Delay before a retry after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Loader of one engine.
 #[derive(Debug)]
 pub struct Loader<E, O, S, D> {
-    /// State of the agent.
-    pub state: Rc<State>,
-    /// Engine to load the weights into.
-    pub engine: E,
-    /// Origin of weights.
-    pub origin: O,
+    /// Transfers to the engine that the weights are loaded into.
+    pub transfer: Transfer<E, O>,
     /// Source of views of the service's weights and agents.
     pub discovery: Discovery<S, D>,
-    /// HTTP client for other agents.
-    pub client: Client,
     /// Socket for notices to entries.
     pub socket: UdpSocket,
-    /// Datagram exchange with other agents.
-    pub exchange: Exchange,
-    /// Reports of the pieces that other agents have.
-    pub reports: mpsc::Receiver<PeerReport>,
 }
 
 impl<E: Engine, O: Origin, S: Store, D: Decoder> Loader<E, O, S, D> {
     /// Runs until the process ends. The engine is checked at each tick and whenever a version is announced.
-    pub async fn run(mut self, mut ticks: Ticks) {
-        let state = Rc::clone(&self.state);
+    pub async fn run(self, ticks: Ticks) {
+        tokio::join!(ahead::run(self.transfer.clone()), self.keep_version(ticks));
+    }
+
+    async fn keep_version(&self, mut ticks: Ticks) {
+        let state = &self.transfer.state;
         let mut healthy = true;
         loop {
-            let result = if let Some(target) = self.state.update_target() {
+            let result = if let Some(plan) = state.update_plan() {
                 tokio::select! {
-                    result = self.reconcile(&target) => result,
-                    () = state.wait_until_superseded(&target) => continue,
+                    result = self.reconcile(&plan.first) => result,
+                    () = state.wait_until_superseded(&plan.first) => continue,
                 }
-            } else if self.discovery.refresh_view(&self.state).await {
+            } else if self.discovery.refresh_view(state).await {
                 continue;
             } else {
                 Err(failed("the weights of the service are not known"))
@@ -82,114 +78,43 @@
             }
             tokio::select! {
                 () = ticks.next() => {}
-                () = self.state.wake.notified() => {}
+                () = state.wake.notified() => {}
             }
         }
     }
 
     /// Performs the next steps to bring the engine to a version.
-    async fn reconcile(&mut self, target: &Target) -> Result<(), Error> {
-        let report = self.engine.report().await?;
+    async fn reconcile(&self, target: &Target) -> Result<(), Error> {
+        let (state, transfer) = (&self.transfer.state, &self.transfer);
+        let report = transfer.engine.report().await?;
         let held = report.loaded_version(&target.model);
-        self.state.set_loaded_version(held);
-        // The deadline depends on the version that the engine has loaded, so the target is computed again.
-        let current = self.state.update_target();
-        let target = current.as_ref().unwrap_or(target);
-        let staged = self.staged_version(target).await?;
-        if held.is_some_and(|held| held >= target.version) || report.busy {
+        state.set_loaded_version(held);
+        // The plan and the deadline depend on the version that the engine has loaded.
+        let plan = state.update_plan();
+        let Some(target) = plan.map(|plan| plan.first) else {
             return Ok(());
+        };
+        if state.should_refresh_view(&target) {
+            self.discovery.refresh_view(state).await;
         }
-        self.fetch_missing(target, &staged).await?;
-        if held.is_some() {
-            schedule::wait_for_turn(&self.state, target).await;
-        }
-        self.verify_staged(&staged).await?;
-        if !staged.missing().is_empty() {
-            self.state.wake.notify_one();
+        let staged = transfer.staged_version(&target).await?;
+        if held.is_some_and(|held| held >= target.version) || report.busy {
             return Ok(());
         }
-        self.load_version(target, &report).await
-    }
-
-    /// Returns the record of staged pieces. If there is none yet, it is created from the pieces that the engine has
-    /// staged.
-    async fn staged_version(&self, target: &Target) -> Result<Rc<StagedVersion>, Error> {
-        if let Some(staged) = self.state.staged(&target.model, target.version) {
-            return Ok(staged);
-        }
-        self.exchange.announce(&target.model, target.version);
-        let origin = self.state.origin();
-        let origin = origin.ok_or_else(|| failed("no origin of weights is configured"))?;
-        self.discovery.refresh_view(&self.state).await;
-        let reader = ManifestReader {
-            state: &self.state,
-            origin: &self.origin,
-            client: &self.client,
-            address: origin.address,
-        };
-        let manifest = reader.read(target).await?;
-        let staged = Rc::new(StagedVersion::new(target, manifest, self.state.clock()));
-        self.verify_staged(&staged).await?;
-        log::info!(model = target.model.as_str(), version = target.version, missing = staged.missing().len(); "staged pieces verified");
-        self.state.set_staged(Some(Rc::clone(&staged)));
-        Ok(staged)
-    }
-
-    async fn fetch_missing(
-        &mut self,
-        target: &Target,
-        staged: &Rc<StagedVersion>,
-    ) -> Result<(), Error> {
-        let missing = staged.missing().len();
-        if missing == 0 {
-            return Ok(());
+        transfer.fetch_missing(&target, &staged).await?;
+        transfer.stage_buffered(&staged).await?;
+        if held.is_some() {
+            schedule::wait_for_turn(state, &target).await;
         }
-        let start = self.state.now();
-        // An engine without a version serves no requests, so its whole link is available for weights.
-        let rate = if self.state.has_no_version() {
-            0
-        } else {
-            self.state.upload_bucket.rate()
-        };
-        self.state.download_bucket.set_rate(rate);
-        let fetcher = Fetcher {
-            state: &self.state,
-            engine: &self.engine,
-            origin: &self.origin,
-            client: &self.client,
-            exchange: &self.exchange,
-            target,
-        };
-        let whole = fetcher.run(staged, &mut self.reports).await;
-        let taken_ms = (self.state.now().saturating_sub(start)).as_millis() as u64;
-        log::info!(model = target.model.as_str(), version = target.version, missing, whole, taken_ms; "pieces fetched");
-        if whole {
+        transfer.verify_staged(&staged).await?;
+        if !staged.is_whole() {
+            state.wake.notify_one();
             return Ok(());
         }
-        // The manifest itself may be wrong: drop it so that the next attempt reads it again.
-        self.state.set_staged(None);
-        Err(failed("fetch ended after too many corrupt pieces"))
-    }
-
-    /// Reads all staged pieces, verifies them and updates the record; pieces that have become corrupt count as missing.
-    async fn verify_staged(&self, staged: &StagedVersion) -> Result<(), Error> {
-        for index in 0..staged.manifest.digests.len() {
-            let bytes = self.engine.read_staged(&staged.model, index).await?;
-            let whole = bytes.is_some_and(|bytes| staged.manifest.matches(index, &bytes));
-            match (staged.is_staged(index), whole) {
-                (true, false) => {
-                    self.state.metrics.pieces.get("spoilt").inc();
-                    log::warn!(model = staged.model.as_str(), version = staged.version, index; "staged piece has become corrupt");
-                    staged.set_held(index, false);
-                }
-                (false, true) => {
-                    self.state.metrics.pieces.get("staged").inc();
-                    staged.set_held(index, true);
-                }
-                (true, true) | (false, false) => {}
-            }
-        }
-        Ok(())
+        state.set_loading(true);
+        let result = self.load_version(&target, &report).await;
+        state.set_loading(false);
+        result
     }
 
     async fn load_version(&self, target: &Target, report: &Report) -> Result<(), Error> {
@@ -197,9 +122,13 @@
         if report.loaded_version(model).is_some() {
             let for_ms = LOAD_TIMEOUT.as_millis() as u32;
             self.send_notice(target, report, Change::Loading { for_ms });
-            sleep(NOTICE_DELAY).await;
+            let left = target.deadline.saturating_sub(self.transfer.state.now());
+            if left > EXCLUSION {
+                sleep(NOTICE_DELAY).await;
+            }
         }
         let ordered = self
+            .transfer
             .engine
             .load(model, target.version, report.accepted_orders)
             .await?;
@@ -209,17 +138,17 @@
             sleep(RETRY_DELAY).await;
             return Ok(());
         }
-        let start = self.state.now();
+        let start = self.transfer.state.now();
         loop {
             sleep(LOAD_POLL_INTERVAL).await;
-            let report = self.engine.report().await?;
-            let taken = self.state.now().saturating_sub(start);
+            let report = self.transfer.engine.report().await?;
+            let taken = self.transfer.state.now().saturating_sub(start);
             let taken_ms = taken.as_millis() as u64;
             if report.loaded_version(model) == Some(target.version) {
                 let version = target.version;
-                self.state.set_loaded_version(Some(version));
+                self.transfer.state.set_loaded_version(Some(version));
                 self.send_notice(target, &report, Change::Holds { version });
-                self.state.metrics.loads.inc();
+                self.transfer.state.metrics.loads.inc();
                 log::info!(model, version = target.version, taken_ms; "version serves");
                 return Ok(());
             }
@@ -235,7 +164,7 @@
     /// Notifies all entries of a change before it appears in the platform's instance list.
     fn send_notice(&self, target: &Target, report: &Report, change: Change) {
         let notice = Notice {
-            server: self.state.options.server_address,
+            server: self.transfer.state.options.server_address,
             started: report.started_ms,
             model: target.model.clone(),
             change,
@@ -247,7 +176,7 @@
                 return;
             }
         };
-        for entry in self.state.entries() {
+        for entry in self.transfer.state.entries() {
             // Sending is best effort: the instance list and the server's own rejections make up for a lost notice.
             if let Err(error) = self.socket.try_send_to(&message, entry) {
                 log::debug!(entry:%, error:%; "notice not sent");
--- a/crates/pistachiolug_loader/src/peer_server.rs
+++ b/crates/pistachiolug_loader/src/peer_server.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
-use pistachiolug_http::pace::Pace;
 
 use crate::{
     engine::Engine,
     fetch::{BUSY_HEADER, IDLE_HEADER},
-    state::{StagedVersion, State},
+    staged::StagedVersion,
+    state::State,
 };
 
 /// Path prefix of manifest requests.
@@ -20,7 +20,7 @@
 /// retries at one that is less busy.
 const MAX_BACKLOG: Duration = Duration::from_millis(110);
 
-/// Handles `/internal/piece/{model}/{version}/{index}`; the status is 404 if the piece is not staged here.
+/// Handles `/internal/piece/{model}/{version}/{index}`; the status is 404 if the agent does not hold the piece.
 ///
 /// A request for a version newer than the known one also announces that version: the requester learned of it from the
 /// key-value service.
@@ -36,7 +36,7 @@
     let Some(staged) = state.staged(model, version) else {
         return respond(StatusCode::NOT_FOUND, Bytes::new());
     };
-    if !staged.is_staged(index) {
+    if !staged.is_held(index) {
         return not_found(&state, &staged);
     }
     let backlog = state.upload_bucket.backlog();
@@ -46,17 +46,20 @@
         response.headers_mut().insert(BUSY_HEADER, retry_after);
         return response;
     }
-    let bytes = engine.read_staged(model, index).await.ok().flatten();
+    let bytes = match staged.buffered(index) {
+        Some(bytes) => Some(bytes),
+        None => engine.read_staged(model, index).await.ok().flatten(),
+    };
     match bytes {
         Some(bytes) if staged.manifest.matches(index, &bytes) => {
             state.metrics.pieces_sent.inc();
-            state.upload_bucket.take(bytes.len()).await;
+            state.upload_bucket.start(bytes.len()).await;
             respond(StatusCode::OK, bytes)
         }
         _ => {
             log::warn!(model, version, index; "staged piece is missing or corrupt");
             state.metrics.pieces.get("spoilt").inc();
-            staged.set_held(index, false);
+            staged.set_staged(index, false);
             state.wake.notify_one();
             not_found(&state, &staged)
         }
@@ -83,12 +86,12 @@
     Some((parts.next()?, version, index))
 }
 
-/// Returns a 404 for a piece that is not staged. While the version is incomplete, the response tells how long ago its
+/// Returns a 404 for a piece that the agent does not hold. While the version is incomplete, the response tells how long ago its
 /// transfer last gained a piece.
 fn not_found(state: &State, staged: &StagedVersion) -> Response<Full<Bytes>> {
     let mut response = respond(StatusCode::NOT_FOUND, Bytes::new());
     if !staged.missing().is_empty() {
-        let idle = state.now().saturating_sub(staged.last_staged_at());
+        let idle = state.now().saturating_sub(staged.last_gained_at());
         let value = HeaderValue::from(idle.as_millis() as u64);
         response.headers_mut().insert(IDLE_HEADER, value);
     }
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -30,6 +30,7 @@
     peer_server::{self, MANIFEST_PATH},
     row::Decoder,
     state::{Options, RowObserver, State},
+    transfer::Transfer,
 };
 
 /// Interval between two checks of the engine, and so the longest time until a restart of the engine is noticed.
@@ -88,24 +89,25 @@
     spawn_local(serve(shared, engine.clone(), kernel.clone(), listener));
     let socket = UdpSocket::bind(address).await;
     let socket = socket.context(ListenSnafu { address })?;
-    let (exchange, reports) = Exchange::new(socket, Rc::clone(&state));
+    let exchange = Exchange::new(socket, Rc::clone(&state));
     spawn_local(exchange.clone().run());
     let loader = Loader {
-        state,
-        engine,
-        origin,
+        transfer: Transfer {
+            state,
+            engine,
+            origin,
+            client: Client::with_connect_timeout(IDLE_CONNECTIONS, CONNECT_TIMEOUT)
+                .with_memory(MAX_MEMORY),
+            exchange,
+        },
         discovery: Discovery {
             store,
             decoder,
             client: Client::with_connect_timeout(0, CONNECT_TIMEOUT).with_memory(MAX_MEMORY),
         },
-        client: Client::with_connect_timeout(IDLE_CONNECTIONS, CONNECT_TIMEOUT)
-            .with_memory(MAX_MEMORY),
         socket: UdpSocket::bind(SocketAddr::new(address.ip(), 0))
             .await
             .context(ListenSnafu { address })?,
-        exchange,
-        reports,
     };
     let ticks = kernel
         .timer
--- a/crates/pistachiolug_loader/src/schedule.rs
+++ b/crates/pistachiolug_loader/src/schedule.rs
@@ -8,10 +8,10 @@
 
 use tokio::time::sleep;
 
-use crate::state::{State, Target};
-
-/// Time reserved for the last engine's load, and for entries whose deadline for the version is slightly earlier.
-const LOAD_RESERVE: Duration = Duration::from_millis(1400);
+use crate::{
+    plan::LOAD_RESERVE,
+    state::{State, Target},
+};
 
 /// Longest time over which loads are spread while a newer version is waiting.
 const MAX_AWAITED_SPREAD: Duration = Duration::from_millis(2500);
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -15,32 +15,26 @@
     rows::{Change, Rows},
 };
 use pistachiolug_weights::{
-    bitmap::Bitmap,
     order::Key,
+    planner::policy::Scope,
     roster::{Member, Roster},
 };
-use pistachiolug_wire::weights;
-use rustc_hash::FxHashMap;
+use pistachiolug_wire::{datagram::MAX_TRANSIT, weights};
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    manifest::Manifest,
     metrics::Metrics,
+    plan::{self, Candidate},
     row::{Decoder, Row},
+    staged::{Shelf, StagedVersion},
+    versions::{Effect, Versions},
 };
 
-/// Age from which a version is finished although a newer one was announced: about the time in which the origin serves
-/// half of its pieces.
-const MIN_AGE_TO_FINISH: Duration = Duration::from_secs(1);
+/// Interval at which the plan is evaluated again, since pieces arrive and deadlines pass.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval at which the deadline of the current version is checked.
-const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Smallest correction of the time of an announcement that is used.
-const MIN_CORRECTION: Duration = Duration::from_millis(100);
-
-/// Version that every model starts with.
-const FIRST_VERSION: u64 = 1;
+/// Time without a new piece after which a version no longer holds up the next one.
+const MAX_IDLE: Duration = Duration::from_millis(500);
 
 /// Share of the link that weights may use in each direction. The rest is reserved for live requests, whose events must
 /// not queue.
@@ -74,8 +68,6 @@
     pub pieces: usize,
     /// Size of a piece in bytes; the last piece may be shorter.
     pub piece_bytes: usize,
-    /// When the agent learned of the version, as time since its start.
-    pub announced_at: Duration,
     /// Time since the agent's start from which requests may no longer start on the version that the engine has loaded:
     /// the earliest deadline of the newer versions; zero if none is announced.
     pub deadline: Duration,
@@ -88,79 +80,27 @@
     }
 }
 
-/// Version that was announced.
-#[derive(Debug, Clone, Copy)]
-struct Announcement {
-    version: u64,
-    /// When the agent learned of the version, as time since its start.
-    announced_at: Duration,
-    /// Time since the agent's start from which requests may no longer start on older versions: the grace after a time after
-    /// which the version was announced. That time may be before the agent's start. `None` if the version may have been
-    /// announced at any time. Only grows.
-    due: Option<Duration>,
-}
-
-/// Record of the pieces of one version that are staged at the engine.
-#[derive(Debug)]
-pub struct StagedVersion {
-    /// Name of the model.
-    pub model: String,
-    /// Version number.
-    pub version: u64,
-    /// Digests of the pieces.
-    pub manifest: Manifest,
-    /// Staged and verified pieces; has the manifest's length.
-    held: RefCell<Bitmap>,
-    /// When the last piece was staged, as time since the agent's start.
-    last_staged_at: Cell<Duration>,
-    clock: System,
+/// Versions that an agent works on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Version that the engine stages and loads next.
+    pub first: Target,
+    /// Newer version whose pieces are fetched into memory meanwhile, or a version whose staged pieces are not known yet.
+    pub ahead: Option<Target>,
+    /// Whether `ahead` is fetched.
+    pub fetches_ahead: bool,
 }
 
-impl StagedVersion {
-    /// Creates the record of a version without staged pieces.
-    pub fn new(target: &Target, manifest: Manifest, clock: System) -> Self {
-        Self {
-            model: target.model.clone(),
-            version: target.version,
-            held: RefCell::new(Bitmap::new(manifest.digests.len())),
-            manifest,
-            last_staged_at: Cell::new(clock.now()),
-            clock,
-        }
+impl Plan {
+    /// Returns whether the pieces of a version are fetched.
+    pub fn is_fetched(&self, version: u64) -> bool {
+        let is_ahead = |ahead: &Target| self.fetches_ahead && ahead.version == version;
+        self.first.version == version || self.ahead.as_ref().is_some_and(is_ahead)
     }
 
-    /// Returns whether a piece is staged.
-    pub fn is_staged(&self, index: usize) -> bool {
-        self.held.borrow().contains(index as u32)
-    }
-
-    /// Records whether a piece is staged and verified.
-    pub fn set_held(&self, index: usize, held: bool) {
-        if held {
-            self.held.borrow_mut().insert(index as u32);
-            self.last_staged_at.set(self.clock.now());
-        } else {
-            self.held.borrow_mut().remove(index as u32);
-        }
-    }
-
-    /// Returns the staged pieces.
-    pub fn held(&self) -> Bitmap {
-        self.held.borrow().clone()
-    }
-
-    /// Returns when the last piece was staged, as time since the agent's start.
-    pub fn last_staged_at(&self) -> Duration {
-        self.last_staged_at.get()
-    }
-
-    /// Returns the indices of the pieces that are not staged.
-    pub fn missing(&self) -> Vec<usize> {
-        let held = self.held.borrow();
-        let pieces = 0..held.length();
-        pieces
-            .filter(|index| !held.contains(*index as u32))
-            .collect()
+    fn contains(&self, target: &Target) -> bool {
+        let is_ahead = |ahead: &Target| ahead.is_same_version(target);
+        self.first.is_same_version(target) || self.ahead.as_ref().is_some_and(is_ahead)
     }
 }
 
@@ -177,22 +117,27 @@
     pub upload_bucket: Bucket,
     /// Paces downloads of pieces, since the link also carries live requests.
     pub download_bucket: Bucket,
-    /// Wakes tasks that work on a version when a newer one is announced, and after a suspension of the machine.
-    version_announced: Notify,
+    /// Wakes tasks that work on a version when the plan may have changed: a version is announced, or the machine was
+    /// suspended.
+    plan_changed: Notify,
     clock: System,
     rows: RefCell<Rows>,
     /// Models of the service.
     models: RefCell<Vec<weights::Model>>,
     origin: RefCell<Option<weights::Place>>,
-    /// Announced versions by model, in ascending order.
-    versions: RefCell<FxHashMap<String, Vec<Announcement>>>,
-    /// Version that the loader works on.
-    current_target: RefCell<Option<Target>>,
+    versions: RefCell<Versions>,
+    /// Versions that the loader works on.
+    plan: RefCell<Option<Plan>>,
+    /// Whether the engine is being ordered to load; the plan is kept meanwhile.
+    is_loading: Cell<bool>,
     /// Version that the engine has loaded.
     loaded_version: Cell<Option<u64>>,
     roster: RefCell<Roster>,
     entries: RefCell<Vec<SocketAddr>>,
-    staged: RefCell<Option<Rc<StagedVersion>>>,
+    /// Records of the pieces that the agent holds.
+    pub shelf: Shelf,
+    /// Version for which the view was last read.
+    view_version: Cell<Option<u64>>,
     store_unreachable: Cell<bool>,
     /// When the first attempt to read a view failed since the last successful one, as time since the agent's start.
     without_view_since: Cell<Option<Duration>>,
@@ -208,17 +153,19 @@
             wake: Notify::new(),
             upload_bucket: Bucket::new(rate),
             download_bucket: Bucket::new(rate),
-            version_announced: Notify::new(),
+            plan_changed: Notify::new(),
             clock: System::default(),
             rows: RefCell::default(),
             models: RefCell::default(),
             origin: RefCell::default(),
             versions: RefCell::default(),
-            current_target: RefCell::default(),
+            plan: RefCell::default(),
+            is_loading: Cell::default(),
             loaded_version: Cell::default(),
             roster: RefCell::default(),
             entries: RefCell::default(),
-            staged: RefCell::default(),
+            shelf: Shelf::default(),
+            view_version: Cell::default(),
             store_unreachable: Cell::default(),
             without_view_since: Cell::default(),
         })
@@ -233,39 +180,107 @@
     pub fn newest_target(&self) -> Option<Target> {
         let models = self.models.borrow();
         let model = models.first()?;
+        Some(self.target(model, self.versions.borrow().newest(&model.name)))
+    }
+
+    fn target(&self, model: &weights::Model, version: u64) -> Target {
         let versions = self.versions.borrow();
-        let announced = versions.get(&model.name).map_or(&[][..], Vec::as_slice);
         let loaded = self.loaded_version.get().unwrap_or_default();
-        let ahead = announced
-            .iter()
-            .filter(|announced| announced.version > loaded);
-        Some(Target {
+        let announced = versions.of(&model.name).iter();
+        let ahead = announced.filter(|announced| announced.version > loaded);
+        Target {
             model: model.name.clone(),
-            version: announced
-                .last()
-                .map_or(FIRST_VERSION, |announced| announced.version),
-            announced_at: announced
-                .last()
-                .map_or(Duration::ZERO, |announced| announced.announced_at),
+            version,
             pieces: model.pieces,
             piece_bytes: model.piece_bytes,
             deadline: ahead
                 .map(|announced| announced.due.unwrap_or(self.options.version_grace))
                 .min()
                 .unwrap_or_default(),
-        })
+        }
+    }
+
+    /// Returns the versions that the loader works on; `None` before the first ones.
+    pub fn plan(&self) -> Option<Plan> {
+        self.plan.borrow().clone()
     }
 
-    /// Returns the version that the loader works on, or last worked on; `None` before the first one.
-    pub fn target(&self) -> Option<Target> {
-        self.current_target.borrow().clone()
+    /// Chooses the versions to work on from what is known now, and returns them.
+    pub fn update_plan(&self) -> Option<Plan> {
+        let plan = self.choose_plan();
+        let first = plan.as_ref().map(|plan| plan.first.version);
+        let previous = self.plan.replace(plan.clone());
+        let previous_first = previous.as_ref().map(|plan| plan.first.version);
+        if first != previous_first {
+            let ahead = plan.as_ref().and_then(|plan| plan.ahead.as_ref());
+            let ahead = ahead.map(|ahead| ahead.version);
+            log::info!(version:? = first, before:? = previous_first, ahead:?; "version to load next chosen");
+        }
+        if previous != plan {
+            self.plan_changed.notify_waiters();
+        }
+        plan
+    }
+
+    fn choose_plan(&self) -> Option<Plan> {
+        let models = self.models.borrow();
+        let model = models.first()?;
+        let candidates = self.candidates(model);
+        let rate = self.upload_bucket.rate().max(1);
+        let piece_time = Duration::from_secs_f64(model.piece_bytes as f64 / rate as f64);
+        let newest = self.versions.borrow().newest(&model.name);
+        let chosen = plan::choose(self.now(), &candidates, piece_time);
+        let first = chosen.map_or(newest, |index| candidates[index].version);
+        // Pieces of any version may be staged at the engine after a restart, and others may wait for them.
+        let unknown = candidates
+            .iter()
+            .rev()
+            .map(|candidate| candidate.version)
+            .filter(|version| *version != first)
+            .find(|version| self.staged(&model.name, *version).is_none());
+        let ahead = unknown.or_else(|| (first != newest).then_some(newest));
+        Some(Plan {
+            first: self.target(model, first),
+            ahead: ahead.map(|version| self.target(model, version)),
+            fetches_ahead: ahead == Some(newest),
+        })
     }
 
-    /// Makes the newest version the one that the loader works on, and returns it.
-    pub fn update_target(&self) -> Option<Target> {
-        let newest = self.newest_target();
-        self.current_target.borrow_mut().clone_from(&newest);
-        newest
+    /// Returns the progress of the versions that the engine has not loaded, in ascending order.
+    fn candidates(&self, model: &weights::Model) -> Vec<Candidate> {
+        let versions = self.versions.borrow();
+        let loaded = self.loaded_version.get().unwrap_or_default();
+        let announced = versions.of(&model.name).iter();
+        let ahead = announced.filter(|announced| announced.version > loaded);
+        let candidates = ahead.map(|announced| {
+            let staged = self.staged(&model.name, announced.version);
+            let progress = staged.map(|staged| (staged.missing().len(), staged.unavailable()));
+            let (missing, unavailable) = progress.unwrap_or((model.pieces, model.pieces));
+            Candidate {
+                version: announced.version,
+                due: announced.due.unwrap_or(self.options.version_grace),
+                pieces: model.pieces,
+                missing,
+                unavailable,
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Returns the pieces that may be fetched ahead of the version that is loaded next; `None` if that version still has
+    /// to leave the origin.
+    pub fn ahead_scope(&self) -> Option<Scope> {
+        let plan = self.plan.borrow();
+        let first = plan.as_ref().map(|plan| &plan.first)?;
+        let staged = self.staged(&first.model, first.version)?;
+        let idle = self.now().saturating_sub(staged.last_gained_at());
+        if staged.missing().is_empty() || idle >= MAX_IDLE {
+            Some(Scope::All)
+        } else if staged.unavailable() == 0 {
+            Some(Scope::Assigned)
+        } else {
+            None
+        }
     }
 
     /// Records an announced version; versions older than the newest known one are ignored.
@@ -284,44 +299,33 @@
         from: &str,
     ) {
         let due = announced_after.map(|after| after + self.options.version_grace);
-        self.record_due(model, version, due, from);
+        self.record_due(model, version, None, due, from);
     }
 
-    fn record_due(&self, model: &str, version: u64, due: Option<Duration>, from: &str) {
+    fn record_due(
+        &self,
+        model: &str,
+        version: u64,
+        told_due: Option<Duration>,
+        due_by_rows: Option<Duration>,
+        from: &str,
+    ) {
         let mut versions = self.versions.borrow_mut();
-        let announced = versions.entry(model.to_owned()).or_default();
-        let known = announced
-            .last()
-            .map_or(FIRST_VERSION, |announced| announced.version);
-        let now = self.now();
+        let before = versions.newest(model);
+        let due = told_due.max(due_by_rows);
         let max_age_ms = due.map(|due| self.max_age(due).as_millis() as u64);
-        let index = announced
-            .iter()
-            .position(|announcement| announcement.version == version);
-        if let Some(index) = index {
-            let known_due = announced[index].due;
-            if due <= known_due.map(|known_due| known_due + MIN_CORRECTION) {
-                return;
+        let loaded = self.loaded_version.get();
+        match versions.record(model, version, told_due, due_by_rows, loaded) {
+            Effect::None => return,
+            Effect::Added => {
+                log::info!(model, version, before, max_age_ms:?, from; "version announced");
             }
-            for announcement in &mut announced[index..] {
-                announcement.due = announcement.due.max(due);
+            Effect::Corrected => {
+                log::info!(model, version, max_age_ms:?, from; "version was announced later than known");
             }
-            log::info!(model, version, max_age_ms:?, from; "version was announced later than known");
-        } else if version > known {
-            // Versions are announced one after the other.
-            let previous = announced.last();
-            let due = due.max(previous.and_then(|earlier| earlier.due));
-            announced.push(Announcement {
-                version,
-                announced_at: now,
-                due,
-            });
-            log::info!(model, version, before = known, max_age_ms:?, from; "version announced");
-        } else {
-            return;
         }
         self.wake.notify_one();
-        self.version_announced.notify_waiters();
+        self.plan_changed.notify_waiters();
     }
 
     /// Records a version of which another process has told. One that is not known was announced after the rows were last
@@ -341,10 +345,10 @@
     }
 
     fn learn_due(&self, model: &str, version: u64, due: Option<Duration>, from: &str) {
-        let is_known = self.has_announcement(model, version);
-        let complete_at = self.rows.borrow().complete_at().filter(|_| !is_known);
+        let is_newest = version > self.versions.borrow().newest(model);
+        let complete_at = self.rows.borrow().complete_at().filter(|_| is_newest);
         let due_by_rows = complete_at.map(|at| at + self.options.version_grace);
-        self.record_due(model, version, due.max(due_by_rows), from);
+        self.record_due(model, version, due, due_by_rows, from);
     }
 
     /// Records a version of which a datagram has told. It may have been announced before the agent's start.
@@ -361,7 +365,7 @@
         from: &str,
     ) {
         let due = max_age_ms.map(|max_age_ms| {
-            let max_age = Duration::from_millis(max_age_ms.into());
+            let max_age = Duration::from_millis(max_age_ms.into()) + MAX_TRANSIT;
             (arrived_after + self.options.version_grace).saturating_sub(max_age)
         });
         self.learn_due(model, version, due, from);
@@ -375,55 +379,97 @@
     /// Returns the bound of a version's age in milliseconds; `None` if the version is not known, or may have been
     /// announced at any time.
     pub fn version_age_ms(&self, model: &str, version: u64) -> Option<u32> {
-        let versions = self.versions.borrow();
-        let mut announced = versions.get(model)?.iter();
-        let announced = announced.find(|announced| announced.version == version)?;
+        let announced = self.versions.borrow().find(model, version)?;
         let age = self.max_age(announced.due?);
         age.as_millis().saturating_add(1).try_into().ok()
     }
 
-    /// Makes tasks compute again how long they wait; called when timers that were set before are too late.
-    pub fn move_deadlines(&self) {
-        self.version_announced.notify_waiters();
+    /// Returns the bound of a version's age in milliseconds that other processes may rely on; `None` if this agent does not
+    /// know it from the rows of the key-value service.
+    pub fn told_age_ms(&self, model: &str, version: u64) -> Option<u32> {
+        let announced = self.versions.borrow().find(model, version)?;
+        let age = self.max_age(announced.due_by_rows?);
+        age.as_millis().saturating_add(1).try_into().ok()
     }
 
-    fn has_announcement(&self, model: &str, version: u64) -> bool {
-        let versions = self.versions.borrow();
-        let announced = versions.get(model).map_or(&[][..], Vec::as_slice);
-        announced
-            .iter()
-            .any(|announced| announced.version == version)
+    /// Returns whether a version was announced.
+    pub fn is_announced(&self, model: &str, version: u64) -> bool {
+        self.versions.borrow().find(model, version).is_some()
+    }
+
+    /// Returns the number of pieces of a model's versions; `None` if the model is not known.
+    pub fn piece_count(&self, model: &str) -> Option<usize> {
+        let models = self.models.borrow();
+        let found = models.iter().find(|known| known.name == model);
+        found.map(|known| known.pieces)
+    }
+
+    /// Makes tasks compute again how long they wait; called when timers that were set before are too late.
+    pub fn move_deadlines(&self) {
+        self.plan_changed.notify_waiters();
     }
 
     /// Waits until a version is announced, until it becomes known that one was announced later than known, or until a
     /// suspension of the machine has ended.
     pub async fn wait_for_announcement(&self) {
-        self.version_announced.notified().await;
+        self.plan_changed.notified().await;
     }
 
-    /// Waits until work on a version should be abandoned for a newer one.
-    ///
-    /// A version that has been in progress for a while is finished first, unless it misses its deadline: its pieces
-    /// have already left the origin, which may fail, and the newer version still has its whole grace period afterwards.
-    /// A version that has all its pieces is loaded even after its deadline, so that the engine serves again while the
-    /// newer one is fetched.
+    /// Waits until another version than `target` should be brought to the engine.
     pub async fn wait_until_superseded(&self, target: &Target) {
         while !self.is_superseded(target) {
-            // Announcements are rare, so the deadline is also checked at an interval.
-            let _ = timeout(DEADLINE_CHECK_INTERVAL, self.version_announced.notified()).await;
+            let _ = timeout(PLAN_INTERVAL, self.plan_changed.notified()).await;
         }
     }
 
     fn is_superseded(&self, target: &Target) -> bool {
-        let now = self.now();
-        let Some(newest) = self.newest_target() else {
+        if self.is_loading.get() {
             return false;
-        };
-        let has_newer = !newest.is_same_version(target);
-        let is_recent = now < target.announced_at + MIN_AGE_TO_FINISH;
-        let staged = self.staged(&target.model, target.version);
-        let is_complete = staged.is_some_and(|staged| staged.missing().is_empty());
-        has_newer && (is_recent || (now >= newest.deadline && !is_complete))
+        }
+        let plan = self.update_plan();
+        plan.is_some_and(|plan| !plan.first.is_same_version(target))
+    }
+
+    /// Waits until the plan has a version to fetch ahead that is not one of `active`, and returns it.
+    pub async fn wait_for_ahead(&self, active: &[u64]) -> Target {
+        loop {
+            let ahead = self.plan().and_then(|plan| plan.ahead);
+            if let Some(ahead) = ahead.filter(|ahead| !active.contains(&ahead.version)) {
+                return ahead;
+            }
+            self.plan_changed.notified().await;
+        }
+    }
+
+    /// Waits until `target` is not the version to fetch ahead.
+    pub async fn wait_until_not_ahead(&self, target: &Target) {
+        let is_ahead = |ahead: Target| ahead.is_same_version(target);
+        while self
+            .plan()
+            .and_then(|plan| plan.ahead)
+            .is_some_and(is_ahead)
+        {
+            self.plan_changed.notified().await;
+        }
+    }
+
+    /// Waits until `target` is neither loaded next nor fetched ahead.
+    pub async fn wait_until_unplanned(&self, target: &Target) {
+        while self.plan().is_some_and(|plan| plan.contains(target)) {
+            self.plan_changed.notified().await;
+        }
+    }
+
+    /// Returns whether the engine stages the pieces of a version, because it loads that version next.
+    pub fn is_first(&self, version: u64) -> bool {
+        let plan = self.plan.borrow();
+        plan.as_ref()
+            .is_some_and(|plan| plan.first.version == version)
+    }
+
+    /// Keeps the plan while the engine is ordered to load.
+    pub fn set_loading(&self, is_loading: bool) {
+        self.is_loading.set(is_loading);
     }
 
     /// Returns whether a newer version waits for `target` to be finished.
@@ -432,16 +478,10 @@
             .is_some_and(|newest| !newest.is_same_version(target))
     }
 
-    /// Waits until a newer version than `target` is announced.
-    pub async fn wait_for_newer_version(&self, target: &Target) {
-        while !self.has_newer_version(target) {
-            self.version_announced.notified().await;
-        }
-    }
-
     /// Records the version that the engine has loaded; `None` if there is none.
     pub fn set_loaded_version(&self, version: Option<u64>) {
         self.loaded_version.set(version);
+        self.shelf.drop_buffered_up_to(version.unwrap_or_default());
     }
 
     /// Returns whether the engine has loaded `version`.
@@ -525,6 +565,11 @@
         }
     }
 
+    /// Returns whether the view should be read again for a version; `true` once for each version in turn.
+    pub fn should_refresh_view(&self, target: &Target) -> bool {
+        self.view_version.replace(Some(target.version)) != Some(target.version)
+    }
+
     /// Returns the internal addresses of the known entries.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.entries.borrow().clone()
@@ -535,16 +580,9 @@
         self.entries.borrow_mut().clear();
     }
 
-    /// Returns the record of a version's staged pieces; `None` if there is none.
+    /// Returns the record of a version's pieces; `None` if there is none.
     pub fn staged(&self, model: &str, version: u64) -> Option<Rc<StagedVersion>> {
-        let staged = self.staged.borrow();
-        let staged = staged.as_ref()?;
-        (staged.model == model && staged.version == version).then(|| Rc::clone(staged))
-    }
-
-    /// Replaces the record of staged pieces.
-    pub fn set_staged(&self, staged: Option<Rc<StagedVersion>>) {
-        *self.staged.borrow_mut() = staged;
+        self.shelf.find(model, version)
     }
 }
 
--- a/crates/pistachiolug_loader/tests/announcements.rs
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -134,7 +134,7 @@
         state.record_version(MODEL, 2, Some(Duration::ZERO), "test");
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         socket.writable().await.unwrap();
-        let (exchange, _reports) = Exchange::new(socket, Rc::clone(&state));
+        let exchange = Exchange::new(socket, Rc::clone(&state));
 
         exchange.announce(MODEL, 2);
 
@@ -155,7 +155,7 @@
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let address = socket.local_addr().unwrap();
         let state = agent();
-        let (exchange, _reports) = Exchange::new(socket, Rc::clone(&state));
+        let exchange = Exchange::new(socket, Rc::clone(&state));
         state.record_version(MODEL, 2, None, "test");
         let named = AgentDatagram::Named {
             model: MODEL.to_owned(),
@@ -179,7 +179,7 @@
     socket.writable().await.unwrap();
     let address = socket.local_addr().unwrap();
     let state = agent_at(address);
-    let (exchange, _reports) = Exchange::new(socket, Rc::clone(&state));
+    let exchange = Exchange::new(socket, Rc::clone(&state));
     spawn_local(exchange.clone().run());
     (exchange, state, address)
 }
@@ -215,3 +215,29 @@
         timeout(Duration::from_secs(5), told).await.unwrap();
     });
 }
+
+/// Guards against requests on an outdated version, as on a day on which entries believed that a version was set 0.75 s after
+/// it was. Datagrams wait in the queues of links that carry pieces; if agents told on what they were told, each of them
+/// would make the version younger by the time that a datagram took.
+#[test]
+fn an_agent_does_not_tell_on_an_age_that_it_was_told() {
+    let state = agent();
+    state.record_version(MODEL, 2, Some(Duration::ZERO), "test");
+    state.clock().suspend(Duration::from_secs(2));
+    let exact_ms = state.told_age_ms(MODEL, 2).unwrap();
+
+    // The sender computed this age 700 ms before its datagram arrived.
+    state.learn_age(MODEL, 2, Some(1300), state.now(), "test");
+
+    assert!(state.told_age_ms(MODEL, 2).unwrap() >= exact_ms);
+}
+
+/// An agent that has learned of a version only from others does not know its age well enough to tell it.
+#[test]
+fn an_age_is_told_only_by_agents_that_know_it_from_the_rows() {
+    let state = agent();
+
+    state.learn_age(MODEL, 2, Some(1300), state.now(), "test");
+
+    assert_eq!(state.told_age_ms(MODEL, 2), None);
+}
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -24,7 +24,9 @@
     peer_server,
     row::{Decoder, Row},
     schedule,
-    state::{Options, RowObserver, StagedVersion, State, Target},
+    staged::StagedVersion,
+    state::{Options, RowObserver, State, Target},
+    transfer::Transfer,
 };
 use pistachiolug_platform::kv::memory::Memory;
 use pistachiolug_replica::follow;
@@ -279,21 +281,22 @@
             let wait = || Duration::from_secs(5);
             spawn_local(follow::run(store.clone(), "version/", wait, observer));
             spawn_local(serve(Rc::clone(&state), engine.clone(), listener));
-            let (exchange, reports) = Exchange::new(socket, Rc::clone(&state));
+            let exchange = Exchange::new(socket, Rc::clone(&state));
             spawn_local(exchange.clone().run());
             let loader = Loader {
-                state,
-                engine,
-                origin: origin.clone(),
+                transfer: Transfer {
+                    state,
+                    engine,
+                    origin: origin.clone(),
+                    client: Client::new(2),
+                    exchange,
+                },
                 discovery: Discovery {
                     store,
                     decoder: Rows,
                     client: Client::new(0),
                 },
-                client: Client::new(2),
                 socket: UdpSocket::bind("127.0.0.1:0").await.unwrap(),
-                exchange,
-                reports,
             };
             let timer: Timer = Timer::default();
             let ticks = timer.subscribe(Duration::from_millis(20), Duration::ZERO);
@@ -624,7 +627,7 @@
         let state = State::new(options(&agents[0], addresses[0]), metrics());
         state.apply_view(view(agents.to_vec()));
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        let (exchange, _answers) = Exchange::new(socket, Rc::clone(&state));
+        let exchange = Exchange::new(socket, Rc::clone(&state));
         let (sender, mut reports) = mpsc::channel(1);
         let mut whole = Bitmap::new(PIECES);
         for piece in 0..PIECES as u32 {
@@ -634,6 +637,7 @@
             from: Key::of(&addresses[1].to_string()),
             version: 1,
             have: Have::Whole(whole),
+            reading: Bitmap::new(PIECES),
             serving: true,
         };
         sender.try_send(stale).unwrap();
@@ -642,6 +646,8 @@
             version: 2,
             ..state.newest_target().unwrap()
         };
+        state.record_version(MODEL, 2, None, "test");
+        state.update_plan();
         let manifest = origin.read_manifest(addresses[0], MODEL, 2).await.unwrap();
         let staged = Rc::new(StagedVersion::new(&target, manifest, state.clock()));
         let fetcher = Fetcher {
@@ -686,11 +692,11 @@
             manifest.unwrap(),
             state.clock(),
         ));
-        state.set_staged(Some(Rc::clone(&staged)));
+        state.shelf.add(Rc::clone(&staged));
 
         let before = state.wait_until_superseded(&target).now_or_never();
         for index in 0..PIECES {
-            staged.set_held(index, true);
+            staged.set_staged(index, true);
         }
         let after = state.wait_until_superseded(&target).now_or_never();
 
@@ -765,12 +771,12 @@
         let cluster = Cluster::start(engines(1), one_store(), 0).await;
         cluster.announce_version(2);
         cluster.wait_for_version(2).await;
-        let older = cluster.states[0].target().unwrap();
+        let older = cluster.states[0].plan().unwrap().first;
 
         cluster.announce_version(3);
         let mut due = Duration::ZERO;
         while cluster.engines[0].held() != Some(3) {
-            let target = cluster.states[0].target().unwrap();
+            let target = cluster.states[0].plan().unwrap().first;
             if target.version == 3 {
                 due = due.max(target.deadline);
             }
--- a/crates/pistachiolug_weights/src/planner.rs
+++ b/crates/pistachiolug_weights/src/planner.rs
@@ -20,7 +20,7 @@
 use self::{
     fetch::{ActiveFetch, Fetch, Outcome, Via},
     neighbour::Neighbours,
-    policy::{Policy, Tuning},
+    policy::{Policy, Scope, Tuning},
     ranking::Ranking,
 };
 use crate::{bitmap::Bitmap, order::Key, roster::Roster};
@@ -28,6 +28,9 @@
 /// Number of members that keep each piece after the distribution: the first ones in the piece's order.
 pub const REPLICAS_PER_PIECE: usize = 3;
 
+/// Divisor of the stall timeout that gives the age from which a fetch no longer occupies a slot.
+const SLOW_FETCH_DIVISOR: u32 = 2;
+
 /// Pieces that a member reports to have.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Have {
@@ -50,9 +53,12 @@
 pub struct Planner {
     own_key: Key,
     tuning: Tuning,
+    scope: Scope,
     ranking: Ranking,
     neighbours: Neighbours,
-    /// Members of the home region if pieces come from there rather than from the origin; empty otherwise.
+    /// Members of the own region.
+    members: Vec<Key>,
+    /// Readers in the home region if pieces come from there rather than from the origin; empty otherwise.
     home_members: Vec<Key>,
     /// Number of regions with members; at least 1.
     regions: usize,
@@ -101,12 +107,13 @@
         now: Duration,
     ) -> Self {
         let count = pieces.len();
-        let members = roster.keys_in_region(region);
         let mut planner = Self {
             own_key,
             tuning,
-            ranking: Ranking::new(own_key, pieces, &members),
+            scope: Scope::default(),
+            ranking: Ranking::new(own_key, pieces, &[]),
             neighbours: Neighbours::new(count),
+            members: Vec::new(),
             home_members: Vec::new(),
             regions: 1,
             held: Bitmap::new(count),
@@ -134,7 +141,6 @@
 
     /// Replaces the roster.
     pub fn set_roster(&mut self, region: &str, home_region: &str, roster: &Roster, now: Duration) {
-        self.ranking.set_members(&roster.keys_in_region(region));
         self.assign_pieces(region, home_region, roster, now);
     }
 
@@ -178,6 +184,19 @@
         self.tuning.slots = slots.max(1);
     }
 
+    /// Sets which pieces may be fetched from now on.
+    pub fn set_scope(&mut self, scope: Scope) {
+        self.scope = scope;
+    }
+
+    /// Returns the number of pieces that neither this member nor one of its neighbours holds.
+    pub fn unavailable(&self) -> usize {
+        let pieces = 0..self.held.length() as u32;
+        let is_unavailable =
+            |piece: &u32| !self.held.contains(*piece) && self.neighbours.holders(*piece) == 0;
+        pieces.filter(is_unavailable).count()
+    }
+
     /// Records the pieces that a neighbour reports; malformed sets and pieces out of bounds are ignored.
     pub fn record_have(&mut self, key: Key, have: Have, serving: bool) {
         let is_first_report = self
@@ -201,6 +220,16 @@
         }
     }
 
+    /// Records the pieces that a neighbour is reading from the source; malformed sets are ignored.
+    pub fn record_reading(&mut self, key: Key, reading: Bitmap) {
+        if !reading.has_valid_shape(self.held.length()) {
+            return;
+        }
+        if let Some(neighbour) = self.neighbours.find(key) {
+            neighbour.reading = reading;
+        }
+    }
+
     /// Records that a neighbour did not answer a query.
     pub fn record_no_answer(&mut self, key: Key, now: Duration) {
         self.record_neighbour_failure(key, now);
@@ -211,18 +240,41 @@
 
     /// Returns the next fetch and counts it as active; `None` until the state changes.
     pub fn next_fetch<R: Rng>(&mut self, now: Duration, rng: &mut R) -> Option<Fetch> {
-        if self.active_fetches.len() >= self.tuning.slots {
+        if !self.has_free_slot(now) {
             return None;
         }
         self.requeue_deferred(now);
-        let fetch = self
-            .pick_assigned(now)
+        let assigned = self.pick_assigned(now).or_else(|| self.pick_shared(now));
+        let fetch = if self.scope == Scope::Assigned {
+            assigned?
+        } else {
+            self.pick_any(assigned, now, rng)?
+        };
+        self.start_fetch(fetch, now);
+        Some(fetch)
+    }
+
+    fn pick_any<R: Rng>(
+        &mut self,
+        assigned: Option<Fetch>,
+        now: Duration,
+        rng: &mut R,
+    ) -> Option<Fetch> {
+        assigned
+            .or_else(|| self.pick_orphaned(now))
             .or_else(|| self.pick_neighbour(now, rng))
             .or_else(|| self.pick_extra(now))
             .or_else(|| self.pick_takeover(now))
-            .or_else(|| self.pick_endgame(now))?;
-        self.start_fetch(fetch, now);
-        Some(fetch)
+            .or_else(|| self.pick_endgame(now))
+    }
+
+    /// Returns whether another fetch may start. Fetches that take long are passed over, since their member may be gone, as
+    /// long as there are not too many of them.
+    fn has_free_slot(&self, now: Duration) -> bool {
+        let max_age = self.tuning.stall_timeout / SLOW_FETCH_DIVISOR;
+        let fetches = self.active_fetches.iter();
+        let recent = fetches.filter(|active| now < active.since + max_age);
+        recent.count() < self.tuning.slots && self.active_fetches.len() < 2 * self.tuning.slots
     }
 
     /// Records the outcome of a fetch.
@@ -270,11 +322,16 @@
         let regions = roster.regions();
         self.regions = regions.len().max(1);
         let bytes_first = self.tuning.policy == Policy::BytesFirst;
-        self.home_members = if bytes_first && home_region != region {
-            roster.keys_in_region(home_region)
+        self.members = roster.keys_in_region(region);
+        if bytes_first && home_region != region {
+            let home_members = roster.keys_in_region(home_region);
+            self.home_members = self.choose_readers(home_members);
+            self.set_ranked(self.members.clone());
         } else {
-            Vec::new()
-        };
+            self.home_members = Vec::new();
+            let readers = self.choose_readers(self.members.clone());
+            self.set_ranked(readers);
+        }
         self.assigned = self.ranking.pieces_below(1).into();
         self.deferred.clear();
         self.extra = if self.home_members.is_empty() {
@@ -286,12 +343,41 @@
         self.choose_neighbours(now);
     }
 
+    /// Returns the members that read the source: the first ones in an order that differs from version to version.
+    fn choose_readers(&mut self, mut members: Vec<Key>) -> Vec<Key> {
+        let is_limited = self.tuning.policy == Policy::BytesFirst && self.held.length() > 0;
+        if is_limited && members.len() > self.tuning.max_readers {
+            members = self.ranking.first(0, &members, self.tuning.max_readers);
+        }
+        members
+    }
+
+    fn set_ranked(&mut self, members: Vec<Key>) {
+        let is_excluded = !members.is_empty()
+            && !members.contains(&self.own_key)
+            && members.len() >= self.tuning.max_readers;
+        self.ranking.set_members(&members);
+        self.ranking.exclude_own(is_excluded);
+    }
+
+    /// Returns whether this member reads the source and may read more than is assigned to it.
+    fn shares_reads(&self) -> bool {
+        self.tuning.shares_reads && self.home_members.is_empty() && !self.ranking.is_excluded()
+    }
+
     fn choose_neighbours(&mut self, now: Duration) {
-        let members = self.ranking.members().to_vec();
+        let members = self.members.clone();
         let usable = |key: Key| !self.banned.contains(&key) && !is_listed(&self.suspects, key, now);
-        self.steps +=
-            self.neighbours
-                .choose(self.own_key, self.tuning.neighbour_count, &members, usable);
+        // Readers know what the others read, so that none reads a piece for the second time.
+        let always = if self.shares_reads() {
+            self.ranking.members().to_vec()
+        } else {
+            Vec::new()
+        };
+        let count = self.tuning.neighbour_count;
+        self.steps += self
+            .neighbours
+            .choose(self.own_key, count, &members, &always, usable);
     }
 
     fn start_fetch(&mut self, fetch: Fetch, now: Duration) {
--- a/crates/pistachiolug_weights/src/planner/neighbour.rs
+++ b/crates/pistachiolug_weights/src/planner/neighbour.rs
@@ -14,6 +14,8 @@
     pub key: Key,
     /// Pieces that it has reported to hold.
     pub have: Bitmap,
+    /// Pieces that it is reading from the source.
+    pub reading: Bitmap,
     /// Time until which no fetch is started from it.
     pub busy_until: Duration,
     /// Number of consecutive failures.
@@ -66,7 +68,7 @@
         self.holders[piece as usize]
     }
 
-    /// Chooses up to `count` neighbours, one per ring, and keeps the state of those that remain.
+    /// Chooses up to `count` neighbours, one per ring, besides those in `always`, and keeps the state of those that remain.
     ///
     /// Returns the number of comparisons.
     pub fn choose(
@@ -74,9 +76,11 @@
         own_key: Key,
         count: u32,
         members: &[Key],
+        always: &[Key],
         usable: impl Fn(Key) -> bool,
     ) -> u64 {
-        let mut chosen: Vec<Key> = Vec::new();
+        let is_usable = |key: &Key| *key != own_key && usable(*key);
+        let mut chosen: Vec<Key> = always.iter().copied().filter(is_usable).collect();
         for ring in 0..count {
             let is_free =
                 |index: usize| usable(members[index]) && !chosen.contains(&members[index]);
@@ -98,6 +102,12 @@
         u64::from(count) * members.len() as u64
     }
 
+    /// Returns whether a neighbour is reading a piece from the source.
+    pub fn is_being_read(&self, piece: u32) -> bool {
+        let mut all = self.all.iter();
+        all.any(|neighbour| neighbour.reading.contains(piece))
+    }
+
     /// Replaces the set of pieces that a neighbour holds.
     pub fn replace_have(&mut self, key: Key, have: Bitmap) {
         let Some(neighbour) = self.all.iter_mut().find(|known| known.key == key) else {
@@ -141,6 +151,7 @@
         Self {
             key,
             have: Bitmap::new(pieces),
+            reading: Bitmap::new(pieces),
             busy_until: Duration::ZERO,
             failures: 0,
             has_reported: false,
--- a/crates/pistachiolug_weights/src/planner/outcome.rs
+++ b/crates/pistachiolug_weights/src/planner/outcome.rs
@@ -11,9 +11,6 @@
 /// Number of consecutive failures after which a neighbour is replaced.
 const MAX_NEIGHBOUR_FAILURES: u32 = 3;
 
-/// Time for which a member that failed is not used, as a multiple of the stall timeout.
-const SUSPECT_STALL_FACTOR: u32 = 12;
-
 /// Maximum backoff of a failing source, as a multiple of the stall timeout, at members that have no pieces to read for
 /// their region and read only in place of another member.
 const BACKOFF_STALL_FACTOR: u32 = 2;
@@ -118,8 +115,7 @@
 
     pub(super) fn suspect(&mut self, key: Key, now: Duration) {
         self.suspects.retain(|_, until| *until > now);
-        self.suspects
-            .insert(key, now + self.tuning.stall_timeout * SUSPECT_STALL_FACTOR);
+        self.suspects.insert(key, now + self.tuning.suspect_time);
         self.choose_neighbours(now);
     }
 
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::{Fetch, Planner, REPLICAS_PER_PIECE, Via, is_listed};
+use super::{ActiveFetch, Fetch, Planner, REPLICAS_PER_PIECE, SLOW_FETCH_DIVISOR, Via, is_listed};
 use crate::order::Key;
 
 /// Maximum number of a neighbour's pieces that one choice examines.
@@ -31,6 +31,11 @@
                 self.assigned.pop_front();
                 continue;
             }
+            if self.neighbours.is_being_read(piece) {
+                // If that read fails, the piece is one of those that any reader may read.
+                self.assigned.pop_front();
+                continue;
+            }
             let via = self.choose_upstream(piece, now)?;
             self.assigned.pop_front();
             return Some(Fetch { piece, via });
@@ -38,9 +43,65 @@
         None
     }
 
+    /// Picks a piece that another reader has not begun to read, once this member's own pieces are read.
+    pub(super) fn pick_shared(&mut self, now: Duration) -> Option<Fetch> {
+        if !self.may_share_reads(now) || !self.assigned.is_empty() {
+            return None;
+        }
+        // Members have different orders, so that two of them seldom choose the same piece.
+        let unread = self.unread_pieces().into_iter();
+        let piece = unread.min_by_key(|piece| self.ranking.rank(*piece))?;
+        let via = self.free_source(now)?;
+        Some(Fetch { piece, via })
+    }
+
+    /// Picks a piece whose readers have all failed up to this member.
+    pub(super) fn pick_orphaned(&mut self, now: Duration) -> Option<Fetch> {
+        if !self.may_share_reads(now) {
+            return None;
+        }
+        let members = self.reachable_members(self.ranking.members(), now);
+        let own_key = Some(self.own_key);
+        let piece = self.unread_pieces().into_iter().find(|piece| {
+            let first = self.ranking.first(*piece, &members, 1).first().copied();
+            first == own_key
+        })?;
+        let via = self.free_source(now)?;
+        Some(Fetch { piece, via })
+    }
+
+    /// Returns whether this member may read a piece now that is not assigned to it.
+    fn may_share_reads(&self, now: Duration) -> bool {
+        let is_reading = |active: &ActiveFetch| matches!(active.fetch.via, Via::Source(_));
+        self.shares_reads()
+            && !self.active_fetches.iter().any(is_reading)
+            && !self.is_served_nearby()
+            && self.has_neighbour_reports(now)
+    }
+
+    /// Returns the missing pieces that no neighbour holds or reads.
+    fn unread_pieces(&self) -> Vec<u32> {
+        let pieces = 0..self.held.length() as u32;
+        let is_unread = |piece: &u32| {
+            let is_left = self.neighbours.holders(*piece) == 0;
+            is_left && self.is_wanted(*piece) && !self.neighbours.is_being_read(*piece)
+        };
+        pieces.filter(is_unread).collect()
+    }
+
     /// Picks the rarest of a sample of the pieces that the least used neighbour holds.
     pub(super) fn pick_neighbour<R: Rng>(&mut self, now: Duration, rng: &mut R) -> Option<Fetch> {
         let slots = self.tuning.neighbour_slots;
+        let is_from_member = |active: &&ActiveFetch| !matches!(active.fetch.via, Via::Source(_));
+        let max_age = self.tuning.stall_timeout / SLOW_FETCH_DIVISOR;
+        let fetches = self.active_fetches.iter().filter(is_from_member);
+        let recent = fetches.filter(|active| now < active.since + max_age);
+        // The source must not wait for a free slot.
+        if self.tuning.shares_reads
+            && recent.count() + self.tuning.source_slots >= self.tuning.slots
+        {
+            return None;
+        }
         let mut free: Vec<(usize, u32, Key)> = Vec::new();
         for neighbour in self.neighbours.all() {
             let in_flight = self.active_fetches_from(neighbour.key);
--- a/crates/pistachiolug_weights/src/planner/policy.rs
+++ b/crates/pistachiolug_weights/src/planner/policy.rs
@@ -45,6 +45,23 @@
     pub stall_timeout: Duration,
     /// Interval between two requests to members ahead in the order.
     pub ask_interval: Duration,
+    /// Time for which a member that failed is not used.
+    pub suspect_time: Duration,
+    /// Maximum number of members of the home region that read the source with the bytes-first policy. Few readers leave
+    /// each one enough of the source's link for pieces to arrive one after the other instead of all at the end.
+    pub max_readers: usize,
+    /// Whether a reader that is done reads pieces of other readers that have several left.
+    pub shares_reads: bool,
+}
+
+/// Pieces that a member may fetch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// All missing pieces.
+    #[default]
+    All,
+    /// Pieces that the member is the first to read for its region.
+    Assigned,
 }
 
 impl Default for Tuning {
@@ -58,6 +75,9 @@
             source_count: 1,
             stall_timeout: Duration::from_secs(5),
             ask_interval: Duration::from_secs(1),
+            suspect_time: Duration::from_secs(60),
+            max_readers: usize::MAX,
+            shares_reads: false,
         }
     }
 }
--- a/crates/pistachiolug_weights/src/planner/ranking.rs
+++ b/crates/pistachiolug_weights/src/planner/ranking.rs
@@ -9,10 +9,12 @@
 pub struct Ranking {
     own_key: Key,
     pieces: Vec<Key>,
-    /// Members of the region, including `own_key`.
+    /// Ranked members, including `own_key` unless it is excluded.
     members: Vec<Key>,
     /// Number of members ahead of `own_key` per piece; always consistent with `members`.
     ranks: Vec<u16>,
+    /// Whether `own_key` is not one of the members.
+    is_excluded: bool,
     /// Number of comparisons so far.
     steps: u64,
 }
@@ -26,6 +28,7 @@
             pieces,
             members: vec![own_key],
             ranks,
+            is_excluded: false,
             steps: 0,
         };
         ranking.set_members(members);
@@ -52,12 +55,35 @@
         !joined.is_empty() || !left.is_empty()
     }
 
-    /// Returns the number of members ahead of `own_key` for a piece.
+    /// Excludes `own_key` from the members, or includes it again.
+    pub fn exclude_own(&mut self, is_excluded: bool) {
+        self.is_excluded = is_excluded;
+        self.members.retain(|key| *key != self.own_key);
+        if !is_excluded {
+            self.members.push(self.own_key);
+        }
+    }
+
+    /// Returns whether `own_key` is not one of the members.
+    pub fn is_excluded(&self) -> bool {
+        self.is_excluded
+    }
+
+    /// Returns the number of members ahead of `own_key` for a piece; the largest number if `own_key` is excluded.
     pub fn rank(&self, piece: u32) -> u16 {
+        if self.is_excluded {
+            return u16::MAX;
+        }
         self.ranks[piece as usize]
     }
 
-    /// Returns the members of the region, including `own_key`.
+    /// Returns the piece's score for a member. A member reads the pieces for which it is the first in descending order of
+    /// this score.
+    pub fn reading_order(&self, piece: u32, member: Key) -> (u64, Key) {
+        self.pieces[piece as usize].score(member)
+    }
+
+    /// Returns the ranked members, including `own_key` unless it is excluded.
     pub fn members(&self) -> &[Key] {
         &self.members
     }
@@ -69,8 +95,8 @@
             .filter(|piece| self.rank(*piece) < below)
             .collect();
         pieces.sort_by_cached_key(|piece| {
-            let score = self.pieces[*piece as usize].score(self.own_key);
-            (self.rank(*piece), Reverse(score))
+            let order = self.reading_order(*piece, self.own_key);
+            (self.rank(*piece), Reverse(order))
         });
         pieces
     }
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -1,11 +1,15 @@
 //! Datagrams between instances. Each is one UDP packet in `postcard` format and replaces the sender's previous one.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::position::Position;
 
+/// Time that a datagram may take without notice, in the queues of links that also carry weights. An age in a datagram is
+/// taken to be larger by it.
+pub const MAX_TRANSIT: Duration = Duration::from_millis(250);
+
 /// Work that one entry has at one backend server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -182,6 +186,8 @@
         pieces: u32,
         /// Bit set of the staged pieces; piece 0 is the lowest bit of the first word.
         held: Vec<u64>,
+        /// Bit set of the pieces that the agent is reading from the origin.
+        reading: Vec<u64>,
         /// Whether the engine already serves the version.
         serving: bool,
     },
