Hold transfers back while there is time, and call the key-value service less often

Change: weights take 55% of a link until 6 s before a deadline, and a version is fetched ahead in full only then; readers share reads only while they know what the others read. Agents read the entries at most every 1.5 s and watch for 30 s; followers pause 300 ms after changes.

--- a/crates/pistachiolug_loader/src/discovery.rs
+++ b/crates/pistachiolug_loader/src/discovery.rs
@@ -60,10 +60,13 @@
 impl<S: Store, D: Decoder> Discovery<S, D> {
     /// Reads the current view and applies it to `state`; returns `false` if no source answered.
     pub async fn refresh_view(&self, state: &State) -> bool {
-        let mut entries = state.entries();
-        if entries.is_empty() {
-            entries = self.read_entries().await;
+        if state.should_read_entries() {
+            let entries = self.read_entries().await;
+            if !entries.is_empty() {
+                state.set_entries(entries);
+            }
         }
+        let mut entries = state.entries();
         entries.shuffle(&mut rand::rng());
         // Entries on the agent's own network come first, since their responses do not cross a link between regions.
         entries.sort_by_key(|entry| !shares_network(*entry, state.options.member.address));
@@ -74,8 +77,6 @@
                 return true;
             }
         }
-        // The known entries may all be gone; the next attempt reads the current ones from the key-value service.
-        state.clear_entries();
         let waited = state.time_without_view();
         if !may_read_configuration(waited) {
             let waited_ms = waited.as_millis() as u64;
--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -137,6 +137,7 @@
         let mut unanswered = UnansweredQueries::default();
         let mut corrupt_pieces = 0;
         while !planner.is_complete() && corrupt_pieces < MAX_CORRUPT_PIECES {
+            self.state.adjust_rates();
             planner.set_scope(self.scope(staged).unwrap_or_default());
             while self.scope(staged).is_some()
                 && let Some(fetch) = planner.next_fetch(start.elapsed(), &mut rand::rng())
--- a/crates/pistachiolug_loader/src/plan.rs
+++ b/crates/pistachiolug_loader/src/plan.rs
@@ -16,6 +16,9 @@
 /// stop sending requests to outdated engines 1.3 s before the deadline.
 const MIN_USE: Duration = Duration::from_millis(2600);
 
+/// Shortest time over which the loads of all engines are spread, so that the service keeps capacity.
+const MIN_SPREAD: Duration = Duration::from_secs(2);
+
 /// Time from a load order until the engine serves again.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
@@ -67,7 +70,7 @@
     let older_at = now + older.remaining(piece_time);
     let newest_at = now + newest.remaining(piece_time);
     let newest_suffices = newest.unavailable == 0
-        && (newest.missing <= older.missing || newest_at + LOAD_RESERVE <= older.due);
+        && (newest.missing <= older.missing || newest_at + MIN_SPREAD + LOAD_RESERVE <= older.due);
     let min_use = if older.missing == 0 {
         // An engine without a valid version serves nothing, so that a short use is worth the load.
         LOAD_TIME
--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -37,7 +37,7 @@
 const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Timeout of one watch request. A long timeout is enough, since entries and other agents also announce new versions.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Idle connections kept per agent.
 const IDLE_CONNECTIONS: usize = 2;
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -33,13 +33,24 @@
 /// Interval at which the plan is evaluated again, since pieces arrive and deadlines pass.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time before a version is due from which transfers are no longer held back in favour of live requests: about twice the
+/// time that a link takes for a version, and that of the loads.
+const FULL_FETCH_TIME: Duration = Duration::from_secs(6);
+
 /// Time without a new piece after which a version no longer holds up the next one.
 const MAX_IDLE: Duration = Duration::from_millis(500);
 
+/// Shortest time between two reads of the entries from the key-value service. All agents of a deployment start at once, and
+/// entries need seconds before they answer.
+const ENTRIES_INTERVAL: Duration = Duration::from_millis(1500);
+
 /// Share of the link that weights may use in each direction. The rest is reserved for live requests, whose events must
 /// not queue.
 const WEIGHTS_LINK_SHARE: f64 = 0.88;
 
+/// Share of the link that weights may use while there is plenty of time until the deadline.
+const RELAXED_LINK_SHARE: f64 = 0.55;
+
 /// Settings of an agent.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -139,6 +150,8 @@
     /// Version for which the view was last read.
     view_version: Cell<Option<u64>>,
     store_unreachable: Cell<bool>,
+    /// When the entries were last read from the key-value service, as time since the agent's start.
+    entries_read_at: Cell<Option<Duration>>,
     /// When the first attempt to read a view failed since the last successful one, as time since the agent's start.
     without_view_since: Cell<Option<Duration>>,
 }
@@ -146,7 +159,7 @@
 impl State {
     /// Creates the state of an agent without a configuration.
     pub fn new(options: Options, metrics: Metrics) -> Rc<Self> {
-        let rate = (options.link_bytes_per_second as f64 * WEIGHTS_LINK_SHARE) as u64;
+        let rate = rate_of(&options, WEIGHTS_LINK_SHARE);
         Rc::new(Self {
             options,
             metrics,
@@ -167,6 +180,7 @@
             shelf: Shelf::default(),
             view_version: Cell::default(),
             store_unreachable: Cell::default(),
+            entries_read_at: Cell::default(),
             without_view_since: Cell::default(),
         })
     }
@@ -226,7 +240,7 @@
         let models = self.models.borrow();
         let model = models.first()?;
         let candidates = self.candidates(model);
-        let rate = self.upload_bucket.rate().max(1);
+        let rate = rate_of(&self.options, WEIGHTS_LINK_SHARE).max(1);
         let piece_time = Duration::from_secs_f64(model.piece_bytes as f64 / rate as f64);
         let newest = self.versions.borrow().newest(&model.name);
         let chosen = plan::choose(self.now(), &candidates, piece_time);
@@ -267,6 +281,33 @@
         candidates.collect()
     }
 
+    /// Sets the rates of transfers by how much time is left until the engine needs another version.
+    pub fn adjust_rates(&self) {
+        let left = self.newest_target().map_or(Duration::ZERO, |target| {
+            target.deadline.saturating_sub(self.now())
+        });
+        let share = if left > FULL_FETCH_TIME {
+            RELAXED_LINK_SHARE
+        } else {
+            WEIGHTS_LINK_SHARE
+        };
+        let rate = rate_of(&self.options, share);
+        self.upload_bucket.set_rate(rate);
+        // An engine without a version serves no requests, so its whole link is available for weights.
+        let download_rate = if self.has_no_version() { 0 } else { rate };
+        self.download_bucket.set_rate(download_rate);
+    }
+
+    /// Returns when the newest version is due, as time since the agent's start; zero if it is not known.
+    fn newest_due(&self) -> Duration {
+        let models = self.models.borrow();
+        let versions = self.versions.borrow();
+        let newest = models
+            .first()
+            .and_then(|model| versions.of(&model.name).last());
+        newest.and_then(|newest| newest.due).unwrap_or_default()
+    }
+
     /// Returns the pieces that may be fetched ahead of the version that is loaded next; `None` if that version still has
     /// to leave the origin.
     pub fn ahead_scope(&self) -> Option<Scope> {
@@ -274,7 +315,11 @@
         let first = plan.as_ref().map(|plan| &plan.first)?;
         let staged = self.staged(&first.model, first.version)?;
         let idle = self.now().saturating_sub(staged.last_gained_at());
-        if staged.missing().is_empty() || idle >= MAX_IDLE {
+        let is_held = staged.missing().is_empty();
+        if is_held && self.newest_due().saturating_sub(self.now()) > FULL_FETCH_TIME {
+            // The link also carries live requests, of which other engines get more while they load in turn.
+            Some(Scope::Assigned)
+        } else if is_held || idle >= MAX_IDLE {
             Some(Scope::All)
         } else if staged.unavailable() == 0 {
             Some(Scope::Assigned)
@@ -575,9 +620,23 @@
         self.entries.borrow().clone()
     }
 
-    /// Forgets the known entries, used when none of them answers.
-    pub fn clear_entries(&self) {
-        self.entries.borrow_mut().clear();
+    /// Replaces the known entries.
+    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
+        *self.entries.borrow_mut() = entries;
+    }
+
+    /// Returns whether the entries should be read from the key-value service: none is known, or none of them has answered,
+    /// so that all may be gone. `true` at most once in [`ENTRIES_INTERVAL`].
+    pub fn should_read_entries(&self) -> bool {
+        let is_missing =
+            self.entries.borrow().is_empty() || self.without_view_since.get().is_some();
+        let now = self.now();
+        let read_at = self.entries_read_at.get();
+        let is_due = read_at.is_none_or(|read_at| now >= read_at + ENTRIES_INTERVAL);
+        if is_missing && is_due {
+            self.entries_read_at.set(Some(now));
+        }
+        is_missing && is_due
     }
 
     /// Returns the record of a version's pieces; `None` if there is none.
@@ -586,6 +645,11 @@
     }
 }
 
+/// Returns the bytes per second of a share of the link.
+fn rate_of(options: &Options, share: f64) -> u64 {
+    (options.link_bytes_per_second as f64 * share) as u64
+}
+
 /// Observer that updates an agent's state from rows of the key-value service.
 #[derive(Debug, Clone)]
 pub struct RowObserver<D> {
--- a/crates/pistachiolug_loader/src/transfer.rs
+++ b/crates/pistachiolug_loader/src/transfer.rs
@@ -100,13 +100,6 @@
             return Ok(());
         }
         let start = self.state.now();
-        // An engine without a version serves no requests, so its whole link is available for weights.
-        let rate = if self.state.has_no_version() {
-            0
-        } else {
-            self.state.upload_bucket.rate()
-        };
-        self.state.download_bucket.set_rate(rate);
         let fetcher = Fetcher {
             state: &self.state,
             engine: &self.engine,
--- a/crates/pistachiolug_loader/tests/announcements.rs
+++ b/crates/pistachiolug_loader/tests/announcements.rs
@@ -241,3 +241,31 @@
 
     assert_eq!(state.told_age_ms(MODEL, 2), None);
 }
+
+/// Guards against calls to the key-value service that grow with the number of agents. The load: hundreds of agents start at
+/// once, and no entry answers for seconds.
+#[test]
+fn entries_are_not_read_at_each_attempt_to_find_one() {
+    let state = agent();
+    let mut reads = 0;
+    for _ in 0..20 {
+        reads += usize::from(state.should_read_entries());
+        state.time_without_view();
+        state.clock().suspend(Duration::from_millis(200));
+    }
+
+    assert!((2..=4).contains(&reads), "{reads} reads within 4 s");
+}
+
+/// Guards against an agent that asks entries which are gone for ever.
+#[test]
+fn entries_are_read_again_when_none_answers() {
+    let state = agent();
+    state.set_entries(vec!["127.0.0.1:2".parse().unwrap()]);
+    let known = state.should_read_entries();
+
+    state.time_without_view();
+    let unanswered = state.should_read_entries();
+
+    assert!(!known && unanswered);
+}
--- a/crates/pistachiolug_replica/src/follow.rs
+++ b/crates/pistachiolug_replica/src/follow.rs
@@ -9,7 +9,7 @@
 use crate::rows::{Change, Rows};
 
 /// Pause after a watch that returned changes, so that further changes in quick succession are read with one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(150);
+const BATCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// Initial backoff after a failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -45,13 +45,27 @@
 
     /// Picks a piece that another reader has not begun to read, once this member's own pieces are read.
     pub(super) fn pick_shared(&mut self, now: Duration) -> Option<Fetch> {
-        if !self.may_share_reads(now) || !self.assigned.is_empty() {
+        if !self.may_share_reads(now) || !self.assigned.is_empty() || !self.knows_readers() {
             return None;
         }
+        let members = self.ranking.members().to_vec();
+        let unread = self.unread_pieces();
+        let readers: Vec<Option<Key>> = unread
+            .iter()
+            .map(|piece| self.ranking.first(*piece, &members, 1).first().copied())
+            .collect();
+        // The reader is about to begin the first of its unread pieces.
+        let is_next = |index: usize| {
+            readers[index].is_some_and(|reader| {
+                let order = |index: usize| self.ranking.reading_order(unread[index], reader);
+                let own = (0..unread.len()).filter(|other| readers[*other] == Some(reader));
+                own.max_by_key(|other| order(*other)) == Some(index)
+            })
+        };
         // Members have different orders, so that two of them seldom choose the same piece.
-        let unread = self.unread_pieces().into_iter();
-        let piece = unread.min_by_key(|piece| self.ranking.rank(*piece))?;
-        let via = self.free_source(now)?;
+        let left = (0..unread.len()).filter(|index| !is_next(*index));
+        let index = left.min_by_key(|index| self.ranking.rank(unread[*index]))?;
+        let (piece, via) = (unread[index], self.free_source(now)?);
         Some(Fetch { piece, via })
     }
 
@@ -79,6 +93,20 @@
             && self.has_neighbour_reports(now)
     }
 
+    /// Returns whether this member has reports of most other readers, so that it knows what they read.
+    fn knows_readers(&self) -> bool {
+        let members = self.ranking.members().iter();
+        let others: Vec<Key> = members
+            .copied()
+            .filter(|key| *key != self.own_key)
+            .collect();
+        let is_known = |key: &&Key| {
+            let mut neighbours = self.neighbours.all().iter();
+            neighbours.any(|neighbour| neighbour.key == **key && neighbour.has_reported)
+        };
+        others.iter().filter(is_known).count() * 4 >= others.len() * 3
+    }
+
     /// Returns the missing pieces that no neighbour holds or reads.
     fn unread_pieces(&self) -> Vec<u32> {
         let pieces = 0..self.held.length() as u32;
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -8,7 +8,7 @@
 
 /// Time that a datagram may take without notice, in the queues of links that also carry weights. An age in a datagram is
 /// taken to be larger by it.
-pub const MAX_TRANSIT: Duration = Duration::from_millis(250);
+pub const MAX_TRANSIT: Duration = Duration::from_millis(100);
 
 /// Work that one entry has at one backend server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
