Read no piece from the origin that another member is reading, and test readers and restarted agents

A piece that was skipped because another member reads it was read all the same as an extra one or in place of a failed reader.

Change: both pass over it. Tests: readers of the origin, and fetches while another version needs the link (weights); a restarted agent that gives pieces of an older version, and a newer version that leaves the origin while engines load the older one (loader).

--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -152,6 +152,8 @@
     /// Number of manifest reads that return wrong digests.
     corrupt_manifests: usize,
     unavailable: bool,
+    /// Whether the origin gives digests but no pieces.
+    without_pieces: bool,
 }
 
 impl Origin for FakeOrigin {
@@ -179,7 +181,7 @@
         index: usize,
     ) -> Result<Bytes, Error> {
         let mut inner = self.inner.borrow_mut();
-        if inner.unavailable {
+        if inner.unavailable || inner.without_pieces {
             return Err(unavailable());
         }
         inner.reads += 1;
@@ -252,6 +254,16 @@
 impl Cluster {
     /// Starts an agent for each engine; `dead` further agents are listed but do not run.
     async fn start(engines: Vec<FakeEngine>, stores: Vec<Memory>, dead: usize) -> Self {
+        Self::start_with_grace(engines, stores, dead, Duration::from_millis(500)).await
+    }
+
+    /// Starts agents that may take `grace` for a version.
+    async fn start_with_grace(
+        engines: Vec<FakeEngine>,
+        stores: Vec<Memory>,
+        dead: usize,
+        grace: Duration,
+    ) -> Self {
         let origin = FakeOrigin::default();
         let mut sockets = Vec::new();
         for _ in 0..engines.len() + dead {
@@ -271,7 +283,10 @@
             if index >= engines.len() {
                 continue;
             }
-            let options = options(&agents[index], address);
+            let options = Options {
+                version_grace: grace,
+                ..options(&agents[index], address)
+            };
             let state = State::new(options, metrics());
             state.apply_view(view.clone());
             states.push(Rc::clone(&state));
@@ -787,3 +802,62 @@
         assert!(due > older.deadline, "{due:?}, {older:?}");
     });
 }
+
+/// Guards against pieces that nobody gives to the others. The load: an agent is killed with the only copies of an older
+/// version staged beside it, starts again when a newer version is set, and the origin is away.
+#[test]
+fn a_restarted_agent_gives_the_staged_pieces_of_an_older_version() {
+    run(async {
+        let stores: Vec<Memory> = (0..3).map(|_| Memory::new(1)).collect();
+        let engines = engines(3);
+        engines[0].inner.borrow_mut().staged =
+            (0..PIECES).map(|index| (index, piece(2, index))).collect();
+        let grace = Duration::from_secs(20);
+        let cluster = Cluster::start_with_grace(engines, stores, 0, grace).await;
+        cluster.origin.inner.borrow_mut().without_pieces = true;
+        for store in &cluster.stores[1..] {
+            store.put("version/m", b"2");
+        }
+        sleep(Duration::from_millis(100)).await;
+
+        // The restarted agent reads only the newest version from its store.
+        for store in &cluster.stores {
+            store.put("version/m", b"3");
+        }
+        cluster.wait_for_version(2).await;
+
+        assert_eq!(cluster.incomplete_loads(), 0);
+    });
+}
+
+/// Guards against a newer version that is begun only when the older one is loaded everywhere. The load: two versions within
+/// seconds, of which the older one has left the origin.
+#[test]
+fn a_newer_version_leaves_the_origin_while_engines_load_the_older_one() {
+    run(async {
+        let grace = Duration::from_secs(20);
+        let cluster = Cluster::start_with_grace(engines(6), one_store(), 0, grace).await;
+        cluster.announce_version(2);
+        let holds = |version: u64, index: usize| {
+            cluster.states.iter().any(|state| {
+                let staged = state.staged(MODEL, version);
+                staged.is_some_and(|staged| staged.is_held(index))
+            })
+        };
+        while !(0..PIECES).all(|index| holds(2, index)) {
+            sleep(Duration::from_millis(5)).await;
+        }
+
+        cluster.announce_version(3);
+        while !(0..PIECES).all(|index| holds(3, index)) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let waiting = cluster.engines.iter();
+        let waiting = waiting.filter(|engine| engine.held() == Some(1)).count();
+        cluster.wait_for_version(3).await;
+
+        assert!(waiting > 0, "the older version was loaded everywhere first");
+        assert_eq!(cluster.incomplete_loads(), 0);
+        assert!(cluster.origin.inner.borrow().reads < 3 * PIECES);
+    });
+}
--- a/crates/pistachiolug_weights/src/planner/neighbour.rs
+++ b/crates/pistachiolug_weights/src/planner/neighbour.rs
@@ -102,10 +102,10 @@
         u64::from(count) * members.len() as u64
     }
 
-    /// Returns whether a neighbour is reading a piece from the source.
-    pub fn is_being_read(&self, piece: u32) -> bool {
+    /// Returns whether a neighbour holds a piece or is reading it from the source.
+    pub fn is_obtained(&self, piece: u32) -> bool {
         let mut all = self.all.iter();
-        all.any(|neighbour| neighbour.reading.contains(piece))
+        self.holders(piece) > 0 || all.any(|neighbour| neighbour.reading.contains(piece))
     }
 
     /// Replaces the set of pieces that a neighbour holds.
--- a/crates/pistachiolug_weights/src/planner/pick.rs
+++ b/crates/pistachiolug_weights/src/planner/pick.rs
@@ -27,12 +27,8 @@
         }
         while let Some(piece) = self.assigned.front().copied() {
             self.steps += 1;
-            if !self.is_wanted(piece) || self.neighbours.holders(piece) > 0 {
-                self.assigned.pop_front();
-                continue;
-            }
-            if self.neighbours.is_being_read(piece) {
-                // If that read fails, the piece is one of those that any reader may read.
+            // If the read of another member fails, the piece is one of those that any reader may read.
+            if !self.is_wanted(piece) || self.neighbours.is_obtained(piece) {
                 self.assigned.pop_front();
                 continue;
             }
@@ -110,10 +106,8 @@
     /// Returns the missing pieces that no neighbour holds or reads.
     fn unread_pieces(&self) -> Vec<u32> {
         let pieces = 0..self.held.length() as u32;
-        let is_unread = |piece: &u32| {
-            let is_left = self.neighbours.holders(*piece) == 0;
-            is_left && self.is_wanted(*piece) && !self.neighbours.is_being_read(*piece)
-        };
+        let is_unread =
+            |piece: &u32| self.is_wanted(*piece) && !self.neighbours.is_obtained(*piece);
         pieces.filter(is_unread).collect()
     }
 
@@ -152,7 +146,7 @@
         }
         while let Some(piece) = self.extra.front().copied() {
             self.steps += 1;
-            if !self.is_wanted(piece) || self.neighbours.holders(piece) > 0 {
+            if !self.is_wanted(piece) || self.neighbours.is_obtained(piece) {
                 self.extra.pop_front();
                 continue;
             }
@@ -173,7 +167,7 @@
             self.steps += 1;
             let piece = self.scan_cursor % count;
             self.scan_cursor = (piece + 1) % count;
-            if !self.is_wanted(piece) || self.neighbours.holders(piece) > 0 {
+            if !self.is_wanted(piece) || self.neighbours.is_obtained(piece) {
                 continue;
             }
             if !self.may_take_over(piece, now) {
--- a/crates/pistachiolug_weights/tests/planner.rs
+++ b/crates/pistachiolug_weights/tests/planner.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::print_stdout)]
 
+mod readers;
 mod rounds;
 
 use std::time::Duration;
