Ask one agent and a random one for digests, less often while the origin is away

Change: agents form a tree by their ranks for the version and ask the one above them, and one random agent; pauses grow to 80 ms. The test's origin takes 10 ms for a piece, as agents tell each other what they read.

--- a/crates/pistachiolug_loader/src/manifest.rs
+++ b/crates/pistachiolug_loader/src/manifest.rs
@@ -20,8 +20,9 @@
 /// agents.
 const ORIGIN_READERS: usize = 3;
 
-/// Number of agents asked in parallel, since some may not answer.
-const AGENTS_ASKED: usize = 3;
+/// Number of agents that ask the same agent for a manifest. Each agent has one that it asks, so that the number of
+/// connections does not grow with the number of agents.
+const FAN_OUT: usize = 4;
 
 /// Time for which the first agent behind the origin readers asks other agents before it falls back to the origin.
 const MIN_PEER_READ_TIMEOUT: Duration = Duration::from_millis(300);
@@ -33,8 +34,12 @@
 /// missing.
 const MAX_PEER_READ_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Pause between two rounds of requests. The origin readers need a few round trips, and all other agents wait for them.
-const ROUND_PAUSE: Duration = Duration::from_millis(20);
+/// First pause between two rounds of requests. The origin readers need a few round trips, and all other agents wait for
+/// them.
+const MIN_ROUND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest pause between two rounds, reached while the origin is away.
+const MAX_ROUND_PAUSE: Duration = Duration::from_millis(80);
 
 /// Timeout of a manifest request to another agent.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -75,6 +80,14 @@
     Some(timeout.min(MAX_PEER_READ_TIMEOUT))
 }
 
+/// Returns the rank of the agent that an agent asks for a manifest first.
+///
+/// # Arguments
+/// `position` is the agent's rank among the agents of its service for this version; 0 is the first.
+pub fn upstream(position: usize) -> usize {
+    position.saturating_sub(ORIGIN_READERS) / FAN_OUT
+}
+
 /// Reader of manifests.
 #[derive(Debug)]
 pub struct ManifestReader<'a, O> {
@@ -123,21 +136,26 @@
     }
 
     async fn read_from_agents(&self, name: &str, target: &Target) -> Manifest {
+        let mut pause = MIN_ROUND_PAUSE;
         loop {
             if let Some(manifest) = self.ask_agents(name, target).await {
                 return manifest;
             }
-            sleep(ROUND_PAUSE).await;
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_ROUND_PAUSE);
         }
     }
 
-    /// Asks one of the origin readers and some random agents in parallel, and returns the first manifest.
+    /// Asks the agent that this one depends on, and in parallel a random one, since the first may be gone. Returns the first
+    /// manifest.
     async fn ask_agents(&self, name: &str, target: &Target) -> Option<Manifest> {
-        let readers = self.state.highest_ranked(name, ORIGIN_READERS);
+        let (position, _) = self.state.position(name);
+        let upstream = upstream(position);
+        let first = self.state.highest_ranked(name, upstream + 1);
         let roster = self.state.roster();
-        let others = roster.members().sample(&mut rand::rng(), AGENTS_ASKED - 1);
-        let reader = readers.choose(&mut rand::rng()).copied();
-        let asked = reader.into_iter().chain(others.map(|other| other.address));
+        let other = roster.members().choose(&mut rand::rng());
+        let asked = first.get(upstream).copied().into_iter();
+        let asked = asked.chain(other.map(|other| other.address));
         let mut answers: FuturesUnordered<_> = asked
             .map(|agent| self.ask_agent(agent, name, target))
             .collect();
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -44,6 +44,9 @@
 const PIECES: usize = 24;
 const PIECE_BYTES: usize = 2000;
 
+/// Time that the origin takes for a piece.
+const READ_TIME: Duration = Duration::from_millis(10);
+
 fn piece(version: u64, index: usize) -> Bytes {
     let byte = (version as usize * 31 + index) as u8;
     Bytes::from(vec![byte; PIECE_BYTES])
@@ -185,8 +188,12 @@
             return Err(unavailable());
         }
         inner.reads += 1;
-        if inner.corrupt_reads > 0 {
-            inner.corrupt_reads -= 1;
+        let is_corrupt = inner.corrupt_reads > 0;
+        inner.corrupt_reads = inner.corrupt_reads.saturating_sub(1);
+        drop(inner);
+        // Agents tell each other what they read, which needs more time than a read without a network.
+        sleep(READ_TIME).await;
+        if is_corrupt {
             return Ok(Bytes::from_static(b"spoilt"));
         }
         Ok(piece(version, index))
--- a/crates/pistachiolug_loader/tests/turn.rs
+++ b/crates/pistachiolug_loader/tests/turn.rs
@@ -73,3 +73,23 @@
             .all(|timeout| *timeout < Duration::from_secs(1))
     );
 }
+
+/// Guards against agents that all ask the same few for the digests, and keep connections to hundreds of others. The load: the
+/// origin is away for seconds when a version is announced to hundreds of agents.
+#[test]
+fn each_agent_is_asked_for_digests_by_few_others() {
+    let members = 235;
+    let upstream: Vec<usize> = (3..members).map(manifest::upstream).collect();
+
+    let askers = |agent: usize| upstream.iter().filter(|asked| **asked == agent).count();
+    let most = (0..members).map(askers).max().unwrap();
+    let mut depth = 0;
+    let mut position = members - 1;
+    while position >= 3 {
+        position = manifest::upstream(position);
+        depth += 1;
+    }
+
+    assert!(most <= 4, "{most} agents ask the same one");
+    assert!(depth <= 5, "the digests pass through {depth} agents");
+}
