Make the scope and link share of transfers pure decisions, and tell of a version once

An agent that could not read a version's digests told agents and entries of the version at each attempt. An entry told agents the age of a version with corrections by others, whose transits add up; it now tells the age as it was learned. ahead_scope and link_share move to plan.rs unchanged.

--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -280,7 +280,7 @@
     /// Returns the bound of a target version's age in milliseconds; `None` if it may have been set at any time.
     pub fn target_age_ms(&self, model: &str, version: Version) -> Option<u32> {
         let versions = self.versions.borrow();
-        versions.max_age_ms(model, version, self.now())
+        versions.told_age_ms(model, version, self.now())
     }
 
     /// Returns what to tell other entries of target versions that have changed within a time.
--- a/crates/pistachiolug_gateway/src/versions.rs
+++ b/crates/pistachiolug_gateway/src/versions.rs
@@ -157,11 +157,12 @@
         self.targets.get(model)?.last().map(|target| target.version)
     }
 
-    /// Returns the bound of a target's age; `None` if the target is not known or may have been set at any time.
-    pub fn max_age_ms(&self, model: &str, version: Version, now: Duration) -> Option<u32> {
+    /// Returns the bound of a target's age that others may rely on; `None` if the target is not known or may have been set
+    /// at any time.
+    pub fn told_age_ms(&self, model: &str, version: Version, now: Duration) -> Option<u32> {
         let mut targets = self.targets.get(model)?.iter();
         let target = targets.find(|target| target.version == version)?;
-        max_age_ms(target.set_after, now)
+        max_age_ms(target.told_set_after, now)
     }
 
     /// Returns what to tell others of the models that have a target which has changed since a time.
--- a/crates/pistachiolug_loader/src/plan.rs
+++ b/crates/pistachiolug_loader/src/plan.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use pistachiolug_weights::planner::policy::Scope;
+
 /// Time that the origin takes for a piece, shared by all agents.
 const ORIGIN_PIECE_TIME: Duration = Duration::from_millis(50);
 
@@ -22,6 +24,20 @@
 /// Time from a load order until the engine serves again.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
+/// Time before a version is due from which transfers are no longer held back in favour of live requests: about twice the
+/// time that a link takes for a version, and that of the loads.
+const FULL_FETCH_TIME: Duration = Duration::from_secs(6);
+
+/// Time without a new piece after which a version no longer holds up the next one.
+const MAX_IDLE: Duration = Duration::from_millis(500);
+
+/// Share of the link that weights may use in each direction. The rest is reserved for live requests, whose events must
+/// not queue.
+const LINK_SHARE: f64 = 0.88;
+
+/// Share of the link that weights may use while there is plenty of time until the deadline.
+const RELAXED_LINK_SHARE: f64 = 0.55;
+
 /// Progress of a version that the engine has not loaded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -79,3 +95,34 @@
     };
     has_progress && !newest_suffices && older_at + min_use <= newest.due
 }
+
+/// Returns the share of the link that weights may use, in each direction.
+///
+/// # Arguments
+/// `left` is the time until the engine needs another version.
+pub fn link_share(left: Duration) -> f64 {
+    if left > FULL_FETCH_TIME {
+        RELAXED_LINK_SHARE
+    } else {
+        LINK_SHARE
+    }
+}
+
+/// Returns the pieces that may be fetched ahead of the version that is loaded next; `None` if that version still has to leave
+/// the origin. The load: engines load in turn, so that the others get more requests over the same links.
+///
+/// # Arguments
+/// `first` is the version that is loaded next, `idle` the time since the agent gained a piece of it, and `left` the time until
+/// the newest version is due.
+pub fn ahead_scope(first: &Candidate, idle: Duration, left: Duration) -> Option<Scope> {
+    let is_held = first.missing == 0;
+    if is_held && left > FULL_FETCH_TIME {
+        Some(Scope::Assigned)
+    } else if is_held || idle >= MAX_IDLE {
+        Some(Scope::All)
+    } else if first.unavailable == 0 {
+        Some(Scope::Assigned)
+    } else {
+        None
+    }
+}
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -33,24 +33,10 @@
 /// Interval at which the plan is evaluated again, since pieces arrive and deadlines pass.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time before a version is due from which transfers are no longer held back in favour of live requests: about twice the
-/// time that a link takes for a version, and that of the loads.
-const FULL_FETCH_TIME: Duration = Duration::from_secs(6);
-
-/// Time without a new piece after which a version no longer holds up the next one.
-const MAX_IDLE: Duration = Duration::from_millis(500);
-
 /// Shortest time between two reads of the entries from the key-value service. All agents of a deployment start at once, and
 /// entries need seconds before they answer.
 const ENTRIES_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// Share of the link that weights may use in each direction. The rest is reserved for live requests, whose events must
-/// not queue.
-const WEIGHTS_LINK_SHARE: f64 = 0.88;
-
-/// Share of the link that weights may use while there is plenty of time until the deadline.
-const RELAXED_LINK_SHARE: f64 = 0.55;
-
 /// Settings of an agent.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -147,6 +133,8 @@
     entries: RefCell<Vec<SocketAddr>>,
     /// Records of the pieces that the agent holds.
     pub shelf: Shelf,
+    /// Newest version of which other processes were told.
+    told_version: Cell<Option<u64>>,
     /// Version for which the view was last read.
     view_version: Cell<Option<u64>>,
     store_unreachable: Cell<bool>,
@@ -159,7 +147,7 @@
 impl State {
     /// Creates the state of an agent without a configuration.
     pub fn new(options: Options, metrics: Metrics) -> Rc<Self> {
-        let rate = rate_of(&options, WEIGHTS_LINK_SHARE);
+        let rate = rate_of(&options, plan::link_share(Duration::ZERO));
         Rc::new(Self {
             options,
             metrics,
@@ -178,6 +166,7 @@
             roster: RefCell::default(),
             entries: RefCell::default(),
             shelf: Shelf::default(),
+            told_version: Cell::default(),
             view_version: Cell::default(),
             store_unreachable: Cell::default(),
             entries_read_at: Cell::default(),
@@ -240,7 +229,7 @@
         let models = self.models.borrow();
         let model = models.first()?;
         let candidates = self.candidates(model);
-        let rate = rate_of(&self.options, WEIGHTS_LINK_SHARE).max(1);
+        let rate = rate_of(&self.options, plan::link_share(Duration::ZERO)).max(1);
         let piece_time = Duration::from_secs_f64(model.piece_bytes as f64 / rate as f64);
         let newest = self.versions.borrow().newest(&model.name);
         let chosen = plan::choose(self.now(), &candidates, piece_time);
@@ -286,46 +275,26 @@
         let left = self.newest_target().map_or(Duration::ZERO, |target| {
             target.deadline.saturating_sub(self.now())
         });
-        let share = if left > FULL_FETCH_TIME {
-            RELAXED_LINK_SHARE
-        } else {
-            WEIGHTS_LINK_SHARE
-        };
-        let rate = rate_of(&self.options, share);
+        let rate = rate_of(&self.options, plan::link_share(left));
         self.upload_bucket.set_rate(rate);
         // An engine without a version serves no requests, so its whole link is available for weights.
         let download_rate = if self.has_no_version() { 0 } else { rate };
         self.download_bucket.set_rate(download_rate);
     }
 
-    /// Returns when the newest version is due, as time since the agent's start; zero if it is not known.
-    fn newest_due(&self) -> Duration {
-        let models = self.models.borrow();
-        let versions = self.versions.borrow();
-        let newest = models
-            .first()
-            .and_then(|model| versions.of(&model.name).last());
-        newest.and_then(|newest| newest.due).unwrap_or_default()
-    }
-
-    /// Returns the pieces that may be fetched ahead of the version that is loaded next; `None` if that version still has
-    /// to leave the origin.
+    /// Returns the pieces that may be fetched ahead of the version that is loaded next; `None` if none.
     pub fn ahead_scope(&self) -> Option<Scope> {
-        let plan = self.plan.borrow();
-        let first = plan.as_ref().map(|plan| &plan.first)?;
+        let models = self.models.borrow();
+        let candidates = self.candidates(models.first()?);
+        let first = self.plan()?.first;
+        let candidate = candidates
+            .iter()
+            .find(|candidate| candidate.version == first.version)?;
         let staged = self.staged(&first.model, first.version)?;
         let idle = self.now().saturating_sub(staged.last_gained_at());
-        let is_held = staged.missing().is_empty();
-        if is_held && self.newest_due().saturating_sub(self.now()) > FULL_FETCH_TIME {
-            // The link also carries live requests, of which other engines get more while they load in turn.
-            Some(Scope::Assigned)
-        } else if is_held || idle >= MAX_IDLE {
-            Some(Scope::All)
-        } else if staged.unavailable() == 0 {
-            Some(Scope::Assigned)
-        } else {
-            None
-        }
+        let due = candidates.last().map(|newest| newest.due);
+        let left = due.unwrap_or_default().saturating_sub(self.now());
+        plan::ahead_scope(candidate, idle, left)
     }
 
     /// Records an announced version; versions older than the newest known one are ignored.
@@ -437,6 +406,12 @@
         age.as_millis().saturating_add(1).try_into().ok()
     }
 
+    /// Returns whether other processes should be told of a version; `true` once for each one.
+    pub fn should_announce(&self, version: u64) -> bool {
+        self.told_version.get().max(Some(version)) == Some(version)
+            && self.told_version.replace(Some(version)) != Some(version)
+    }
+
     /// Returns whether a version was announced.
     pub fn is_announced(&self, model: &str, version: u64) -> bool {
         self.versions.borrow().find(model, version).is_some()
--- a/crates/pistachiolug_loader/src/transfer.rs
+++ b/crates/pistachiolug_loader/src/transfer.rs
@@ -35,7 +35,9 @@
         if let Some(staged) = self.state.staged(&target.model, target.version) {
             return Ok(staged);
         }
-        self.exchange.announce(&target.model, target.version);
+        if self.state.should_announce(target.version) {
+            self.exchange.announce(&target.model, target.version);
+        }
         let origin = self.state.origin().ok_or_else(|| Error::Failed {
             reason: "no origin of weights is configured".to_owned(),
         })?;
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -183,14 +183,16 @@
         version: u64,
         index: usize,
     ) -> Result<Bytes, Error> {
-        let mut inner = self.inner.borrow_mut();
-        if inner.unavailable || inner.without_pieces {
-            return Err(unavailable());
-        }
-        inner.reads += 1;
-        let is_corrupt = inner.corrupt_reads > 0;
-        inner.corrupt_reads = inner.corrupt_reads.saturating_sub(1);
-        drop(inner);
+        let is_corrupt = {
+            let mut inner = self.inner.borrow_mut();
+            if inner.unavailable || inner.without_pieces {
+                return Err(unavailable());
+            }
+            inner.reads += 1;
+            let is_corrupt = inner.corrupt_reads > 0;
+            inner.corrupt_reads = inner.corrupt_reads.saturating_sub(1);
+            is_corrupt
+        };
         // Agents tell each other what they read, which needs more time than a read without a network.
         sleep(READ_TIME).await;
         if is_corrupt {
