--- a/crates/pistachiolug_loader/src/fetch.rs
+++ b/crates/pistachiolug_loader/src/fetch.rs
@@ -28,7 +28,7 @@
 };
 
 /// Limits of a transfer of a few megabytes that has to finish within seconds.
-const TUNING: Tuning = Tuning {
+pub const TUNING: Tuning = Tuning {
     policy: Policy::BytesFirst,
     slots: 5,
     neighbour_slots: 2,
--- a/crates/pistachiolug_loader/src/plan.rs
+++ b/crates/pistachiolug_loader/src/plan.rs
@@ -18,6 +18,10 @@
 /// stop sending requests to outdated engines 1.3 s before the deadline.
 const MIN_USE: Duration = Duration::from_millis(2600);
 
+/// Time between two announcements in which the origin gives about half of the older version, although distant agents may
+/// not know that yet.
+const MIN_LEAD: Duration = Duration::from_secs(1);
+
 /// Shortest time over which the loads of all engines are spread, so that the service keeps capacity.
 const MIN_SPREAD: Duration = Duration::from_secs(2);
 
@@ -80,9 +84,10 @@
 
 /// Returns whether an older version is loaded before the newest one.
 fn is_better(now: Duration, older: &Candidate, newest: &Candidate, piece_time: Duration) -> bool {
-    let has_progress = older.obtained() * 2 >= older.pieces
-        && older.obtained() >= newest.obtained()
-        && older.missing <= newest.missing;
+    let has_left_origin =
+        newest.due.saturating_sub(older.due) >= MIN_LEAD || older.obtained() * 2 >= older.pieces;
+    let has_progress =
+        has_left_origin && older.obtained() >= newest.obtained() && older.missing <= newest.missing;
     let older_at = now + older.remaining(piece_time);
     let newest_at = now + newest.remaining(piece_time);
     let newest_suffices = newest.unavailable == 0
--- a/crates/pistachiolug_loader/tests/plan.rs
+++ b/crates/pistachiolug_loader/tests/plan.rs
@@ -54,6 +54,12 @@
             vec![candidate(2, 18.0, 20, 0), candidate(3, 20.0, 48, 48)],
             2,
         ),
+        (
+            "the older one has left the origin, but few pieces have come to this region",
+            20.2,
+            vec![candidate(2, 18.0, 40, 34), candidate(3, 20.0, 48, 48)],
+            2,
+        ),
         (
             "the origin is away, and the older one lacks a piece",
             23.0,
