--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -601,7 +601,7 @@
     }
 
     /// Returns whether the entries should be read from the key-value service: none is known, or none of them has answered,
-    /// so that all may be gone. `true` at most once in [`ENTRIES_INTERVAL`].
+    /// so that all may be gone. `true` at most once in 1.5 s.
     pub fn should_read_entries(&self) -> bool {
         let is_missing =
             self.entries.borrow().is_empty() || self.without_view_since.get().is_some();
