Keep the plan while staged pieces are verified and loaded

Cause, found by reading: the task that fetches ahead chose the plan anew while the engine was being ordered to load.

Change: the plan does not change from the verification to the end of the load.

--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -13,6 +13,7 @@
     engine::{Engine, Error, LoadResponse, Origin, Report},
     row::Decoder,
     schedule,
+    staged::StagedVersion,
     state::Target,
     transfer::Transfer,
 };
@@ -106,17 +107,29 @@
         if held.is_some() {
             schedule::wait_for_turn(state, &target).await;
         }
-        transfer.verify_staged(&staged).await?;
-        if !staged.is_whole() {
-            state.wake.notify_one();
+        if !state.is_first(target.version) {
             return Ok(());
         }
         state.set_loading(true);
-        let result = self.load_version(&target, &report).await;
+        let result = self.verify_and_load(&target, &staged, &report).await;
         state.set_loading(false);
         result
     }
 
+    async fn verify_and_load(
+        &self,
+        target: &Target,
+        staged: &StagedVersion,
+        report: &Report,
+    ) -> Result<(), Error> {
+        self.transfer.verify_staged(staged).await?;
+        if !staged.is_whole() {
+            self.transfer.state.wake.notify_one();
+            return Ok(());
+        }
+        self.load_version(target, report).await
+    }
+
     async fn load_version(&self, target: &Target, report: &Report) -> Result<(), Error> {
         let model = target.model.as_str();
         if report.loaded_version(model).is_some() {
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -208,8 +208,12 @@
         self.plan.borrow().clone()
     }
 
-    /// Chooses the versions to work on from what is known now, and returns them.
+    /// Chooses the versions to work on from what is known now, and returns them. The plan is kept while the engine is being
+    /// ordered to load: pieces of another version must not take the places of those that it loads.
     pub fn update_plan(&self) -> Option<Plan> {
+        if self.is_loading.get() {
+            return self.plan();
+        }
         let plan = self.choose_plan();
         let first = plan.as_ref().map(|plan| plan.first.version);
         let previous = self.plan.replace(plan.clone());
@@ -443,9 +447,6 @@
     }
 
     fn is_superseded(&self, target: &Target) -> bool {
-        if self.is_loading.get() {
-            return false;
-        }
         let plan = self.update_plan();
         plan.is_some_and(|plan| !plan.first.is_same_version(target))
     }
--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -870,3 +870,33 @@
         assert!(cluster.origin.inner.borrow().reads < 3 * PIECES);
     });
 }
+
+/// Guards against weights of two versions in one load: pieces of a newer version that take the places of those that the engine
+/// is being ordered to load.
+#[test]
+fn the_plan_is_kept_while_the_engine_is_ordered_to_load() {
+    run(async {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let place = Place {
+            address,
+            region: REGIONS[0].to_owned(),
+        };
+        let state = State::new(options(&place, address), metrics());
+        state.apply_view(view(vec![place]));
+        state.record_version(MODEL, 2, Some(state.now()), "test");
+        let older = state.update_plan().unwrap().first;
+        state.set_loading(true);
+        state.record_version(MODEL, 3, Some(state.now()), "test");
+        let newer = state.newest_target().unwrap();
+        let manifest = FakeOrigin::default().read_manifest(address, MODEL, 3).await;
+        let staged = StagedVersion::new(&newer, manifest.unwrap(), state.clock());
+        (0..PIECES).for_each(|index| staged.buffer(index, piece(3, index)));
+        state.shelf.add(Rc::new(staged));
+
+        let during = state.update_plan().unwrap().first.version;
+        state.set_loading(false);
+        let after = state.update_plan().unwrap().first.version;
+
+        assert_eq!((older.version, during, after), (2, 2, 3));
+    });
+}
