--- a/crates/pistachiolug_loader/tests/spread.rs
+++ b/crates/pistachiolug_loader/tests/spread.rs
@@ -824,14 +824,13 @@
         let grace = Duration::from_secs(20);
         let cluster = Cluster::start_with_grace(engines, stores, 0, grace).await;
         cluster.origin.inner.borrow_mut().without_pieces = true;
-        for store in &cluster.stores[1..] {
-            store.put("version/m", b"2");
-        }
-        sleep(Duration::from_millis(100)).await;
-
-        // The restarted agent reads only the newest version from its store.
-        for store in &cluster.stores {
-            store.put("version/m", b"3");
+        // The restarted agent knows only the newest version; the other one was announced 2 s before it.
+        let newest_at = Some(Duration::from_secs(2));
+        for (index, state) in cluster.states.iter().enumerate() {
+            if index > 0 {
+                state.record_version(MODEL, 2, Some(Duration::ZERO), "test");
+            }
+            state.record_version(MODEL, 3, newest_at, "test");
         }
         cluster.wait_for_version(2).await;
 
