--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -301,7 +301,7 @@
         plan::ahead_scope(candidate, idle, left)
     }
 
-    /// Records an announced version; versions older than the newest known one are ignored.
+    /// Records an announced version; see [`Versions::record`] for those that are ignored.
     ///
     /// Deadlines count from the latest time after which a source knows that the version was announced. A process learns
     /// of versions late if it was suspended or lost its watch.
