--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -430,6 +430,7 @@
     pub internal_port: u16,
     pub zone: &'a str,
     pub memory_mb: u64,
+    pub contact_ms: u64,
 }
 
 /// Starts an entry with the command of the deploy file; its log goes to the temporary folder.
@@ -440,6 +441,7 @@
         internal_port,
         zone,
         memory_mb,
+        contact_ms,
     } = settings;
     let free = || {
         TcpListener::bind((*ip, 0))
@@ -453,30 +455,60 @@
          listen.front={front}\nlisten.ready={ready}\nport_range={internal_port},{}\nbootstrap=true\n\
          limits.cpu_share=0.19\nlimits.cores=1\nlimits.memory_mb={memory_mb}\nlimits.max_fds=4100\n\
          limits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\nheartbeat_ms=1200\n\
-         fault_tolerance.machines=2\nbounds.contact_ms=3000\nbounds.drain_ms=2000\nbounds.grace_s=8\n\
+         fault_tolerance.machines=2\nbounds.contact_ms={contact_ms}\nbounds.drain_ms=2000\nbounds.grace_s=8\n\
          bounds.config_apply_ms=2000\nbounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\n\
          bounds.retry_budget_slack=106\nbounds.version_ms=8000\nplatform.address={}\nplatform.form=kv\n\
          platform.writes_per_s=400\nplatform.reads_per_s=2000\nplatform.history_s=20\n",
         internal_port + 15,
         store.address
     );
+    let child = start("entry", name, &text, folder);
+    Entry {
+        front,
+        ready,
+        child,
+    }
+}
+
+/// Starts an agent with the command of the deploy file, beside the engine at `app`.
+pub fn start_agent(
+    name: &str,
+    app: SocketAddr,
+    service: &str,
+    internal_port: u16,
+    store: &Store,
+    folder: &Path,
+) -> Child {
+    let text = format!(
+        "node_name={name}\nrole=agent\nmachine_class=side\nserves=side\nip={}\nzone=midrand\nregion=gauteng\n\
+         zones.midrand=gauteng\nzones.bellville=western-cape\nzones.pinetown=kwazulu-natal\n\
+         port_range={internal_port},{}\nbootstrap=true\nlimits.cpu_share=0.3\nlimits.cores=1\nlimits.memory_mb=128\n\
+         limits.max_fds=2048\nlimits.link_mbps=9.4\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n\
+         heartbeat_ms=1200\nfault_tolerance.machines=2\nbounds.contact_ms=3000\nbounds.drain_ms=2000\n\
+         bounds.grace_s=8\nbounds.config_apply_ms=2000\nbounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\n\
+         bounds.retry_budget_slack=106\nbounds.version_ms=8000\napp={app}\nservice={service}\n\
+         platform.address={}\nplatform.form=kv\nplatform.writes_per_s=400\nplatform.reads_per_s=2000\n\
+         platform.history_s=20\n",
+        app.ip(),
+        internal_port + 15,
+        store.address
+    );
+    start("agent", name, &text, folder)
+}
+
+/// Starts a daemon; its settings and its log go to the temporary folder.
+fn start(role: &str, name: &str, settings: &str, folder: &Path) -> Child {
     let path = folder.join(format!("{name}.conf"));
-    fs::write(&path, text).expect("settings file");
+    fs::write(&path, settings).expect("settings file");
     let log = File::create(folder.join(format!("{name}.log"))).expect("log file");
     let child = Command::new(PROGRAM)
-        .arg("entry")
+        .arg(role)
         .env("PISTACHIOLUG_BOOT", &path)
         .stdin(Stdio::null())
         .stdout(log)
         .stderr(Stdio::null())
         .spawn();
-    let child =
-        child.unwrap_or_else(|error| cannot_run(&format!("{PROGRAM} can't be started: {error}")));
-    Entry {
-        front,
-        ready,
-        child,
-    }
+    child.unwrap_or_else(|error| cannot_run(&format!("{PROGRAM} can't be started: {error}")))
 }
 
 /// Ends the case if it takes too long, with the processes that it has started.
@@ -564,3 +596,78 @@
     }
     cannot_run("no free port")
 }
+
+/// Returns the SHA-256 digest of bytes (FIPS 180-4) in hexadecimal digits.
+pub fn sha256(bytes: &[u8]) -> String {
+    // The first 32 bits of the fractional parts of the cube roots and square roots of the first primes.
+    let primes: Vec<u64> = (2..312_u64)
+        .filter(|number| (2..*number).all(|divisor| number % divisor != 0))
+        .take(64)
+        .collect();
+    let root = |prime: u64, power: u32| -> u32 {
+        // Largest `root` with `root^power <= prime * 2^(32 * power)`, whose low 32 bits are the fraction.
+        let (mut low, mut high) = (0_u128, 1_u128 << 37);
+        let is_small = |root: u128| match power {
+            2 => root * root <= u128::from(prime) << 64,
+            _ => root * root * root <= u128::from(prime) << 96,
+        };
+        while high - low > 1 {
+            let middle = (low + high) / 2;
+            if is_small(middle) {
+                low = middle
+            } else {
+                high = middle
+            }
+        }
+        low as u32
+    };
+    let constants: Vec<u32> = primes.iter().map(|prime| root(*prime, 3)).collect();
+    let mut state: Vec<u32> = primes[..8].iter().map(|prime| root(*prime, 2)).collect();
+    let mut message = bytes.to_vec();
+    message.push(0x80);
+    message.resize((bytes.len() + 8) / 64 * 64 + 56, 0);
+    message.extend_from_slice(&(bytes.len() as u64 * 8).to_be_bytes());
+    for block in message.chunks(64) {
+        let mut words: Vec<u32> = block
+            .chunks(4)
+            .map(|word| u32::from_be_bytes(word.try_into().unwrap()))
+            .collect();
+        for index in 16..64 {
+            let (first, second) = (words[index - 15], words[index - 2]);
+            let first = first.rotate_right(7) ^ first.rotate_right(18) ^ first >> 3;
+            let second = second.rotate_right(17) ^ second.rotate_right(19) ^ second >> 10;
+            words.push(
+                words[index - 16]
+                    .wrapping_add(first)
+                    .wrapping_add(words[index - 7])
+                    .wrapping_add(second),
+            );
+        }
+        let mut v: [u32; 8] = state.clone().try_into().unwrap();
+        for index in 0..64 {
+            let sum = v[4].rotate_right(6) ^ v[4].rotate_right(11) ^ v[4].rotate_right(25);
+            let choice = v[4] & v[5] ^ !v[4] & v[6];
+            let first = v[7]
+                .wrapping_add(sum)
+                .wrapping_add(choice)
+                .wrapping_add(constants[index])
+                .wrapping_add(words[index]);
+            let sum = v[0].rotate_right(2) ^ v[0].rotate_right(13) ^ v[0].rotate_right(22);
+            let second = sum.wrapping_add(v[0] & v[1] ^ v[0] & v[2] ^ v[1] & v[2]);
+            v = [
+                first.wrapping_add(second),
+                v[0],
+                v[1],
+                v[2],
+                v[3].wrapping_add(first),
+                v[4],
+                v[5],
+                v[6],
+            ];
+        }
+        for (word, added) in state.iter_mut().zip(v) {
+            *word = word.wrapping_add(added);
+        }
+    }
+    state.iter().map(|word| format!("{word:08x}")).collect()
+}
