--- a/review/standin/large_bodies.rs
+++ b/review/standin/large_bodies.rs
@@ -70,6 +70,7 @@
         internal_port: platform::free_port(&[ip]),
         zone: "midrand",
         memory_mb: MEMORY_MB,
+        contact_ms: 3000,
     };
     let mut entry = platform::start_entry(&settings, &store, &temporary);
     platform::start_watchdog(vec![entry.child.id()]);
