Split the entry's pool and state by what each part owns

The server, the listing of servers, slots and queues, target versions, retries and the debug dump have modules of their own.

--- /dev/null
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -0,0 +1,223 @@
+//! One backend server: its record, open requests, failures and speed, and whether it may get a request.
+
+use std::time::Duration;
+
+use pistachiolug_wire::{datagram::Work, position::Position};
+
+use super::Requirements;
+use crate::{
+    allowance::Allowance,
+    config::Engine,
+    contact::Contact,
+    selection::{Candidate, Location, UpcomingLoad},
+    server::Record,
+    statement::Statement,
+};
+
+/// Range of the slowdown factor; 1.0 is the speed that the configuration states.
+pub(super) const SLOWDOWN_RANGE: (f64, f64) = (1.0, 20.0);
+
+/// Assumed milliseconds of one request at a plain service; used only to compare loads.
+const PLAIN_CALL_MS: f64 = 15.0;
+
+/// Slots of an engine that are kept free for requests which other entries have sent since their last beacons. One
+/// request too many queues inside the engine, where a more urgent one can't overtake it.
+const RESERVED_SLOTS: u32 = 1;
+
+/// Time after an engine has started or loaded a model during which each entry uses only its share of the slots, and of the time
+/// to read prompts. All entries see the engine empty at the same moment; within this time they learn of each other's requests.
+const RAMP_UP_TIME: Duration = Duration::from_millis(300);
+
+/// Time that an engine may need for the prompts that it has not read, in milliseconds, before it gets another request. What lies
+/// there when its machine stands still is lost; at the entry it can go elsewhere.
+const MAX_UNREAD_MS: f64 = 250.0;
+
+/// Open requests per slot that a plain server may have; it queues a few times its slots.
+const PLAIN_CALLS_PER_SLOT: u32 = 3;
+
+/// One incarnation of a backend server; a restart under the same id is a new server.
+#[derive(Debug)]
+pub struct Server {
+    pub(super) record: Record,
+    /// Open requests that this entry has sent.
+    pub(super) own_work: Work,
+    /// Open requests of the other entries, by their last beacons.
+    pub(super) peer_work: Work,
+    /// Failures since the last successful answer.
+    pub(super) consecutive_failures: u32,
+    /// Time before which the server is not chosen.
+    pub(super) avoid_until: Duration,
+    pub(super) statement: Statement,
+    /// Grants for the server, if it has a limit.
+    pub(super) allowance: Allowance,
+    pub(super) contact: Contact,
+    /// Moving average of failures among answers, within 0.0..=1.0.
+    pub(super) failure_rate: f64,
+    /// Factor by which first events arrive later than expected.
+    pub(super) slowdown: f64,
+    /// Whether its agent has announced a loaded version.
+    pub(super) has_notice: bool,
+    /// Whether its agent has announced a load of which no end is known.
+    pub(super) is_loading: bool,
+    /// When the server is removed; set once the server list no longer names it.
+    pub(super) remove_at: Option<Duration>,
+    /// Position of the server's row in the key-value service.
+    pub(super) position: Position,
+    /// When the server was added, or when the models that it holds last changed.
+    pub(super) models_changed_at: Duration,
+}
+
+impl Server {
+    /// Replaces the record. Keeps a version that the agent has announced if the list still names an older one. A newer
+    /// version in the list ends a load, because the agent's notice of its end may have been lost.
+    pub(super) fn update(&mut self, record: Record, position: Position, now: Duration) {
+        let previous = std::mem::replace(&mut self.record, record);
+        self.position = position;
+        self.remove_at = None;
+        for model in &previous.models {
+            let listed = self.record.version(&model.name);
+            if self.is_loading && listed > Some(model.version) {
+                self.is_loading = false;
+                self.avoid_until = now;
+            }
+            if self.has_notice && listed.is_none_or(|listed| listed < model.version) {
+                self.record.set_model(model.clone());
+            }
+        }
+        if self.record.models != previous.models {
+            self.models_changed_at = now;
+        }
+    }
+
+    /// Returns the listed record, with the versions that the server's agent has announced since.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Returns the time for which the server wants no requests; `None` if it may get some.
+    pub fn backoff_left(&self, now: Duration) -> Option<Duration> {
+        self.statement.backoff.time_left(now)
+    }
+
+    /// Returns whether the server is draining, as the list or its own answers say.
+    pub fn is_leaving(&self) -> bool {
+        self.record.leaving || self.statement.is_draining
+    }
+
+    pub(super) fn is_incarnation(&self, record: &Record) -> bool {
+        self.record.id == record.id && self.record.started_ms == record.started_ms
+    }
+
+    /// Returns the open requests that this entry has sent to the server.
+    pub fn own_work(&self) -> Work {
+        self.own_work
+    }
+
+    /// Returns the open requests of all entries at the server.
+    pub(super) fn open_calls(&self) -> u32 {
+        self.own_work.calls.saturating_add(self.peer_work.calls)
+    }
+
+    /// Returns whether the server may get the request, whether or not it has a free slot.
+    pub(super) fn is_usable(&self, requirements: &Requirements, now: Duration) -> bool {
+        self.meets(requirements)
+            && !self.statement.backoff.is_active(now)
+            && self.avoid_until <= now
+    }
+
+    /// Returns whether the server may get the request if it is not avoided and wants requests.
+    pub(super) fn meets(&self, requirements: &Requirements) -> bool {
+        let has_version = match &requirements.model {
+            None => true,
+            Some(model) => {
+                let held = self.record.version(model);
+                held.is_some_and(|held| requirements.min_version.is_none_or(|min| held >= min))
+            }
+        };
+        has_version && !self.is_leaving() && !requirements.tried.contains(&self.record.id)
+    }
+
+    pub(super) fn upcoming_load(&self, requirements: &Requirements) -> UpcomingLoad {
+        let held = requirements
+            .model
+            .as_ref()
+            .and_then(|model| self.record.version(model));
+        if requirements
+            .target_version
+            .is_none_or(|target| held == Some(target))
+        {
+            UpcomingLoad::NotNeeded
+        } else if requirements.tried.is_empty() {
+            UpcomingLoad::BreaksOnce
+        } else {
+            UpcomingLoad::BreaksTwice
+        }
+    }
+
+    /// Returns whether the server has a free slot for a request; `peer_count` is the number of other entries.
+    pub(super) fn has_free_slot(
+        &self,
+        requirements: &Requirements,
+        engine: Option<&Engine>,
+        peer_count: u32,
+        now: Duration,
+    ) -> bool {
+        if !self.statement.backoff.may_send(now) {
+            return false;
+        }
+        let Some(engine) = engine else {
+            return self.open_calls()
+                < self
+                    .record
+                    .slots
+                    .max(1)
+                    .saturating_mul(PLAIN_CALLS_PER_SLOT);
+        };
+        if !self.contact.may_send(self.own_work.calls, now) {
+            return false;
+        }
+        let max_unread = engine.prompt_tokens_per_ms * MAX_UNREAD_MS;
+        let (own, peers) = (self.own_work, self.peer_work);
+        if f64::from(own.prompt) + f64::from(peers.prompt) > max_unread {
+            return false;
+        }
+        let entries = peer_count + 1;
+        let is_ramping_up = now < self.models_changed_at + RAMP_UP_TIME;
+        let has_share = own.calls < engine.slots.div_ceil(entries)
+            && f64::from(own.prompt) <= max_unread / f64::from(entries);
+        if is_ramping_up && !has_share {
+            return false;
+        }
+        let is_freed = requirements.freed_server.as_ref() == Some(&self.record.id);
+        let reserve = if is_freed { 0 } else { RESERVED_SLOTS };
+        self.open_calls().saturating_add(reserve) < engine.slots
+    }
+
+    pub(super) fn candidate(
+        &self,
+        requirements: &Requirements,
+        engine: Option<&Engine>,
+        location: &Location,
+    ) -> Candidate {
+        Candidate {
+            expected_wait_ms: self.expected_wait_ms(requirements.prompt_tokens, engine),
+            failure_rate: self.failure_rate,
+            upcoming_load: self.upcoming_load(requirements),
+            distance: location.distance(&self.record.zone),
+        }
+    }
+
+    /// Returns the expected milliseconds until the server begins to answer a request with this prompt.
+    pub(super) fn expected_wait_ms(&self, prompt_tokens: u32, engine: Option<&Engine>) -> f64 {
+        let Some(engine) = engine else {
+            return f64::from(self.open_calls()) / f64::from(self.record.slots.max(1))
+                * PLAIN_CALL_MS;
+        };
+        let unread_tokens = [self.own_work.prompt, self.peer_work.prompt, prompt_tokens]
+            .map(f64::from)
+            .iter()
+            .sum::<f64>();
+        let step_ms = engine.step_ms + engine.step_ms_per_call * f64::from(self.open_calls());
+        (unread_tokens / engine.prompt_tokens_per_ms + step_ms * engine.stride) * self.slowdown
+    }
+}
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -14,24 +14,27 @@
 use pistachiolug_replica::rows::Rows;
 use pistachiolug_routing::{attribution::Attribution, retry::WindowBudget, suspect::Suspects};
 use pistachiolug_wire::{
-    datagram::{self, Beacon, Demand, Grant, Notice},
+    datagram::{Beacon, Demand, Grant, Notice},
     digest::Digest,
     weights,
 };
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, futures::Notified, oneshot};
 
+mod dump;
 mod limits;
 mod parts;
+mod retries;
+mod slots;
 mod statements;
 mod suspects;
+mod targets;
 
 pub use limits::Outgoing;
 pub(crate) use parts::hex;
 pub use suspects::SUSPECT_RETENTION;
 
 use crate::{
-    admission::SlotRates,
     answer,
     config::{Config, Engine, Service},
     coordination::Allocations,
@@ -41,21 +44,12 @@
     peers::Peers,
     permit::{OpenRequest, Permit},
     pool::{Location, Pool, Requirements, Server},
-    queue::{Position, Queue, Rank},
-    rate::{self, Rate},
+    queue::Queue,
     reachability::Reachability,
-    server::Version,
     unknown_headers::UnknownHeaders,
-    versions::{self, Update, Versions},
+    versions::{self, Versions},
 };
 
-/// Share of the retry budget that is used; the rest covers retries that entries learn of late from each other.
-const USED_BUDGET_SHARE: f64 = 0.88;
-
-/// Share of a route's longest observed time limit above which an attempt counts as a first one. The limits of callers
-/// differ by up to 15 percent; an attempt that is repeated after a refusal has lost more time.
-const FIRST_ATTEMPT_SHARE: f64 = 0.84;
-
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -83,25 +77,6 @@
 /// Waiting request and the channel for its permit.
 type Waiter = (Requirements, oneshot::Sender<Permit>);
 
-/// Rates of one service's slots: those that become free and those that first attempts take.
-#[derive(Debug)]
-struct Rates {
-    freed: Rate,
-    taken: Rate,
-}
-
-impl Rates {
-    fn new(now: Duration) -> Self {
-        Self {
-            freed: Rate::new(now, rate::INITIAL_PER_SECOND),
-            taken: Rate::new(now, 0.0),
-        }
-    }
-}
-
-/// Permit and the channel to the request that gets it.
-type Served = (Permit, oneshot::Sender<Permit>);
-
 /// State of an entry.
 #[derive(Debug)]
 pub struct State {
@@ -120,7 +95,7 @@
     deadlines_moved: Notify,
     queues: RefCell<FxHashMap<Arc<str>, Queue<Waiter>>>,
     /// Slot rates by service.
-    rates: RefCell<FxHashMap<Arc<str>, Rates>>,
+    rates: RefCell<FxHashMap<Arc<str>, slots::Rates>>,
     budgets: RefCell<FxHashMap<Arc<str>, WindowBudget>>,
     has_read_rows: Cell<bool>,
     /// Era of the rows; `None` before the first read.
@@ -254,64 +229,6 @@
         action(&mut self.pool.borrow_mut())
     }
 
-    /// Sets the version that a model's servers should hold.
-    ///
-    /// # Arguments
-    /// `set_after` is a time after which it was set; `None` if it may have been set at any time.
-    pub fn set_target_version(
-        &self,
-        model: &str,
-        version: Version,
-        set_after: Option<Duration>,
-    ) -> Update {
-        let now = self.now();
-        let mut versions = self.versions.borrow_mut();
-        let update = versions.record_target(model, version, set_after, now);
-        self.wake_for_target(update);
-        update
-    }
-
-    /// Merges what another entry, or an agent, has sent of a target version. The datagram arrived after `arrived_after`.
-    pub fn merge_target(&self, target: &datagram::Target, arrived_after: Duration) -> Update {
-        let max_age = target
-            .max_age_ms
-            .map(|age_ms| Duration::from_millis(age_ms.into()) + datagram::MAX_TRANSIT);
-        // One that may be older than this process may have been set at any time.
-        let told = max_age.and_then(|max_age| arrived_after.checked_sub(max_age));
-        let (now, model) = (self.now(), &target.model);
-        // A newer one than the known ones was set after the rows were last known to be complete.
-        let is_new = self.target_version(model) < Some(target.version);
-        let set_after = told.max(self.with_rows(|rows| rows.complete_at()).filter(|_| is_new));
-        let mut versions = self.versions.borrow_mut();
-        let update = versions.merge_target(model, target.version, set_after, now);
-        self.wake_for_target(update);
-        update
-    }
-
-    fn wake_for_target(&self, update: Update) {
-        if update != Update::Unchanged {
-            self.move_deadlines();
-        }
-    }
-
-    /// Returns the bound of a target version's age in milliseconds; `None` if it may have been set at any time.
-    pub fn target_age_ms(&self, model: &str, version: Version) -> Option<u32> {
-        let versions = self.versions.borrow();
-        versions.told_age_ms(model, version, self.now())
-    }
-
-    /// Returns what to tell other entries of target versions that have changed within a time.
-    pub fn target_updates(&self, within: Duration) -> Vec<datagram::Target> {
-        let now = self.now();
-        let versions = self.versions.borrow();
-        versions.changed_since(now.saturating_sub(within), now)
-    }
-
-    /// Returns what to tell other entries of target versions that are not due.
-    pub fn pending_targets(&self) -> Vec<datagram::Target> {
-        self.versions.borrow().pending(self.now())
-    }
-
     /// Records another entry's beacon, which arrived after `arrived_after`. If that entry has the same rows, they are as
     /// complete as it knows.
     pub fn record_beacon(&self, beacon: Beacon, arrived_after: Duration) {
@@ -322,7 +239,12 @@
             }
         }
         let now = self.now();
+        let reaches_service = beacon.in_touch;
         self.with_peers(|peers| peers.record_beacon(beacon, now));
+        // An entry that makes no calls would not notice the end of an outage.
+        if reaches_service && !self.is_active() {
+            self.with_reachability(|store| store.record_success(now));
+        }
     }
 
     /// Makes requests compute again how long they wait; called when timers that were set before are too late.
@@ -335,31 +257,6 @@
         self.deadlines_moved.notified()
     }
 
-    /// Returns the version that a model's servers should hold; `None` if none was set.
-    pub fn target_version(&self, model: &str) -> Option<Version> {
-        self.versions.borrow().target(model)
-    }
-
-    /// Returns the oldest version of a model that may begin a request now; `None` if any may.
-    pub fn min_version(&self, model: &str) -> Option<Version> {
-        self.versions.borrow().minimum(model, self.now())
-    }
-
-    /// Returns whether a server that is believed to hold a version must not run a request on another one.
-    ///
-    /// While older versions are allowed and the server has to load, it may be further than its record says.
-    pub fn is_version_required(&self, model: &str, held: Version) -> bool {
-        let is_newest = self.target_version(model) == Some(held);
-        is_newest || self.min_version(model).is_some()
-    }
-
-    /// Returns how long a request that has not begun may still begin on version `held`; `None` if no newer one is
-    /// known.
-    pub fn time_to_begin(&self, model: &str, held: Version) -> Option<Duration> {
-        let versions = self.versions.borrow();
-        versions.time_to_begin(model, held, self.now())
-    }
-
     /// Applies the notice of a server's agent.
     pub fn apply_notice(self: &Rc<Self>, notice: &Notice) {
         let now = self.now();
@@ -368,34 +265,6 @@
         self.serve_queues();
     }
 
-    /// Records a caller's time limit and returns whether the request is a first attempt. First attempts carry about the
-    /// longest time limit of their route; retries have less time left.
-    pub fn record_time_limit(&self, route: &Arc<str>, limit: Duration) -> bool {
-        let mut longest_limits = self.longest_limits.borrow_mut();
-        let longest_limit = longest_limits.entry(Arc::clone(route)).or_default();
-        *longest_limit = limit.max(*longest_limit);
-        limit >= longest_limit.mul_f64(FIRST_ATTEMPT_SHARE)
-    }
-
-    /// Counts a caller's request, which adds to the retry budget of its service.
-    pub fn count_request(&self, service: &Arc<str>) {
-        let now = self.now();
-        self.with_budget(service, |budget| budget.record_attempt(now));
-    }
-
-    /// Records whether rows that were read contain the entry's own row. Only the first rows that a process reads count.
-    ///
-    /// If they do, this process replaces one that may have used the entry's part of the slack just before it ended. Until
-    /// that is out of the window, only the share of the process's own requests may be spent.
-    pub fn record_rows(&self, have_own_row: bool) {
-        let is_first = !self.has_read_rows.replace(true);
-        if is_first && have_own_row {
-            let window = self.options.retry_window;
-            self.slack_from.set(self.now() + window);
-            log::info!(window_ms = window.as_millis() as u64; "retry slack withheld after a restart");
-        }
-    }
-
     /// Records the era of rows that were read, and returns whether the key-value service has come back from an earlier
     /// copy since the last ones.
     pub fn record_era(&self, era: u64) -> bool {
@@ -409,177 +278,6 @@
         is_restored
     }
 
-    /// Takes one retry from the budget of a service; returns `false` if it is used up.
-    pub fn take_retry(&self, service: &Arc<str>) -> bool {
-        let now = self.now();
-        let share = self.options.retry_share * USED_BUDGET_SHARE;
-        let slack = if now < self.slack_from.get() {
-            0.0
-        } else {
-            self.options.retry_slack * USED_BUDGET_SHARE / self.peers.borrow().count() as f64
-        };
-        self.with_budget(service, |budget| budget.try_spend(share, slack, now))
-    }
-
-    fn with_budget<T>(&self, service: &Arc<str>, action: impl FnOnce(&mut WindowBudget) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(Arc::clone(service))
-            .or_insert_with(|| WindowBudget::new(self.options.retry_window));
-        action(budget)
-    }
-
-    /// Reserves a slot at the best server; returns `None` if no usable server has a free slot.
-    pub fn reserve(self: &Rc<Self>, requirements: &Requirements) -> Option<Permit> {
-        let mut pool = self.pool.borrow_mut();
-        let choice = self.choose(&mut pool, requirements)?;
-        pool.start_request(&choice.record.id, requirements.prompt_tokens);
-        pool.record_assignment(&choice);
-        drop(pool);
-        if !requirements.is_late {
-            self.with_rates(&requirements.service, |rates, now| rates.taken.count(now));
-        }
-        Some(Permit {
-            choice,
-            service: Arc::clone(&requirements.service),
-            unread_prompt_tokens: Cell::new(requirements.prompt_tokens),
-            sent: RefCell::default(),
-            is_framed: Cell::new(true),
-            state: Rc::clone(self),
-        })
-    }
-
-    /// Returns the number of waiting requests that would be served before one of this rank.
-    pub fn count_ahead(&self, service: &Arc<str>, rank: Rank) -> usize {
-        let queues = self.queues.borrow();
-        queues
-            .get(service)
-            .map_or(0, |queue| queue.ahead(rank).count())
-    }
-
-    /// Returns whether a request of this rank may take a free slot before the waiting ones. Those that were sent to a
-    /// server before can't use the slots there, and have been offered all others.
-    pub fn is_next(&self, service: &Arc<str>, rank: Rank) -> bool {
-        let queues = self.queues.borrow();
-        queues.get(service).is_none_or(|queue| {
-            let mut ahead = queue.ahead(rank);
-            ahead.all(|(requirements, _)| !requirements.tried.is_empty())
-        })
-    }
-
-    /// Adds a request to the queue of its service; the receiver gets its permit.
-    pub fn enqueue(
-        &self,
-        requirements: Requirements,
-        rank: Rank,
-    ) -> (Position, oneshot::Receiver<Permit>) {
-        let (sender, receiver) = oneshot::channel();
-        let mut queues = self.queues.borrow_mut();
-        let queue = queues.entry(Arc::clone(&requirements.service)).or_default();
-        (queue.push(rank, (requirements, sender)), receiver)
-    }
-
-    /// Removes a request from the queue of a service.
-    pub fn leave_queue(&self, service: &Arc<str>, position: Position) {
-        if let Some(queue) = self.queues.borrow_mut().get_mut(service) {
-            queue.remove(position);
-        }
-    }
-
-    /// Gives the free slots of a service to its waiting requests.
-    ///
-    /// # Arguments
-    /// `freed` is the server at which this entry has just freed a slot, if any.
-    pub fn serve_queue(self: &Rc<Self>, service: &Arc<str>, freed: Option<&Arc<str>>) {
-        while let Some((permit, sender)) = self.permit_next(service, freed) {
-            // If the receiver is gone, the returned permit is dropped, which frees the slot.
-            drop(sender.send(permit));
-        }
-    }
-
-    /// Reserves a slot for the next waiting request of a service and removes the request from the queue.
-    fn permit_next(
-        self: &Rc<Self>,
-        service: &Arc<str>,
-        freed: Option<&Arc<str>>,
-    ) -> Option<Served> {
-        let (position, permit) = self.reserve_next(service, freed)?;
-        let mut queues = self.queues.borrow_mut();
-        let (_, sender) = queues.get_mut(service)?.remove(position)?;
-        Some((permit, sender))
-    }
-
-    /// Reserves a slot for the first waiting request that can use one. Requests that were sent to a server before, and
-    /// have to wait for another one, don't hold up those behind them.
-    fn reserve_next(
-        self: &Rc<Self>,
-        service: &Arc<str>,
-        freed: Option<&Arc<str>>,
-    ) -> Option<(Position, Permit)> {
-        let queues = self.queues.borrow();
-        for (position, (requirements, _)) in queues.get(service)?.iter() {
-            let mut requirements = Requirements {
-                freed_server: freed.cloned(),
-                ..requirements.clone()
-            };
-            // A target may have become due, or may have been set, during the wait.
-            self.update_versions(&mut requirements);
-            if let Some(permit) = self.reserve(&requirements) {
-                return Some((position, permit));
-            }
-            if requirements.tried.is_empty() {
-                break;
-            }
-        }
-        None
-    }
-
-    /// Sets the versions that a server has to hold now.
-    pub fn update_versions(&self, requirements: &mut Requirements) {
-        let versions = self.versions.borrow();
-        let model = requirements.model.as_deref();
-        requirements.target_version = model.and_then(|model| versions.target(model));
-        requirements.min_version = model.and_then(|model| versions.minimum(model, self.now()));
-    }
-
-    /// Gives free slots to the waiting requests of all services.
-    pub fn serve_queues(self: &Rc<Self>) {
-        let queues = self.queues.borrow();
-        let waiting = queues.iter().filter(|(_, queue)| !queue.is_empty());
-        let services: Vec<Arc<str>> = waiting.map(|(service, _)| Arc::clone(service)).collect();
-        drop(queues);
-        for service in &services {
-            self.serve_queue(service, None);
-        }
-    }
-
-    /// Returns the slot rates of a service.
-    pub fn slot_rates(&self, service: &str) -> SlotRates {
-        let rates = self.rates.borrow();
-        rates.get(service).map_or(
-            SlotRates {
-                freed_per_second: rate::INITIAL_PER_SECOND,
-                first_attempts_per_second: 0.0,
-            },
-            |rates| SlotRates {
-                freed_per_second: rates.freed.per_second(),
-                first_attempts_per_second: rates.taken.decayed_per_second(self.now()),
-            },
-        )
-    }
-
-    /// Counts a slot of a service that has become free.
-    pub(crate) fn count_freed(&self, service: &Arc<str>) {
-        self.with_rates(service, |rates, now| rates.freed.count(now));
-    }
-
-    fn with_rates(&self, service: &Arc<str>, action: impl FnOnce(&mut Rates, Duration)) {
-        let now = self.now();
-        let mut rates = self.rates.borrow_mut();
-        let rates = rates.entry(Arc::clone(service));
-        action(rates.or_insert_with(|| Rates::new(now)), now);
-    }
-
     /// Calls `action` with the reachability of the key-value service.
     pub fn with_reachability<T>(&self, action: impl FnOnce(&mut Reachability) -> T) -> T {
         action(&mut self.reachability.borrow_mut())
@@ -614,6 +312,7 @@
         let peers = self.peers.borrow();
         let (count, work) = (peers.count() as u32 - 1, peers.work(now));
         drop(peers);
+        self.record_service(now);
         let removed = self.with_pool(|pool| {
             pool.set_peer_work(count, &work);
             pool.put_confirmed(now);
@@ -685,51 +384,6 @@
             entries: peers.addresses().chain([self.options.internal]).collect(),
         })
     }
-
-    /// Returns the state for a debug dump, without callers' content.
-    pub fn dump(&self) -> serde_json::Value {
-        let pool = self.pool.borrow();
-        let servers = pool.servers().map(|server| {
-            let record = server.record();
-            serde_json::json!({
-                "id": &*record.id,
-                "service": &*record.service,
-                "leaving": server.is_leaving(),
-                "backoff_ms": server.backoff_left(self.now()).map(|left| left.as_millis() as u64),
-                "limit": server.limit(),
-                "calls": server.own_work().calls,
-            })
-        });
-        let suspects = self.suspects.borrow();
-        let suspects = suspects.iter().map(|(content, crashes)| {
-            serde_json::json!({
-                "content": content.short().to_string(),
-                "crashes": crashes,
-            })
-        });
-        let attribution = self.attribution.borrow();
-        let parts = attribution.named().map(|(part, moments)| {
-            serde_json::json!({
-                "part": hex(part),
-                "moments": moments,
-                "reruns": attribution.reruns(part),
-            })
-        });
-        let (crashes, crash_parts) = attribution.size();
-        let position = self.rows.borrow().position();
-        serde_json::json!({
-            "era": position.era,
-            "revision": position.revision,
-            "configuration": self.config().map(|config| config.version()),
-            "servers": servers.collect::<Vec<_>>(),
-            "entries": self.peers.borrow().count(),
-            "open": self.open_count.get(),
-            "suspects": suspects.collect::<Vec<_>>(),
-            "parts": parts.collect::<Vec<_>>(),
-            "crashes": crashes,
-            "crash_parts": crash_parts,
-        })
-    }
 }
 
 /// Returns the engine of a service; `None` for plain or unknown services.
