Count the time for a target version anew after an outage of the store

Callers were refused for up to ten seconds around outages of the store: entries excluded all servers a fixed time after an announcement, although that time counts only while the store is undisturbed. An entry now concludes an outage from its own failed calls and the beacons of a majority of the entries, and counts the time of targets that were not due anew.

--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod losses;
 pub mod metrics;
 pub mod names;
+pub mod outage;
 pub mod peers;
 pub mod permit;
 pub mod pool;
--- a/crates/pistachiolug_gateway/src/peers.rs
+++ b/crates/pistachiolug_gateway/src/peers.rs
@@ -9,6 +9,8 @@
 };
 use rustc_hash::FxHashMap;
 
+use crate::outage;
+
 /// Age of a beacon from which the load in it is ignored; several beacons were missed by then.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
 
@@ -182,6 +184,24 @@
         !is_alone && alive.all(|(name, _)| Key::of(name).score(object) < own)
     }
 
+    /// Returns what this entry and the others that it hears see of the key-value service.
+    ///
+    /// # Arguments
+    /// `fails` is whether this entry's own calls fail.
+    pub fn service_view(&self, fails: bool, now: Duration) -> outage::View {
+        let heard = self.by_name.values();
+        let heard = heard.filter(|peer| peer.is_heard_within(MAX_FOLLOWER_AGE, now));
+        let reaching = heard.clone().filter(|peer| peer.is_store_reachable);
+        let members = self.by_name.values();
+        let members = members.filter(|peer| peer.is_heard_within(MAX_MEMBER_AGE, now));
+        outage::View {
+            fails,
+            heard: heard.count(),
+            reaching: reaching.count(),
+            members: members.count(),
+        }
+    }
+
     /// Returns the coordinator of a limited server: the first in an order that all entries compute.
     pub fn coordinator(&self, server: u64, now: Duration) -> Coordinator {
         let object = Key::of(&format!("{server:016x}"));
--- a/crates/pistachiolug_gateway/src/reachability.rs
+++ b/crates/pistachiolug_gateway/src/reachability.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use pistachiolug_platform::kv;
+
 /// Time for which servers that disappeared while the service was unreachable are still used. Live servers are in the
 /// list again within two seconds of its recovery.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2500);
@@ -14,6 +16,8 @@
 pub struct Reachability {
     /// When the service stopped answering; `None` while it answers.
     unreachable_since: Option<Duration>,
+    /// Whether the last call was refused because there were too many calls, which is no fault of the service.
+    is_throttled: bool,
     /// When the service last answered again after an outage, or was found to have come back from an earlier copy.
     recovered_at: Option<Duration>,
 }
@@ -24,8 +28,14 @@
         self.unreachable_since.is_none()
     }
 
+    /// Returns whether the last call failed for another reason than the rate of calls.
+    pub fn fails(&self) -> bool {
+        !self.is_reachable() && !self.is_throttled
+    }
+
     /// Records that the key-value service answered.
     pub fn record_success(&mut self, now: Duration) {
+        self.is_throttled = false;
         if let Some(since) = self.unreachable_since.take() {
             let away_ms = now.saturating_sub(since).as_millis() as u64;
             log::info!(away_ms; "key-value service reachable again");
@@ -38,10 +48,11 @@
         self.recovered_at = Some(now);
     }
 
-    /// Records that the service did not answer.
-    pub fn record_failure(&mut self, reason: &str, now: Duration) {
+    /// Records that the service did not answer, or refused a call.
+    pub fn record_failure(&mut self, error: &kv::Error, now: Duration) {
+        self.is_throttled = matches!(error, kv::Error::Throttled { .. });
         if self.unreachable_since.is_none() {
-            log::warn!(reason; "key-value service unreachable");
+            log::warn!(error:%; "key-value service unreachable");
             self.unreachable_since = Some(now);
         }
     }
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -14,6 +14,10 @@
     upstream::{self, Connection, Failure},
 };
 
+/// Bound of the time until a request arrives, as a multiple of the time to open its connection. On links on which weights
+/// filled the queue, requests arrived up to some seconds after a connection that took some hundred milliseconds.
+const TRANSFER_TIME_PER_CONNECT_TIME: u32 = 10;
+
 /// Outcome of one attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -80,8 +84,8 @@
     // `None` until the request is sent.
     let sent_at = Rc::new(Cell::new(None));
     // Built once the connection is open: until then the time left, or the oldest version allowed, may change.
-    let build = || {
-        let may_send = permit.may_send() && has_allowed_version(state, call, permit);
+    let build = |connect_time| {
+        let may_send = permit.may_send() && has_allowed_version(state, call, permit, connect_time);
         sent_at.set(may_send.then(|| state.now()));
         may_send.then(|| call.build_request(state, permit, last_event))
     };
@@ -133,11 +137,25 @@
     Outcome::Answer(response, connection)
 }
 
-fn has_allowed_version(state: &State, call: &Call, permit: &Permit) -> bool {
+/// Returns whether the server's version may begin the request when it arrives.
+///
+/// # Arguments
+/// `connect_time` is how long opening the connection took. Behind a narrow link it is long, and the request may lie there for
+/// a multiple of it, so that it would begin after the version's time.
+fn has_allowed_version(
+    state: &State,
+    call: &Call,
+    permit: &Permit,
+    connect_time: Duration,
+) -> bool {
     let Some(model) = call.model.as_deref() else {
         return true;
     };
-    permit.choice.record.version(model) >= state.min_version(model)
+    let held = permit.choice.record.version(model);
+    let time_to_begin = held.and_then(|held| state.time_to_begin(model, held));
+    let arrives_in_time = time_to_begin
+        .is_none_or(|time_to_begin| time_to_begin >= connect_time * TRANSFER_TIME_PER_CONNECT_TIME);
+    arrives_in_time && held >= state.min_version(model)
 }
 
 /// Returns whether an answer is that of the server to the attempt `id`; anything else may come from something that is not
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -237,7 +237,7 @@
                 .with_reachability(|store| store.record_success(now)),
             Err(error) => self
                 .state
-                .with_reachability(|store| store.record_failure(&error.to_string(), now)),
+                .with_reachability(|store| store.record_failure(error, now)),
         }
     }
 }
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -12,7 +12,7 @@
 use tokio::{
     net::TcpStream,
     task::{JoinHandle, spawn_local},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 use crate::head_limit::{Allowance, Limited};
@@ -92,7 +92,7 @@
 /// Sends a request and waits for the head of its answer.
 ///
 /// # Arguments
-/// `build` is called once the connection is open; it returns `None` if the request may not be sent any more. `on_late` gets
+/// `build` is called once the connection is open, with the time that this took; it returns `None` if the request may not be sent any more. `on_late` gets
 /// an answer that arrives shortly after the returned future was dropped: what a server says of itself counts even if nobody
 /// waits for the answer.
 ///
@@ -100,14 +100,16 @@
 /// [`Failure`], which tells whether the request may have run.
 pub async fn exchange(
     address: SocketAddr,
-    build: impl FnOnce() -> Option<Request<Full<Bytes>>>,
+    build: impl FnOnce(Duration) -> Option<Request<Full<Bytes>>>,
     on_late: impl FnOnce(&Response<Incoming>) + 'static,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
+    let asked_at = Instant::now();
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(Failure::Unsent(error.to_string())),
         Err(_) => return Err(Failure::Unsent("connection timed out".to_owned())),
     };
+    let connect_time = asked_at.elapsed();
     if let Err(error) = stream.set_nodelay(true) {
         return Err(Failure::Unsent(error.to_string()));
     }
@@ -124,7 +126,7 @@
         }
     });
     let connection = Connection { task };
-    let request = build().ok_or(Failure::Withheld)?;
+    let request = build(connect_time).ok_or(Failure::Withheld)?;
     let sending = Box::pin(async move { sender.send_request(request).await });
     let mut pending = Pending {
         parts: Some((sending, connection, on_late)),
--- a/crates/pistachiolug_gateway/src/versions.rs
+++ b/crates/pistachiolug_gateway/src/versions.rs
@@ -9,7 +9,10 @@
 use pistachiolug_wire::datagram;
 use rustc_hash::FxHashMap;
 
-use crate::server::Version;
+use crate::{
+    outage::{self, Disturbances},
+    server::Version,
+};
 
 /// Time before a target is due from which older versions are already excluded. A request may wait at its server, and a server
 /// may be silent for a second and begin what it has only then.
@@ -34,6 +37,8 @@
     startup_grace: Duration,
     /// Targets by model in ascending order, at most [`MAX_TARGETS`] each.
     targets: FxHashMap<String, Vec<Target>>,
+    /// Disturbances of the key-value service, after which the time allowed for a target that was not due counts anew.
+    disturbances: Disturbances,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -66,9 +71,15 @@
             grace,
             startup_grace,
             targets: FxHashMap::default(),
+            disturbances: Disturbances::default(),
         }
     }
 
+    /// Records what the entry sees of the key-value service now, and returns what has changed.
+    pub fn record_service(&mut self, view: &outage::View, now: Duration) -> Option<outage::Change> {
+        self.disturbances.record(view, now)
+    }
+
     /// Records the version that a model's servers should hold; a version older than the newest known one is ignored.
     ///
     /// # Arguments
@@ -212,11 +223,13 @@
         Some(due.saturating_sub(now + WITHDRAW_MARGIN))
     }
 
-    /// Returns when no older version may begin a request any more.
+    /// Returns when no older version may begin a request any more. A target that may have been set at any time may have been
+    /// due before the disturbances that are known.
     fn due(&self, target: &Target) -> Duration {
-        target
-            .set_after
-            .map_or(self.startup_grace, |set_after| set_after + self.grace)
+        target.set_after.map_or(self.startup_grace, |set_after| {
+            let due = set_after + self.grace;
+            self.disturbances.postpone(due, self.grace)
+        })
     }
 }
 
--- a/crates/pistachiolug_gateway/tests/backoff.rs
+++ b/crates/pistachiolug_gateway/tests/backoff.rs
@@ -345,7 +345,7 @@
 fn nothing_is_sent_if_a_backoff_begins_while_the_connection_is_opened() {
     run(async {
         let server = Server::start(Vec::new()).await;
-        let result = upstream::exchange(server.address, || None, |_| {}).await;
+        let result = upstream::exchange(server.address, |_| None, |_| {}).await;
         sleep(Duration::from_millis(50)).await;
 
         assert!(matches!(result, Err(Failure::Withheld)), "{result:?}");
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -10,6 +10,7 @@
     config::{Config, Kind},
     state::{Options, State},
 };
+use pistachiolug_platform::kv;
 use pistachiolug_wire::{
     datagram::{Beacon, Work},
     position::Position,
@@ -84,9 +85,13 @@
 fn servers_that_disappear_together_or_around_an_outage_are_kept() {
     let calm = state(options());
     let away = state(options());
-    away.with_reachability(|store| store.record_failure("gone", away.now()));
+    away.with_reachability(|store| {
+        store.record_failure(&kv::Error::unavailable("gone"), away.now())
+    });
     let back = state(options());
-    back.with_reachability(|store| store.record_failure("gone", back.now()));
+    back.with_reachability(|store| {
+        store.record_failure(&kv::Error::unavailable("gone"), back.now())
+    });
     back.with_reachability(|store| store.record_success(back.now()));
 
     let removal = |state: &State, dropped| {
