--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -301,6 +301,8 @@
             position: rows.position(),
             rows_age_ms: rows_age.map(versions::millis),
             work: self.pool.borrow().own_work(),
+            shortages: Vec::new(),
+            paces: Vec::new(),
         };
         (beacon, peers.beacon_targets(round).collect())
     }
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -144,6 +144,8 @@
         position: Position::without_era(1),
         rows_age_ms: None,
         work: Vec::<(u32, Work)>::new(),
+        shortages: Vec::new(),
+        paces: Vec::new(),
     };
     for name in ["entry-2", "entry-3", "entry-4"] {
         record_beacon(&state, peer(name));
@@ -170,6 +172,8 @@
         position: Position::without_era(revision),
         rows_age_ms: None,
         work: Vec::new(),
+        shortages: Vec::new(),
+        paces: Vec::new(),
     };
 
     assert_eq!(state.newer_peer(), None);
@@ -205,6 +209,8 @@
                     position: Position::without_era(1),
                     rows_age_ms: None,
                     work: Vec::new(),
+                    shortages: Vec::new(),
+                    paces: Vec::new(),
                 },
             );
         }
@@ -246,6 +252,8 @@
             position: Position::without_era(1),
             rows_age_ms: None,
             work: Vec::new(),
+            shortages: Vec::new(),
+            paces: Vec::new(),
         };
         record_beacon(&state, beacon);
     }
--- a/crates/pistachiolug_gateway/tests/limit_coordination.rs
+++ b/crates/pistachiolug_gateway/tests/limit_coordination.rs
@@ -213,6 +213,8 @@
             position: Position::default(),
             rows_age_ms: None,
             work: Vec::new(),
+            shortages: Vec::new(),
+            paces: Vec::new(),
         };
         let is_far_round = self.now.as_millis().is_multiple_of(4 * ROUND.as_millis());
         for to in 0..self.entries.len() {
--- a/crates/pistachiolug_gateway/tests/malformed.rs
+++ b/crates/pistachiolug_gateway/tests/malformed.rs
@@ -80,6 +80,8 @@
                 prompt: edge_u32(random),
             },
         )],
+        shortages: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/pistachiolug_gateway/tests/outage.rs
+++ b/crates/pistachiolug_gateway/tests/outage.rs
@@ -210,6 +210,8 @@
         position: Position::new(1, 1),
         rows_age_ms: None,
         work: Vec::new(),
+        shortages: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/pistachiolug_gateway/tests/restored_list.rs
+++ b/crates/pistachiolug_gateway/tests/restored_list.rs
@@ -205,6 +205,8 @@
         position: AFTER,
         rows_age_ms: None,
         work: Vec::new(),
+        shortages: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/pistachiolug_gateway/tests/spread.rs
+++ b/crates/pistachiolug_gateway/tests/spread.rs
@@ -87,6 +87,8 @@
         position: support::POSITION,
         rows_age_ms: None,
         work: Vec::new(),
+        shortages: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/pistachiolug_wire/src/datagram.rs
+++ b/crates/pistachiolug_wire/src/datagram.rs
@@ -37,6 +37,22 @@
     pub rows_age_ms: Option<u32>,
     /// Work by the short hash of the id of the backend server; servers without work are left out.
     pub work: Vec<(u32, Work)>,
+    /// Services at which requests were short of slots lately; others are left out.
+    pub shortages: Vec<Shortage>,
+    /// Pace in sixteenths by the short hash of the id of the backend server, 16 being the usual one; servers near it are left
+    /// out.
+    pub paces: Vec<(u32, u8)>,
+}
+
+/// Requests of one entry to one service that waited for a slot, or were refused for lack of one, within the last second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shortage {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Priority of the most urgent of them; 0 is served first.
+    pub priority: u8,
+    /// Number of those with this priority.
+    pub count: u16,
 }
 
 /// Notice of an agent about the model engine next to it, sent because the instance list of the platform lags.
