Serve requests in allowed regions only, and empty evacuated zones

Routes and workspaces may list the regions in which their requests may be served, and operators evacuate availability zones by rows. Zones are now part of what a request requires of a server, asked at the choice, when a slot becomes free, and before the bytes are sent. What no listed server may take is refused at once.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -51,10 +51,14 @@
     }
     let servable = state.with_pool(|pool| pool.can_serve(&requirements, state.now()));
     let reopens_in = state.with_pool(|pool| pool.time_to_reopening(&requirements, state.now()));
-    let limit = state.with_pool(|pool| pool.total_limit(&requirements));
+    let limit = state.with_pool(|pool| pool.total_limit(&requirements, state.now()));
     let request = admission_request(call, ahead, reopens_in, limit);
     let rates = state.slot_rates(&call.service);
-    let decision = if servable || reopens_in.is_some() || tried.is_empty() {
+    let is_placeable = !requirements.zones.is_limited()
+        || state.with_pool(|pool| pool.is_placeable(&requirements));
+    let decision = if !is_placeable {
+        Decision::Refuse
+    } else if servable || reopens_in.is_some() || tried.is_empty() {
         admission::decide(&request, &rates)
     } else {
         Decision::Refuse
@@ -62,7 +66,7 @@
     let reopens_in_ms = reopens_in.map(|reopens_in| reopens_in.as_millis() as u64);
     let (places, fresh_places) = (rates.freed_per_second, rates.first_attempts_per_second);
     let Decision::Wait(max_wait) = decision else {
-        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable, reopens_in_ms:?, limit:?; "no slot expected in time");
+        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable, is_placeable, reopens_in_ms:?, limit:?; "no slot expected in time");
         return Err(refusal_reason(servable, reopens_in, limit));
     };
     let (position, receiver) = state.enqueue(requirements, rank);
@@ -133,7 +137,7 @@
 /// Returns the reason for which no server takes the request, if all that could are in a backoff or have limits.
 pub fn closed_reason(state: &State, call: &Call, tried: &[Arc<str>]) -> Reason {
     let requirements = call.requirements(state, tried);
-    match state.with_pool(|pool| pool.total_limit(&requirements)) {
+    match state.with_pool(|pool| pool.total_limit(&requirements, state.now())) {
         Some(_) => Reason::Limited,
         None => Reason::Backoff,
     }
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -3,16 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, request};
+use http::{Request, header, request};
 use http_body_util::Full;
 use pistachiolug_wire::digest::Digest;
 use tokio::time::Instant;
 
 use crate::{
-    config::{Authorized, Kind},
+    config::{Authorized, Config, Kind},
     deadline::{self, Passed},
     fingerprint::Fingerprint,
     headers::{self, Outgoing, Tokens},
+    names::Names,
     permit::{OpenRequest, Permit},
     pool::Requirements,
     prefix::Prefix,
@@ -41,6 +42,8 @@
     pub fingerprint: Fingerprint,
     /// Route and workspace.
     pub authorized: Authorized,
+    /// Version of the configuration that they are from.
+    pub config_version: u64,
     /// Service that was picked among the route's targets.
     pub service: Arc<str>,
     /// Model; `None` for requests to plain services.
@@ -91,17 +94,27 @@
             service: Arc::clone(&self.service),
             target_version: None,
             min_version: None,
+            min_version_behind_congestion: None,
             model: self.model.clone(),
             prompt_tokens: self.tokens.prompt,
             tried: tried.to_vec(),
             is_late: !self.is_first_attempt,
             priority: self.authorized.priority(),
+            zones: state.zones(self),
             freed_server: None,
         };
         state.update_versions(&mut requirements);
         requirements
     }
 
+    /// Returns the route and workspace of the request in a configuration; `None` if it does not allow the request.
+    pub fn authorize(&self, config: &Config, names: &Names) -> Option<Authorized> {
+        let host = headers::text(&self.head.headers, &header::HOST).or(self.head.uri.host());
+        let key = headers::text(&self.head.headers, &names.key);
+        let authorized = config.authorize(host.unwrap_or_default(), self.head.uri.path(), key);
+        authorized.ok()
+    }
+
     /// Returns whether the answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.authorized.route.kind == Kind::Stream
--- a/crates/pistachiolug_gateway/src/config.rs
+++ b/crates/pistachiolug_gateway/src/config.rs
@@ -5,6 +5,8 @@
 use rand::{Rng, RngExt};
 use rustc_hash::FxHashMap;
 
+use crate::placement::Regions;
+
 /// How often a request may run, and the form of its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -52,6 +54,8 @@
     pub anonymous: bool,
     /// Whether a stream that broke off may be resumed at another server.
     pub resumable: bool,
+    /// Regions in which requests may be served.
+    pub regions: Regions,
 }
 
 impl Route {
@@ -133,6 +137,8 @@
     pub name: Arc<str>,
     /// Priority that overrides the route's; 0 is served first.
     pub priority: Option<u8>,
+    /// Regions in which requests may be served.
+    pub regions: Regions,
 }
 
 /// Limits on what callers send.
@@ -185,6 +191,16 @@
         let own = workspace.and_then(|workspace| workspace.priority);
         own.unwrap_or(self.route.priority)
     }
+
+    /// Returns the regions in which the request may be served; those of the route and of the workspace both bind.
+    pub fn regions(&self) -> Regions {
+        let route = &self.route.regions;
+        let workspace = self.workspace.as_ref();
+        workspace.map_or_else(
+            || route.clone(),
+            |workspace| route.intersect(&workspace.regions),
+        )
+    }
 }
 
 /// Parts that a configuration is built from.
--- a/crates/pistachiolug_gateway/src/decoder.rs
+++ b/crates/pistachiolug_gateway/src/decoder.rs
@@ -23,6 +23,11 @@
         /// Version of its weights.
         version: Version,
     },
+    /// Order to evacuate an availability zone.
+    Evacuation {
+        /// Name of the zone.
+        zone: String,
+    },
     /// Entry.
     Entry {
         /// Name of the entry.
@@ -50,6 +55,8 @@
     Server(String),
     /// Row of an entry.
     Entry(String),
+    /// Order to evacuate an availability zone.
+    Evacuation(String),
     /// Row of a part of prompts that crashed servers, by its hash.
     Culprit(u64),
     /// Any other row.
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry.
 
 use pistachiolug_kernel::metric::{Counters, Error, LibrarySnafu};
-use prometheus::{Histogram, HistogramOpts, IntCounter, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge, Registry};
 use snafu::ResultExt;
 
 use crate::{losses::Verdict, reply::Reason};
@@ -59,6 +59,8 @@
     pub servers_withdrawn: Counters,
     /// Headers of servers' answers that this version does not know.
     pub unknown_headers: IntCounter,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: IntGauge,
     /// Seconds from a request's arrival to the head of a server's answer.
     pub head_seconds: Histogram,
     /// Seconds from a request's arrival to its stream's first event.
@@ -145,6 +147,11 @@
                 "pistachiolug_gateway_unknown_headers_total",
                 "Names of unknown headers in answers of servers.",
             )?,
+            evacuated_zones: gauge(
+                registry,
+                "pistachiolug_gateway_evacuated_zones",
+                "Availability zones whose servers get no requests, by operators' orders.",
+            )?,
             head_seconds: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_event_seconds: histogram(
                 registry,
@@ -156,6 +163,14 @@
     }
 }
 
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
+    let gauge = IntGauge::new(name, help).context(LibrarySnafu)?;
+    registry
+        .register(Box::new(gauge.clone()))
+        .context(LibrarySnafu)?;
+    Ok(gauge)
+}
+
 fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
     let counter = IntCounter::new(name, help).context(LibrarySnafu)?;
     let registered = registry.register(Box::new(counter.clone()));
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -53,6 +53,19 @@
         self.state.with_pool(|pool| pool.record_data(id));
     }
 
+    /// Records how long opening a connection to the server took.
+    pub fn record_connect(&self, connect_time: Duration) {
+        let (id, now) = (&self.choice.record.id, self.state.now());
+        self.state
+            .with_pool(|pool| pool.record_connect(id, connect_time, now));
+    }
+
+    /// Returns whether requests to the server may wait on its link.
+    pub fn is_link_congested(&self) -> bool {
+        let (id, now) = (&self.choice.record.id, self.state.now());
+        self.state.with_pool(|pool| pool.is_link_congested(id, now))
+    }
+
     /// Records whether the answer has a length or chunks. Another one ends with its connection, as it does if the server
     /// crashes.
     pub fn record_framing(&self, is_framed: bool) {
@@ -151,8 +164,10 @@
     fn is_reusable(&self) -> bool {
         let now = self.state.now();
         let record = &self.choice.record;
-        self.state
-            .with_pool(|pool| pool.may_send(record, now) && !pool.has_limit(record))
+        !self.state.is_evacuated(&record.zone)
+            && self
+                .state
+                .with_pool(|pool| pool.may_send(record, now) && !pool.has_limit(record))
     }
 
     /// Records that the server is not the expected one, or does not hold the expected version.
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     config::Engine,
+    placement::Zones,
     selection::{self, Candidate},
     server::{Record, Version, hash_id},
     statement::Statement,
@@ -67,6 +68,8 @@
     pub model: Option<Arc<str>>,
     /// Oldest version of the model that may begin the request; `None` if any version may.
     pub min_version: Option<Version>,
+    /// The same for servers behind congested links.
+    pub min_version_behind_congestion: Option<Version>,
     /// Version that the model's servers should hold. Servers that hold it are preferred because they need not load
     /// soon.
     pub target_version: Option<Version>,
@@ -79,6 +82,8 @@
     pub is_late: bool,
     /// Priority of the request; 0 is served first.
     pub priority: u8,
+    /// Availability zones whose servers may get the request.
+    pub zones: Zones,
     /// Server at which this entry has just freed a slot. At this server the request may also use the reserved slots.
     pub freed_server: Option<Arc<str>>,
 }
@@ -161,6 +166,14 @@
         ids.any(|id| self.servers[id].is_usable(requirements, now))
     }
 
+    /// Returns whether the list names a server of the service in the zones that the request may use.
+    pub fn is_placeable(&self, requirements: &Requirements) -> bool {
+        let ids = self.services.get(&requirements.service);
+        let mut servers = ids.into_iter().flatten().map(|id| &self.servers[id]);
+        servers
+            .any(|server| !server.is_leaving() && requirements.zones.contains(&server.record.zone))
+    }
+
     /// Returns whether a request may still be sent to the server that was chosen for it, whatever the server's limit is.
     pub fn may_send(&self, record: &Record, now: Duration) -> bool {
         let statement = self.statement(record);
@@ -206,6 +219,19 @@
         }
     }
 
+    /// Records how long opening a connection to a server took.
+    pub fn record_connect(&mut self, id: &str, connect_time: Duration, now: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.link.record_connect(connect_time, now);
+        }
+    }
+
+    /// Returns whether requests to a server may wait on its link.
+    pub fn is_link_congested(&self, id: &str, now: Duration) -> bool {
+        let server = self.servers.get(id);
+        server.is_some_and(|server| server.link.is_congested(now))
+    }
+
     /// Records that a server answered a request; after a backoff it gets more than one at a time again.
     pub fn record_reopening(&mut self, choice: &Choice) {
         let server = self.servers.get_mut(&choice.record.id);
--- a/crates/pistachiolug_gateway/src/pool/limits.rs
+++ b/crates/pistachiolug_gateway/src/pool/limits.rs
@@ -118,7 +118,7 @@
     ) -> Option<Duration> {
         let ids = self.services.get(&requirements.service)?;
         let servers = ids.iter().map(|id| &self.servers[id]);
-        let servers = servers.filter(|server| server.meets(requirements));
+        let servers = servers.filter(|server| server.meets(requirements, now));
         let left = servers.map(|server| server.time_to_opening(now));
         left.min().filter(|left| !left.is_zero())
     }
@@ -200,11 +200,11 @@
 
     /// Returns the requests per second that all servers together take that could take the request, if all of them have
     /// limits.
-    pub fn total_limit(&self, requirements: &Requirements) -> Option<f64> {
+    pub fn total_limit(&self, requirements: &Requirements, now: Duration) -> Option<f64> {
         let ids = self.services.get(&requirements.service)?;
         let servers = ids.iter().map(|id| &self.servers[id]);
         let mut servers = servers
-            .filter(|server| server.meets(requirements))
+            .filter(|server| server.meets(requirements, now))
             .peekable();
         servers.peek()?;
         servers.map(Server::limit).sum()
--- a/crates/pistachiolug_gateway/src/pool/listing.rs
+++ b/crates/pistachiolug_gateway/src/pool/listing.rs
@@ -11,6 +11,7 @@
 use crate::{
     allowance::Allowance,
     contact::Contact,
+    link::Link,
     server::{Model, Record},
     statement::Statement,
 };
@@ -91,6 +92,7 @@
                 statement: known.map(|known| known.statement).unwrap_or_default(),
                 allowance: Allowance::default(),
                 contact: Contact::default(),
+                link: Link::default(),
                 failure_rate: 0.0,
                 slowdown: SLOWDOWN_RANGE.0,
                 has_notice: false,
@@ -212,6 +214,15 @@
         }
     }
 
+    /// Lets the servers of a zone get requests again. All entries see them empty at the same moment, so that each uses only its
+    /// share of their slots at first.
+    pub fn reopen_zone(&mut self, zone: &str, now: Duration) {
+        let servers = self.servers.values_mut();
+        for server in servers.filter(|server| *server.record.zone == *zone) {
+            server.models_changed_at = now;
+        }
+    }
+
     /// Applies the notice of a server's agent; returns `false` if no listed server has the notice's address and start
     /// time.
     pub fn apply_notice(&mut self, notice: &Notice, now: Duration) -> bool {
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -9,6 +9,7 @@
     allowance::Allowance,
     config::Engine,
     contact::Contact,
+    link::Link,
     selection::{Candidate, Location, UpcomingLoad},
     server::Record,
     statement::Statement,
@@ -51,6 +52,7 @@
     /// Grants for the server, if it has a limit.
     pub(super) allowance: Allowance,
     pub(super) contact: Contact,
+    pub(super) link: Link,
     /// Moving average of failures among answers, within 0.0..=1.0.
     pub(super) failure_rate: f64,
     /// Factor by which first events arrive later than expected.
@@ -120,21 +122,29 @@
 
     /// Returns whether the server may get the request, whether or not it has a free slot.
     pub(super) fn is_usable(&self, requirements: &Requirements, now: Duration) -> bool {
-        self.meets(requirements)
+        self.meets(requirements, now)
             && !self.statement.backoff.is_active(now)
             && self.avoid_until <= now
     }
 
     /// Returns whether the server may get the request if it is not avoided and wants requests.
-    pub(super) fn meets(&self, requirements: &Requirements) -> bool {
+    pub(super) fn meets(&self, requirements: &Requirements, now: Duration) -> bool {
         let has_version = match &requirements.model {
             None => true,
             Some(model) => {
                 let held = self.record.version(model);
-                held.is_some_and(|held| requirements.min_version.is_none_or(|min| held >= min))
+                let minimum = if self.link.is_congested(now) {
+                    requirements.min_version_behind_congestion
+                } else {
+                    requirements.min_version
+                };
+                held.is_some_and(|held| minimum.is_none_or(|minimum| held >= minimum))
             }
         };
-        has_version && !self.is_leaving() && !requirements.tried.contains(&self.record.id)
+        has_version
+            && !self.is_leaving()
+            && requirements.zones.contains(&self.record.zone)
+            && !requirements.tried.contains(&self.record.id)
     }
 
     pub(super) fn upcoming_load(&self, requirements: &Requirements) -> UpcomingLoad {
--- a/crates/pistachiolug_gateway/src/reachability.rs
+++ b/crates/pistachiolug_gateway/src/reachability.rs
@@ -52,7 +52,7 @@
     pub fn record_failure(&mut self, error: &kv::Error, now: Duration) {
         self.is_throttled = matches!(error, kv::Error::Throttled { .. });
         if self.unreachable_since.is_none() {
-            log::warn!(error:%; "key-value service unreachable");
+            log::warn!(reason:% = error; "key-value service unreachable");
             self.unreachable_since = Some(now);
         }
     }
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -75,6 +75,7 @@
         content,
         fingerprint,
         authorized,
+        config_version: config.version(),
         service,
         model,
         tokens,
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -4,6 +4,7 @@
 
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::{
     call::Call,
@@ -14,10 +15,6 @@
     upstream::{self, Connection, Failure},
 };
 
-/// Bound of the time until a request arrives, as a multiple of the time to open its connection. On links on which weights
-/// filled the queue, requests arrived up to some seconds after a connection that took some hundred milliseconds.
-const TRANSFER_TIME_PER_CONNECT_TIME: u32 = 10;
-
 /// Outcome of one attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -85,7 +82,10 @@
     let sent_at = Rc::new(Cell::new(None));
     // Built once the connection is open: until then the time left, or the oldest version allowed, may change.
     let build = |connect_time| {
-        let may_send = permit.may_send() && has_allowed_version(state, call, permit, connect_time);
+        permit.record_connect(connect_time);
+        let may_send = permit.may_send()
+            && has_allowed_version(state, call, permit)
+            && state.zones(call).contains(&permit.choice.record.zone);
         sent_at.set(may_send.then(|| state.now()));
         may_send.then(|| call.build_request(state, permit, last_event))
     };
@@ -97,10 +97,14 @@
             record_statement(&owner, &id, &record, response, late_sent_at.get());
         }
     };
+    let asked_at = Instant::now();
     let exchange = upstream::exchange(address, build, on_late);
     let (response, connection) = match wait_to_begin(call, permit, until, exchange).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(Failure::Unsent(reason))) => return Outcome::Unsent(reason),
+        Ok(Err(Failure::Unsent(reason))) => {
+            permit.record_connect(asked_at.elapsed());
+            return Outcome::Unsent(reason);
+        }
         Ok(Err(Failure::Withheld)) => return Outcome::Withheld,
         Ok(Err(Failure::Lost(reason))) => return Outcome::Lost(reason),
         Err(_) if sent_at.get().is_none() => return Outcome::Withheld,
@@ -138,24 +142,16 @@
 }
 
 /// Returns whether the server's version may begin the request when it arrives.
-///
-/// # Arguments
-/// `connect_time` is how long opening the connection took. Behind a narrow link it is long, and the request may lie there for
-/// a multiple of it, so that it would begin after the version's time.
-fn has_allowed_version(
-    state: &State,
-    call: &Call,
-    permit: &Permit,
-    connect_time: Duration,
-) -> bool {
+fn has_allowed_version(state: &State, call: &Call, permit: &Permit) -> bool {
     let Some(model) = call.model.as_deref() else {
         return true;
     };
-    let held = permit.choice.record.version(model);
-    let time_to_begin = held.and_then(|held| state.time_to_begin(model, held));
-    let arrives_in_time = time_to_begin
-        .is_none_or(|time_to_begin| time_to_begin >= connect_time * TRANSFER_TIME_PER_CONNECT_TIME);
-    arrives_in_time && held >= state.min_version(model)
+    let minimum = if permit.is_link_congested() {
+        state.min_version_behind_congestion(model)
+    } else {
+        state.min_version(model)
+    };
+    permit.choice.record.version(model) >= minimum
 }
 
 /// Returns whether an answer is that of the server to the attempt `id`; anything else may come from something that is not
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -24,6 +24,7 @@
 mod dump;
 mod limits;
 mod parts;
+mod placement;
 mod retries;
 mod slots;
 mod statements;
@@ -43,6 +44,7 @@
     names::Names,
     peers::Peers,
     permit::{OpenRequest, Permit},
+    placement::Evacuations,
     pool::{Location, Pool, Requirements, Server},
     queue::Queue,
     reachability::Reachability,
@@ -91,6 +93,7 @@
     config: RefCell<Option<Arc<Config>>>,
     pool: RefCell<Pool>,
     versions: RefCell<Versions>,
+    evacuations: RefCell<Evacuations>,
     /// Wakes requests whose deadlines have come closer: a target version was set, or the machine was suspended.
     deadlines_moved: Notify,
     queues: RefCell<FxHashMap<Arc<str>, Queue<Waiter>>>,
@@ -147,6 +150,7 @@
             config: RefCell::default(),
             pool: RefCell::default(),
             versions: RefCell::new(versions),
+            evacuations: RefCell::default(),
             deadlines_moved: Notify::new(),
             queues: RefCell::default(),
             rates: RefCell::default(),
@@ -315,6 +319,7 @@
         let (count, work) = (peers.count() as u32 - 1, peers.work(now));
         drop(peers);
         self.record_service(now);
+        self.end_missing_evacuations();
         let removed = self.with_pool(|pool| {
             pool.set_peer_work(count, &work);
             pool.put_confirmed(now);
--- a/crates/pistachiolug_gateway/src/state/slots.rs
+++ b/crates/pistachiolug_gateway/src/state/slots.rs
@@ -133,6 +133,7 @@
             };
             // A target may have become due, or may have been set, during the wait.
             self.update_versions(&mut requirements);
+            self.update_evacuated(&mut requirements);
             if let Some(permit) = self.reserve(&requirements) {
                 return Some((position, permit));
             }
--- a/crates/pistachiolug_gateway/src/state/targets.rs
+++ b/crates/pistachiolug_gateway/src/state/targets.rs
@@ -6,6 +6,7 @@
 
 use super::State;
 use crate::{
+    link::CONGESTION_MARGIN,
     outage::{self, View},
     pool::Requirements,
     server::Version,
@@ -81,6 +82,12 @@
         self.versions.borrow().minimum(model, self.now())
     }
 
+    /// Returns the oldest version of a model that may begin a request which waits on a congested link; `None` if any may.
+    pub fn min_version_behind_congestion(&self, model: &str) -> Option<Version> {
+        let arrives_at = self.now() + CONGESTION_MARGIN;
+        self.versions.borrow().minimum(model, arrives_at)
+    }
+
     /// Returns whether a server that is believed to hold a version must not run a request on another one.
     ///
     /// While older versions are allowed and the server has to load, it may be further than its record says.
@@ -101,7 +108,10 @@
         let versions = self.versions.borrow();
         let model = requirements.model.as_deref();
         requirements.target_version = model.and_then(|model| versions.target(model));
-        requirements.min_version = model.and_then(|model| versions.minimum(model, self.now()));
+        let now = self.now();
+        requirements.min_version = model.and_then(|model| versions.minimum(model, now));
+        requirements.min_version_behind_congestion =
+            model.and_then(|model| versions.minimum(model, now + CONGESTION_MARGIN));
     }
 
     /// Records whether the key-value service is disturbed, which postpones the targets that are not due.
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -68,6 +68,7 @@
             Row::Entry { name, address } => {
                 self.state.with_peers(|peers| peers.add(&name, address));
             }
+            Row::Evacuation { zone } => self.state.evacuate(&zone),
             Row::Suspect(suspect) => self.state.merge_suspect(&suspect),
             Row::Culprit(culprit) => self.state.merge_saved_culprit(&culprit),
             Row::Other => {}
@@ -212,6 +213,9 @@
                     // Entries that are missing from an earlier copy write their rows again.
                     Subject::Entry(_) if source.is_restored => {}
                     Subject::Entry(name) => self.state.with_peers(|peers| peers.remove(&name)),
+                    Subject::Evacuation(zone) => {
+                        self.state.cancel_evacuation(&zone, source.is_restored);
+                    }
                     Subject::Culprit(part) => self.state.forget_saved_culprit(part),
                     Subject::Other => {}
                 },
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -86,11 +86,11 @@
     let calm = state(options());
     let away = state(options());
     away.with_reachability(|store| {
-        store.record_failure(&kv::Error::unavailable("gone"), away.now())
+        store.record_failure(&kv::Error::unavailable("gone"), away.now());
     });
     let back = state(options());
     back.with_reachability(|store| {
-        store.record_failure(&kv::Error::unavailable("gone"), back.now())
+        store.record_failure(&kv::Error::unavailable("gone"), back.now());
     });
     back.with_reachability(|store| store.record_success(back.now()));
 
--- a/crates/pistachiolug_gateway/tests/outage.rs
+++ b/crates/pistachiolug_gateway/tests/outage.rs
@@ -187,8 +187,10 @@
 
 /// Returns an entry of region `r` that has rows.
 fn entry() -> Rc<State> {
-    let mut options: Options = options();
-    options.name = "e-self".to_owned();
+    let mut options = Options {
+        name: "e-self".to_owned(),
+        ..options()
+    };
     let regions = &mut options.location.regions;
     regions.insert(options.location.zone.to_string(), "r".to_owned());
     let state = State::new(options, metrics());
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -88,6 +88,7 @@
 const ENTRY_PREFIX: &str = "entries/";
 const SUSPECT_PREFIX: &str = "suspects/";
 const CULPRIT_PREFIX: &str = "culprits/";
+const EVACUATION_PREFIX: &str = "evacuate/";
 const TARGET_KEY: &str = "target";
 
 /// Returns the API key that is valid in one version of the configuration only; `key-1` is valid in all.
@@ -133,6 +134,7 @@
                 model: MODEL.to_owned(),
                 version: text.parse().unwrap(),
             },
+            Subject::Evacuation(zone) => Row::Evacuation { zone },
             Subject::Culprit(_) | Subject::Other => Row::Other,
         }
     }
@@ -141,6 +143,9 @@
         if let Some(id) = key.strip_prefix(SERVER_PREFIX) {
             return Subject::Server(id.to_owned());
         }
+        if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
+            return Subject::Evacuation(zone.to_owned());
+        }
         if let Some(part) = key.strip_prefix(CULPRIT_PREFIX) {
             return Subject::Culprit(u64::from_str_radix(part, 16).unwrap());
         }
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -14,6 +14,7 @@
     forward,
     metrics::Metrics,
     names::Names,
+    placement::Regions,
     pool::Location,
     server::{Model, Record},
     state::{Options, State},
@@ -380,6 +381,7 @@
         }],
         anonymous: false,
         resumable: kind == Kind::Stream,
+        regions: Regions::default(),
     }
 }
 
@@ -389,6 +391,7 @@
     let workspace = Workspace {
         name: Arc::from("delis"),
         priority: None,
+        regions: Regions::default(),
     };
     Parts {
         version: 1,
