--- a/crates/pistachiolug_gateway/src/allowance.rs
+++ b/crates/pistachiolug_gateway/src/allowance.rs
@@ -2,11 +2,15 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use pistachiolug_routing::allocation::DEMAND_TIME;
+use pistachiolug_routing::{allocation::DEMAND_TIME, bucket::Bucket, rate_limit::Split};
 
 /// Time for which a grant may be used. What was granted and not used is lost, and what is used later adds to later grants.
 pub const GRANT_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which a token of the entry's own share may be used. Tokens that are used later would add to those of a later second;
+/// with this time, 14 entries that share 32 requests per second send at most 3 each in any second.
+const TOKEN_TIME: Duration = Duration::from_millis(250);
+
 /// Time for which a request's demand counts. Requests that wait are offered to servers again within that time.
 const WANT_TIME: Duration = Duration::from_millis(100);
 
@@ -26,6 +30,8 @@
     asked_at: Option<Duration>,
     /// When the next grant may come, as the coordinator says.
     next_at: Option<Duration>,
+    /// Tokens of the entry's own share, if the rate is split evenly.
+    bucket: Bucket,
 }
 
 /// Request that would have been sent to the server.
@@ -68,6 +74,37 @@
         None
     }
 
+    /// Records that the server begins to have a limit. The entry starts with at most `tokens` of its share.
+    pub fn begin(&mut self, split: Split, tokens: f64, now: Duration) {
+        if let Split::Even(share) = split {
+            self.bucket.restrict(tokens, share, now);
+        }
+    }
+
+    /// Returns whether a request may be sent to the server.
+    pub fn is_open(&self, split: Split, now: Duration) -> bool {
+        match split {
+            Split::Even(share) => self.bucket.has_token(share, now),
+            Split::Granted => self.has_grant(now),
+        }
+    }
+
+    /// Uses a token or a grant, and returns the time before which its request has to be sent; `None` if there is none.
+    pub fn spend(&mut self, split: Split, now: Duration) -> Option<Duration> {
+        match split {
+            Split::Even(share) => self.bucket.take(share, now).then_some(now + TOKEN_TIME),
+            Split::Granted => self.take(now),
+        }
+    }
+
+    /// Returns the time until a request may be sent to the server, as far as it is known.
+    pub fn time_to_opening(&self, split: Split, now: Duration) -> Duration {
+        match split {
+            Split::Even(share) => self.bucket.time_to_token(share, now),
+            Split::Granted => self.time_to_grant(now),
+        }
+    }
+
     /// Records that a request would have been sent to the server, had there been a grant.
     pub fn want(&mut self, priority: u8, now: Duration) {
         let known = self.wanted.filter(|wanted| now < wanted.at + WANT_TIME);
--- a/crates/pistachiolug_gateway/src/config.rs
+++ b/crates/pistachiolug_gateway/src/config.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, RngExt};
 use rustc_hash::FxHashMap;
 
-use crate::placement::Regions;
+use crate::{cold, placement::Regions};
 
 /// How often a request may run, and the form of its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -128,6 +128,8 @@
     pub name: Arc<str>,
     /// Model engines; `None` for plain services.
     pub engine: Option<Engine>,
+    /// Limit of cold servers; `None` if they get requests as the others do.
+    pub cold: Option<cold::Policy>,
 }
 
 /// Workspace, whose callers identify themselves by keys.
@@ -276,6 +278,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns the route and workspace of a request. The longest matching prefix of the host decides.
     ///
     /// # Errors
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempts;
 pub mod backoff;
 pub mod call;
+pub mod cold;
 pub mod config;
 pub mod contact;
 pub mod coordination;
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub unknown_headers: IntCounter,
     /// Availability zones that are evacuated.
     pub evacuated_zones: IntGauge,
+    /// Servers that count as cold and get few requests.
+    pub cold_servers: IntGauge,
     /// Seconds from a request's arrival to the head of a server's answer.
     pub head_seconds: Histogram,
     /// Seconds from a request's arrival to its stream's first event.
@@ -152,6 +154,11 @@
                 "pistachiolug_gateway_evacuated_zones",
                 "Availability zones whose servers get no requests, by operators' orders.",
             )?,
+            cold_servers: gauge(
+                registry,
+                "pistachiolug_gateway_cold_servers",
+                "Servers that count as cold, which all entries together send few requests.",
+            )?,
             head_seconds: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_event_seconds: histogram(
                 registry,
--- a/crates/pistachiolug_gateway/src/peers.rs
+++ b/crates/pistachiolug_gateway/src/peers.rs
@@ -26,6 +26,13 @@
 /// Age of a beacon up to which a peer counts as a member that may be alive behind a cut.
 const MAX_MEMBER_AGE: Duration = Duration::from_secs(30);
 
+/// Time for which an entry whose row is gone counts as registered. The row of an entry that is cut off from the key-value service
+/// expires, while the entry still uses its share of the servers' rates.
+const REGISTRATION_TIME: Duration = Duration::from_secs(60);
+
+/// Largest number of entries whose rows are gone that are remembered.
+const MAX_REMOVED: usize = 1024;
+
 /// Rounds per beacon to entries of other regions; entries of the own region get one each round. Links between regions
 /// have little bandwidth, and few requests cross them.
 const ROUNDS_PER_FAR_BEACON: u32 = 4;
@@ -41,6 +48,8 @@
     /// Region of this entry.
     region: String,
     by_name: FxHashMap<String, Peer>,
+    /// Entries whose rows are gone, and until when they count as registered; at most [`MAX_REMOVED`].
+    removed: FxHashMap<String, Duration>,
 }
 
 /// Entry that allocates the rate of a limited server.
@@ -83,6 +92,7 @@
             name: name.to_owned(),
             region: region.to_owned(),
             by_name: FxHashMap::default(),
+            removed: FxHashMap::default(),
         }
     }
 
@@ -96,6 +106,14 @@
         self.by_name.len() + 1
     }
 
+    /// Returns the number of registered entries, including this one and those whose rows went lately.
+    pub fn count_registered(&self, now: Duration) -> usize {
+        let removed = self.removed.iter();
+        let removed = removed
+            .filter(|(name, until)| now < **until && !self.by_name.contains_key(name.as_str()));
+        self.count() + removed.count()
+    }
+
     /// Returns the internal addresses of the other entries.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.by_name.values().map(|peer| peer.address)
@@ -132,8 +150,15 @@
     }
 
     /// Removes an entry whose row is gone.
-    pub fn remove(&mut self, name: &str) {
-        self.by_name.remove(name);
+    pub fn remove(&mut self, name: &str, now: Duration) {
+        if self.by_name.remove(name).is_none() {
+            return;
+        }
+        self.removed.retain(|_, until| now < *until);
+        if self.removed.len() < MAX_REMOVED {
+            self.removed
+                .insert(name.to_owned(), now + REGISTRATION_TIME);
+        }
     }
 
     /// Records another entry's beacon.
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -167,7 +167,7 @@
         !self.state.is_evacuated(&record.zone)
             && self
                 .state
-                .with_pool(|pool| pool.may_send(record, now) && !pool.has_limit(record))
+                .with_pool(|pool| pool.may_send(record, now) && pool.is_open(record, now))
     }
 
     /// Records that the server is not the expected one, or does not hold the expected version.
@@ -191,7 +191,7 @@
         let id = &self.choice.record.id;
         let state = Rc::clone(&self.state);
         state.with_pool(|pool| pool.end_request(id, self.unread_prompt_tokens.get()));
-        // Slots of a server that takes no requests are not free; those of a limited one are when a grant comes.
+        // Slots of a server that takes no requests are not free; those of a limited one are when it may get a request.
         if self.is_reusable() {
             state.count_freed(&self.service);
         }
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -16,6 +16,7 @@
 
 mod limits;
 mod listing;
+mod quota;
 mod server;
 mod statements;
 
@@ -57,6 +58,7 @@
     ended: VecDeque<Ended>,
     /// Servers by id that ended and are listed again by an earlier copy of the list.
     unconfirmed: FxHashMap<Arc<str>, Unconfirmed>,
+    sharing: quota::Sharing,
 }
 
 /// Conditions that a server has to meet to get a request.
@@ -99,7 +101,7 @@
     pub calls: u32,
     /// Time of the choice.
     pub chosen_at: Duration,
-    /// Time before which the request has to be sent, if a grant of a limited server was used for it.
+    /// Time before which the request has to be sent, if a token or a grant of a limited server was used for it.
     pub send_before: Option<Duration>,
 }
 
@@ -142,8 +144,8 @@
             })
             .collect();
         // Grants expire if they are not used.
-        if usable.iter().any(|server| server.limit().is_some()) {
-            usable.retain(|server| server.limit().is_some());
+        if usable.iter().any(|server| server.needs_grant(now)) {
+            usable.retain(|server| server.needs_grant(now));
         }
         let candidates: Vec<Candidate> = usable
             .iter()
--- a/crates/pistachiolug_gateway/src/pool/limits.rs
+++ b/crates/pistachiolug_gateway/src/pool/limits.rs
@@ -1,9 +1,9 @@
-//! Servers that limit the requests of all entries together. A server with a limit gets only requests with a grant of its
-//! coordinator.
+//! Servers that limit the requests of all entries together, by their statements or because they are cold. A server with a limit
+//! gets only requests with a token of the entry's share or, if the shares are too small, with a grant of its coordinator.
 
 use std::{sync::Arc, time::Duration};
 
-use pistachiolug_routing::rate_limit;
+use pistachiolug_routing::rate_limit::{self, Split};
 use rand::Rng;
 
 use super::{Candidate, Choice, Location, Pool, Requirements, Server, selection};
@@ -24,23 +24,25 @@
 }
 
 impl Server {
-    /// Returns the requests per second to which the server limits all entries together; `None` if it does not.
+    /// Returns the requests per second to which the server's statements limit all entries together; `None` if they do not.
     pub fn limit(&self) -> Option<f64> {
         self.statement.limit.per_second
     }
 
     /// Returns whether the server's limit lets it get a request now.
     pub(super) fn is_within_limit(&self, now: Duration) -> bool {
-        self.limit().is_none() || self.allowance.has_grant(now)
+        let split = self.split(now);
+        split.is_none_or(|split| self.allowance.is_open(split, now))
     }
 
     /// Returns the time until the server may get a request, by its backoff and its limit.
     pub(super) fn time_to_opening(&self, now: Duration) -> Duration {
         let backoff = self.statement.backoff.time_left(now).unwrap_or_default();
-        if self.is_within_limit(now) {
-            return backoff;
+        let split = self.split(now);
+        match split.filter(|split| !self.allowance.is_open(*split, now)) {
+            Some(split) => backoff.max(self.allowance.time_to_opening(split, now)),
+            None => backoff,
         }
-        backoff.max(self.allowance.time_to_grant(now))
     }
 }
 
@@ -83,14 +85,15 @@
     ) -> Option<Arc<str>> {
         let ids = self.services.get(&requirements.service)?;
         let servers = || ids.iter().map(|id| &self.servers[id]);
-        if servers().all(|server| server.is_within_limit(now)) {
+        let lacks_grant = |server: &Server| server.needs_grant(now) && !server.is_within_limit(now);
+        if !servers().any(lacks_grant) {
             return None;
         }
         let usable: Vec<&Server> = servers()
             .filter(|server| {
                 server.is_usable(requirements, now)
                     && server.has_free_slot(requirements, engine, self.peer_count, now)
-                    && (choice.is_some() || !server.is_within_limit(now))
+                    && (lacks_grant(server) || (choice.is_some() && server.is_within_limit(now)))
             })
             .collect();
         let candidates: Vec<Candidate> = usable
@@ -106,7 +109,7 @@
             first.0
         };
         let wanted = usable[index];
-        (!wanted.is_within_limit(now)).then(|| Arc::clone(&wanted.record.id))
+        lacks_grant(wanted).then(|| Arc::clone(&wanted.record.id))
     }
 
     /// Returns the time until the first server may get a request, if all that could take it are in a backoff or have no
@@ -123,30 +126,42 @@
         left.min().filter(|left| !left.is_zero())
     }
 
-    /// Uses a grant for a request that was assigned to a server, if the server has a limit.
+    /// Uses a token or a grant for a request that was assigned to a server, if the server has a limit.
     pub fn use_grant(&mut self, choice: &mut Choice) {
-        let server = self.servers.get_mut(&choice.record.id);
-        if let Some(server) = server.filter(|server| server.limit().is_some()) {
-            choice.send_before = server.allowance.take(choice.chosen_at);
+        let Some(server) = self.servers.get_mut(&choice.record.id) else {
+            return;
+        };
+        if let Some(split) = server.split(choice.chosen_at) {
+            choice.send_before = server.allowance.spend(split, choice.chosen_at);
         }
     }
 
     /// Returns whether the limit of the chosen server, which may have been stated since, allows the request.
     pub fn is_within_limit(&self, choice: &Choice, now: Duration) -> bool {
         let is_granted = choice.send_before.is_some_and(|before| now < before);
-        is_granted || !self.has_limit(&choice.record)
+        is_granted || !self.has_limit(&choice.record, now)
     }
 
     /// Returns whether a server has a limit.
-    pub fn has_limit(&self, record: &Record) -> bool {
+    pub fn has_limit(&self, record: &Record, now: Duration) -> bool {
+        let server = self.servers.get(&record.id);
+        if let Some(server) = server.filter(|server| server.is_incarnation(record)) {
+            return server.rate(now).is_some();
+        }
         let statement = self.statement(record);
         statement.is_some_and(|statement| statement.limit.per_second.is_some())
     }
 
+    /// Returns whether a server's limit, if it has one, lets it get another request at once.
+    pub fn is_open(&self, record: &Record, now: Duration) -> bool {
+        let server = self.servers.get(&record.id);
+        server.is_none_or(|server| server.is_within_limit(now)) || !self.has_limit(record, now)
+    }
+
     /// Returns the demands that have to be sent to coordinators now, and counts them as sent.
     pub fn take_demands(&mut self, now: Duration) -> Vec<Demand> {
         let servers = self.servers.values_mut();
-        let limited = servers.filter(|server| server.limit().is_some());
+        let limited = servers.filter(|server| server.needs_grant(now));
         let demands = limited.filter_map(|server| {
             let priority = server.allowance.demand(now)?;
             server.allowance.record_ask(now);
@@ -175,17 +190,16 @@
         Some(Arc::clone(&server.record.service))
     }
 
-    /// Returns the requests per second of a server that may be allocated, and its service; `None` if it has no limit or is
-    /// unknown. Of a server that has not answered, nothing is known, while another entry may have heard of a limit.
-    pub fn limit_of(&self, incarnation: u64) -> Option<(f64, &Arc<str>)> {
+    /// Returns the requests per second of a server that may be allocated; `None` if it has no limit or is unknown. Of a server
+    /// that has not answered, nothing is known, while another entry may have heard of a limit.
+    pub fn allocatable_rate(&self, incarnation: u64, now: Duration) -> Option<f64> {
         let mut servers = self.servers.values();
         let server = servers.find(|server| server.record.incarnation() == incarnation)?;
-        let has_answered = server.statement.own_limit.is_some();
-        let least = (!has_answered).then_some(rate_limit::MIN_PER_SECOND);
-        Some((server.limit().or(least)?, &server.record.service))
+        server.allocatable_rate(now)
     }
 
-    /// Tells other entries that a server has no limit, if its answers say so. Returns whether they do.
+    /// Tells other entries that a server has no limit, if its answers say so. Returns whether they do and nothing else can limit
+    /// it.
     pub fn tell_ended_limit(&mut self, incarnation: u64, now: Duration) -> bool {
         let mut servers = self.servers.values_mut();
         let server = servers.find(|server| server.record.incarnation() == incarnation);
@@ -195,11 +209,11 @@
             return false;
         };
         server.statement.limit_changed_at = Some(now);
-        true
+        !server.has_cold_limit()
     }
 
-    /// Returns the requests per second that all servers together take that could take the request, if all of them have
-    /// limits.
+    /// Returns the requests per second that this entry may send to all servers together that could take the request, if all of
+    /// them have limits. Of those whose requests need grants, one entry may get all.
     pub fn total_limit(&self, requirements: &Requirements, now: Duration) -> Option<f64> {
         let ids = self.services.get(&requirements.service)?;
         let servers = ids.iter().map(|id| &self.servers[id]);
@@ -207,7 +221,11 @@
             .filter(|server| server.meets(requirements, now))
             .peekable();
         servers.peek()?;
-        servers.map(Server::limit).sum()
+        let rates = servers.map(|server| match server.split(now)? {
+            Split::Even(share) => Some(share),
+            Split::Granted => server.rate(now),
+        });
+        rates.sum()
     }
 
     /// Returns the limits to tell other entries, as stated in answers here, and those that have ended lately, by incarnation.
@@ -238,9 +256,12 @@
         limit: rate_limit::Statement,
         now: Duration,
     ) -> Option<Record> {
+        let entry = self.sharing.entry();
         let mut servers = self.servers.values_mut();
         let server = servers.find(|server| server.record.incarnation() == incarnation)?;
-        let is_changed = server.statement.merge_limit(limit, now);
+        let is_changed = server.change_limits(entry, now, |server| {
+            server.statement.merge_limit(limit, now)
+        });
         is_changed.then(|| server.record.clone())
     }
 }
--- a/crates/pistachiolug_gateway/src/pool/listing.rs
+++ b/crates/pistachiolug_gateway/src/pool/listing.rs
@@ -7,9 +7,10 @@
     position::Position,
 };
 
-use super::{Pool, Server, server::SLOWDOWN_RANGE};
+use super::{Pool, Server, quota::Quota, server::SLOWDOWN_RANGE};
 use crate::{
     allowance::Allowance,
+    cold::Coldness,
     contact::Contact,
     link::Link,
     server::{Model, Record},
@@ -33,6 +34,7 @@
     pub(super) at: Duration,
     /// Kept for an incarnation that is listed again.
     pub(super) statement: Statement,
+    pub(super) coldness: Coldness,
 }
 
 /// Server that is not used until its row has been listed for a while.
@@ -60,7 +62,8 @@
                 && server.record.service == record.service
                 && server.record.address == record.address;
             if is_same_start {
-                server.update(record, position, now);
+                let entry = self.sharing.entry();
+                server.change_limits(entry, now, |server| server.update(record, position, now));
                 return None;
             }
             self.drop_server(&record.id.clone(), now);
@@ -79,29 +82,34 @@
             .iter()
             .position(|ended| ended.incarnation == incarnation);
         let known = known.and_then(|index| self.ended.remove(index));
+        let coldness = known.as_ref().map(|known| known.coldness);
+        let quota = self
+            .sharing
+            .quota(&record.service, coldness, record.cold_for, now);
+        let entry = self.sharing.entry();
         let ids = self.services.entry(Arc::clone(&record.service));
         ids.or_default().push(Arc::clone(&record.id));
-        self.servers.insert(
-            Arc::clone(&record.id),
-            Server {
-                record,
-                own_work: Work::default(),
-                peer_work: Work::default(),
-                consecutive_failures: 0,
-                avoid_until: Duration::ZERO,
-                statement: known.map(|known| known.statement).unwrap_or_default(),
-                allowance: Allowance::default(),
-                contact: Contact::default(),
-                link: Link::default(),
-                failure_rate: 0.0,
-                slowdown: SLOWDOWN_RANGE.0,
-                has_notice: false,
-                is_loading: false,
-                remove_at: None,
-                position,
-                models_changed_at: now,
-            },
-        );
+        let mut server = Server {
+            record,
+            own_work: Work::default(),
+            peer_work: Work::default(),
+            consecutive_failures: 0,
+            avoid_until: Duration::ZERO,
+            statement: known.map(|known| known.statement).unwrap_or_default(),
+            allowance: Allowance::default(),
+            quota: Quota::default(),
+            contact: Contact::default(),
+            link: Link::default(),
+            failure_rate: 0.0,
+            slowdown: SLOWDOWN_RANGE.0,
+            has_notice: false,
+            is_loading: false,
+            remove_at: None,
+            position,
+            models_changed_at: now,
+        };
+        server.begin_limits(entry, quota, now);
+        self.servers.insert(Arc::clone(&server.record.id), server);
         previous
     }
 
@@ -208,6 +216,7 @@
             incarnation: server.record.incarnation(),
             at: now,
             statement: server.statement,
+            coldness: server.quota.coldness,
         });
         if let Some(ids) = self.services.get_mut(&server.record.service) {
             ids.retain(|known| known != id);
@@ -215,11 +224,15 @@
     }
 
     /// Lets the servers of a zone get requests again. All entries see them empty at the same moment, so that each uses only its
-    /// share of their slots at first.
+    /// share of their slots at first, and they count as cold.
     pub fn reopen_zone(&mut self, zone: &str, now: Duration) {
+        let entry = self.sharing.entry();
         let servers = self.servers.values_mut();
         for server in servers.filter(|server| *server.record.zone == *zone) {
             server.models_changed_at = now;
+            server.change_limits(entry, now, |server| {
+                server.quota.coldness.record_reopening(now);
+            });
         }
     }
 
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -4,7 +4,7 @@
 
 use pistachiolug_wire::{datagram::Work, position::Position};
 
-use super::Requirements;
+use super::{Requirements, quota::Quota};
 use crate::{
     allowance::Allowance,
     config::Engine,
@@ -49,8 +49,9 @@
     /// Time before which the server is not chosen.
     pub(super) avoid_until: Duration,
     pub(super) statement: Statement,
-    /// Grants for the server, if it has a limit.
+    /// Tokens and grants for the server, if it has a limit.
     pub(super) allowance: Allowance,
+    pub(super) quota: Quota,
     pub(super) contact: Contact,
     pub(super) link: Link,
     /// Moving average of failures among answers, within 0.0..=1.0.
@@ -73,6 +74,10 @@
     /// Replaces the record. Keeps a version that the agent has announced if the list still names an older one. A newer
     /// version in the list ends a load, because the agent's notice of its end may have been lost.
     pub(super) fn update(&mut self, record: Record, position: Position, now: Duration) {
+        if self.position != position {
+            let (before, stated) = (self.record.cold_for, record.cold_for);
+            self.quota.coldness.record_row(before, stated, now);
+        }
         let previous = std::mem::replace(&mut self.record, record);
         self.position = position;
         self.remove_at = None;
--- a/crates/pistachiolug_gateway/src/pool/statements.rs
+++ b/crates/pistachiolug_gateway/src/pool/statements.rs
@@ -32,6 +32,13 @@
         limit: rate_limit::Statement,
         now: Duration,
     ) -> bool {
+        let entry = self.sharing.entry();
+        let server = self.servers.get_mut(&record.id);
+        if let Some(server) = server.filter(|server| server.is_incarnation(record)) {
+            return server.change_limits(entry, now, |server| {
+                server.statement.record_limit(limit, now)
+            });
+        }
         let statement = self.statement_mut(record);
         statement.is_some_and(|statement| statement.record_limit(limit, now))
     }
--- a/crates/pistachiolug_gateway/src/server.rs
+++ b/crates/pistachiolug_gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! Records of backend servers in the platform's server list.
 
-use std::{hash::Hasher, net::SocketAddr, sync::Arc};
+use std::{hash::Hasher, net::SocketAddr, sync::Arc, time::Duration};
 
 use rustc_hash::FxHasher;
 
@@ -35,9 +35,21 @@
     pub models: Vec<Model>,
     /// Unix time of the server's start in milliseconds; 0 if not stated. Distinguishes starts under one id.
     pub started_ms: u64,
+    /// Time for which the server stays cold, from the moment at which the row was written; `None` if the row says nothing.
+    pub cold_for: Option<Duration>,
 }
 
 impl Record {
+    /// Returns whether another record says the same, whatever it says of the time for which the server stays cold. That time
+    /// changes with each row.
+    pub fn is_same_listing(&self, other: &Self) -> bool {
+        let other = Self {
+            cold_for: self.cold_for,
+            ..other.clone()
+        };
+        *self == other
+    }
+
     /// Returns the hash that tells this incarnation from others; the same in all processes.
     pub fn incarnation(&self) -> u64 {
         let mut hasher = FxHasher::default();
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -21,6 +21,7 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, futures::Notified, oneshot};
 
+mod cold_servers;
 mod dump;
 mod limits;
 mod parts;
@@ -36,7 +37,7 @@
 pub use suspects::SUSPECT_RETENTION;
 
 use crate::{
-    answer,
+    answer, cold,
     config::{Config, Engine, Service},
     coordination::Allocations,
     losses::Losses,
@@ -74,6 +75,8 @@
     pub version_grace: Duration,
     /// Time after the process's start from which target versions that were set before it are enforced.
     pub startup_grace: Duration,
+    /// Bound on the requests of cold servers; `None` if they have no limit.
+    pub cold_bound: Option<cold::Bound>,
 }
 
 /// Waiting request and the channel for its permit.
@@ -225,7 +228,10 @@
             return;
         }
         log::info!(version, before = known; "configuration in force");
-        *current = Some(Arc::new(config));
+        let config = Arc::new(config);
+        *current = Some(Arc::clone(&config));
+        drop(current);
+        self.apply_cold_limits(&config);
     }
 
     /// Calls `action` with the server pool.
@@ -317,10 +323,13 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let (count, work) = (peers.count() as u32 - 1, peers.work(now));
+        let registered = peers.count_registered(now) as u32;
         drop(peers);
         self.record_service(now);
         self.end_missing_evacuations();
         let removed = self.with_pool(|pool| {
+            self.record_round(pool, now);
+            pool.set_registered(registered);
             pool.set_peer_work(count, &work);
             pool.put_confirmed(now);
             pool.remove_expired(now)
@@ -328,6 +337,7 @@
         for server in removed {
             log::info!(server = &*server; "server removed");
         }
+        self.count_cold_servers(now);
         self.renew_grants();
         self.serve_queues();
     }
--- a/crates/pistachiolug_gateway/src/state/dump.rs
+++ b/crates/pistachiolug_gateway/src/state/dump.rs
@@ -14,6 +14,8 @@
                 "leaving": server.is_leaving(),
                 "backoff_ms": server.backoff_left(self.now()).map(|left| left.as_millis() as u64),
                 "limit": server.limit(),
+                "rate": server.rate(self.now()),
+                "cold_ms": server.cold_left(self.now()).map(|left| left.as_millis() as u64),
                 "calls": server.own_work().calls,
             })
         });
--- a/crates/pistachiolug_gateway/src/state/limits.rs
+++ b/crates/pistachiolug_gateway/src/state/limits.rs
@@ -33,6 +33,7 @@
         let engine = find_engine(&config, &requirements.service);
         let location = &self.options.location;
         let (now, mut random) = (self.now(), rand::rng());
+        self.record_round(pool, now);
         let mut choice = pool.choose(requirements, engine, location, now, &mut random);
         if pool.want(
             requirements,
@@ -234,21 +235,13 @@
     /// Returns the rate of a server's requests that this entry may give out; `None` if the server has no limit, or if
     /// another entry coordinates it.
     fn allocated_rate(&self, pool: &Pool, server: u64) -> Option<f64> {
-        let (limit, service) = pool.limit_of(server)?;
+        let rate = pool.allocatable_rate(server, self.now())?;
         let coordinator = self.coordinator(server);
         if coordinator.address.is_some() {
             return None;
         }
-        let has_agent = self
-            .config()
-            .is_some_and(|config| find_engine(&config, service).is_some());
-        let limit = if has_agent {
-            rate_limit::entries_rate(limit)
-        } else {
-            limit
-        };
         let share = coordinator_share(coordinator.heard, coordinator.members);
-        Some(limit * share)
+        Some(rate * share)
     }
 
     fn count_waiting(&self, service: &Arc<str>) -> usize {
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -112,7 +112,7 @@
     fn put_server(&self, record: Record, position: Position, is_restored: bool) {
         let is_known = self.state.with_pool(|pool| {
             let server = pool.get(&record.id);
-            server.is_some_and(|server| *server.record() == record)
+            server.is_some_and(|server| server.record().is_same_listing(&record))
         });
         if !is_known {
             let versions: Vec<u64> = record.models.iter().map(|model| model.version).collect();
@@ -129,6 +129,9 @@
         }
         let address = record.address;
         let now = self.state.now();
+        let was_cold = self
+            .state
+            .with_pool(|pool| pool.cold_left(&record.id, now).is_some());
         let previous = self
             .state
             .with_pool(|pool| pool.find_other_incarnation(&record));
@@ -142,6 +145,11 @@
                 pool.put(record.clone(), position, now)
             }
         });
+        let cold_left = self.state.with_pool(|pool| pool.cold_left(&record.id, now));
+        if let Some(cold_left) = cold_left.filter(|_| !was_cold) {
+            let cold_ms = cold_left.as_millis() as u64;
+            log::info!(server = &*record.id, service = &*record.service, cold_ms; "server is cold");
+        }
         // An earlier copy of the list is no evidence that a server has ended.
         if !is_restored
             && let Some(previous) = previous.filter(|previous| !previous.leaving)
@@ -212,7 +220,10 @@
                     Subject::Server(id) => removed.push(id),
                     // Entries that are missing from an earlier copy write their rows again.
                     Subject::Entry(_) if source.is_restored => {}
-                    Subject::Entry(name) => self.state.with_peers(|peers| peers.remove(&name)),
+                    Subject::Entry(name) => {
+                        let now = self.state.now();
+                        self.state.with_peers(|peers| peers.remove(&name, now));
+                    }
                     Subject::Evacuation(zone) => {
                         self.state.cancel_evacuation(&zone, source.is_restored);
                     }
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -31,6 +31,7 @@
     Options {
         version_grace: Duration::ZERO,
         startup_grace: Duration::ZERO,
+        cold_bound: None,
         ..options()
     }
 }
@@ -69,6 +70,7 @@
     // A version that was set before the start is due at once, a new one later.
     let state = state(Options {
         startup_grace: Duration::ZERO,
+        cold_bound: None,
         ..options()
     });
     state.set_target_version("m", 2, None);
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -321,6 +321,7 @@
         retry_window: Duration::from_secs(10),
         version_grace: Duration::from_secs(8),
         startup_grace: Duration::from_secs(3),
+        cold_bound: None,
     }
 }
 
@@ -350,6 +351,7 @@
             version: 1,
         }],
         started_ms: 1,
+        cold_for: None,
     }
 }
 
@@ -397,6 +399,7 @@
         version: 1,
         routes: vec![route],
         services: vec![Service {
+            cold: None,
             name: Arc::from(SERVICE),
             engine,
         }],
--- a/crates/pistachiolug_routing/src/lib.rs
+++ b/crates/pistachiolug_routing/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod affinity;
 pub mod allocation;
 pub mod attribution;
+pub mod bucket;
 pub mod choice;
 pub mod fair_queue;
 pub mod limit;
--- a/crates/pistachiolug_routing/src/rate_limit.rs
+++ b/crates/pistachiolug_routing/src/rate_limit.rs
@@ -19,6 +19,31 @@
 /// Rate in requests per second from which a limit is none; no deployment sends as many to one server.
 const UNLIMITED_PER_SECOND: f64 = 1e5;
 
+/// Smallest share of a rate in requests per second that is used without messages. With a smaller one, an entry would often have
+/// a request and no token while others have tokens and no request.
+const MIN_SHARE_PER_SECOND: f64 = 1.0;
+
+/// How the entries share the rate of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Split {
+    /// Each entry may send this many requests per second, by a token bucket of its own.
+    Even(f64),
+    /// Each request needs a grant of the server's coordinator.
+    Granted,
+}
+
+impl Split {
+    /// Chooses how a number of entries, of which one is the caller's, share a rate in requests per second.
+    pub fn new(per_second: f64, entries: u32) -> Self {
+        let share = per_second / f64::from(entries.max(1));
+        if share >= MIN_SHARE_PER_SECOND {
+            Self::Even(share)
+        } else {
+            Self::Granted
+        }
+    }
+}
+
 /// Value of a header that states no rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Invalid;
