Weigh prompt prefixes that servers may hold

An engine that keeps prefixes answers sooner, but requests of a session went to any server. An entry now estimates what servers hold from its own requests and learns from the times to first events whether they keep prefixes at all.

Tests: the fixture of candidates and routes gets the new fields.

--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -17,6 +17,7 @@
     permit::{OpenRequest, Permit},
     pool::Requirements,
     prefix::Prefix,
+    prefix_cache::Prompt,
     queue::Rank,
     state::State,
 };
@@ -52,6 +53,8 @@
     pub tokens: Tokens,
     /// Shared parts of the prompt, as the caller states them.
     pub prefix: Prefix,
+    /// Chain of the prompt's parts; empty unless the route says that prompts have shared parts.
+    pub prompt: Prompt,
     /// When the request arrived.
     pub arrived: Instant,
     /// When the entry has to answer, as time of [`State::now`]; shortly before the caller's own deadline.
@@ -102,6 +105,12 @@
             priority: self.authorized.priority(),
             zones: state.zones(self),
             freed_server: None,
+            // A repeated send is rare, and its time to the first event is not comparable.
+            prompt: if tried.is_empty() {
+                self.prompt.clone()
+            } else {
+                Prompt::default()
+            },
         };
         state.update_versions(&mut requirements);
         requirements
--- a/crates/pistachiolug_gateway/src/config.rs
+++ b/crates/pistachiolug_gateway/src/config.rs
@@ -56,6 +56,8 @@
     pub resumable: bool,
     /// Regions in which requests may be served.
     pub regions: Regions,
+    /// Whether requests carry prompts with shared parts, so that servers which may hold them are preferred.
+    pub shares_prompts: bool,
 }
 
 impl Route {
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod placement;
 pub mod pool;
 pub mod prefix;
+pub mod prefix_cache;
 pub mod prober;
 pub mod process;
 pub mod queue;
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -42,6 +42,12 @@
 /// Cause for which a server gets fewer requests: it has stated a limit.
 pub const LIMITED: &str = "limited";
 
+/// Label of prompt tokens that a server was expected to hold.
+pub const EXPECTED: &str = "expected";
+
+/// Label of those that it did not hold, by the time to its first event.
+pub const WRONG: &str = "wrong";
+
 /// Metrics of an entry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -59,6 +65,8 @@
     pub servers_withdrawn: Counters,
     /// Headers of servers' answers that this version does not know.
     pub unknown_headers: IntCounter,
+    /// Prompt tokens that servers were expected to hold, and those of them that they did not.
+    pub prefix_tokens: Counters,
     /// Availability zones that are evacuated.
     pub evacuated_zones: IntGauge,
     /// Servers that count as cold and get few requests.
@@ -149,6 +157,13 @@
                 "pistachiolug_gateway_unknown_headers_total",
                 "Names of unknown headers in answers of servers.",
             )?,
+            prefix_tokens: Counters::register(
+                registry,
+                "pistachiolug_gateway_prefix_tokens_total",
+                "Prompt tokens that servers were expected to hold, and those expected wrongly.",
+                "expectation",
+                &[EXPECTED, WRONG],
+            )?,
             evacuated_zones: gauge(
                 registry,
                 "pistachiolug_gateway_evacuated_zones",
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use crate::{fingerprint::Fingerprint, losses::Loss, pool::Choice, state::State};
+use crate::{
+    fingerprint::Fingerprint, losses::Loss, pool::Choice, prefix_cache::Expectation, state::State,
+};
 
 /// Slot of one request at a server; dropping it frees the slot and serves the queue.
 #[derive(Debug)]
@@ -17,6 +19,8 @@
     pub(crate) service: Arc<str>,
     /// Prompt tokens that the server has not read yet.
     pub(crate) unread_prompt_tokens: Cell<u32>,
+    /// What was expected of a prefix that the server may hold; `None` once the first event has arrived.
+    pub(crate) expectation: RefCell<Option<Expectation>>,
     /// Request that the server has; `None` before it was sent and once its outcome is known.
     pub(crate) sent: RefCell<Option<Sent>>,
     /// Whether the end of the server's answer can be told from the end of its connection.
@@ -124,10 +128,18 @@
     pub fn record_first_event(&self, elapsed: Duration) {
         let id = &self.choice.record.id;
         let elapsed_ms = elapsed.as_secs_f64() * 1000.0;
+        let expectation = self.expectation.take();
+        let saving_ms = expectation.as_ref().map_or(0.0, |known| known.saving_ms);
+        let expected_ms = self.choice.expected_wait_ms - saving_ms;
         self.state.with_pool(|pool| {
             pool.finish_prompt(id, self.unread_prompt_tokens.replace(0));
-            pool.update_slowdown(id, self.choice.expected_wait_ms, elapsed_ms);
+            pool.update_slowdown(id, expected_ms, elapsed_ms);
         });
+        if let Some(expectation) = expectation {
+            let service = &self.service;
+            self.state
+                .record_prefix_time(service, &self.choice, &expectation, elapsed_ms);
+        }
     }
 
     /// Records that the server could not be reached or gave no complete answer.
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -9,6 +9,7 @@
 use crate::{
     config::Engine,
     placement::Zones,
+    prefix_cache::{Evidence, Prompt},
     selection::{self, Candidate},
     server::{Record, Version, hash_id},
     statement::Statement,
@@ -17,6 +18,7 @@
 mod limits;
 mod listing;
 mod quota;
+mod prefixes;
 mod server;
 mod statements;
 
@@ -59,6 +61,8 @@
     /// Servers by id that ended and are listed again by an earlier copy of the list.
     unconfirmed: FxHashMap<Arc<str>, Unconfirmed>,
     sharing: quota::Sharing,
+    /// What is known of prompt prefixes at the servers of a service, by service; only of those with such prompts.
+    evidence: FxHashMap<Arc<str>, Evidence>,
 }
 
 /// Conditions that a server has to meet to get a request.
@@ -88,6 +92,8 @@
     pub zones: Zones,
     /// Server at which this entry has just freed a slot. At this server the request may also use the reserved slots.
     pub freed_server: Option<Arc<str>>,
+    /// Prompt, for servers that may hold a prefix of it; empty if that is not considered.
+    pub prompt: Prompt,
 }
 
 /// Server that was chosen for a request.
@@ -147,10 +153,11 @@
         if usable.iter().any(|server| server.needs_grant(now)) {
             usable.retain(|server| server.needs_grant(now));
         }
-        let candidates: Vec<Candidate> = usable
+        let mut candidates: Vec<Candidate> = usable
             .iter()
             .map(|server| server.candidate(requirements, engine, location))
             .collect();
+        self.weigh_prefixes(&usable, &mut candidates, requirements, engine, now, random);
         let index = selection::choose(&candidates, random)?;
         Some(Choice {
             record: usable[index].record.clone(),
--- a/crates/pistachiolug_gateway/src/pool/listing.rs
+++ b/crates/pistachiolug_gateway/src/pool/listing.rs
@@ -13,6 +13,7 @@
     cold::Coldness,
     contact::Contact,
     link::Link,
+    prefix_cache::Holdings,
     server::{Model, Record},
     statement::Statement,
 };
@@ -100,6 +101,7 @@
             quota: Quota::default(),
             contact: Contact::default(),
             link: Link::default(),
+            holdings: Holdings::default(),
             failure_rate: 0.0,
             slowdown: SLOWDOWN_RANGE.0,
             has_notice: false,
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -10,6 +10,7 @@
     config::Engine,
     contact::Contact,
     link::Link,
+    prefix_cache::Holdings,
     selection::{Candidate, Location, UpcomingLoad},
     server::Record,
     statement::Statement,
@@ -54,6 +55,8 @@
     pub(super) quota: Quota,
     pub(super) contact: Contact,
     pub(super) link: Link,
+    /// Prompt prefixes that the server may hold.
+    pub(super) holdings: Holdings,
     /// Moving average of failures among answers, within 0.0..=1.0.
     pub(super) failure_rate: f64,
     /// Factor by which first events arrive later than expected.
@@ -219,6 +222,7 @@
             failure_rate: self.failure_rate,
             upcoming_load: self.upcoming_load(requirements),
             distance: location.distance(&self.record.zone),
+            saving_ms: 0.0,
         }
     }
 
--- a/crates/pistachiolug_gateway/src/prefix.rs
+++ b/crates/pistachiolug_gateway/src/prefix.rs
@@ -26,14 +26,7 @@
     /// Reads the shared parts from a request's headers; empty without a valid header. Parts beyond the first 32 are
     /// ignored.
     pub fn from_headers(headers: &HeaderMap, names: &Names) -> Self {
-        let values = headers.get_all(&names.prefix).iter();
-        let entries = values.filter_map(|value| value.to_str().ok());
-        let ids = entries.flat_map(|value| value.split(',')).map(id_of);
-        let mut ids: Vec<Box<str>> = ids
-            .filter(|id| !id.is_empty())
-            .take(MAX_PARTS + 1)
-            .map(|id| id.to_ascii_lowercase().into())
-            .collect();
+        let mut ids: Vec<Box<str>> = parts(headers, names).map(|(id, _)| id.into()).collect();
         ids.pop();
         Self { ids }
     }
@@ -44,10 +37,25 @@
     }
 }
 
-/// Returns the id of an entry `ID:TOKENS`.
-fn id_of(entry: &str) -> &str {
-    let id = entry.split_once(':').map_or(entry, |(id, _)| id);
-    id.trim()
+/// Returns the ids in lower case and the tokens of the first 33 parts of a prompt, the request's own part included; `None` for
+/// tokens that are not stated as a number.
+pub fn parts<'a>(
+    headers: &'a HeaderMap,
+    names: &Names,
+) -> impl Iterator<Item = (String, Option<u32>)> + use<'a> {
+    let values = headers.get_all(&names.prefix).iter();
+    let entries = values.filter_map(|value| value.to_str().ok());
+    let parts = entries.flat_map(|value| value.split(',')).map(split);
+    parts
+        .filter(|(id, _)| !id.is_empty())
+        .take(MAX_PARTS + 1)
+        .map(|(id, tokens)| (id.to_ascii_lowercase(), tokens))
+}
+
+/// Splits an entry `ID:TOKENS`.
+fn split(entry: &str) -> (&str, Option<u32>) {
+    let (id, tokens) = entry.split_once(':').unwrap_or((entry, ""));
+    (id.trim(), tokens.trim().parse().ok())
 }
 
 /// Writes the first ids, separated by commas, and the number of those left out.
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -11,11 +11,12 @@
 
 use crate::{
     call::Call,
-    config::{Authorized, Config, Denial},
+    config::{Authorized, Config, Denial, Kind},
     deadline,
     fingerprint::Fingerprint,
     headers,
     prefix::Prefix,
+    prefix_cache::Prompt,
     reply::Reason,
     state::{State, find_engine},
 };
@@ -64,6 +65,12 @@
         .map(Arc::from);
     let tokens = headers::tokens(&head.headers, names);
     let prefix = Prefix::from_headers(&head.headers, names);
+    let prompt = match &model {
+        Some(model) if route.shares_prompts && route.kind == Kind::Stream => {
+            Prompt::from_headers(&head.headers, names, model)
+        }
+        _ => Prompt::default(),
+    };
     state.count_request(&service);
     let content = digest_content(&head, &authorized, &body);
     let named_model = headers::text(&head.headers, &names.model).unwrap_or_default();
@@ -80,6 +87,7 @@
         model,
         tokens,
         prefix,
+        prompt,
         arrived,
         deadline,
         is_first_attempt,
--- a/crates/pistachiolug_gateway/src/selection.rs
+++ b/crates/pistachiolug_gateway/src/selection.rs
@@ -96,20 +96,30 @@
     pub upcoming_load: UpcomingLoad,
     /// Distance from the entry.
     pub distance: Distance,
+    /// Expected milliseconds by which the server answers sooner because it holds a prefix of the prompt; 0 if none.
+    pub saving_ms: f64,
 }
 
 /// Returns the index of the candidate with the lowest cost among two random samples: one of the candidates in the
 /// entry's region and one of those in other regions. Returns `None` without candidates.
 ///
 /// The sampling spreads bursts: between two beacons many entries see the same loads, and if all of them took the best
-/// server, its queue would grow long (the power of a few random choices, Mitzenmacher 2001).
+/// server, its queue would grow long (the power of a few random choices, Mitzenmacher 2001). One of the candidates with the
+/// largest saving is added, which the samples would miss if only few servers hold a prefix.
 pub fn choose(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
     let indices = 0..candidates.len();
     let (near, far): (Vec<usize>, Vec<usize>) =
         indices.partition(|index| candidates[*index].distance != Distance::OtherRegion);
     let near = sample(&near, random);
-    let sampled = near.into_iter().chain(sample(&far, random));
+    let mut sampled = near;
+    sampled.extend(sample(&far, random));
+    if let Some(holder) = pick_holder(candidates, random)
+        && !sampled.contains(&holder)
+    {
+        sampled.push(holder);
+    }
     let costs_ms: Vec<(usize, f64)> = sampled
+        .into_iter()
         .map(|index| {
             let jitter_ms = random.random_range(0.0..MAX_JITTER_MS);
             (index, cost_ms(&candidates[index]) + jitter_ms)
@@ -127,6 +137,20 @@
     indices.sample(random, count).copied().collect()
 }
 
+/// Returns a random one of the candidates with the largest saving, so that servers which hold the same prefix share its
+/// requests; `None` if no saving is expected.
+fn pick_holder(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
+    let savings = candidates.iter().map(|candidate| candidate.saving_ms);
+    let largest = savings.fold(0.0, f64::max);
+    if largest <= 0.0 {
+        return None;
+    }
+    let holders = candidates.iter().enumerate();
+    let holders = holders.filter(|(_, candidate)| candidate.saving_ms >= largest);
+    let indices: Vec<usize> = holders.map(|(index, _)| index).collect();
+    indices.choose(random).copied()
+}
+
 fn cost_ms(candidate: &Candidate) -> f64 {
     let distance = match candidate.distance {
         Distance::SameZone => 0.0,
@@ -137,4 +161,5 @@
         + candidate.upcoming_load.cost_ms()
         + distance
         + candidate.failure_rate * FAILURE_COST_MS
+        - candidate.saving_ms
 }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -26,6 +26,7 @@
 mod limits;
 mod parts;
 mod placement;
+mod prefixes;
 mod retries;
 mod slots;
 mod statements;
--- a/crates/pistachiolug_gateway/src/state/slots.rs
+++ b/crates/pistachiolug_gateway/src/state/slots.rs
@@ -44,6 +44,7 @@
         let choice = self.choose(&mut pool, requirements)?;
         pool.start_request(&choice.record.id, requirements.prompt_tokens);
         pool.record_assignment(&choice);
+        let expectation = self.expect_prefix(&pool, requirements, &choice);
         drop(pool);
         if !requirements.is_late {
             self.with_rates(&requirements.service, |rates, now| rates.taken.count(now));
@@ -52,6 +53,7 @@
             choice,
             service: Arc::clone(&requirements.service),
             unread_prompt_tokens: Cell::new(requirements.prompt_tokens),
+            expectation: RefCell::new(expectation),
             sent: RefCell::default(),
             is_framed: Cell::new(true),
             state: Rc::clone(self),
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -172,6 +172,7 @@
         failure_rate: 0.0,
         upcoming_load: UpcomingLoad::NotNeeded,
         distance: Distance::SameZone,
+        saving_ms: 0.0,
     }
 }
 
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -384,6 +384,7 @@
         anonymous: false,
         resumable: kind == Kind::Stream,
         regions: Regions::default(),
+        shares_prompts: false,
     }
 }
 
