Explain where a request would go without sending it

Operators had to infer a placement from log lines after the fact. The internal port reports candidates with their costs, what excludes the other servers, the queue ahead and the answer of admission control.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use crate::{
-    admission::{self, Decision, Request},
+    admission::{self, Decision, Request, SlotRates},
     call::Call,
     deadline,
     permit::Permit,
@@ -49,20 +49,14 @@
         log_placed(call, &permit, &requirements, ahead);
         return Ok(permit);
     }
-    let servable = state.with_pool(|pool| pool.can_serve(&requirements, state.now()));
-    let reopens_in = state.with_pool(|pool| pool.time_to_reopening(&requirements, state.now()));
-    let limit = state.with_pool(|pool| pool.total_limit(&requirements, state.now()));
-    let request = admission_request(call, ahead, reopens_in, limit);
-    let rates = state.slot_rates(&call.service);
-    let is_placeable = !requirements.zones.is_limited()
-        || state.with_pool(|pool| pool.is_placeable(&requirements));
-    let decision = if !is_placeable {
-        Decision::Refuse
-    } else if servable || reopens_in.is_some() || tried.is_empty() {
-        admission::decide(&request, &rates)
-    } else {
-        Decision::Refuse
-    };
+    let Admission {
+        servable,
+        is_placeable,
+        reopens_in,
+        limit,
+        rates,
+        decision,
+    } = admit(state, call, &requirements, ahead);
     let reopens_in_ms = reopens_in.map(|reopens_in| reopens_in.as_millis() as u64);
     let (places, fresh_places) = (rates.freed_per_second, rates.first_attempts_per_second);
     let Decision::Wait(max_wait) = decision else {
@@ -90,6 +84,55 @@
     Err(refusal_reason(servable, reopens_in, limit))
 }
 
+/// Answer of admission control to a request that finds no free slot, and what it follows from.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    /// Whether any server could take the request if it had a free slot.
+    pub(crate) servable: bool,
+    /// Whether a listed server is in the zones that the request may use.
+    pub(crate) is_placeable: bool,
+    /// Time until the first server takes requests, if all are in backoffs or without a grant.
+    pub(crate) reopens_in: Option<Duration>,
+    /// Requests per second that all servers together take, if all have limits.
+    pub(crate) limit: Option<f64>,
+    pub(crate) rates: SlotRates,
+    pub(crate) decision: Decision,
+}
+
+/// Decides whether a request that finds no free slot may wait for one.
+///
+/// # Arguments
+/// `ahead` is the number of waiting requests that are served before it.
+pub(crate) fn admit(
+    state: &State,
+    call: &Call,
+    requirements: &Requirements,
+    ahead: usize,
+) -> Admission {
+    let servable = state.with_pool(|pool| pool.can_serve(requirements, state.now()));
+    let reopens_in = state.with_pool(|pool| pool.time_to_reopening(requirements, state.now()));
+    let limit = state.with_pool(|pool| pool.total_limit(requirements, state.now()));
+    let request = admission_request(call, ahead, reopens_in, limit);
+    let rates = state.slot_rates(&call.service);
+    let is_placeable =
+        !requirements.zones.is_limited() || state.with_pool(|pool| pool.is_placeable(requirements));
+    let decision = if !is_placeable {
+        Decision::Refuse
+    } else if servable || reopens_in.is_some() || requirements.tried.is_empty() {
+        admission::decide(&request, &rates)
+    } else {
+        Decision::Refuse
+    };
+    Admission {
+        servable,
+        is_placeable,
+        reopens_in,
+        limit,
+        rates,
+        decision,
+    }
+}
+
 /// Acquires a slot at a server that may resume a stream or is asked beside a silent one; `None` if none becomes free in
 /// time.
 pub async fn acquire_resuming_permit(
--- a/crates/pistachiolug_gateway/src/config.rs
+++ b/crates/pistachiolug_gateway/src/config.rs
@@ -309,6 +309,21 @@
         })
     }
 
+    /// Returns the route and workspace of a request, like [`Config::authorize`], for a workspace that is given by name.
+    ///
+    /// # Errors
+    /// [`Denial`] if no route matches, or if the route needs a key and no workspace has the name.
+    pub fn authorize_workspace(
+        &self,
+        host: &str,
+        path: &str,
+        workspace: Option<&str>,
+    ) -> Result<Authorized, Denial> {
+        let mut keys = self.keys.iter().flatten();
+        let key = keys.find(|(_, known)| Some(&*known.name) == workspace);
+        self.authorize(host, path, key.map(|(key, _)| key.as_str()))
+    }
+
     fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name);
         let routes = match self.hosts.get(name) {
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod deadline;
 pub mod decoder;
 pub mod event;
+pub mod explain;
 pub mod fingerprint;
 pub mod forward;
 pub mod gossip;
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -15,6 +15,7 @@
     statement::Statement,
 };
 
+mod candidates;
 mod limits;
 mod listing;
 mod quota;
@@ -23,6 +24,7 @@
 mod statements;
 
 pub use crate::selection::Location;
+pub use candidates::{Exclusion, Explanation};
 pub use limits::Demand;
 pub use server::Server;
 
@@ -140,24 +142,7 @@
         now: Duration,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let ids = self.services.get(&requirements.service)?;
-        let servers = ids.iter().map(|id| &self.servers[id]);
-        let mut usable: Vec<&Server> = servers
-            .filter(|server| {
-                server.is_usable(requirements, now)
-                    && server.is_within_limit(now)
-                    && server.has_free_slot(requirements, engine, self.peer_count, now)
-            })
-            .collect();
-        // Grants expire if they are not used.
-        if usable.iter().any(|server| server.needs_grant(now)) {
-            usable.retain(|server| server.needs_grant(now));
-        }
-        let mut candidates: Vec<Candidate> = usable
-            .iter()
-            .map(|server| server.candidate(requirements, engine, location))
-            .collect();
-        self.weigh_prefixes(&usable, &mut candidates, requirements, engine, now, random);
+        let (usable, candidates) = self.candidates(requirements, engine, location, now, random);
         let index = selection::choose(&candidates, random)?;
         Some(Choice {
             record: usable[index].record.clone(),
--- a/crates/pistachiolug_gateway/src/pool/prefixes.rs
+++ b/crates/pistachiolug_gateway/src/pool/prefixes.rs
@@ -30,6 +30,18 @@
         self.evidence.get(service)
     }
 
+    /// Returns the part of a request's prompt that a server may hold.
+    pub(super) fn find_held(
+        &self,
+        server: &Server,
+        requirements: &Requirements,
+        now: Duration,
+    ) -> Match {
+        let evidence = self.evidence.get(&requirements.service);
+        let range = evidence.map_or(0, Evidence::range);
+        server.find_prefix(requirements, range, now)
+    }
+
     /// Sets the savings of the candidates, in the order of `servers`, for a request whose prompt they may hold in part.
     pub(super) fn weigh_prefixes(
         &self,
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -137,24 +137,26 @@
 
     /// Returns whether the server may get the request if it is not avoided and wants requests.
     pub(super) fn meets(&self, requirements: &Requirements, now: Duration) -> bool {
-        let has_version = match &requirements.model {
-            None => true,
-            Some(model) => {
-                let held = self.record.version(model);
-                let minimum = if self.link.is_congested(now) {
-                    requirements.min_version_behind_congestion
-                } else {
-                    requirements.min_version
-                };
-                held.is_some_and(|held| minimum.is_none_or(|minimum| held >= minimum))
-            }
-        };
-        has_version
+        self.has_version(requirements, now)
             && !self.is_leaving()
             && requirements.zones.contains(&self.record.zone)
             && !requirements.tried.contains(&self.record.id)
     }
 
+    /// Returns whether the server holds a version of the model that may begin the request.
+    pub(super) fn has_version(&self, requirements: &Requirements, now: Duration) -> bool {
+        let Some(model) = &requirements.model else {
+            return true;
+        };
+        let held = self.record.version(model);
+        let minimum = if self.link.is_congested(now) {
+            requirements.min_version_behind_congestion
+        } else {
+            requirements.min_version
+        };
+        held.is_some_and(|held| minimum.is_none_or(|minimum| held >= minimum))
+    }
+
     pub(super) fn upcoming_load(&self, requirements: &Requirements) -> UpcomingLoad {
         let held = requirements
             .model
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -33,6 +33,7 @@
 use crate::{
     config::Limits,
     decoder::{Decoder, Row},
+    explain::{self, Refusal},
     forward,
     gossip::{self, BEACON_INTERVAL, ROWS_PATH},
     limit_gossip,
@@ -268,6 +269,7 @@
             "/debug/state" => {
                 response_with_body("application/json", dump.dump().to_string().into_bytes())
             }
+            explain::PATH => serve_explanation(&state, request.uri()),
             path if path.starts_with(&weights::path("")) => serve_weights(&state, path),
             path => match kernel.admin().serve(path) {
                 Some(reply) => local_server::convert_reply(reply),
@@ -300,6 +302,23 @@
     }
 }
 
+fn serve_explanation(state: &Rc<State>, uri: &Uri) -> Response<Full<Bytes>> {
+    match explain::report(state, uri.query().unwrap_or_default()) {
+        Ok(report) => response_with_body("application/json", report.to_string().into_bytes()),
+        Err(refusal) => {
+            let mut response = response_with_body("text/plain", refusal.as_str().into());
+            *response.status_mut() = match refusal {
+                Refusal::Starting => StatusCode::SERVICE_UNAVAILABLE,
+                Refusal::NoRoute | Refusal::NoWorkspace | Refusal::NoService => {
+                    StatusCode::NOT_FOUND
+                }
+                Refusal::Malformed => StatusCode::BAD_REQUEST,
+            };
+            response
+        }
+    }
+}
+
 fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{header, request};
+use http::{HeaderMap, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use pistachiolug_wire::digest::Digest;
@@ -11,10 +11,11 @@
 
 use crate::{
     call::Call,
-    config::{Authorized, Config, Denial, Kind},
+    config::{Authorized, Config, Denial, Kind, Route},
     deadline,
     fingerprint::Fingerprint,
     headers,
+    names::Names,
     prefix::Prefix,
     prefix_cache::Prompt,
     reply::Reason,
@@ -65,12 +66,7 @@
         .map(Arc::from);
     let tokens = headers::tokens(&head.headers, names);
     let prefix = Prefix::from_headers(&head.headers, names);
-    let prompt = match &model {
-        Some(model) if route.shares_prompts && route.kind == Kind::Stream => {
-            Prompt::from_headers(&head.headers, names, model)
-        }
-        _ => Prompt::default(),
-    };
+    let prompt = read_prompt(route, model.as_deref(), &head.headers, names);
     state.count_request(&service);
     let content = digest_content(&head, &authorized, &body);
     let named_model = headers::text(&head.headers, &names.model).unwrap_or_default();
@@ -95,6 +91,22 @@
     })
 }
 
+/// Reads the chain of a prompt's parts; empty unless the route says that prompts have shared parts, and that answers are
+/// streams, whose first events show what a server held.
+pub(crate) fn read_prompt(
+    route: &Route,
+    model: Option<&str>,
+    headers: &HeaderMap,
+    names: &Names,
+) -> Prompt {
+    match model {
+        Some(model) if route.shares_prompts && route.kind == Kind::Stream => {
+            Prompt::from_headers(headers, names, model)
+        }
+        _ => Prompt::default(),
+    }
+}
+
 /// Computes the digest by which a request that comes again, at any entry, is recognized.
 fn digest_content(head: &request::Parts, authorized: &Authorized, body: &[u8]) -> Digest {
     let workspace = authorized.workspace.as_ref();
--- a/crates/pistachiolug_gateway/src/selection.rs
+++ b/crates/pistachiolug_gateway/src/selection.rs
@@ -37,7 +37,8 @@
 }
 
 impl UpcomingLoad {
-    fn cost_ms(self) -> f64 {
+    /// Returns the cost in milliseconds.
+    pub fn cost_ms(self) -> f64 {
         match self {
             Self::NotNeeded => 0.0,
             Self::BreaksOnce => FIRST_BREAK_COST_MS,
@@ -63,6 +64,17 @@
     OtherRegion,
 }
 
+impl Distance {
+    /// Returns the cost in milliseconds.
+    pub fn cost_ms(self) -> f64 {
+        match self {
+            Self::SameZone => 0.0,
+            Self::SameRegion => CROSS_ZONE_COST_MS,
+            Self::OtherRegion => CROSS_REGION_COST_MS,
+        }
+    }
+}
+
 /// Location of the entry that chooses servers.
 #[derive(Debug, Clone)]
 pub struct Location {
@@ -151,15 +163,11 @@
     indices.choose(random).copied()
 }
 
-fn cost_ms(candidate: &Candidate) -> f64 {
-    let distance = match candidate.distance {
-        Distance::SameZone => 0.0,
-        Distance::SameRegion => CROSS_ZONE_COST_MS,
-        Distance::OtherRegion => CROSS_REGION_COST_MS,
-    };
+/// Returns the cost of a candidate in milliseconds, without the random part.
+pub fn cost_ms(candidate: &Candidate) -> f64 {
     candidate.expected_wait_ms
         + candidate.upcoming_load.cost_ms()
-        + distance
+        + candidate.distance.cost_ms()
         + candidate.failure_rate * FAILURE_COST_MS
         - candidate.saving_ms
 }
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -182,6 +182,7 @@
 struct Process {
     front: SocketAddr,
     ready: SocketAddr,
+    internal: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     freezes: mpsc::UnboundedSender<Duration>,
     thread: Option<thread::JoinHandle<()>>,
@@ -208,6 +209,7 @@
         Self {
             front: addresses.front,
             ready: addresses.ready,
+            internal: addresses.internal,
             stop: Some(stop),
             freezes,
             thread: Some(thread),
@@ -475,6 +477,12 @@
         exchange(entry.front, request).await
     }
 
+    /// Sends a request to the internal port of one entry and returns all bytes of the answer.
+    pub async fn call_internal(&self, entry: usize, request: &str) -> String {
+        let entry = &self.entries[entry % self.entries.len()];
+        exchange(entry.internal, request).await
+    }
+
     /// Returns the number of requests with a body that arrived at servers.
     pub fn arrivals(&self, body: &str) -> usize {
         let arrivals = self.servers.arrivals.borrow();
