--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -18,8 +18,8 @@
 mod candidates;
 mod limits;
 mod listing;
-mod quota;
 mod prefixes;
+mod quota;
 mod server;
 mod statements;
 
