Reserve slots of engines for urgent requests that are short of them at any entry

Under overload the least urgent priority was served best: each entry gave its slots to its own requests, and an urgent request waited no longer than 0.4 of its target. Less urgent requests now leave slots to more urgent ones that were short of slots within the last second at any entry. Priorities and workspaces below half of the service of all may use these slots. An urgent request waits as long as its first event is expected in time.

The decision tests state the new field of admission::Request; their expectations are unchanged.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -10,7 +10,7 @@
     pool::Requirements,
     queue::{Position, Rank},
     reply::Reason,
-    state::State,
+    state::{State, find_engine},
 };
 
 /// Longest wait for a slot at a server that resumes a stream.
@@ -39,8 +39,11 @@
     }
     let requirements = call.requirements(state, tried);
     let rank = call.rank();
-    let ahead = state.count_ahead(&call.service, rank);
-    let permit = if state.is_next(&call.service, rank) {
+    if tried.is_empty() {
+        state.record_arrival(&requirements);
+    }
+    let ahead = state.count_preceding(&requirements, rank);
+    let permit = if state.is_next(&requirements, rank) {
         state.reserve(&requirements)
     } else {
         None
@@ -57,10 +60,14 @@
         rates,
         decision,
     } = admit(state, call, &requirements, ahead);
+    let (slots_left, below_floor) = (requirements.slots_left, state.is_below_floor(&requirements));
+    if servable && reopens_in.is_none() && limit.is_none() {
+        state.record_shortage(&requirements);
+    }
     let reopens_in_ms = reopens_in.map(|reopens_in| reopens_in.as_millis() as u64);
     let (places, fresh_places) = (rates.freed_per_second, rates.first_attempts_per_second);
     let Decision::Wait(max_wait) = decision else {
-        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable, is_placeable, reopens_in_ms:?, limit:?; "no slot expected in time");
+        log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, fresh = call.is_first_attempt, servable, is_placeable, slots_left, below_floor, reopens_in_ms:?, limit:?; "no slot expected in time");
         return Err(refusal_reason(servable, reopens_in, limit));
     };
     let (position, receiver) = state.enqueue(requirements, rank);
@@ -80,7 +87,7 @@
         return Ok(permit);
     }
     let patience_ms = max_wait.as_millis() as u64;
-    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, patience_ms, servable, reopens_in_ms:?, limit:?; "no slot became free in time");
+    log::info!(call = call.id.as_str(), service = &*call.service, ahead, places, fresh_places, patience_ms, servable, slots_left, below_floor, reopens_in_ms:?, limit:?; "no slot became free in time");
     Err(refusal_reason(servable, reopens_in, limit))
 }
 
@@ -112,8 +119,8 @@
     let servable = state.with_pool(|pool| pool.can_serve(requirements, state.now()));
     let reopens_in = state.with_pool(|pool| pool.time_to_reopening(requirements, state.now()));
     let limit = state.with_pool(|pool| pool.total_limit(requirements, state.now()));
-    let request = admission_request(call, ahead, reopens_in, limit);
-    let rates = state.slot_rates(&call.service);
+    let request = admission_request(state, call, ahead, reopens_in, limit);
+    let rates = state.slot_rates(requirements);
     let is_placeable =
         !requirements.zones.is_limited() || state.with_pool(|pool| pool.is_placeable(requirements));
     let decision = if !is_placeable {
@@ -141,7 +148,9 @@
     tried: &[Arc<str>],
     max_wait: Duration,
 ) -> Option<Permit> {
-    let requirements = call.requirements(state, tried);
+    let mut requirements = call.requirements(state, tried);
+    requirements.is_exempt = true;
+    state.update_reservation(&mut requirements);
     if let Some(permit) = state.reserve(&requirements) {
         return Some(permit);
     }
@@ -173,7 +182,7 @@
 /// Returns whether all servers that could take the request are in backoffs that last longer than it may wait.
 pub fn is_backoff_too_long(state: &State, call: &Call, tried: &[Arc<str>]) -> bool {
     let reopens_in = time_to_reopening(state, call, tried);
-    let max_wait = admission_request(call, 0, reopens_in, None).max_wait();
+    let max_wait = admission_request(state, call, 0, reopens_in, None).max_wait();
     reopens_in.is_some_and(|reopens_in| reopens_in > max_wait)
 }
 
@@ -187,11 +196,17 @@
 }
 
 fn admission_request(
+    state: &State,
     call: &Call,
     ahead: usize,
     reopens_in: Option<Duration>,
     limit: Option<f64>,
 ) -> Request {
+    let competes = call.model.is_some() && state.has_less_urgent(&call.service, call.rank());
+    let config = state.config().filter(|_| competes);
+    let engine = config
+        .as_ref()
+        .and_then(|config| find_engine(config, &call.service));
     Request {
         target_latency: call
             .authorized
@@ -203,6 +218,7 @@
         ahead,
         reopens_in: reopens_in.unwrap_or_default(),
         limit,
+        first_event: engine.map(|engine| admission::first_event(call.tokens.prompt, engine)),
     }
 }
 
--- a/crates/pistachiolug_gateway/src/admission.rs
+++ b/crates/pistachiolug_gateway/src/admission.rs
@@ -5,9 +5,20 @@
 
 use std::time::Duration;
 
-/// Largest share of the target latency that a first attempt may wait; the rest is left for its first token.
+use crate::config::Engine;
+
+/// Largest share of the target latency that a first attempt may wait; the rest is left for its first token. One that
+/// competes with less urgent requests may wait longer, by the expected time to its first event.
 const MAX_WAIT_SHARE_OF_TARGET: f64 = 0.4;
 
+/// Passes of a server's streams until the first event of a request: it waits for the end of one and is generated in the
+/// next.
+const PASSES_TO_FIRST_EVENT: f64 = 2.0;
+
+/// Share of the target latency that is left beside the expected time to the first event, for prompts that are read before
+/// and for slow servers.
+const FIRST_EVENT_MARGIN: f64 = 0.1;
+
 /// Largest share of its time left that a retry may wait. A late answer is worth less, and the rest of the time is
 /// needed for the answer itself.
 const MAX_WAIT_SHARE_OF_TIME_LEFT: f64 = 0.25;
@@ -39,19 +50,35 @@
     pub reopens_in: Duration,
     /// Requests per second that all servers together take, if all of them have limits.
     pub limit: Option<f64>,
+    /// Expected time from a slot to its first event, if it competes with less urgent requests; `None` otherwise.
+    pub first_event: Option<Duration>,
 }
 
 impl Request {
     /// Returns the longest time that it may wait for a slot.
     pub fn max_wait(&self) -> Duration {
-        if self.is_first_attempt {
-            self.target_latency.mul_f64(MAX_WAIT_SHARE_OF_TARGET)
-        } else {
-            self.time_left.mul_f64(MAX_WAIT_SHARE_OF_TIME_LEFT)
+        if !self.is_first_attempt {
+            return self.time_left.mul_f64(MAX_WAIT_SHARE_OF_TIME_LEFT);
         }
+        let usual = self.target_latency.mul_f64(MAX_WAIT_SHARE_OF_TARGET);
+        let Some(first_event) = self.first_event else {
+            return usual;
+        };
+        let latest = self.target_latency.mul_f64(1.0 - FIRST_EVENT_MARGIN);
+        usual.max(latest.saturating_sub(first_event))
     }
 }
 
+/// Returns the expected time from a slot at a full engine to the first event of a request with this prompt.
+pub fn first_event(prompt_tokens: u32, engine: &Engine) -> Duration {
+    let read_ms = f64::from(prompt_tokens) / engine.prompt_tokens_per_ms;
+    let step_ms = engine.step_ms + engine.step_ms_per_call * f64::from(engine.slots);
+    let pass_ms = step_ms * engine.stride;
+    let millis = read_ms + PASSES_TO_FIRST_EVENT * pass_ms;
+    // A configuration may state no rate.
+    Duration::try_from_secs_f64(millis / 1000.0).unwrap_or(Duration::MAX)
+}
+
 /// Rates at which slots become free for an entry's requests to a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SlotRates {
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -103,6 +103,13 @@
             tried: tried.to_vec(),
             is_late: !self.is_first_attempt,
             priority: self.authorized.priority(),
+            workspace: self
+                .authorized
+                .workspace
+                .as_ref()
+                .map(|workspace| Arc::clone(&workspace.name)),
+            slots_left: 0.0,
+            is_exempt: false,
             zones: state.zones(self),
             freed_server: None,
             // A repeated send is rare, and its time to the first event is not comparable.
@@ -113,6 +120,7 @@
             },
         };
         state.update_versions(&mut requirements);
+        state.update_reservation(&mut requirements);
         requirements
     }
 
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod receive;
 pub mod relay;
 pub mod reply;
+pub mod reservation;
 pub mod selection;
 pub mod send;
 pub mod server;
--- a/crates/pistachiolug_gateway/src/peers.rs
+++ b/crates/pistachiolug_gateway/src/peers.rs
@@ -4,12 +4,12 @@
 
 use pistachiolug_weights::order::Key;
 use pistachiolug_wire::{
-    datagram::{Beacon, Work},
+    datagram::{Beacon, Shortage, Work},
     position::Position,
 };
 use rustc_hash::FxHashMap;
 
-use crate::outage;
+use crate::{outage, reservation::Unmet};
 
 /// Age of a beacon from which the load in it is ignored; several beacons were missed by then.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
@@ -76,6 +76,8 @@
     position: Position,
     /// Its open requests by hashed server id.
     work: Vec<(u32, Work)>,
+    /// Its services that are short of slots.
+    shortages: Vec<Shortage>,
 }
 
 impl Peer {
@@ -144,6 +146,7 @@
                 is_store_reachable: false,
                 position: Position::default(),
                 work: Vec::new(),
+                shortages: Vec::new(),
             }
         });
         peer.address = address;
@@ -170,6 +173,7 @@
             peer.is_store_reachable = beacon.in_touch;
             peer.position = beacon.position;
             peer.work = beacon.work;
+            peer.shortages = beacon.shortages;
         }
     }
 
@@ -187,6 +191,18 @@
         work
     }
 
+    /// Returns the sum of the other entries' requests that are short of slots by hashed service, without outdated beacons.
+    pub fn shortages(&self, now: Duration) -> FxHashMap<u32, Unmet> {
+        let mut sums: FxHashMap<u32, Unmet> = FxHashMap::default();
+        let peers = self.by_name.values();
+        let heard = peers.filter(|peer| peer.is_heard_within(MAX_LOAD_AGE, now));
+        for shortage in heard.flat_map(|peer| &peer.shortages) {
+            let unmet = sums.entry(shortage.service).or_default();
+            unmet.add(shortage.priority, shortage.count.into());
+        }
+        sums
+    }
+
     /// Returns the address of a live entry with rows later than `position`, preferably of the own region; `None` if
     /// there is none.
     pub fn newer_peer(&self, position: Position, now: Duration) -> Option<SocketAddr> {
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -205,7 +205,7 @@
         state.with_pool(|pool| pool.end_request(id, self.unread_prompt_tokens.get()));
         // Slots of a server that takes no requests are not free; those of a limited one are when it may get a request.
         if self.is_reusable() {
-            state.count_freed(&self.service);
+            state.count_freed_at(&self.service, id);
         }
         state.serve_queue(&self.service, Some(id));
     }
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -10,6 +10,7 @@
     config::Engine,
     placement::Zones,
     prefix_cache::{Evidence, Prompt},
+    reservation::Claim,
     selection::{self, Candidate},
     server::{Record, Version, hash_id},
     statement::Statement,
@@ -90,6 +91,12 @@
     pub is_late: bool,
     /// Priority of the request; 0 is served first.
     pub priority: u8,
+    /// Workspace of the caller; `None` on routes without keys.
+    pub workspace: Option<Arc<str>>,
+    /// Mean number of slots of each engine that the request leaves to more urgent ones.
+    pub slots_left: f64,
+    /// Whether a server has or had the request, so that it leaves no slots to others.
+    pub is_exempt: bool,
     /// Availability zones whose servers may get the request.
     pub zones: Zones,
     /// Server at which this entry has just freed a slot. At this server the request may also use the reserved slots.
@@ -98,6 +105,17 @@
     pub prompt: Prompt,
 }
 
+impl Requirements {
+    /// Returns what the request competes for slots with.
+    pub fn claim(&self) -> Claim<'_> {
+        Claim {
+            priority: self.priority,
+            is_late: self.is_late,
+            workspace: self.workspace.as_deref(),
+        }
+    }
+}
+
 /// Server that was chosen for a request.
 #[derive(Debug, Clone)]
 pub struct Choice {
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -11,8 +11,9 @@
     contact::Contact,
     link::Link,
     prefix_cache::Holdings,
+    reservation,
     selection::{Candidate, Location, UpcomingLoad},
-    server::Record,
+    server::{Record, hash_id},
     statement::Statement,
 };
 
@@ -209,10 +210,32 @@
             return false;
         }
         let is_freed = requirements.freed_server.as_ref() == Some(&self.record.id);
-        let reserve = if is_freed { 0 } else { RESERVED_SLOTS };
+        let left = reservation::at_engine(requirements.slots_left, hash_id(&self.record.id));
+        self.has_slot_beyond(left, is_freed, engine)
+    }
+
+    /// Returns whether a slot is free beside those that are left to other requests.
+    ///
+    /// # Arguments
+    /// `left` are the slots left to more urgent requests. `is_freed` is whether this entry has just freed a slot here.
+    fn has_slot_beyond(&self, left: u32, is_freed: bool, engine: &Engine) -> bool {
+        // A slot that is left to another entry's request has to be free beside the one that is kept for unknown ones, or
+        // that entry can't use it.
+        let reserve = if is_freed && left == 0 {
+            0
+        } else {
+            RESERVED_SLOTS.saturating_add(left)
+        };
         self.open_calls().saturating_add(reserve) < engine.slots
     }
 
+    /// Returns whether a request may use a slot that this entry has just freed here, if it leaves `slots_left` slots of
+    /// each engine to more urgent ones on average.
+    pub fn is_freed_usable(&self, slots_left: f64, engine: &Engine) -> bool {
+        let left = reservation::at_engine(slots_left, hash_id(&self.record.id));
+        self.has_slot_beyond(left, true, engine)
+    }
+
     pub(super) fn candidate(
         &self,
         requirements: &Requirements,
--- a/crates/pistachiolug_gateway/src/queue.rs
+++ b/crates/pistachiolug_gateway/src/queue.rs
@@ -66,6 +66,16 @@
         waiting.map(|(position, waiter)| (*position, waiter))
     }
 
+    /// Returns all requests with their positions, those first that are `preferred`, each group in the order of the queue.
+    pub fn iter_preferring<'a>(
+        &'a self,
+        preferred: impl Fn(&T) -> bool + Copy + 'a,
+    ) -> impl Iterator<Item = (Position, &'a T)> {
+        let first = self.iter().filter(move |(_, waiter)| preferred(waiter));
+        let others = self.iter().filter(move |(_, waiter)| !preferred(waiter));
+        first.chain(others)
+    }
+
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -27,6 +27,7 @@
 mod parts;
 mod placement;
 mod prefixes;
+mod reservation;
 mod retries;
 mod slots;
 mod statements;
@@ -50,6 +51,7 @@
     pool::{Location, Pool, Requirements, Server},
     queue::Queue,
     reachability::Reachability,
+    reservation::{Ledger, Unmet},
     unknown_headers::UnknownHeaders,
     versions::{self, Versions},
 };
@@ -103,6 +105,10 @@
     queues: RefCell<FxHashMap<Arc<str>, Queue<Waiter>>>,
     /// Slot rates by service.
     rates: RefCell<FxHashMap<Arc<str>, slots::Rates>>,
+    /// Counts of competing requests by service.
+    ledgers: RefCell<FxHashMap<Arc<str>, Ledger>>,
+    /// Requests of other entries that are short of slots, by hashed service.
+    peer_shortages: RefCell<FxHashMap<u32, Unmet>>,
     budgets: RefCell<FxHashMap<Arc<str>, WindowBudget>>,
     has_read_rows: Cell<bool>,
     /// Era of the rows; `None` before the first read.
@@ -158,6 +164,8 @@
             deadlines_moved: Notify::new(),
             queues: RefCell::default(),
             rates: RefCell::default(),
+            ledgers: RefCell::default(),
+            peer_shortages: RefCell::default(),
             budgets: RefCell::default(),
             has_read_rows: Cell::default(),
             era: Cell::default(),
@@ -312,7 +320,7 @@
             position: rows.position(),
             rows_age_ms: rows_age.map(versions::millis),
             work: self.pool.borrow().own_work(),
-            shortages: Vec::new(),
+            shortages: self.shortages(),
             paces: Vec::new(),
         };
         (beacon, peers.beacon_targets(round).collect())
@@ -325,6 +333,7 @@
         let peers = self.peers.borrow();
         let (count, work) = (peers.count() as u32 - 1, peers.work(now));
         let registered = peers.count_registered(now) as u32;
+        self.peer_shortages.replace(peers.shortages(now));
         drop(peers);
         self.record_service(now);
         self.end_missing_evacuations();
--- a/crates/pistachiolug_gateway/src/state/slots.rs
+++ b/crates/pistachiolug_gateway/src/state/slots.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -9,13 +10,14 @@
 
 use tokio::sync::oneshot;
 
-use super::State;
+use super::{State, Waiter, find_engine};
 use crate::{
     admission::SlotRates,
     permit::Permit,
     pool::Requirements,
     queue::{Position, Rank},
     rate::{self, Rate},
+    reservation::Claim,
 };
 
 /// Rates of one service's slots: those that become free and those that first attempts take.
@@ -23,6 +25,8 @@
 pub(super) struct Rates {
     freed: Rate,
     taken: Rate,
+    /// Those that become free and may be used by first attempts of a priority.
+    usable: BTreeMap<u8, Rate>,
 }
 
 impl Rates {
@@ -30,6 +34,7 @@
         Self {
             freed: Rate::new(now, rate::INITIAL_PER_SECOND),
             taken: Rate::new(now, 0.0),
+            usable: BTreeMap::new(),
         }
     }
 }
@@ -49,6 +54,7 @@
         if !requirements.is_late {
             self.with_rates(&requirements.service, |rates, now| rates.taken.count(now));
         }
+        self.record_slot(requirements);
         Some(Permit {
             choice,
             service: Arc::clone(&requirements.service),
@@ -68,13 +74,29 @@
             .map_or(0, |queue| queue.ahead(rank).count())
     }
 
+    /// Returns the number of waiting requests that would be served before this one, of which `rank` is the rank. One below
+    /// its floor is served after others below their floors only.
+    pub fn count_preceding(&self, requirements: &Requirements, rank: Rank) -> usize {
+        let is_below_floor = self.is_below_floor(requirements);
+        let queues = self.queues.borrow();
+        queues.get(&requirements.service).map_or(0, |queue| {
+            let ahead = queue.ahead(rank);
+            ahead
+                .filter(|(waiting, _)| !is_below_floor || self.is_below_floor(waiting))
+                .count()
+        })
+    }
+
     /// Returns whether a request of this rank may take a free slot before the waiting ones. Those that were sent to a
     /// server before can't use the slots there, and have been offered all others.
-    pub fn is_next(&self, service: &Arc<str>, rank: Rank) -> bool {
+    pub fn is_next(&self, requirements: &Requirements, rank: Rank) -> bool {
+        let is_below_floor = self.is_below_floor(requirements);
         let queues = self.queues.borrow();
-        queues.get(service).is_none_or(|queue| {
+        queues.get(&requirements.service).is_none_or(|queue| {
             let mut ahead = queue.ahead(rank);
-            ahead.all(|(requirements, _)| !requirements.tried.is_empty())
+            ahead.all(|(waiting, _)| {
+                !waiting.tried.is_empty() || (is_below_floor && !self.is_below_floor(waiting))
+            })
         })
     }
 
@@ -120,15 +142,16 @@
         Some((permit, sender))
     }
 
-    /// Reserves a slot for the first waiting request that can use one. Requests that were sent to a server before, and
-    /// have to wait for another one, don't hold up those behind them.
+    /// Reserves a slot for the first waiting request that can use one, those below their floors before all others.
+    /// Requests that were sent to a server before, and have to wait for another one, don't hold up those behind them.
     fn reserve_next(
         self: &Rc<Self>,
         service: &Arc<str>,
         freed: Option<&Arc<str>>,
     ) -> Option<(Position, Permit)> {
         let queues = self.queues.borrow();
-        for (position, (requirements, _)) in queues.get(service)?.iter() {
+        let is_below_floor = |waiter: &Waiter| self.is_below_floor(&waiter.0);
+        for (position, (requirements, _)) in queues.get(service)?.iter_preferring(is_below_floor) {
             let mut requirements = Requirements {
                 freed_server: freed.cloned(),
                 ..requirements.clone()
@@ -136,10 +159,11 @@
             // A target may have become due, or may have been set, during the wait.
             self.update_versions(&mut requirements);
             self.update_evacuated(&mut requirements);
+            self.update_reservation(&mut requirements);
             if let Some(permit) = self.reserve(&requirements) {
                 return Some((position, permit));
             }
-            if requirements.tried.is_empty() {
+            if requirements.tried.is_empty() && !self.is_below_floor(&requirements) {
                 break;
             }
         }
@@ -157,17 +181,23 @@
         }
     }
 
-    /// Returns the slot rates of a service.
-    pub fn slot_rates(&self, service: &str) -> SlotRates {
+    /// Returns the slot rates of a service. Of the slots that become free, only those count that the request may use.
+    pub fn slot_rates(&self, requirements: &Requirements) -> SlotRates {
         let rates = self.rates.borrow();
-        rates.get(service).map_or(
+        rates.get(&requirements.service).map_or(
             SlotRates {
                 freed_per_second: rate::INITIAL_PER_SECOND,
                 first_attempts_per_second: 0.0,
             },
-            |rates| SlotRates {
-                freed_per_second: rates.freed.per_second(),
-                first_attempts_per_second: rates.taken.decayed_per_second(self.now()),
+            |rates| {
+                let usable = rates.usable.get(&requirements.priority);
+                let usable = usable.filter(|_| requirements.slots_left > 0.0);
+                SlotRates {
+                    freed_per_second: usable.map_or(rates.freed.per_second(), |usable| {
+                        usable.decayed_per_second(self.now())
+                    }),
+                    first_attempts_per_second: rates.taken.decayed_per_second(self.now()),
+                }
             },
         )
     }
@@ -177,6 +207,38 @@
         self.with_rates(service, |rates, now| rates.freed.count(now));
     }
 
+    /// Counts a slot that has become free at a server, for each priority whose requests may use it.
+    pub(crate) fn count_freed_at(&self, service: &Arc<str>, server: &str) {
+        self.count_freed(service);
+        let config = self.config();
+        let engine = config
+            .as_ref()
+            .and_then(|config| find_engine(config, service));
+        let Some(engine) = engine else {
+            return;
+        };
+        for priority in self.priorities(service) {
+            let claim = Claim {
+                priority,
+                is_late: false,
+                workspace: None,
+            };
+            let slots_left = self.slots_left(service, &claim);
+            let is_usable = self.with_pool(|pool| {
+                let server = pool.get(server);
+                server.is_some_and(|server| server.is_freed_usable(slots_left, engine))
+            });
+            self.with_rates(service, |rates, now| {
+                let freed = rates.freed.per_second();
+                let usable = rates.usable.entry(priority);
+                let usable = usable.or_insert_with(|| Rate::new(now, freed));
+                if is_usable {
+                    usable.count(now);
+                }
+            });
+        }
+    }
+
     fn with_rates(&self, service: &Arc<str>, action: impl FnOnce(&mut Rates, Duration)) {
         let now = self.now();
         let mut rates = self.rates.borrow_mut();
--- a/crates/pistachiolug_gateway/tests/backoff_decisions.rs
+++ b/crates/pistachiolug_gateway/tests/backoff_decisions.rs
@@ -269,6 +269,7 @@
             ahead: 0,
             reopens_in: Duration::from_millis(reopens_in_ms),
             limit: None,
+            first_event: None,
         };
 
         let decision = admission::decide(&request, &rates);
--- a/crates/pistachiolug_gateway/tests/decisions.rs
+++ b/crates/pistachiolug_gateway/tests/decisions.rs
@@ -411,6 +411,7 @@
         ahead,
         reopens_in: Duration::ZERO,
         limit: None,
+        first_event: None,
     }
 }
 
