--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -60,7 +60,10 @@
         rates,
         decision,
     } = admit(state, call, &requirements, ahead);
-    let (slots_left, below_floor) = (requirements.slots_left, state.is_below_floor(&requirements));
+    let (slots_left, below_floor) = (
+        requirements.reserve.slots_left,
+        state.is_below_floor(&requirements),
+    );
     if servable && reopens_in.is_none() && limit.is_none() {
         state.record_shortage(&requirements);
     }
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -19,6 +19,7 @@
     prefix::Prefix,
     prefix_cache::Prompt,
     queue::Rank,
+    reservation::Reserve,
     state::State,
 };
 
@@ -108,7 +109,7 @@
                 .workspace
                 .as_ref()
                 .map(|workspace| Arc::clone(&workspace.name)),
-            slots_left: 0.0,
+            reserve: Reserve::default(),
             is_exempt: false,
             zones: state.zones(self),
             freed_server: None,
--- a/crates/pistachiolug_gateway/src/explain.rs
+++ b/crates/pistachiolug_gateway/src/explain.rs
@@ -144,7 +144,7 @@
     let call = build_call(state, &config, &query)?;
     let requirements = call.requirements(state, &[]);
     let rank = call.rank();
-    let ahead = state.count_ahead(&call.service, rank);
+    let ahead = state.count_preceding(&requirements, rank);
     let is_next = state.is_next(&call.service, rank);
     let now = state.now();
     let engine = find_engine(&config, &call.service);
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -47,6 +47,11 @@
 
 /// Label of those that it did not hold, by the time to its first event.
 pub const WRONG: &str = "wrong";
+/// Label of a request that found no slot and left some to more urgent ones.
+pub const HELD_BACK: &str = "held-back";
+
+/// Label of a slot that went to a priority or workspace below its floor.
+pub const FLOOR: &str = "floor";
 
 /// Metrics of an entry.
 #[derive(Debug, Clone)]
@@ -63,6 +68,8 @@
     pub parts: Counters,
     /// Servers that have said in an answer that they want no requests or fewer, by cause.
     pub servers_withdrawn: Counters,
+    /// Reservations of slots for urgent requests, by what they changed.
+    pub reservations: Counters,
     /// Headers of servers' answers that this version does not know.
     pub unknown_headers: IntCounter,
     /// Prompt tokens that servers were expected to hold, and those of them that they did not.
@@ -152,6 +159,13 @@
                 "cause",
                 &[BACKOFF, DRAINING, LIMITED],
             )?,
+            reservations: Counters::register(
+                registry,
+                "pistachiolug_gateway_reservations_total",
+                "Requests that left slots to more urgent ones, and slots given below a floor of service.",
+                "change",
+                &[HELD_BACK, FLOOR],
+            )?,
             unknown_headers: counter(
                 registry,
                 "pistachiolug_gateway_unknown_headers_total",
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -10,7 +10,7 @@
     config::Engine,
     placement::Zones,
     prefix_cache::{Evidence, Prompt},
-    reservation::Claim,
+    reservation::{Claim, KEPT_TIME, Reserve},
     selection::{self, Candidate},
     server::{Record, Version, hash_id},
     statement::Statement,
@@ -93,8 +93,8 @@
     pub priority: u8,
     /// Workspace of the caller; `None` on routes without keys.
     pub workspace: Option<Arc<str>>,
-    /// Mean number of slots of each engine that the request leaves to more urgent ones.
-    pub slots_left: f64,
+    /// Slots of engines that the request leaves to others.
+    pub reserve: Reserve,
     /// Whether a server has or had the request, so that it leaves no slots to others.
     pub is_exempt: bool,
     /// Availability zones whose servers may get the request.
@@ -256,10 +256,18 @@
     pub fn start_request(&mut self, id: &str, prompt_tokens: u32) {
         if let Some(server) = self.servers.get_mut(id) {
             server.own_work.calls += 1;
+            server.kept_until = Duration::ZERO;
             server.own_work.prompt = server.own_work.prompt.saturating_add(prompt_tokens);
         }
     }
 
+    /// Keeps a slot that this entry has freed at a server for its more urgent requests.
+    pub fn keep_freed(&mut self, id: &str, now: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.kept_until = now + KEPT_TIME;
+        }
+    }
+
     /// Subtracts the prompt of a request whose first event has arrived from the server's unread tokens.
     pub fn finish_prompt(&mut self, id: &str, prompt_tokens: u32) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/pistachiolug_gateway/src/pool/listing.rs
+++ b/crates/pistachiolug_gateway/src/pool/listing.rs
@@ -106,6 +106,7 @@
             slowdown: SLOWDOWN_RANGE.0,
             has_notice: false,
             is_loading: false,
+            kept_until: Duration::ZERO,
             remove_at: None,
             position,
             models_changed_at: now,
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -11,7 +11,7 @@
     contact::Contact,
     link::Link,
     prefix_cache::Holdings,
-    reservation,
+    reservation::Reserve,
     selection::{Candidate, Location, UpcomingLoad},
     server::{Record, hash_id},
     statement::Statement,
@@ -23,10 +23,6 @@
 /// Assumed milliseconds of one request at a plain service; used only to compare loads.
 const PLAIN_CALL_MS: f64 = 15.0;
 
-/// Slots of an engine that are kept free for requests which other entries have sent since their last beacons. One
-/// request too many queues inside the engine, where a more urgent one can't overtake it.
-const RESERVED_SLOTS: u32 = 1;
-
 /// Time after an engine has started or loaded a model during which each entry uses only its share of the slots, and of the time
 /// to read prompts. All entries see the engine empty at the same moment; within this time they learn of each other's requests.
 const RAMP_UP_TIME: Duration = Duration::from_millis(300);
@@ -66,6 +62,8 @@
     pub(super) has_notice: bool,
     /// Whether its agent has announced a load of which no end is known.
     pub(super) is_loading: bool,
+    /// Time until which a slot that this entry has freed here, and left to more urgent requests, may be used by them.
+    pub(super) kept_until: Duration,
     /// When the server is removed; set once the server list no longer names it.
     pub(super) remove_at: Option<Duration>,
     /// Position of the server's row in the key-value service.
@@ -209,31 +207,23 @@
         if is_ramping_up && !has_share {
             return false;
         }
-        let is_freed = requirements.freed_server.as_ref() == Some(&self.record.id);
-        let left = reservation::at_engine(requirements.slots_left, hash_id(&self.record.id));
-        self.has_slot_beyond(left, is_freed, engine)
+        let is_freed =
+            requirements.freed_server.as_ref() == Some(&self.record.id) || now < self.kept_until;
+        self.has_slot_beyond(requirements.reserve, is_freed, engine)
     }
 
-    /// Returns whether a slot is free beside those that are left to other requests.
+    /// Returns whether a slot is free beside the reserved ones.
     ///
     /// # Arguments
-    /// `left` are the slots left to more urgent requests. `is_freed` is whether this entry has just freed a slot here.
-    fn has_slot_beyond(&self, left: u32, is_freed: bool, engine: &Engine) -> bool {
-        // A slot that is left to another entry's request has to be free beside the one that is kept for unknown ones, or
-        // that entry can't use it.
-        let reserve = if is_freed && left == 0 {
-            0
-        } else {
-            RESERVED_SLOTS.saturating_add(left)
-        };
-        self.open_calls().saturating_add(reserve) < engine.slots
+    /// `is_freed` is whether this entry has freed a slot here that no request has taken.
+    fn has_slot_beyond(&self, reserve: Reserve, is_freed: bool, engine: &Engine) -> bool {
+        let reserved = reserve.at_engine(hash_id(&self.record.id), is_freed);
+        self.open_calls().saturating_add(reserved) < engine.slots
     }
 
-    /// Returns whether a request may use a slot that this entry has just freed here, if it leaves `slots_left` slots of
-    /// each engine to more urgent ones on average.
-    pub fn is_freed_usable(&self, slots_left: f64, engine: &Engine) -> bool {
-        let left = reservation::at_engine(slots_left, hash_id(&self.record.id));
-        self.has_slot_beyond(left, true, engine)
+    /// Returns whether a request with a reserve may use a slot that this entry has just freed here.
+    pub fn is_freed_usable(&self, reserve: Reserve, engine: &Engine) -> bool {
+        self.has_slot_beyond(reserve, true, engine)
     }
 
     pub(super) fn candidate(
--- a/crates/pistachiolug_gateway/src/reservation.rs
+++ b/crates/pistachiolug_gateway/src/reservation.rs
@@ -7,15 +7,36 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use pistachiolug_wire::datagram::Shortage;
 use rustc_hash::FxHashMap;
 
-/// Time for which a request that was short of a slot keeps slots reserved. Requests hold a slot for about a second, so one
-/// slot per request of this time is what the shortage lacks.
+use crate::server::hash_id;
+
+/// Time for which a request that was short of a slot keeps slots reserved; about as long as a request holds its slot.
 const SHORTAGE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Parts of the window that are counted apart and expire one by one.
 const WINDOW_PARTS: usize = 10;
 
+/// Slots of all engines that are left for each request that was short of one. Most such requests get the next slot that
+/// their own entry frees; with a whole slot each, 3 in 100 slots more lie idle under an overload of 1.3.
+const SLOTS_PER_SHORTAGE: f64 = 0.25;
+
+/// Slots of an engine that are kept free for requests which other entries have sent since their last beacons. One
+/// request too many queues inside the engine, where a more urgent one can't overtake it.
+const UNKNOWN_SLOTS: u32 = 1;
+
+/// The same while requests of several priorities are short of slots: more entries look for slots that others have left, and
+/// find the same ones.
+const CONTESTED_UNKNOWN_SLOTS: u32 = 2;
+
+/// The same for requests that leave slots to more urgent ones, and should rather wait than collide with them.
+const LESS_URGENT_UNKNOWN_SLOTS: u32 = 3;
+
+/// Time for which an entry may use a slot that it has freed and left to its more urgent requests. Other entries leave the
+/// last slots of an engine free as unknown, so few of them take it; it covers the time until the next such request.
+pub const KEPT_TIME: Duration = Duration::from_millis(400);
+
 /// Divisor of an engine's slots that gives the most slots left to more urgent requests. Most of the engine must go on
 /// working while beacons with the shortage are on their way.
 const MAX_LEFT_DIVISOR: f64 = 4.0;
@@ -27,6 +48,10 @@
 /// Requests by which a priority or workspace has to be behind its floor; fewer are chance.
 const MIN_ARREARS: f64 = 1.0;
 
+/// First attempts per second and engine below which an entry has few callers. It rarely frees a slot and depends on those
+/// that others leave, so that it also uses slots that entries with more callers keep for unknown requests.
+const FEW_PER_ENGINE: f64 = 0.5;
+
 /// Bounds of the arrears in requests. A group that was served well for long falls below its floor after a few refusals
 /// all the same, and one that was starved for long does not take all slots afterwards.
 const ARREARS_RANGE: (f64, f64) = (-3.0, 4.0);
@@ -83,22 +108,52 @@
         others.fold(0, |sum, (_, count)| sum.saturating_add(count))
     }
 
-    /// Returns the mean number of slots of each engine that a request leaves to more urgent ones: a slot for each that was
-    /// short of one, spread over the engines.
+    /// Returns whether requests of other priorities than this one are among them.
+    fn has_others(&self, priority: u8) -> bool {
+        self.0.keys().any(|other| *other != priority)
+    }
+
+    /// Returns the slots that a request leaves to others.
     ///
     /// # Arguments
     /// `engines` is the number of engines, `slots` that of the slots of each.
-    pub fn slots_left(&self, claim: &Claim<'_>, engines: usize, slots: u32) -> f64 {
-        let mean = f64::from(self.more_urgent(claim)) / engines.max(1) as f64;
-        mean.min(f64::from(slots) / MAX_LEFT_DIVISOR)
+    pub fn reserve(&self, claim: &Claim<'_>, engines: usize, slots: u32) -> Reserve {
+        let left = f64::from(self.more_urgent(claim)) * SLOTS_PER_SHORTAGE;
+        let max_left = f64::from(slots) / MAX_LEFT_DIVISOR;
+        Reserve {
+            slots_left: (left / engines.max(1) as f64).min(max_left),
+            is_contested: self.iter().any(|(priority, _)| priority != claim.priority),
+        }
     }
 }
 
-/// Returns the slots of one engine that a request leaves, so that the mean over the engines is `slots_left`. All entries
-/// leave the slots of the same engines, by the hash of the engine's id.
-pub fn at_engine(slots_left: f64, engine: u32) -> u32 {
-    // The fraction of the mean is the share of engines with one slot more.
-    (slots_left + f64::from(engine) / (f64::from(u32::MAX) + 1.0)) as u32
+/// Slots of engines that a request leaves to others; by default only those kept for unknown requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Reserve {
+    /// Mean number of slots of each engine that are left to more urgent requests; not negative.
+    pub slots_left: f64,
+    /// Whether requests of another priority are short of slots, so that many entries look for the slots that are left.
+    pub is_contested: bool,
+}
+
+impl Reserve {
+    /// Returns the slots of one engine that have to be free beside the one that the request takes. All entries leave the
+    /// slots of the same engines, by the hash of the engine's id.
+    ///
+    /// # Arguments
+    /// `is_freed` is whether this entry has freed a slot there that no request has taken; other entries do not know of it.
+    pub fn at_engine(&self, engine: u32, is_freed: bool) -> u32 {
+        // The fraction of the mean is the share of engines with one slot more.
+        let point = f64::from(engine) / (f64::from(u32::MAX) + 1.0);
+        let left = (self.slots_left + point) as u32;
+        let unknown = match (is_freed, self.is_contested, left) {
+            (true, _, _) => 0,
+            (false, false, _) => UNKNOWN_SLOTS,
+            (false, true, 0) => CONTESTED_UNKNOWN_SLOTS,
+            (false, true, _) => LESS_URGENT_UNKNOWN_SLOTS,
+        };
+        left + unknown
+    }
 }
 
 /// Counts of one service's requests at one entry; times are those of the process's clock.
@@ -149,14 +204,26 @@
         }
     }
 
-    /// Returns whether the request's priority or workspace is below its floor, so that it may use reserved slots. Retries
-    /// never may.
-    pub fn is_below_floor(&self, claim: &Claim<'_>) -> bool {
+    /// Returns whether the request's priority or workspace is below its floor, so that it may use reserved slots and is
+    /// served before the others. Retries never are, and nothing is while all requests have one priority.
+    ///
+    /// # Arguments
+    /// `peers` are the requests of other entries that are short of slots.
+    pub fn is_below_floor(&self, claim: &Claim<'_>, peers: Option<&Unmet>, now: Duration) -> bool {
         let priority = self.priority_arrears.get(&claim.priority);
         let workspace = claim.workspace;
         let workspace = workspace.and_then(|workspace| self.workspace_arrears.get(workspace));
         let mut arrears = priority.into_iter().chain(workspace);
-        !claim.is_late && arrears.any(|arrears| *arrears >= MIN_ARREARS)
+        !claim.is_late
+            && arrears.any(|arrears| *arrears >= MIN_ARREARS)
+            && self.has_others(claim.priority, peers, now)
+    }
+
+    /// Returns whether requests of other priorities are asked for here or are short of slots elsewhere.
+    fn has_others(&self, priority: u8, peers: Option<&Unmet>, now: Duration) -> bool {
+        let mut asked = self.asked_at.iter();
+        asked.any(|(other, asked_at)| *other != priority && now < *asked_at + KIND_MEMORY)
+            || peers.is_some_and(|peers| peers.has_others(priority))
     }
 
     /// Counts a request that found no slot.
@@ -175,6 +242,42 @@
         Unmet(counts.filter(|(_, count)| *count > 0).collect())
     }
 
+    /// Returns the shortages to tell other entries: those of the most urgent priority.
+    pub fn shortage(&self, service: &str, now: Duration) -> Option<Shortage> {
+        let (priority, count) = self.unmet(now).iter().next()?;
+        Some(Shortage {
+            service: hash_id(service),
+            priority,
+            count: count.try_into().unwrap_or(u16::MAX),
+        })
+    }
+
+    /// Returns the slots that a request leaves to others; below its floor none to more urgent ones.
+    ///
+    /// # Arguments
+    /// `peers` are the requests of other entries that are short of slots; `engines` is the number of engines, `slots` that
+    /// of the slots of each.
+    pub fn reserve(
+        &self,
+        claim: &Claim<'_>,
+        peers: Option<&Unmet>,
+        engines: usize,
+        slots: u32,
+        now: Duration,
+    ) -> Reserve {
+        let mut unmet = self.unmet(now);
+        if let Some(peers) = peers {
+            unmet.merge(peers);
+        }
+        let mut reserve = unmet.reserve(claim, engines, slots);
+        if self.is_below_floor(claim, peers, now) {
+            reserve.slots_left = 0.0;
+        }
+        let per_second = self.asked.at(now) / SERVICE_MEMORY.as_secs_f64();
+        reserve.is_contested &= per_second >= engines as f64 * FEW_PER_ENGINE;
+        reserve
+    }
+
     /// Returns whether less urgent requests are asked for beside those of a priority.
     pub fn has_less_urgent(&self, priority: u8, now: Duration) -> bool {
         let less_urgent = self.asked_at.iter().rev();
--- a/crates/pistachiolug_gateway/src/state/reservation.rs
+++ b/crates/pistachiolug_gateway/src/state/reservation.rs
@@ -7,15 +7,13 @@
 
 use super::{State, find_engine};
 use crate::{
+    metrics::{FLOOR, HELD_BACK},
     pool::Requirements,
     queue::Rank,
-    reservation::{Claim, Ledger, Unmet},
+    reservation::{Claim, Ledger, Reserve},
     server::hash_id,
 };
 
-/// Priorities of one service in a beacon, the most urgent ones.
-const SHORTAGES_PER_SERVICE: usize = 1;
-
 /// Services in a beacon that are short of slots; the beacon has to fit into one packet.
 const MAX_SHORTAGES: usize = 16;
 
@@ -24,16 +22,8 @@
     pub(super) fn shortages(&self) -> Vec<Shortage> {
         let now = self.now();
         let ledgers = self.ledgers.borrow();
-        let shortages = ledgers.iter().flat_map(|(service, ledger)| {
-            let unmet = ledger.unmet(now);
-            let counts = unmet.iter().take(SHORTAGES_PER_SERVICE);
-            let counts: Vec<(u8, u32)> = counts.collect();
-            counts.into_iter().map(|(priority, count)| Shortage {
-                service: hash_id(service),
-                priority,
-                count: count.try_into().unwrap_or(u16::MAX),
-            })
-        });
+        let shortages = ledgers.iter();
+        let shortages = shortages.filter_map(|(service, ledger)| ledger.shortage(service, now));
         shortages.take(MAX_SHORTAGES).collect()
     }
 
@@ -46,6 +36,9 @@
 
     /// Counts a request that found no free slot.
     pub fn record_shortage(&self, requirements: &Requirements) {
+        if requirements.reserve.slots_left > 0.0 {
+            self.metrics.reservations.get(HELD_BACK).inc();
+        }
         self.with_ledger(requirements, |ledger, claim, now| {
             ledger.record_shortage(claim, now);
         });
@@ -54,6 +47,9 @@
     /// Counts a request that got a slot, unless a server had it before.
     pub(super) fn record_slot(&self, requirements: &Requirements) {
         if requirements.tried.is_empty() && !requirements.is_exempt {
+            if self.is_below_floor(requirements) {
+                self.metrics.reservations.get(FLOOR).inc();
+            }
             self.with_ledger(requirements, |ledger, claim, now| {
                 ledger.record_slot(claim, now);
             });
@@ -79,8 +75,11 @@
     pub fn is_below_floor(&self, requirements: &Requirements) -> bool {
         let ledgers = self.ledgers.borrow();
         let ledger = ledgers.get(&requirements.service);
+        let peers = self.peer_shortages.borrow();
+        let peers = peers.get(&hash_id(&requirements.service));
+        let claim = requirements.claim();
         !requirements.is_exempt
-            && ledger.is_some_and(|ledger| ledger.is_below_floor(&requirements.claim()))
+            && ledger.is_some_and(|ledger| ledger.is_below_floor(&claim, peers, self.now()))
     }
 
     /// Returns whether first attempts that are less urgent than one of this rank compete for the slots of a service.
@@ -90,30 +89,30 @@
         ledger.is_some_and(|ledger| ledger.has_less_urgent(rank.priority, self.now()))
     }
 
-    /// Sets the slots that the request leaves to more urgent ones now.
+    /// Sets the slots that the request leaves to others now.
     pub fn update_reservation(&self, requirements: &mut Requirements) {
-        requirements.slots_left = 0.0;
-        if requirements.is_exempt || self.is_below_floor(requirements) {
-            return;
-        }
-        requirements.slots_left = self.slots_left(&requirements.service, &requirements.claim());
+        requirements.reserve = if requirements.is_exempt {
+            Reserve::default()
+        } else {
+            self.find_reserve(&requirements.service, &requirements.claim())
+        };
     }
 
-    /// Returns the mean number of slots of each engine of a service that a request leaves; 0 for plain services.
-    pub(super) fn slots_left(&self, service: &Arc<str>, claim: &Claim<'_>) -> f64 {
-        let mut unmet = Unmet::default();
-        if let Some(ledger) = self.ledgers.borrow().get(service) {
-            unmet = ledger.unmet(self.now());
-        }
-        if let Some(peers) = self.peer_shortages.borrow().get(&hash_id(service)) {
-            unmet.merge(peers);
-        }
+    /// Returns the slots of the engines of a service that a request leaves to others.
+    pub(super) fn find_reserve(&self, service: &Arc<str>, claim: &Claim<'_>) -> Reserve {
         let config = self.config();
         let engine = config
             .as_ref()
             .and_then(|config| find_engine(config, service));
+        let ledgers = self.ledgers.borrow();
+        // Plain services have no ledger.
+        let (Some(engine), Some(ledger)) = (engine, ledgers.get(service)) else {
+            return Reserve::default();
+        };
+        let peers = self.peer_shortages.borrow();
         let engines = self.pool.borrow().count_listed(service);
-        engine.map_or(0.0, |engine| unmet.slots_left(claim, engines, engine.slots))
+        let peers = peers.get(&hash_id(service));
+        ledger.reserve(claim, peers, engines, engine.slots, self.now())
     }
 
     /// Returns the priorities of a service that were asked for here.
--- a/crates/pistachiolug_gateway/src/state/slots.rs
+++ b/crates/pistachiolug_gateway/src/state/slots.rs
@@ -164,6 +164,11 @@
                 return Some((position, permit));
             }
             if requirements.tried.is_empty() && !self.is_below_floor(&requirements) {
+                let freed = freed.filter(|_| requirements.reserve.slots_left > 0.0);
+                if let Some(freed) = freed {
+                    let now = self.now();
+                    self.with_pool(|pool| pool.keep_freed(freed, now));
+                }
                 break;
             }
         }
@@ -191,7 +196,7 @@
             },
             |rates| {
                 let usable = rates.usable.get(&requirements.priority);
-                let usable = usable.filter(|_| requirements.slots_left > 0.0);
+                let usable = usable.filter(|_| requirements.reserve.slots_left > 0.0);
                 SlotRates {
                     freed_per_second: usable.map_or(rates.freed.per_second(), |usable| {
                         usable.decayed_per_second(self.now())
@@ -223,10 +228,10 @@
                 is_late: false,
                 workspace: None,
             };
-            let slots_left = self.slots_left(service, &claim);
+            let reserve = self.find_reserve(service, &claim);
             let is_usable = self.with_pool(|pool| {
                 let server = pool.get(server);
-                server.is_some_and(|server| server.is_freed_usable(slots_left, engine))
+                server.is_some_and(|server| server.is_freed_usable(reserve, engine))
             });
             self.with_rates(service, |rates, now| {
                 let freed = rates.freed.per_second();
