--- a/crates/pistachiolug_gateway/src/explain.rs
+++ b/crates/pistachiolug_gateway/src/explain.rs
@@ -145,7 +145,7 @@
     let requirements = call.requirements(state, &[]);
     let rank = call.rank();
     let ahead = state.count_preceding(&requirements, rank);
-    let is_next = state.is_next(&call.service, rank);
+    let is_next = state.is_next(&requirements, rank);
     let now = state.now();
     let engine = find_engine(&config, &call.service);
     let location = &state.options.location;
