--- a/crates/pistachiolug_gateway/tests/explain.rs
+++ b/crates/pistachiolug_gateway/tests/explain.rs
@@ -132,7 +132,11 @@
     let work = state.with_pool(|pool| pool.own_work());
     assert!(work.is_empty(), "{work:?}");
     assert_eq!(state.with_pool(|pool| pool.take_demands(state.now())), []);
-    let rates = state.slot_rates(support::SERVICE);
+    let requirements = Requirements {
+        service: Arc::from(support::SERVICE),
+        ..Requirements::default()
+    };
+    let rates = state.slot_rates(&requirements);
     assert!(rates.first_attempts_per_second <= 0.0, "{rates:?}");
 }
 
