Measure the paces of servers and weigh them in their choice

Servers that slow down for about half a second were noticed by the moving average of first events only, of which an entry gets about one a second from each engine. Entries now compare the time between two events of a stream with the time that the engine's parameters predict for a pass, and answers of plain services with their usual time; they multiply the expected wait by the ratio and tell it to others in their beacons. Without samples the expected wait is as before.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -266,6 +266,7 @@
         fresh = call.is_first_attempt,
         expected_ms = choice.expected_wait_ms as u64,
         calls = choice.calls,
+        pace = choice.pace,
         ahead,
         held_version:?,
         oldest_version:? = requirements.min_version,
--- a/crates/pistachiolug_gateway/src/lib.rs
+++ b/crates/pistachiolug_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod metrics;
 pub mod names;
 pub mod outage;
+pub mod pace;
 pub mod peers;
 pub mod permit;
 pub mod placement;
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub evacuated_zones: IntGauge,
     /// Servers that count as cold and get few requests.
     pub cold_servers: IntGauge,
+    /// Servers that work more slowly than usual now.
+    pub slow_servers: IntGauge,
     /// Seconds from a request's arrival to the head of a server's answer.
     pub head_seconds: Histogram,
     /// Seconds from a request's arrival to its stream's first event.
@@ -188,6 +190,11 @@
                 "pistachiolug_gateway_cold_servers",
                 "Servers that count as cold, which all entries together send few requests.",
             )?,
+            slow_servers: gauge(
+                registry,
+                "pistachiolug_gateway_slow_servers",
+                "Servers whose pace is at least 1.25 times the usual one.",
+            )?,
             head_seconds: histogram(registry, "head", "Time to the head of a server's answer.")?,
             first_event_seconds: histogram(
                 registry,
--- a/crates/pistachiolug_gateway/src/peers.rs
+++ b/crates/pistachiolug_gateway/src/peers.rs
@@ -9,7 +9,7 @@
 };
 use rustc_hash::FxHashMap;
 
-use crate::{outage, reservation::Unmet};
+use crate::{outage, pace, reservation::Unmet};
 
 /// Age of a beacon from which the load in it is ignored; several beacons were missed by then.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
@@ -78,6 +78,8 @@
     work: Vec<(u32, Work)>,
     /// Its services that are short of slots.
     shortages: Vec<Shortage>,
+    /// Paces of slow servers by hashed server id, in the unit of beacons.
+    paces: Vec<(u32, u8)>,
 }
 
 impl Peer {
@@ -147,6 +149,7 @@
                 position: Position::default(),
                 work: Vec::new(),
                 shortages: Vec::new(),
+                paces: Vec::new(),
             }
         });
         peer.address = address;
@@ -174,6 +177,7 @@
             peer.position = beacon.position;
             peer.work = beacon.work;
             peer.shortages = beacon.shortages;
+            peer.paces = beacon.paces;
         }
     }
 
@@ -203,6 +207,26 @@
         sums
     }
 
+    /// Returns the largest pace that another entry reports, by hashed server id, decayed by the age of its beacon.
+    pub fn paces(&self, now: Duration) -> FxHashMap<u32, f64> {
+        let mut paces: FxHashMap<u32, f64> = FxHashMap::default();
+        for peer in self.by_name.values() {
+            let Some(last_beacon_at) = peer.last_beacon_at else {
+                continue;
+            };
+            let age = now.saturating_sub(last_beacon_at);
+            if age >= MAX_LOAD_AGE {
+                continue;
+            }
+            for (server, units) in &peer.paces {
+                let pace = pace::decay(pace::decode(*units), age);
+                let largest = paces.entry(*server).or_insert(pace);
+                *largest = largest.max(pace);
+            }
+        }
+        paces
+    }
+
     /// Returns the address of a live entry with rows later than `position`, preferably of the own region; `None` if
     /// there is none.
     pub fn newer_peer(&self, position: Position, now: Duration) -> Option<SocketAddr> {
--- a/crates/pistachiolug_gateway/src/permit.rs
+++ b/crates/pistachiolug_gateway/src/permit.rs
@@ -8,7 +8,12 @@
 };
 
 use crate::{
-    fingerprint::Fingerprint, losses::Loss, pool::Choice, prefix_cache::Expectation, state::State,
+    config::Engine,
+    fingerprint::Fingerprint,
+    losses::Loss,
+    pool::{Choice, Pool},
+    prefix_cache::Expectation,
+    state::{State, find_engine},
 };
 
 /// Slot of one request at a server; dropping it frees the slot and serves the queue.
@@ -25,6 +30,8 @@
     pub(crate) sent: RefCell<Option<Sent>>,
     /// Whether the end of the server's answer can be told from the end of its connection.
     pub(crate) is_framed: Cell<bool>,
+    /// When events of the request's stream last arrived; `None` before the first ones.
+    pub(crate) last_events_at: Cell<Option<Duration>>,
     pub(crate) state: Rc<State>,
 }
 
@@ -142,6 +149,37 @@
         }
     }
 
+    /// Records events of the request's stream, which the server sent in `passes` passes.
+    pub fn record_events(&self, passes: u64) {
+        let now = self.state.now();
+        let previous = self.last_events_at.replace(Some(now));
+        let id = &self.choice.record.id;
+        let gap = previous.map(|previous| now.saturating_sub(previous));
+        self.with_engine(|pool, engine| {
+            if let Some(engine) = engine {
+                pool.record_events(id, engine, gap, passes, now);
+            }
+        });
+    }
+
+    /// Records that the head of an answer arrived `taken` after the request was sent; only those of plain services count.
+    pub fn record_answer_time(&self, taken: Duration) {
+        let now = self.state.now();
+        self.with_engine(|pool, engine| {
+            if engine.is_none() {
+                pool.record_answer_time(&self.choice, taken, now);
+            }
+        });
+    }
+
+    /// Calls `action` with the pool and the engine of the service; `None` for plain services.
+    fn with_engine(&self, action: impl FnOnce(&mut Pool, Option<&Engine>)) {
+        if let Some(config) = self.state.config() {
+            let engine = find_engine(&config, &self.service);
+            self.state.with_pool(|pool| action(pool, engine));
+        }
+    }
+
     /// Records that the server could not be reached or gave no complete answer.
     pub fn record_failure(&self) {
         let now = self.state.now();
@@ -202,7 +240,12 @@
         self.record_withdrawal();
         let id = &self.choice.record.id;
         let state = Rc::clone(&self.state);
-        state.with_pool(|pool| pool.end_request(id, self.unread_prompt_tokens.get()));
+        state.with_pool(|pool| {
+            pool.end_request(id, self.unread_prompt_tokens.get());
+            if self.last_events_at.get().is_some() {
+                pool.end_stream(id);
+            }
+        });
         // Slots of a server that takes no requests are not free; those of a limited one are when it may get a request.
         if self.is_reusable() {
             state.count_freed_at(&self.service, id);
--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -19,6 +19,7 @@
 mod candidates;
 mod limits;
 mod listing;
+mod paces;
 mod prefixes;
 mod quota;
 mod server;
@@ -125,6 +126,8 @@
     pub expected_wait_ms: f64,
     /// Open requests at the server, without this one.
     pub calls: u32,
+    /// How much slower than usual the server worked at the time of the choice, at least 1.0.
+    pub pace: f64,
     /// Time of the choice.
     pub chosen_at: Duration,
     /// Time before which the request has to be sent, if a token or a grant of a limited server was used for it.
@@ -166,6 +169,7 @@
             record: usable[index].record.clone(),
             expected_wait_ms: candidates[index].expected_wait_ms,
             calls: usable[index].open_calls(),
+            pace: usable[index].pace(now),
             chosen_at: now,
             send_before: None,
         })
@@ -258,6 +262,7 @@
             server.own_work.calls += 1;
             server.kept_until = Duration::ZERO;
             server.own_work.prompt = server.own_work.prompt.saturating_add(prompt_tokens);
+            server.pace.record_unread(server.unread());
         }
     }
 
@@ -336,6 +341,7 @@
         for server in self.servers.values_mut() {
             let peer_work = work.get(&hash_id(&server.record.id));
             server.peer_work = peer_work.copied().unwrap_or_default();
+            server.pace.record_unread(server.unread());
         }
     }
 
--- a/crates/pistachiolug_gateway/src/pool/candidates.rs
+++ b/crates/pistachiolug_gateway/src/pool/candidates.rs
@@ -133,7 +133,7 @@
         }
         let mut candidates: Vec<Candidate> = usable
             .iter()
-            .map(|server| server.candidate(requirements, engine, location))
+            .map(|server| server.candidate(requirements, engine, location, now))
             .collect();
         self.weigh_prefixes(&usable, &mut candidates, requirements, engine, now, random);
         (usable, candidates)
--- a/crates/pistachiolug_gateway/src/pool/limits.rs
+++ b/crates/pistachiolug_gateway/src/pool/limits.rs
@@ -98,7 +98,7 @@
             .collect();
         let candidates: Vec<Candidate> = usable
             .iter()
-            .map(|server| server.candidate(requirements, engine, location))
+            .map(|server| server.candidate(requirements, engine, location, now))
             .collect();
         // The server whose grant is expected first, if there is nothing else for the request.
         let index = if choice.is_some() {
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -10,6 +10,7 @@
     config::Engine,
     contact::Contact,
     link::Link,
+    pace::Pace,
     prefix_cache::Holdings,
     reservation::Reserve,
     selection::{Candidate, Location, UpcomingLoad},
@@ -58,6 +59,10 @@
     pub(super) failure_rate: f64,
     /// Factor by which first events arrive later than expected.
     pub(super) slowdown: f64,
+    /// Samples of the server's pace by this entry.
+    pub(super) pace: Pace,
+    /// Largest pace that another entry has reported lately; 1.0 if none has.
+    pub(super) peer_pace: f64,
     /// Whether its agent has announced a loaded version.
     pub(super) has_notice: bool,
     /// Whether its agent has announced a load of which no end is known.
@@ -127,6 +132,16 @@
         self.own_work.calls.saturating_add(self.peer_work.calls)
     }
 
+    /// Returns the prompt tokens of all entries' requests that the server has not read.
+    pub(super) fn unread(&self) -> u32 {
+        self.own_work.prompt.saturating_add(self.peer_work.prompt)
+    }
+
+    /// Returns how much slower the server works now than usual, at least 1.0.
+    pub fn pace(&self, now: Duration) -> f64 {
+        self.pace.with_peers(self.peer_pace, now)
+    }
+
     /// Returns whether the server may get the request, whether or not it has a free slot.
     pub(super) fn is_usable(&self, requirements: &Requirements, now: Duration) -> bool {
         self.meets(requirements, now)
@@ -231,9 +246,10 @@
         requirements: &Requirements,
         engine: Option<&Engine>,
         location: &Location,
+        now: Duration,
     ) -> Candidate {
         Candidate {
-            expected_wait_ms: self.expected_wait_ms(requirements.prompt_tokens, engine),
+            expected_wait_ms: self.expected_wait_ms(requirements.prompt_tokens, engine, now),
             failure_rate: self.failure_rate,
             upcoming_load: self.upcoming_load(requirements),
             distance: location.distance(&self.record.zone),
@@ -242,16 +258,25 @@
     }
 
     /// Returns the expected milliseconds until the server begins to answer a request with this prompt.
-    pub(super) fn expected_wait_ms(&self, prompt_tokens: u32, engine: Option<&Engine>) -> f64 {
+    pub(super) fn expected_wait_ms(
+        &self,
+        prompt_tokens: u32,
+        engine: Option<&Engine>,
+        now: Duration,
+    ) -> f64 {
+        let pace = self.pace(now);
         let Some(engine) = engine else {
-            return f64::from(self.open_calls()) / f64::from(self.record.slots.max(1))
-                * PLAIN_CALL_MS;
+            let load = f64::from(self.open_calls()) / f64::from(self.record.slots.max(1));
+            // A slow server also takes longer for the request itself.
+            return load * PLAIN_CALL_MS * pace + self.pace.usual_ms() * (pace - 1.0);
         };
         let unread_tokens = [self.own_work.prompt, self.peer_work.prompt, prompt_tokens]
             .map(f64::from)
             .iter()
             .sum::<f64>();
         let step_ms = engine.step_ms + engine.step_ms_per_call * f64::from(self.open_calls());
-        (unread_tokens / engine.prompt_tokens_per_ms + step_ms * engine.stride) * self.slowdown
+        (unread_tokens / engine.prompt_tokens_per_ms + step_ms * engine.stride)
+            * self.slowdown
+            * pace
     }
 }
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -138,6 +138,9 @@
     if !is_signed {
         return Outcome::Lost(format!("answer with status {status} is not signed"));
     }
+    if let Some(sent_at) = sent_at.get().filter(|_| status.is_success()) {
+        permit.record_answer_time(state.now().saturating_sub(sent_at));
+    }
     Outcome::Answer(response, connection)
 }
 
--- a/crates/pistachiolug_gateway/src/source.rs
+++ b/crates/pistachiolug_gateway/src/source.rs
@@ -143,7 +143,8 @@
         let data = frame.into_data().ok()?;
         self.permit.record_contact(&call.fingerprint);
         self.permit.record_data();
-        let has_begun = self.events() > 0;
+        let former_events = self.events();
+        let has_begun = former_events > 0;
         match self.splitter.push(&data) {
             Ok(events) => {
                 if self
@@ -160,6 +161,10 @@
                 if events.is_some() && !has_begun {
                     self.permit.record_first_event(self.started_at.elapsed());
                 }
+                let passes = self.events() - former_events;
+                if passes > 0 {
+                    self.permit.record_events(passes);
+                }
                 events.map(Step::Events)
             }
             Err(flaw) => Some(Step::Interrupted(flaw.to_string())),
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -321,7 +321,7 @@
             rows_age_ms: rows_age.map(versions::millis),
             work: self.pool.borrow().own_work(),
             shortages: self.shortages(),
-            paces: Vec::new(),
+            paces: self.pool.borrow().own_paces(self.now()),
         };
         (beacon, peers.beacon_targets(round).collect())
     }
@@ -334,6 +334,7 @@
         let (count, work) = (peers.count() as u32 - 1, peers.work(now));
         let registered = peers.count_registered(now) as u32;
         self.peer_shortages.replace(peers.shortages(now));
+        let paces = peers.paces(now);
         drop(peers);
         self.record_service(now);
         self.end_missing_evacuations();
@@ -341,6 +342,9 @@
             self.record_round(pool, now);
             pool.set_registered(registered);
             pool.set_peer_work(count, &work);
+            pool.set_peer_paces(&paces);
+            let slow = i64::try_from(pool.count_slow(now));
+            self.metrics.slow_servers.set(slow.unwrap_or(i64::MAX));
             pool.put_confirmed(now);
             pool.remove_expired(now)
         });
--- a/crates/pistachiolug_gateway/src/state/dump.rs
+++ b/crates/pistachiolug_gateway/src/state/dump.rs
@@ -17,6 +17,7 @@
                 "rate": server.rate(self.now()),
                 "cold_ms": server.cold_left(self.now()).map(|left| left.as_millis() as u64),
                 "calls": server.own_work().calls,
+                "pace": server.pace(self.now()),
             })
         });
         let suspects = self.suspects.borrow();
--- a/crates/pistachiolug_gateway/src/state/slots.rs
+++ b/crates/pistachiolug_gateway/src/state/slots.rs
@@ -62,6 +62,7 @@
             expectation: RefCell::new(expectation),
             sent: RefCell::default(),
             is_framed: Cell::new(true),
+            last_events_at: Cell::new(None),
             state: Rc::clone(self),
         })
     }
--- a/crates/pistachiolug_gateway/tests/backoff_decisions.rs
+++ b/crates/pistachiolug_gateway/tests/backoff_decisions.rs
@@ -155,6 +155,7 @@
                 record: numbered(1),
                 expected_wait_ms: 1.0,
                 calls: 0,
+                pace: 1.0,
                 chosen_at: NOW.saturating_sub(INSTANT),
                 send_before: None,
             };
--- a/crates/pistachiolug_gateway/tests/explain.rs
+++ b/crates/pistachiolug_gateway/tests/explain.rs
@@ -4,12 +4,13 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use pistachiolug_gateway::{
     config::{Config, Kind},
     explain::{self, Refusal},
     placement::Regions,
+    pool::Requirements,
     server::Record,
     state::State,
 };
