--- a/crates/pistachiolug_gateway/src/cold.rs
+++ b/crates/pistachiolug_gateway/src/cold.rs
@@ -102,7 +102,8 @@
     pub fn time_left(&self, policy: &Policy, now: Duration) -> Option<Duration> {
         let since = self.since.map(|since| since + policy.start_time);
         let until = self.until.max(since.unwrap_or_default());
-        (now < until).then(|| until - now)
+        let left = until.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
     }
 }
 
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -339,7 +339,7 @@
         self.record_service(now);
         self.end_missing_evacuations();
         let removed = self.with_pool(|pool| {
-            self.record_round(pool, now);
+            cold_servers::record_round(pool, now);
             pool.set_registered(registered);
             pool.set_peer_work(count, &work);
             pool.set_peer_paces(&paces);
--- a/crates/pistachiolug_gateway/src/state/cold_servers.rs
+++ b/crates/pistachiolug_gateway/src/state/cold_servers.rs
@@ -18,16 +18,17 @@
         self.count_cold_servers(now);
     }
 
-    /// Records that the entry runs, and logs if it was suspended before.
-    pub(super) fn record_round(&self, pool: &mut Pool, now: Duration) {
-        if pool.record_round(now) {
-            log::info!("servers count as cold after a suspension of this entry");
-        }
-    }
-
     /// Sets the metric of cold servers.
     pub(super) fn count_cold_servers(&self, now: Duration) {
         let count = self.pool.borrow().count_cold(now);
-        self.metrics.cold_servers.set(count.unwrap_or(0) as i64);
+        let count = i64::try_from(count.unwrap_or(0)).unwrap_or(i64::MAX);
+        self.metrics.cold_servers.set(count);
+    }
+}
+
+/// Records that the entry runs, and logs if it was suspended before.
+pub(super) fn record_round(pool: &mut Pool, now: Duration) {
+    if pool.record_round(now) {
+        log::info!("servers count as cold after a suspension of this entry");
     }
 }
--- a/crates/pistachiolug_gateway/src/state/limits.rs
+++ b/crates/pistachiolug_gateway/src/state/limits.rs
@@ -7,7 +7,7 @@
 use pistachiolug_wire::datagram::{Demand, Grant, Limit, MAX_TRANSIT};
 use tokio::sync::futures::Notified;
 
-use super::{State, find_engine};
+use super::{State, cold_servers::record_round, find_engine};
 use crate::{
     allowance::MAX_GRANTS,
     coordination::coordinator_share,
@@ -33,7 +33,7 @@
         let engine = find_engine(&config, &requirements.service);
         let location = &self.options.location;
         let (now, mut random) = (self.now(), rand::rng());
-        self.record_round(pool, now);
+        record_round(pool, now);
         let mut choice = pool.choose(requirements, engine, location, now, &mut random);
         if pool.want(
             requirements,
