Bound the connections of a server and choose which is closed for a new one

Cause: nothing bounded open connections, so that clients that only held them took all descriptors.

`connections::choose` (pure) names a connection without a whole head, then a body that stopped or trickles, then an idle one; one whose request a server may be running is never closed. `memory::Buffer` can take memory ahead for a stated length and leave a reserve to others.

--- a/crates/pistachiolug_http/src/lib.rs
+++ b/crates/pistachiolug_http/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod client;
+pub mod connections;
 pub mod limit;
 pub mod local_server;
 pub mod memory;
--- a/crates/pistachiolug_http/src/local_server.rs
+++ b/crates/pistachiolug_http/src/local_server.rs
@@ -4,7 +4,15 @@
 //! disconnects. Open connections can be closed after their current answer.
 
 use std::{
-    cell::Cell, convert::Infallible, error::Error, future::Future, io, net::SocketAddr, rc::Rc,
+    cell::Cell,
+    convert::Infallible,
+    error::Error,
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -12,12 +20,12 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{
-    body::{Body, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -25,7 +33,11 @@
     time::sleep,
 };
 
-use crate::{body::Body as ReplyBody, server::Reply};
+use crate::{
+    body::Body as ReplyBody,
+    connections::{Activity, Connections, Guard, Stage, Watched},
+    server::Reply,
+};
 
 /// Largest number of connections that wait to be accepted.
 const ACCEPT_QUEUE_LENGTH: i32 = 1024;
@@ -48,12 +60,24 @@
 /// Connections that have carried a request and are still open. Once the server is closing, these are the ones whose answer
 /// is not written yet.
 #[derive(Debug, Clone, Default)]
-pub struct UsedConnections(Rc<Cell<usize>>);
+pub struct UsedConnections {
+    count: Rc<Cell<usize>>,
+    /// All open connections, with their bound.
+    open: Connections,
+}
 
 impl UsedConnections {
+    /// Creates a set without connections, whose server keeps the bound of `open`.
+    pub fn new(open: Connections) -> Self {
+        Self {
+            count: Rc::default(),
+            open,
+        }
+    }
+
     /// Returns their number.
     pub fn count(&self) -> usize {
-        self.0.get()
+        self.count.get()
     }
 }
 
@@ -66,7 +90,7 @@
 impl Use {
     fn begin(&self) {
         if !self.has_begun.replace(true) {
-            let count = &self.connections.0;
+            let count = &self.connections.count;
             count.set(count.get() + 1);
         }
     }
@@ -75,7 +99,7 @@
 impl Drop for Use {
     fn drop(&mut self) {
         if self.has_begun.get() {
-            let count = &self.connections.0;
+            let count = &self.connections.count;
             count.set(count.get() - 1);
         }
     }
@@ -140,19 +164,23 @@
     B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    set_receive_bytes(&listener, &used.open);
     let spawn = |stream| {
+        // A connection that is refused is closed at once.
+        let guard = used.open.open()?;
         let usage = Use {
             connections: used.clone(),
             has_begun: Cell::default(),
         };
         let handler = handler.clone();
-        spawn_local(serve_connection(
+        Some(spawn_local(serve_connection(
             stream,
             limit(),
             closing.clone(),
             usage,
+            guard,
             handler,
-        ))
+        )))
     };
     let mut end = std::pin::pin!(end);
     loop {
@@ -174,6 +202,17 @@
     }
 }
 
+/// Bounds the bytes that accepted connections have received and the process has not read.
+fn set_receive_bytes(listener: &TcpListener, connections: &Connections) {
+    let Some(bytes) = connections.bound().receive_bytes else {
+        return;
+    };
+    // Accepted connections inherit the option.
+    if let Err(error) = SockRef::from(listener).set_recv_buffer_size(bytes) {
+        log::warn!(error:%; "receive buffers keep the size of the system");
+    }
+}
+
 /// Accepts the connections that wait, until there are none or one fails. The runtime's own `accept` would not do: it knows
 /// only of those that waited when it last looked.
 fn take_waiting(listener: &std::net::TcpListener) -> impl Iterator<Item = TcpStream> {
@@ -201,9 +240,24 @@
     F: Future<Output = Response<B>> + 'static,
     B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    serve_bounded(listener, limit, Connections::default(), handler).await;
+}
+
+/// Accepts connections as [`serve_forever`] does, and closes only those that are beyond the bound of `connections`.
+pub async fn serve_bounded<H, F, B>(
+    listener: TcpListener,
+    limit: Limit,
+    connections: Connections,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let (_open, never) = watch::channel(false);
-    let used = UsedConnections::default();
+    let used = UsedConnections::new(connections);
     serve(listener, || limit, never, used, handler).await;
 }
 
@@ -221,6 +275,7 @@
     limit: Limit,
     mut closing: watch::Receiver<bool>,
     usage: Use,
+    guard: Guard,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
@@ -232,12 +287,23 @@
         // The peer has disconnected already.
         return;
     }
-    let service = service_fn(|request| {
+    let activity = &guard.activity;
+    let service = service_fn(|mut request: Request<Incoming>| {
         usage.begin();
+        activity.begin(Stage::Busy);
+        request.extensions_mut().insert(activity.clone());
         let reply = handler(request);
-        async move { Ok::<_, Infallible>(reply.await) }
+        let activity = activity.clone();
+        async move {
+            let reply = reply.await;
+            Ok::<_, Infallible>(reply.map(|body| Sent {
+                body: Box::pin(body),
+                activity,
+            }))
+        }
     });
     let is_closing = *closing.borrow();
+    let stream = Watched::new(stream, activity.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // A new connection to a closing server still gets one answer.
@@ -247,14 +313,52 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_closing(&mut closing), if !is_closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serve = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            () = wait_closing(&mut closing), if !is_closing => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
+    let result = tokio::select! {
+        result = serve => result,
+        () = activity.wait_closed() => return,
+    };
     if let Err(error) = result {
         log::debug!(error:%; "connection failed");
     }
 }
+
+/// Body of an answer; once it is dropped, the connection waits for its next request.
+struct Sent<B> {
+    body: Pin<Box<B>>,
+    activity: Activity,
+}
+
+impl<B> Drop for Sent<B> {
+    fn drop(&mut self) {
+        self.activity.begin(Stage::Idle);
+    }
+}
+
+impl<B: Body> Body for Sent<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        self.body.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/pistachiolug_http/src/memory.rs
+++ b/crates/pistachiolug_http/src/memory.rs
@@ -1,4 +1,4 @@
-//! Bound on the memory that received bodies take together.
+//! Bound on the memory that a process holds for others: bodies of requests and answers, and unfinished events.
 
 use std::{
     error::Error,
@@ -27,6 +27,8 @@
     budget: Budget,
     /// Bytes taken from the budget.
     taken: usize,
+    /// Bytes of the budget that this share leaves free.
+    reserve: usize,
 }
 
 /// Error for a body that is larger than allowed, or than the memory that other bodies leave.
@@ -52,13 +54,40 @@
 impl Buffer {
     /// Creates an empty buffer for at most `max_bytes` bytes.
     pub fn new(budget: &Budget, max_bytes: usize) -> Self {
+        Self::leaving(budget, max_bytes, 0)
+    }
+
+    /// Creates an empty buffer for at most `max_bytes` bytes, which leaves `reserve` bytes of the budget free.
+    pub fn leaving(budget: &Budget, max_bytes: usize, reserve: usize) -> Self {
+        let mut share = budget.share();
+        share.reserve = reserve;
         Self {
             bytes: Vec::new(),
             max_bytes,
-            share: budget.share(),
+            share,
         }
     }
 
+    /// Returns the number of bytes that the buffer takes from the budget.
+    pub fn held_bytes(&self) -> usize {
+        self.share.taken
+    }
+
+    /// Takes the memory for this many bytes in all.
+    ///
+    /// # Errors
+    /// [`Exhausted`] if they do not fit; the buffer stays as it is then.
+    pub fn reserve(&mut self, len: usize) -> Result<(), Exhausted> {
+        if len > self.max_bytes {
+            return Err(Exhausted);
+        }
+        if len > self.bytes.capacity() {
+            self.share.try_resize(len)?;
+            self.bytes.reserve_exact(len - self.bytes.len());
+        }
+        Ok(())
+    }
+
     /// Returns the number of bytes that are kept.
     pub fn len(&self) -> usize {
         self.bytes.len()
@@ -117,6 +146,7 @@
         Share {
             budget: self.clone(),
             taken: 0,
+            reserve: 0,
         }
     }
 }
@@ -133,7 +163,8 @@
             free.fetch_add(self.taken - needed, Ordering::Relaxed);
         } else {
             let more = needed - self.taken;
-            let update = |free: usize| free.checked_sub(more);
+            let reserve = self.reserve;
+            let update = |free: usize| free.checked_sub(more).filter(|left| *left >= reserve);
             free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update)
                 .map_err(|_| Exhausted)?;
         }
