Hold bodies of requests within one budget and give them back once sent

Cause: `read_body` collected each body up to `max_body_bytes` without a common bound, kept one-byte chunks as slices of read buffers, and `Call` kept the body until the answer was complete.

`intake.rs` drops the largest body without progress for another one; otherwise a request that finds no memory is refused with 503 `no-memory` and Retry-After. `payload.rs` hands the bytes of a request that is sent once to the connection. Stated lengths over the limit are refused before anything is kept.

Tests: `answer::TOTAL_BYTES` is gone, since the budget follows from the settings; `support::HELD_BYTES` sets the same 32 MiB, so that tests/endless.rs checks what it did.

--- a/crates/pistachiolug_gateway/src/answer.rs
+++ b/crates/pistachiolug_gateway/src/answer.rs
@@ -22,12 +22,6 @@
 /// Largest body in bytes that is kept until it is whole.
 pub const MAX_WHOLE_BYTES: usize = 4 << 20;
 
-/// Memory in bytes that all answers of an entry take beyond the first [`SMALL_BYTES`] of each: a fifth of an entry's
-/// memory.
-///
-/// [`SMALL_BYTES`]: pistachiolug_http::memory::SMALL_BYTES
-pub const TOTAL_BYTES: usize = 32 << 20;
-
 /// Answer whose body was read as far as it is kept.
 #[derive(Debug)]
 pub enum Read {
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -1,10 +1,8 @@
 //! One request of a caller, from its arrival to its end.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{Request, header, request};
-use http_body_util::Full;
 use pistachiolug_wire::digest::Digest;
 use tokio::time::Instant;
 
@@ -14,6 +12,7 @@
     fingerprint::Fingerprint,
     headers::{self, Outgoing, Tokens},
     names::Names,
+    payload::{Content, Payload},
     permit::{OpenRequest, Permit},
     pool::Requirements,
     prefix::Prefix,
@@ -37,7 +36,7 @@
     /// Head as the caller sent it.
     pub head: request::Parts,
     /// Whole body.
-    pub body: Bytes,
+    pub body: Rc<Content>,
     /// Digest of what stays the same when the caller sends the request again: method, host, path, workspace and body.
     pub content: Digest,
     /// Content and shared parts of the prompt, by which the cause of crashes is recognized.
@@ -125,6 +124,14 @@
         requirements
     }
 
+    /// Gives the memory of the body back once a server has begun to answer, unless the request may be sent again.
+    pub fn release_body(&self) {
+        let route = &self.authorized.route;
+        if !route.is_repeatable() && !route.resumable {
+            self.body.release();
+        }
+    }
+
     /// Returns the route and workspace of the request in a configuration; `None` if it does not allow the request.
     pub fn authorize(&self, config: &Config, names: &Names) -> Option<Authorized> {
         let host = headers::text(&self.head.headers, &header::HOST).or(self.head.uri.host());
@@ -171,7 +178,7 @@
         state: &State,
         permit: &Permit,
         last_event: Option<u64>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<Payload> {
         let model = self.model.as_deref();
         let send = Outgoing {
             authorized: &self.authorized,
@@ -185,7 +192,7 @@
             last_event,
         };
         let headers = headers::build(&self.head, &state.options.names, &send);
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Payload::new(&self.body));
         *request.method_mut() = self.head.method.clone();
         // The request line holds only the path; the host stays in its header.
         if let Some(path) = self.head.uri.path_and_query() {
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Handling of one request at an entry: received, assigned to a server, sent, answered.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use futures_util::{Stream, future::Either as Source};
@@ -18,7 +18,8 @@
     hedge::{self, Arrival, Begun},
     metrics::ANSWERED,
     permit::Permit,
-    receive, relay,
+    receive::{self, Denied},
+    relay,
     reply::{self, Broken, Reason},
     source::Step,
     state::{State, hex},
@@ -41,17 +42,17 @@
         Err(denied) => {
             let age_ms = arrived.elapsed().as_millis() as u64;
             let version = state.config().map(|config| config.version());
-            log::info!(call = id.as_str(), reason = denied.as_str(), configuration:? = version, age_ms; "request denied");
-            state.metrics.outcomes.get(denied.as_str()).inc();
-            let retry_after = (denied == Reason::Starting).then_some(STARTING_RETRY_AFTER);
-            reply::build(denied, retry_after)
+            let Denied {
+                reason,
+                retry_after,
+            } = denied;
+            log::info!(call = id.as_str(), reason = reason.as_str(), configuration:? = version, age_ms; "request denied");
+            state.metrics.outcomes.get(reason.as_str()).inc();
+            reply::build(reason, retry_after)
         }
     }
 }
 
-/// Retry delay for callers of an entry that has no configuration yet.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 async fn forward(
     state: Rc<State>,
     call: Rc<Call>,
@@ -125,6 +126,7 @@
     if let Some(is_success) = is_success {
         permit.record_answer(is_success);
     }
+    call.release_body();
     let age = call.arrived.elapsed();
     state.metrics.head_seconds.observe(age.as_secs_f64());
 }
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -47,12 +47,42 @@
 
 /// Label of those that it did not hold, by the time to its first event.
 pub const WRONG: &str = "wrong";
+
 /// Label of a request that found no slot and left some to more urgent ones.
 pub const HELD_BACK: &str = "held-back";
 
 /// Label of a slot that went to a priority or workspace below its floor.
 pub const FLOOR: &str = "floor";
 
+/// Limit that acted: a connection was closed at once, because there were too many.
+pub const CONNECTION_REFUSED: &str = "connection-refused";
+
+/// Limit that acted: a connection was closed for a new one.
+pub const CONNECTION_REPLACED: &str = "connection-replaced";
+
+/// Limit that acted: a connection was closed because its peer did not read.
+pub const CONNECTION_UNREAD: &str = "connection-unread";
+
+/// Outcomes of requests.
+const OUTCOMES: [&str; 16] = [
+    ANSWERED,
+    BROKEN,
+    CALLER_LEFT,
+    Reason::Starting.as_str(),
+    Reason::NoRoute.as_str(),
+    Reason::BadKey.as_str(),
+    Reason::TooLarge.as_str(),
+    Reason::NoMemory.as_str(),
+    Reason::BadBody.as_str(),
+    Reason::CrashSuspect.as_str(),
+    Reason::Overloaded.as_str(),
+    Reason::Backoff.as_str(),
+    Reason::Limited.as_str(),
+    Reason::Unavailable.as_str(),
+    Reason::Lost.as_str(),
+    Reason::Late.as_str(),
+];
+
 /// Metrics of an entry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -70,6 +100,8 @@
     pub servers_withdrawn: Counters,
     /// Reservations of slots for urgent requests, by what they changed.
     pub reservations: Counters,
+    /// Connections on which a limit acted, by limit.
+    pub limits: Counters,
     /// Headers of servers' answers that this version does not know.
     pub unknown_headers: IntCounter,
     /// Prompt tokens that servers were expected to hold, and those of them that they did not.
@@ -94,30 +126,13 @@
     /// # Errors
     /// [`Error::Library`] if a name is already registered.
     pub fn register(registry: &Registry) -> Result<Self, Error> {
-        let outcomes = [
-            ANSWERED,
-            BROKEN,
-            CALLER_LEFT,
-            Reason::Starting.as_str(),
-            Reason::NoRoute.as_str(),
-            Reason::BadKey.as_str(),
-            Reason::TooLarge.as_str(),
-            Reason::BadBody.as_str(),
-            Reason::CrashSuspect.as_str(),
-            Reason::Overloaded.as_str(),
-            Reason::Backoff.as_str(),
-            Reason::Limited.as_str(),
-            Reason::Unavailable.as_str(),
-            Reason::Lost.as_str(),
-            Reason::Late.as_str(),
-        ];
         Ok(Self {
             outcomes: Counters::register(
                 registry,
                 "pistachiolug_gateway_requests_total",
                 "Requests by outcome.",
                 "outcome",
-                &outcomes,
+                &OUTCOMES,
             )?,
             retries: Counters::register(
                 registry,
@@ -168,6 +183,13 @@
                 "change",
                 &[HELD_BACK, FLOOR],
             )?,
+            limits: Counters::register(
+                registry,
+                "pistachiolug_gateway_limited_connections_total",
+                "Connections on which a limit acted, by limit.",
+                "limit",
+                &[CONNECTION_REFUSED, CONNECTION_REPLACED, CONNECTION_UNREAD],
+            )?,
             unknown_headers: counter(
                 registry,
                 "pistachiolug_gateway_unknown_headers_total",
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use pistachiolug_http::{
     client::Client,
+    connections::Connections,
     local_server::{self, Limit, UsedConnections},
 };
 use pistachiolug_kernel::{
@@ -32,6 +33,7 @@
 
 use crate::{
     config::Limits,
+    connection_limits::{self, Port},
     decoder::{Decoder, Row},
     explain::{self, Refusal},
     forward,
@@ -93,6 +95,11 @@
     let state = State::new(options, metrics);
     let (closing, closed) = watch::channel(false);
     let (port_closing, port_closed) = watch::channel(false);
+    let capacity = state.options.capacity;
+    let receive_bytes = capacity.receive_bytes;
+    let front_port = Port::new("front", capacity.front_connections, receive_bytes);
+    let internal_port = Port::new("internal", capacity.internal_connections, receive_bytes);
+    let ready_port = Port::new("ready", capacity.ready_connections, receive_bytes);
     let front = listen(addresses.front)?;
     let ready = listen(addresses.ready)?;
     let internal = listen(addresses.internal)?;
@@ -141,9 +148,27 @@
     let ticks = kernel.timer.subscribe(SAVE_INTERVAL, SAVE_INTERVAL / 4);
     spawn_local(save_suspects(Rc::clone(&state), store, decoder, ticks));
     spawn_local(prober::run(Rc::clone(&state)));
-    spawn_local(serve_ready(Rc::clone(&state), kernel.clone(), ready));
-    spawn_local(serve_internal(Rc::clone(&state), kernel.clone(), internal));
-    let used = UsedConnections::default();
+    spawn_local(serve_ready(
+        Rc::clone(&state),
+        kernel.clone(),
+        ready,
+        ready_port.connections.clone(),
+    ));
+    spawn_local(serve_internal(
+        Rc::clone(&state),
+        kernel.clone(),
+        internal,
+        internal_port.connections.clone(),
+    ));
+    let used = UsedConnections::new(front_port.connections.clone());
+    let ticks = kernel
+        .timer
+        .subscribe(connection_limits::CHECK_INTERVAL, Duration::ZERO);
+    spawn_local(connection_limits::watch(
+        Rc::clone(&state),
+        [front_port, internal_port, ready_port],
+        ticks,
+    ));
     let front = serve_front(Rc::clone(&state), front, closed, port_closed, used.clone());
     let front = spawn_local(front);
     let has_config = wait_for_config(Rc::clone(&state));
@@ -241,7 +266,12 @@
     }
 }
 
-async fn serve_ready(state: Rc<State>, kernel: Kernel, listener: TcpListener) {
+async fn serve_ready(
+    state: Rc<State>,
+    kernel: Kernel,
+    listener: TcpListener,
+    connections: Connections,
+) {
     let handler = move |_: Request<Incoming>| {
         let ready = kernel.control().phase() == Phase::Running && state.config().is_some();
         std::future::ready(empty_response(if ready {
@@ -250,10 +280,16 @@
             StatusCode::SERVICE_UNAVAILABLE
         }))
     };
-    local_server::serve_forever(listener, connection_limit(Limits::default()), handler).await;
+    let limit = connection_limit(Limits::default());
+    local_server::serve_bounded(listener, limit, connections, handler).await;
 }
 
-async fn serve_internal(state: Rc<State>, kernel: Kernel, listener: TcpListener) {
+async fn serve_internal(
+    state: Rc<State>,
+    kernel: Kernel,
+    listener: TcpListener,
+    connections: Connections,
+) {
     let dump = Rc::clone(&state);
     let handler = move |request: Request<Incoming>| {
         let response = match request.uri().path() {
@@ -278,7 +314,8 @@
         };
         std::future::ready(response)
     };
-    local_server::serve_forever(listener, connection_limit(Limits::default()), handler).await;
+    let limit = connection_limit(Limits::default());
+    local_server::serve_bounded(listener, limit, connections, handler).await;
 }
 
 /// Returns the position after which a peer asks for changes; the default asks for all rows.
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -4,18 +4,23 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use pistachiolug_http::connections::{Activity, Stage};
 use pistachiolug_wire::digest::Digest;
-use tokio::time::{Instant, timeout_at};
+use rand::RngExt;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
+    admission,
     call::Call,
-    config::{Authorized, Config, Denial, Kind, Route},
+    config::{Authorized, Config, Denial, Kind, Limits, Route},
     deadline,
     fingerprint::Fingerprint,
     headers,
+    intake::Refusal,
     names::Names,
+    payload::Content,
     prefix::Prefix,
     prefix_cache::Prompt,
     reply::Reason,
@@ -28,6 +33,28 @@
 /// Longest time for which the body of a denied request is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
+/// Retry delay for callers of an entry that has no configuration yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Denial of a request before it is assigned to a server; it did not and will not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Denied {
+    /// Reason of the answer.
+    pub reason: Reason,
+    /// Time after which the caller may come again.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Reason> for Denied {
+    fn from(reason: Reason) -> Self {
+        let retry_after = (reason == Reason::Starting).then_some(STARTING_RETRY_AFTER);
+        Self {
+            reason,
+            retry_after,
+        }
+    }
+}
+
 /// Looks up a request's route and workspace and reads its body.
 ///
 /// # Errors
@@ -35,11 +62,17 @@
 pub async fn receive(
     state: &Rc<State>,
     head: request::Parts,
-    body: Incoming,
+    mut body: Incoming,
     id: &str,
     arrived: Instant,
-) -> Result<Call, Reason> {
+) -> Result<Call, Denied> {
     let open_request = state.open_request();
+    let activity = head.extensions.get::<Activity>();
+    // No server has the request until its body is whole, so its connection may be closed for others.
+    let begin = |stage| activity.iter().for_each(|activity| activity.begin(stage));
+    if !body.is_end_stream() {
+        begin(Stage::Body);
+    }
     let config = state.config().ok_or(Reason::Starting);
     let allowed = config.and_then(|config| {
         let authorized = authorize(&config, state, &head)?;
@@ -49,16 +82,31 @@
         Ok(allowed) => allowed,
         Err(reason) => {
             discard_body(body, arrived + DISCARD_TIME).await;
-            return Err(reason);
+            return Err(reason.into());
         }
     };
     let names = &state.options.names;
     let route = &authorized.route;
     let time_limit = headers::time_limit(&head.headers, names).unwrap_or(route.timeout);
     let deadline = state.now() + time_limit.min(route.timeout).saturating_sub(ANSWER_MARGIN);
-    let body = read_body(body, config.limits().body_bytes);
-    let body = deadline::run_until(state, deadline, body).await;
-    let body = body.unwrap_or(Err(Reason::BadBody))?;
+    let read = read_body(state, &mut body, config.limits());
+    let read = deadline::run_until(state, deadline, read).await;
+    let read = read.unwrap_or(Err(Reason::BadBody));
+    let bytes = match read {
+        Ok(bytes) => bytes,
+        Err(reason) => {
+            discard_body(body, Instant::now() + DISCARD_TIME).await;
+            let time_left = deadline.saturating_sub(state.now());
+            let point = rand::rng().random_range(0.0..1.0);
+            let retry_after = admission::retry_after(time_left, None, point);
+            let retry_after = (reason == Reason::NoMemory).then_some(retry_after);
+            return Err(Denied {
+                reason,
+                retry_after,
+            });
+        }
+    };
+    begin(Stage::Busy);
     let is_first_attempt = state.record_time_limit(&route.name, time_limit);
     let service = Arc::clone(route.pick_service(&mut rand::rng()));
     let model = find_engine(&config, &service)
@@ -68,9 +116,10 @@
     let prefix = Prefix::from_headers(&head.headers, names);
     let prompt = read_prompt(route, model.as_deref(), &head.headers, names);
     state.count_request(&service);
-    let content = digest_content(&head, &authorized, &body);
+    let content = digest_content(&head, &authorized, &bytes);
     let named_model = headers::text(&head.headers, &names.model).unwrap_or_default();
     let fingerprint = Fingerprint::new(content, named_model, &prefix);
+    let body = Content::new(bytes, authorized.route.attempts <= 1);
     Ok(Call {
         id: id.to_owned(),
         head,
@@ -138,10 +187,39 @@
     let _ = timeout_at(until, discard).await;
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
-        Err(_) => Err(Reason::BadBody),
+/// Reads the body of a request within the limits and the memory for all bodies.
+async fn read_body(state: &State, body: &mut Incoming, limits: Limits) -> Result<Bytes, Reason> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let reception = state.intake.begin(limits.body_bytes, state.now());
+    if let Some(length) = body.size_hint().exact() {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        reception.reserve(length, state.now())?;
+    }
+    loop {
+        let frame = tokio::select! {
+            frame = timeout(limits.idle_timeout, body.frame()) => frame,
+            () = reception.wait_dropped() => return Err(Reason::NoMemory),
+        };
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                // Trailers have no effect here.
+                if let Some(data) = frame.data_ref() {
+                    reception.push(data, state.now())?;
+                }
+            }
+            Ok(None) => return Ok(reception.finish()?),
+            Ok(Some(Err(_))) | Err(_) => return Err(Reason::BadBody),
+        }
+    }
+}
+
+impl From<Refusal> for Reason {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::TooLarge => Self::TooLarge,
+            Refusal::NoMemory => Self::NoMemory,
+        }
     }
 }
--- a/crates/pistachiolug_gateway/src/reply.rs
+++ b/crates/pistachiolug_gateway/src/reply.rs
@@ -29,6 +29,8 @@
     BadKey,
     /// The body is larger than allowed.
     TooLarge,
+    /// There is no memory for the body; the request did not and will not run.
+    NoMemory,
     /// The body ended early or did not arrive by the deadline.
     BadBody,
     /// No server can take the request in time; it did not and will not run.
@@ -56,6 +58,7 @@
             Self::NoRoute => "no-route",
             Self::BadKey => "bad-key",
             Self::TooLarge => "too-large",
+            Self::NoMemory => "no-memory",
             Self::BadBody => "bad-body",
             Self::Overloaded => "overloaded",
             Self::Backoff => "backoff",
@@ -71,6 +74,7 @@
     pub const fn status(self) -> StatusCode {
         match self {
             Self::Starting
+            | Self::NoMemory
             | Self::Overloaded
             | Self::Backoff
             | Self::Limited
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -84,6 +84,7 @@
     let build = |connect_time| {
         permit.record_connect(connect_time);
         let may_send = permit.may_send()
+            && !call.body.is_released()
             && has_allowed_version(state, call, permit)
             && state.zones(call).contains(&permit.choice.record.zone);
         sent_at.set(may_send.then(|| state.now()));
@@ -101,6 +102,10 @@
     let exchange = upstream::exchange(address, build, on_late);
     let (response, connection) = match wait_to_begin(call, permit, until, exchange).await {
         Ok(Ok(exchange)) => exchange,
+        // The library took the body, so the server may have it.
+        Ok(Err(Failure::Unsent(reason))) if call.body.is_released() => {
+            return Outcome::Lost(reason);
+        }
         Ok(Err(Failure::Unsent(reason))) => {
             permit.record_connect(asked_at.elapsed());
             return Outcome::Unsent(reason);
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -39,9 +39,11 @@
 pub use suspects::SUSPECT_RETENTION;
 
 use crate::{
-    answer, cold,
+    capacity::Capacity,
+    cold,
     config::{Config, Engine, Service},
     coordination::Allocations,
+    intake::Intake,
     losses::Losses,
     metrics::Metrics,
     names::Names,
@@ -80,6 +82,8 @@
     pub startup_grace: Duration,
     /// Bound on the requests of cold servers; `None` if they have no limit.
     pub cold_bound: Option<cold::Bound>,
+    /// What the entry may hold for its callers.
+    pub capacity: Capacity,
 }
 
 /// Waiting request and the channel for its permit.
@@ -92,8 +96,10 @@
     pub options: Options,
     /// Metrics of the entry.
     pub metrics: Metrics,
-    /// Memory for the answers of servers.
+    /// Memory for what the entry holds for others.
     pub memory: Budget,
+    /// Bodies of requests that are being received.
+    pub intake: Intake,
     clock: System,
     rows: RefCell<Rows>,
     config: RefCell<Option<Arc<Config>>>,
@@ -151,10 +157,13 @@
             .get(&*location.zone)
             .map_or("", String::as_str);
         let peers = Peers::new(&options.name, region);
+        let memory = Budget::new(options.capacity.held_bytes);
+        let intake = Intake::new(memory.clone(), options.capacity.answer_bytes);
         Rc::new(Self {
             options,
             metrics,
-            memory: Budget::new(answer::TOTAL_BYTES),
+            memory,
+            intake,
             clock: System::default(),
             rows: RefCell::default(),
             config: RefCell::default(),
--- a/crates/pistachiolug_gateway/src/upstream.rs
+++ b/crates/pistachiolug_gateway/src/upstream.rs
@@ -4,9 +4,7 @@
 
 use std::{error::Error, net::SocketAddr, pin::Pin, time::Duration};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -15,7 +13,10 @@
     time::{Instant, timeout},
 };
 
-use crate::head_limit::{Allowance, Limited};
+use crate::{
+    head_limit::{Allowance, Limited},
+    payload::Payload,
+};
 
 /// Longest time that opening a connection may take; a hundred times the delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -100,7 +101,7 @@
 /// [`Failure`], which tells whether the request may have run.
 pub async fn exchange(
     address: SocketAddr,
-    build: impl FnOnce(Duration) -> Option<Request<Full<Bytes>>>,
+    build: impl FnOnce(Duration) -> Option<Request<Payload>>,
     on_late: impl FnOnce(&Response<Incoming>) + 'static,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let asked_at = Instant::now();
--- a/crates/pistachiolug_gateway/tests/endless.rs
+++ b/crates/pistachiolug_gateway/tests/endless.rs
@@ -17,7 +17,6 @@
 
 use futures_util::future::join_all;
 use pistachiolug_gateway::{
-    answer::TOTAL_BYTES,
     config::{Kind, Route},
     metrics::ANSWERED,
 };
@@ -275,7 +274,7 @@
             }
             let outcomes = &entry.state.metrics.outcomes;
             assert_eq!(outcomes.get(ANSWERED).get(), requests as u64);
-            assert_eq!(entry.state.memory.free(), TOTAL_BYTES);
+            assert_eq!(entry.state.memory.free(), support::HELD_BYTES);
         });
 
         assert!(peak < MEMORY_BYTES, "{bytes} bytes: {peak} bytes");
@@ -457,13 +456,15 @@
         run(async {
             let (entry, _server) = start(Kind::Stream, &Action::Stall(answer), 1).await;
             let mut others = entry.state.memory.share();
-            others.try_resize(TOTAL_BYTES + SMALL_BYTES).unwrap();
+            others
+                .try_resize(support::HELD_BYTES + SMALL_BYTES)
+                .unwrap();
 
             let received = call(&entry, 3000).await;
 
             assert!(received.head.starts_with(status), "{received:?}");
             drop(others);
-            assert_eq!(entry.state.memory.free(), TOTAL_BYTES);
+            assert_eq!(entry.state.memory.free(), support::HELD_BYTES);
         });
     }
 }
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 use http::HeaderName;
 use pistachiolug_gateway::{
+    capacity::Capacity,
     config::{Config, Engine, Kind, Limits, Parts, Route, Service, Target, Workspace},
     forward,
     metrics::Metrics,
@@ -310,6 +311,9 @@
     }
 }
 
+/// Memory in bytes for what the entry holds for others.
+pub const HELD_BYTES: usize = 32 << 20;
+
 pub fn options() -> Options {
     Options {
         name: "entry-1".to_owned(),
@@ -322,6 +326,11 @@
         version_grace: Duration::from_secs(8),
         startup_grace: Duration::from_secs(3),
         cold_bound: None,
+        capacity: Capacity {
+            held_bytes: HELD_BYTES,
+            answer_bytes: HELD_BYTES / 4,
+            ..Capacity::default()
+        },
     }
 }
 
