--- a/crates/pistachiolug_loader/src/process.rs
+++ b/crates/pistachiolug_loader/src/process.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use pistachiolug_http::{
     client::Client,
+    connections::{Bound, Connections},
     local_server::{self, Limit},
 };
 use pistachiolug_kernel::{
@@ -59,6 +60,16 @@
     head_timeout: Duration::from_secs(20),
 };
 
+/// Bound on connections from other agents: a quarter of the descriptors of the smallest agent, and several times the number
+/// of agents that load from one.
+const PEER_BOUND: Bound = Bound {
+    connections: 512,
+    // Requests have no bodies.
+    receive_bytes: Some(32 << 10),
+    // Longer than any piece takes on the narrowest link between regions.
+    write_timeout: Duration::from_secs(15),
+};
+
 /// Runs an agent until it is told to stop. Must be called within a `LocalSet`.
 ///
 /// # Errors
@@ -140,5 +151,6 @@
             }
         }
     };
-    local_server::serve_forever(listener, PEER_LIMIT, handler).await;
+    let connections = Connections::new(PEER_BOUND);
+    local_server::serve_bounded(listener, PEER_LIMIT, connections, handler).await;
 }
