Keep connections whose answers are being read, and time no answer out while suspended

An answer whose body the library had taken counted as sent, so that its connection could be closed for a new one while its peer was reading. It is now closed for others only after 2 s without a byte read, after all other candidates. After a pause of the process the 15 s for unread answers count anew.

--- a/crates/pistachiolug_http/src/connections.rs
+++ b/crates/pistachiolug_http/src/connections.rs
@@ -25,6 +25,13 @@
 /// narrowest link between regions.
 pub const SLOW_BYTES_PER_SECOND: u64 = 32 << 10;
 
+/// Time without a byte read after which a connection with a whole answer may be closed for another one; five times the
+/// longest pause that callers of streams bear.
+pub const UNREAD_TIME: Duration = Duration::from_secs(2);
+
+/// Time between two checks for unread answers beyond which the process was suspended, so that peers may have read meanwhile.
+const SUSPENSION_GAP: Duration = Duration::from_secs(3);
+
 /// What a connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -49,6 +56,8 @@
     pub quiet: Duration,
     /// Bytes received in the stage.
     pub received: u64,
+    /// Whether a part of an answer waits for the peer to read.
+    pub is_unread: bool,
 }
 
 impl Peer {
@@ -64,6 +73,7 @@
         match self.stage {
             Stage::New if self.age >= PROGRESS_TIME => Some(0),
             Stage::Body if self.is_stalled() => Some(1),
+            Stage::Idle if self.is_unread => (self.quiet >= UNREAD_TIME).then_some(3),
             Stage::Idle if self.quiet >= PROGRESS_TIME => Some(2),
             _ => None,
         }
@@ -74,8 +84,8 @@
 /// refused.
 ///
 /// Answers the load of peers that hold more connections than the process has descriptors. First go connections that have
-/// never sent a whole head, then bodies that don't go on, then kept connections without a request; the oldest ones
-/// first. A connection whose request a server may be running is never closed.
+/// never sent a whole head, then bodies that don't go on, then kept connections without a request, then those whose
+/// peers don't read their answers; the oldest ones first. A connection whose request a server may be running is never closed.
 pub fn choose(peers: &[Peer]) -> Option<usize> {
     let ranked = peers.iter().enumerate();
     let ranked = ranked.filter_map(|(index, peer)| {
@@ -134,6 +144,8 @@
     bound: Bound,
     open: RefCell<BTreeMap<u64, Activity>>,
     next: Cell<u64>,
+    /// When unread answers were last checked for.
+    checked_at: Cell<Option<Instant>>,
     totals: Cell<Totals>,
 }
 
@@ -189,11 +201,18 @@
         })
     }
 
-    /// Closes the connections whose peers have not read for the longest time allowed.
+    /// Closes the connections whose peers have not read for the longest time allowed. Must be called every second; after
+    /// a longer pause that time counts anew.
     pub fn close_unread(&self) {
         let (table, now) = (&*self.0, Instant::now());
+        let checked_at = table.checked_at.replace(Some(now));
+        let was_suspended = checked_at.is_some_and(|at| now.duration_since(at) >= SUSPENSION_GAP);
         let is_unread = |activity: &Activity| {
-            let blocked_at = activity.lock().blocked_at;
+            let mut progress = activity.lock();
+            if was_suspended && progress.blocked_at.is_some() {
+                progress.blocked_at = Some(now);
+            }
+            let blocked_at = progress.blocked_at;
             blocked_at.is_some_and(|at| now.duration_since(at) >= table.bound.write_timeout)
         };
         let mut open = table.open.borrow_mut();
@@ -283,6 +302,7 @@
             age: now.duration_since(progress.began_at),
             quiet: now.duration_since(progress.moved_at),
             received: progress.received,
+            is_unread: progress.blocked_at.is_some(),
         }
     }
 
--- a/crates/pistachiolug_http/tests/connections.rs
+++ b/crates/pistachiolug_http/tests/connections.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use pistachiolug_http::connections::{PROGRESS_TIME, Peer, SLOW_BYTES_PER_SECOND, Stage, choose};
+use pistachiolug_http::connections::{
+    PROGRESS_TIME, Peer, SLOW_BYTES_PER_SECOND, Stage, UNREAD_TIME, choose,
+};
 
 fn peer(stage: Stage, age: Duration, quiet: Duration) -> Peer {
     Peer {
@@ -10,6 +12,7 @@
         age,
         quiet,
         received: u64::MAX,
+        is_unread: false,
     }
 }
 
@@ -22,6 +25,10 @@
     let idle = peer(Stage::Idle, longer, longer);
     let body = peer(Stage::Body, longer, long);
     let new = peer(Stage::New, long, short);
+    let unread = |quiet| Peer {
+        is_unread: true,
+        ..peer(Stage::Idle, UNREAD_TIME, quiet)
+    };
     let rows = [
         ("none", vec![], None),
         ("busy", vec![busy], None),
@@ -36,6 +43,13 @@
             vec![peer(Stage::Body, longer, short)],
             None,
         ),
+        ("answer being read", vec![unread(UNREAD_TIME / 2)], None),
+        ("unread answer", vec![busy, unread(UNREAD_TIME)], Some(1)),
+        (
+            "idle before unread",
+            vec![unread(UNREAD_TIME), idle],
+            Some(1),
+        ),
         ("idle", vec![busy, idle], Some(1)),
         ("body before idle", vec![idle, busy, body], Some(2)),
         ("head before body", vec![idle, body, new], Some(2)),
