--- a/crates/pistachiolug_gateway/src/queue.rs
+++ b/crates/pistachiolug_gateway/src/queue.rs
@@ -69,7 +69,7 @@
     /// Returns all requests with their positions, those first that are `preferred`, each group in the order of the queue.
     pub fn iter_preferring<'a>(
         &'a self,
-        preferred: impl Fn(&T) -> bool + Copy + 'a,
+        preferred: &'a impl Fn(&T) -> bool,
     ) -> impl Iterator<Item = (Position, &'a T)> {
         let first = self.iter().filter(move |(_, waiter)| preferred(waiter));
         let others = self.iter().filter(move |(_, waiter)| !preferred(waiter));
--- a/crates/pistachiolug_gateway/src/state/slots.rs
+++ b/crates/pistachiolug_gateway/src/state/slots.rs
@@ -76,14 +76,16 @@
     }
 
     /// Returns the number of waiting requests that would be served before this one, of which `rank` is the rank. One below
-    /// its floor is served after others below their floors only.
+    /// its floor is served after others below their floors, and those that a server has or had, only.
     pub fn count_preceding(&self, requirements: &Requirements, rank: Rank) -> usize {
         let is_below_floor = self.is_below_floor(requirements);
         let queues = self.queues.borrow();
         queues.get(&requirements.service).map_or(0, |queue| {
             let ahead = queue.ahead(rank);
             ahead
-                .filter(|(waiting, _)| !is_below_floor || self.is_below_floor(waiting))
+                .filter(|(waiting, _)| {
+                    !is_below_floor || waiting.is_exempt || self.is_below_floor(waiting)
+                })
                 .count()
         })
     }
@@ -151,8 +153,12 @@
         freed: Option<&Arc<str>>,
     ) -> Option<(Position, Permit)> {
         let queues = self.queues.borrow();
+        let queue = queues.get(service)?;
         let is_below_floor = |waiter: &Waiter| self.is_below_floor(&waiter.0);
-        for (position, (requirements, _)) in queues.get(service)?.iter_preferring(is_below_floor) {
+        let has_any = queue.iter().any(|(_, waiter)| is_below_floor(waiter));
+        // Requests that a server has or had are not held up by those below their floors.
+        let is_first = |waiter: &Waiter| has_any && (waiter.0.is_exempt || is_below_floor(waiter));
+        for (position, (requirements, _)) in queue.iter_preferring(&is_first) {
             let mut requirements = Requirements {
                 freed_server: freed.cloned(),
                 ..requirements.clone()
--- a/crates/pistachiolug_gateway/tests/priorities.rs
+++ b/crates/pistachiolug_gateway/tests/priorities.rs
@@ -543,7 +543,7 @@
         'served: loop {
             let preferred =
                 |waiting: &(Requirements, usize)| self.is_below_floor(entry, &waiting.0);
-            let waiting = self.entries[entry].queue.iter_preferring(preferred);
+            let waiting = self.entries[entry].queue.iter_preferring(&preferred);
             let waiting: Vec<(Position, usize)> = waiting
                 .map(|(position, waiting)| (position, waiting.1))
                 .collect();
