--- a/crates/pistachiolug_gateway/tests/reservation.rs
+++ b/crates/pistachiolug_gateway/tests/reservation.rs
@@ -8,9 +8,11 @@
 
 use pistachiolug_gateway::{
     admission,
+    config::{Config, Kind},
     peers::Peers,
     pool::{Pool, Requirements},
     reservation::{Claim, Ledger, Reserve, Unmet},
+    state::State,
 };
 use pistachiolug_wire::datagram::{Beacon, Shortage};
 
@@ -243,6 +245,52 @@
     assert!(open(1, true, false) < slots);
 }
 
+/// Guards against shortages that are not told to other entries, or not heeded here, and against streams that are held back
+/// although a server has had them.
+#[test]
+fn an_entry_tells_its_shortages_and_heeds_those_of_others() {
+    let state = State::new(support::options(), support::metrics());
+    state.set_config(Config::new(support::parts(support::route(Kind::Stream, 1))));
+    let engine = record("i-1", "10.0.0.1:80".parse().unwrap());
+    state.with_pool(|pool| pool.put(engine, POSITION, Duration::ZERO));
+    let mut waiting = Requirements {
+        service: SERVICE.into(),
+        model: Some(MODEL.into()),
+        priority: 1,
+        ..Requirements::default()
+    };
+    state.record_arrival(&waiting);
+    state.record_shortage(&waiting);
+    let (own, _) = state.build_beacon(0);
+    let beacon = Beacon {
+        name: "entry-2".to_owned(),
+        shortages: vec![Shortage {
+            priority: 0,
+            count: 100,
+            ..own.shortages[0]
+        }],
+        ..own.clone()
+    };
+
+    state.record_beacon(beacon, state.now());
+    state.refresh();
+    state.update_reservation(&mut waiting);
+    let mut resumed = Requirements {
+        is_exempt: true,
+        ..waiting.clone()
+    };
+    state.update_reservation(&mut resumed);
+
+    let told: Vec<(u8, u16)> = own
+        .shortages
+        .iter()
+        .map(|told| (told.priority, told.count))
+        .collect();
+    assert_eq!(told, [(1, 1)]);
+    assert!(waiting.reserve.slots_left > 0.0);
+    assert_eq!(resumed.reserve, Reserve::default());
+}
+
 /// Guards against urgent requests that are refused although their first event would be in time, and against others that
 /// wait longer than before.
 #[test]
