--- a/crates/pistachiolug_gateway/tests/priorities.rs
+++ b/crates/pistachiolug_gateway/tests/priorities.rs
@@ -118,18 +118,18 @@
 /// What callers of one group got.
 #[derive(Debug, Default, Clone, Copy)]
 struct Service {
-    asked: f64,
-    in_time: f64,
-    answered: f64,
+    asked: u32,
+    in_time: u32,
+    answered: u32,
 }
 
 impl Service {
     fn in_time_share(&self) -> f64 {
-        self.in_time / self.asked
+        f64::from(self.in_time) / f64::from(self.asked)
     }
 
     fn answered_share(&self) -> f64 {
-        self.answered / self.asked
+        f64::from(self.answered) / f64::from(self.asked)
     }
 }
 
@@ -271,8 +271,9 @@
                 let busy: usize = self.servers.iter().map(|server| server.running).sum();
                 let share = busy as f64 / (ENGINES as f64 * f64::from(SLOTS));
                 let since = self.busy_since.max(WARM_UP);
+                let counted = LENGTH.saturating_sub(WARM_UP);
                 self.outcome.busy +=
-                    share * (at - since).as_secs_f64() / (LENGTH - WARM_UP).as_secs_f64();
+                    share * at.saturating_sub(since).as_secs_f64() / counted.as_secs_f64();
                 self.busy_since = at;
             }
             self.now = at;
@@ -365,8 +366,7 @@
     fn arrive(&mut self, number: usize) {
         let request = self.requests[number].clone();
         if request.attempt == 1 && request.is_counted() {
-            self.outcome
-                .record(&request, |service| service.asked += 1.0);
+            self.outcome.record(&request, |service| service.asked += 1);
         }
         let mut requirements = self.requirements(number);
         requirements.reserve = self.reserve(request.entry, &requirements.claim());
@@ -393,7 +393,7 @@
             && !requirements.is_late
             && entry.ledger.has_less_urgent(requirements.priority, now);
         entry.ledger.record_shortage(&requirements.claim(), now);
-        let time_left = request.arrived + TIME_LIMIT - now;
+        let time_left = (request.arrived + TIME_LIMIT).saturating_sub(now);
         let ask = admission::Request {
             target_latency: kind.target,
             is_first_attempt: !requirements.is_late,
@@ -503,8 +503,8 @@
         }
         let is_in_time = now <= request.arrived + kind.target;
         self.outcome.record(&request, |service| {
-            service.answered += 1.0;
-            service.in_time += f64::from(u8::from(is_in_time));
+            service.answered += 1;
+            service.in_time += u32::from(is_in_time);
         });
     }
 
@@ -601,6 +601,7 @@
 }
 
 /// Runs a load without and with the reservation, and prints what callers get.
+#[allow(clippy::print_stdout)]
 fn compare(name: &str, load: impl Fn() -> Load) -> (Outcome, Outcome) {
     let (before, after) = (run(load(), false), run(load(), true));
     for (label, outcome) in [("before", &before), ("after", &after)] {
