--- a/crates/pistachiolug_gateway/src/explain.rs
+++ b/crates/pistachiolug_gateway/src/explain.rs
@@ -18,6 +18,7 @@
     fingerprint::Fingerprint,
     headers,
     pool::{Exclusion, Explanation, Requirements},
+    payload::Content,
     prefix::Prefix,
     prefix_cache::Evidence,
     receive,
@@ -202,7 +203,7 @@
     let content = Digest::of(&[]);
     Ok(Call {
         id: String::new(),
-        body: Bytes::new(),
+        body: Content::new(Bytes::new(), false),
         content,
         fingerprint: Fingerprint::new(content, "", &prefix),
         config_version: config.version(),
