--- a/crates/pistachiolug_gateway/src/reservation.rs
+++ b/crates/pistachiolug_gateway/src/reservation.rs
@@ -19,7 +19,7 @@
 const WINDOW_PARTS: usize = 10;
 
 /// Slots of all engines that are left for each request that was short of one. Most such requests get the next slot that
-/// their own entry frees; with a whole slot each, 3 in 100 slots more lie idle under an overload of 1.3.
+/// their own entry frees; a whole slot for each would leave more slots idle.
 const SLOTS_PER_SHORTAGE: f64 = 0.25;
 
 /// Slots of an engine that are kept free for requests which other entries have sent since their last beacons. One
