--- a/crates/pistachiolug_gateway/tests/cold.rs
+++ b/crates/pistachiolug_gateway/tests/cold.rs
@@ -14,6 +14,7 @@
     pool::{Choice, Pool, Requirements},
     server::Record,
 };
+use pistachiolug_routing::rate_limit;
 use pistachiolug_wire::position::Position;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -551,6 +552,41 @@
     assert_eq!(send_all(&mut pool, later)["i-1"], 2);
 }
 
+/// Guards against stated limits that are kept by other rules than those of cold servers, and against the higher one of both.
+#[test]
+fn stated_limits_are_split_as_those_of_cold_servers_are() {
+    let now = Duration::from_secs(100);
+    let later = now + Duration::from_secs(3);
+    let rows = [
+        // Split evenly among 4 entries: 12 less the agent's share of 8 in 100 leaves 2.8 a second for each.
+        (Some(12.0), None, Some(11.04), 1),
+        (Some(12.0), seconds(60), Some(11.04), 1),
+        (Some(1000.0), seconds(60), Some(PER_SECOND), 2),
+        (Some(2.0), seconds(60), Some(1.8), 0),
+        (None, None, None, 11),
+    ];
+    for (stated, cold_for, rate, sent) in rows {
+        let mut pool = pool(1, 4, PER_SECOND, now);
+        let row = Record {
+            cold_for,
+            ..server(1, Some(Duration::ZERO))
+        };
+        pool.put(row.clone(), Position::without_era(1), now);
+        let statement = rate_limit::Statement {
+            per_second: stated,
+            made_after: now,
+            made_before: now,
+        };
+        pool.record_limit(&row, statement, now);
+
+        let found = pool.get("i-1").unwrap().rate(later);
+        let counted = send_all(&mut pool, later).values().sum::<usize>();
+
+        assert_eq!(found, rate, "{stated:?} {cold_for:?}");
+        assert_eq!(counted, sent, "{stated:?} {cold_for:?}");
+    }
+}
+
 /// Guards against rows that are logged as new listings at each heartbeat because the time for which a server stays cold runs down.
 #[test]
 fn rows_that_differ_only_in_the_time_left_are_the_same_listing() {
