--- a/crates/pistachiolug_gateway/tests/cold.rs
+++ b/crates/pistachiolug_gateway/tests/cold.rs
@@ -56,11 +56,11 @@
     Config::new(parts)
 }
 
-fn policy(per_second: f64) -> Option<Policy> {
-    Some(Policy {
+fn policy(per_second: f64) -> Policy {
+    Policy {
         per_second,
         start_time: START_TIME,
-    })
+    }
 }
 
 fn busy_engine() -> Engine {
@@ -81,10 +81,6 @@
     }
 }
 
-fn seconds(seconds: u64) -> Option<Duration> {
-    Some(Duration::from_secs(seconds))
-}
-
 fn requirements() -> Requirements {
     Requirements {
         service: Arc::from(SERVICE),
@@ -96,7 +92,7 @@
 
 fn pool(entry: u64, registered: usize, per_second: f64, now: Duration) -> Pool {
     let mut pool = Pool::default();
-    pool.apply_config(&config(policy(per_second)), entry, Some(&BOUND), now);
+    pool.apply_config(&config(Some(policy(per_second))), entry, Some(&BOUND), now);
     pool.set_registered(registered as u32);
     pool
 }
@@ -241,12 +237,12 @@
             };
             entry.waiting.pop_front();
             entry.pool.start_request(&choice.record.id, 0);
-            self.longest_wait = self.longest_wait.max(now - arrived_at);
+            self.longest_wait = self.longest_wait.max(now.saturating_sub(arrived_at));
             let delay = Duration::from_millis(self.random.random_range(0..MAX_SEND_MS));
             entry.assigned.push((now + delay, choice, arrived_at));
         }
         for arrived_at in &entry.waiting {
-            self.longest_wait = self.longest_wait.max(now - *arrived_at);
+            self.longest_wait = self.longest_wait.max(now.saturating_sub(*arrived_at));
         }
     }
 
@@ -281,7 +277,7 @@
     for seed in 0..3 {
         let mut simulation = Simulation::new(seed, FLOOD);
         for index in 0..SERVERS {
-            simulation.write(index, seconds(60));
+            simulation.write(index, Some(Duration::from_secs(60)));
         }
         simulation.run(Duration::from_secs(1));
         simulation.count_anew();
@@ -322,7 +318,7 @@
 fn entries_that_go_on_together_send_no_burst() {
     let mut simulation = Simulation::new(5, FLOOD);
     for index in 0..SERVERS {
-        simulation.write(index, seconds(60));
+        simulation.write(index, Some(Duration::from_secs(60)));
     }
     simulation.run(Duration::from_secs(2));
     simulation.count_anew();
@@ -377,7 +373,7 @@
     simulation.count_anew();
 
     for index in 0..SERVERS {
-        simulation.write(index, seconds(60));
+        simulation.write(index, Some(Duration::from_secs(60)));
     }
     simulation.run(Duration::from_secs(5));
 
@@ -391,7 +387,7 @@
 #[test]
 fn a_cold_server_among_warm_ones_delays_nobody_and_gets_requests() {
     let mut simulation = Simulation::new(2, LOAD);
-    simulation.write(7, seconds(60));
+    simulation.write(7, Some(Duration::from_secs(60)));
     simulation.run(Duration::from_secs(1));
     simulation.count_anew();
 
@@ -413,16 +409,26 @@
     let put = |pool: &mut Pool, revision, cold_for, now| {
         pool.put(server(1, cold_for), Position::without_era(revision), now);
     };
-    put(&mut pool, 1, seconds(3), now);
+    put(&mut pool, 1, Some(Duration::from_secs(3)), now);
     let at_start = pool.cold_left("i-1", now + Duration::from_secs(2));
     let warm = pool.cold_left("i-1", now + Duration::from_secs(4));
 
-    put(&mut pool, 2, seconds(3), later);
+    put(&mut pool, 2, Some(Duration::from_secs(3)), later);
     let again = send_all(&mut pool, later).len();
     // The same row, read again, says nothing new.
-    put(&mut pool, 2, seconds(3), later + Duration::from_secs(2));
+    put(
+        &mut pool,
+        2,
+        Some(Duration::from_secs(3)),
+        later + Duration::from_secs(2),
+    );
     let reread = pool.cold_left("i-1", later + Duration::from_secs(3));
-    put(&mut pool, 3, seconds(3), later + Duration::from_secs(4));
+    put(
+        &mut pool,
+        3,
+        Some(Duration::from_secs(3)),
+        later + Duration::from_secs(4),
+    );
     put(
         &mut pool,
         4,
@@ -431,7 +437,7 @@
     );
     let told_warm = pool.cold_left("i-1", later + Duration::from_secs(5));
 
-    assert_eq!(at_start, seconds(1));
+    assert_eq!(at_start, Some(Duration::from_secs(1)));
     assert_eq!(warm, None);
     assert_eq!(again, 0);
     assert_eq!(reread, None);
@@ -455,7 +461,10 @@
 
     assert_eq!(pool.cold_left("i-1", now), None);
     assert_eq!(pool.cold_left("i-1", heartbeat), None);
-    assert_eq!(pool.cold_left("i-2", heartbeat), seconds(3));
+    assert_eq!(
+        pool.cold_left("i-2", heartbeat),
+        Some(Duration::from_secs(3))
+    );
     assert_eq!(pool.cold_left("i-2", later + START_TIME), None);
     let config = config(None);
     pool.apply_config(&config, 1, Some(&BOUND), heartbeat);
@@ -467,9 +476,13 @@
 fn without_a_bound_there_is_no_limit() {
     let now = Duration::from_secs(100);
     let mut pool = Pool::default();
-    pool.apply_config(&config(policy(PER_SECOND)), 1, None, now);
+    pool.apply_config(&config(Some(policy(PER_SECOND))), 1, None, now);
     pool.set_registered(ENTRIES as u32);
-    pool.put(server(1, seconds(60)), Position::without_era(1), now);
+    pool.put(
+        server(1, Some(Duration::from_secs(60))),
+        Position::without_era(1),
+        now,
+    );
 
     let sent = send_all(&mut pool, now + Duration::from_secs(1));
 
@@ -520,7 +533,10 @@
     let heartbeat = reopened + Duration::from_secs(1);
     pool.put(warm, Position::without_era(2), heartbeat);
 
-    assert_eq!(pool.cold_left("i-1", heartbeat), seconds(4));
+    assert_eq!(
+        pool.cold_left("i-1", heartbeat),
+        Some(Duration::from_secs(4))
+    );
     assert_eq!(pool.cold_left("i-2", heartbeat), None);
 }
 
@@ -530,7 +546,7 @@
 fn a_low_rate_is_used_with_grants_of_the_coordinator() {
     let now = Duration::from_secs(100);
     let mut pool = pool(1, ENTRIES, 8.0, now);
-    let row = server(1, seconds(60));
+    let row = server(1, Some(Duration::from_secs(60)));
     let incarnation = row.incarnation();
     pool.put(row, Position::without_era(1), now);
     let later = now + Duration::from_secs(3);
@@ -560,9 +576,14 @@
     let rows = [
         // Split evenly among 4 entries: 12 less the agent's share of 8 in 100 leaves 2.8 a second for each.
         (Some(12.0), None, Some(11.04), 1),
-        (Some(12.0), seconds(60), Some(11.04), 1),
-        (Some(1000.0), seconds(60), Some(PER_SECOND), 2),
-        (Some(2.0), seconds(60), Some(1.8), 0),
+        (Some(12.0), Some(Duration::from_secs(60)), Some(11.04), 1),
+        (
+            Some(1000.0),
+            Some(Duration::from_secs(60)),
+            Some(PER_SECOND),
+            2,
+        ),
+        (Some(2.0), Some(Duration::from_secs(60)), Some(1.8), 0),
         (None, None, None, 11),
     ];
     for (stated, cold_for, rate, sent) in rows {
@@ -592,10 +613,13 @@
 fn rows_that_differ_only_in_the_time_left_are_the_same_listing() {
     let leaving = Record {
         leaving: true,
-        ..server(1, seconds(3))
+        ..server(1, Some(Duration::from_secs(3)))
     };
 
-    assert!(server(1, seconds(3)).is_same_listing(&server(1, seconds(2))));
-    assert!(server(1, seconds(3)).is_same_listing(&server(1, None)));
-    assert!(!server(1, seconds(3)).is_same_listing(&leaving));
+    assert!(
+        server(1, Some(Duration::from_secs(3)))
+            .is_same_listing(&server(1, Some(Duration::from_secs(2))))
+    );
+    assert!(server(1, Some(Duration::from_secs(3))).is_same_listing(&server(1, None)));
+    assert!(!server(1, Some(Duration::from_secs(3))).is_same_listing(&leaving));
 }
