--- a/crates/pistachiolug_gateway/tests/pace.rs
+++ b/crates/pistachiolug_gateway/tests/pace.rs
@@ -414,17 +414,6 @@
     assert!(with.on_time * 100 >= without.on_time * 99);
 }
 
-/// Prints the figures of docs/design/pace.md.
-#[test]
-#[ignore = "takes minutes without optimization"]
-fn figures() {
-    for per_second in [200.0, 280.0, 350.0, 484.0] {
-        for is_paced in [false, true] {
-            Figures::sum(is_paced, per_second, 24);
-        }
-    }
-}
-
 fn pool_of(count: usize) -> Pool {
     let mut pool = Pool::default();
     for index in 0..count {
