--- a/crates/pistachiolug_gateway/src/reservation.rs
+++ b/crates/pistachiolug_gateway/src/reservation.rs
@@ -108,6 +108,12 @@
         others.fold(0, |sum, (_, count)| sum.saturating_add(count))
     }
 
+    /// Returns the number of requests of all priorities.
+    fn total(&self) -> u32 {
+        let counts = self.0.values();
+        counts.fold(0, |sum, count| sum.saturating_add(*count))
+    }
+
     /// Returns whether requests of other priorities than this one are among them.
     fn has_others(&self, priority: u8) -> bool {
         self.0.keys().any(|other| *other != priority)
@@ -122,7 +128,7 @@
         let max_left = f64::from(slots) / MAX_LEFT_DIVISOR;
         Reserve {
             slots_left: (left / engines.max(1) as f64).min(max_left),
-            is_contested: self.iter().any(|(priority, _)| priority != claim.priority),
+            is_contested: self.has_others(claim.priority) && self.total() >= engines as u32,
         }
     }
 }
