--- a/crates/pistachiolug_platform/src/kv.rs
+++ b/crates/pistachiolug_platform/src/kv.rs
@@ -25,12 +25,13 @@
     pub revision: u64,
 }
 
-/// All values under a prefix at one position.
+/// All values under a prefix, exactly as they were at one position.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Range {
     /// Values ordered by key.
     pub entries: Vec<Entry>,
-    /// Position of the service at the time of the read; the entries' revisions are of its era.
+    /// Position of the service at which it held these entries and no others; their revisions are of its era. Processes
+    /// that are at one position have the same rows, which the changes that they send each other rely on.
     pub position: Position,
 }
 
