Keep rows of several processes the same at each position

Cause: what an entry told another one lacked the removals of rows that came and went between two reads, or within changes that it had got from a third one; and it told the removal of a row that had been put again since.

Fix: removals are recorded also of rows that were never there, those of rows that are there are left out, and revisions between two reads are known as gaps, for which all rows are sent. The gaps are part of the message between entries.

--- a/crates/pistachiolug_replica/src/rows.rs
+++ b/crates/pistachiolug_replica/src/rows.rs
@@ -1,7 +1,7 @@
 //! Rows under one prefix at one position.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -10,6 +10,9 @@
 /// Largest number of kept removals; they are kept so that they can be sent to peers.
 const MAX_REMOVALS: usize = 1000;
 
+/// Largest number of kept gaps between two reads.
+const MAX_GAPS: usize = 16;
+
 /// Change of one row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -23,20 +26,27 @@
 }
 
 /// Rows under a prefix; their position never goes back.
+///
+/// Two processes whose rows are at one position have the same rows. All that they tell each other relies on it, so no process may
+/// take a position without the rows that the service had there.
 #[derive(Debug, Clone, Default)]
 pub struct Rows {
-    /// Rows by key; all revisions are of the era of `position`.
+    /// Rows by key, exactly those of the service at `position`: no change up to it is missing, and none after it is included.
     entries: BTreeMap<String, Entry>,
-    /// Position up to which all changes are included; the default before the first read.
+    /// Position of the rows; the default before the first read.
     position: Position,
     /// Time up to which all changes are known to be included; `None` before the first read. Never goes back.
     complete_at: Option<Duration>,
     /// Time up to which answers of the service say so; `None` before the first one. Never goes back.
     answered_at: Option<Duration>,
-    /// Keys of rows that were removed in this era with the revisions of the removals, oldest first.
+    /// Keys of rows that were removed in this era, in the order in which this process learned of it, with revisions at which
+    /// the rows were gone. A removal may have been made before that revision, and the row may have been put again since.
     removals: VecDeque<(String, u64)>,
-    /// Revision after which `removals` is complete.
+    /// Revision after which `removals` is complete, except for `gaps`.
     removals_complete_after: u64,
+    /// Revisions of the rows before and after a read, oldest first. Rows that came and went in between are unknown, so that
+    /// `removals` isn't complete for a process whose rows are of a revision between the two.
+    gaps: VecDeque<(u64, u64)>,
 }
 
 /// Changes between two positions of one era.
@@ -50,6 +60,8 @@
     pub entries: Vec<Entry>,
     /// Keys of the rows that were removed.
     pub removed: Vec<String>,
+    /// Revisions between which rows may have come and gone that `removed` lacks.
+    pub gaps: Vec<(u64, u64)>,
 }
 
 impl Rows {
@@ -119,7 +131,10 @@
         }
         if is_new_era || !self.is_read() {
             self.removals.clear();
+            self.gaps.clear();
             self.removals_complete_after = revision;
+        } else {
+            self.record_gap(self.position.revision, revision);
         }
         let mut old = std::mem::take(&mut self.entries);
         let mut changes = Vec::new();
@@ -163,27 +178,34 @@
         changes
     }
 
-    /// Returns the changes after a position; `None` if that is the default or of another era, or some removals since
-    /// then are unknown.
+    /// Returns the changes after a position, each row at most once; `None` if that is the default or of another era, or some
+    /// removals since then are unknown.
     pub fn delta(&self, after: Position) -> Option<Delta> {
+        let after_revision = after.revision;
+        let mut gaps = self.gaps.iter();
         if after == Position::default()
             || after.era != self.position.era
-            || after.revision < self.removals_complete_after
+            || after_revision < self.removals_complete_after
+            || gaps.any(|(from, to)| *from < after_revision && after_revision < *to)
         {
             return None;
         }
-        let after_revision = after.revision;
+        let later_gaps = self.gaps.iter().filter(|(_, to)| *to > after_revision);
         let entries = self.entries.values();
         let entries = entries.filter(|entry| entry.revision > after_revision);
         let removed = self
             .removals
             .iter()
-            .filter(|(_, removed_at)| *removed_at > after_revision);
+            .filter(|(_, gone_at)| *gone_at > after_revision);
+        // A row that was put again is there, whenever that was.
+        let removed = removed.filter(|(key, _)| !self.entries.contains_key(key));
+        let removed: BTreeSet<&String> = removed.map(|(key, _)| key).collect();
         Some(Delta {
             base: after,
             revision: self.position.revision,
             entries: entries.cloned().collect(),
-            removed: removed.map(|(key, _)| key.clone()).collect(),
+            removed: removed.into_iter().cloned().collect(),
+            gaps: later_gaps.copied().collect(),
         })
     }
 
@@ -193,6 +215,9 @@
             return Vec::new();
         }
         self.position.revision = delta.revision;
+        for (from, to) in delta.gaps {
+            self.record_gap(from, to);
+        }
         let mut changes = Vec::new();
         for key in delta.removed {
             changes.extend(self.remove(key, delta.revision));
@@ -208,9 +233,11 @@
         Change::Put(entry)
     }
 
+    /// Removes a row that is gone at a revision. The removal is also recorded if these rows never had the row, because a peer
+    /// between the two positions may have it.
     fn remove(&mut self, key: String, revision: u64) -> Option<Change> {
-        self.entries.remove(&key)?;
         self.record_removal(&key, revision);
+        self.entries.remove(&key)?;
         Some(Change::Removed { key })
     }
 
@@ -219,7 +246,20 @@
         if self.removals.len() > MAX_REMOVALS
             && let Some((_, dropped_revision)) = self.removals.pop_front()
         {
-            self.removals_complete_after = dropped_revision;
+            self.removals_complete_after = self.removals_complete_after.max(dropped_revision);
+        }
+    }
+
+    fn record_gap(&mut self, from: u64, to: u64) {
+        // No revision lies between the two.
+        if to <= from + 1 {
+            return;
+        }
+        self.gaps.push_back((from, to));
+        if self.gaps.len() > MAX_GAPS
+            && let Some((_, end)) = self.gaps.pop_front()
+        {
+            self.removals_complete_after = self.removals_complete_after.max(end);
         }
     }
 }
--- a/crates/pistachiolug_replica/src/snapshot.rs
+++ b/crates/pistachiolug_replica/src/snapshot.rs
@@ -25,6 +25,8 @@
     rows: Vec<Row<'a>>,
     /// Keys of the removed rows.
     removed: Vec<&'a str>,
+    /// Revisions between which other rows may have come and gone.
+    gaps: Vec<(u64, u64)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -64,12 +66,14 @@
             position: rows.position(),
             rows: delta.entries.iter().map(Row::new).collect(),
             removed: delta.removed.iter().map(String::as_str).collect(),
+            gaps: delta.gaps.clone(),
         },
         None => Message {
             after: None,
             position: rows.position(),
             rows: rows.entries().map(Row::new).collect(),
             removed: Vec::new(),
+            gaps: Vec::new(),
         },
     };
     postcard::to_stdvec(&message).context(Snafu)
@@ -91,5 +95,6 @@
         revision: position.revision,
         entries,
         removed: message.removed.into_iter().map(str::to_owned).collect(),
+        gaps: message.gaps,
     }))
 }
