Keep all servers that are listed with one address, and use one

Cause: the pool kept the latest row of an address alone. Its service was not compared with the configuration, and when the row went, the server that it had replaced stayed away, since its own row didn't change.

Fix: all listed servers are kept. One of each address is used, by whether it is still listed, whether its service is configured, what status 421 has shown, and how late its row is. A removal also reaches rows that are not in use, which schedule_removals left alone.

--- a/crates/pistachiolug_gateway/src/pool.rs
+++ b/crates/pistachiolug_gateway/src/pool.rs
@@ -4,7 +4,7 @@
 
 use pistachiolug_wire::datagram::Work;
 use rand::Rng;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
     config::Engine,
@@ -16,6 +16,7 @@
     statement::Statement,
 };
 
+mod addresses;
 mod candidates;
 mod limits;
 mod listing;
@@ -30,6 +31,7 @@
 pub use limits::Demand;
 pub use server::Server;
 
+use addresses::Displaced;
 use listing::{Ended, Unconfirmed};
 use server::SLOWDOWN_RANGE;
 
@@ -58,6 +60,11 @@
     servers: FxHashMap<Arc<str>, Server>,
     /// Server ids by service, without duplicates.
     services: FxHashMap<Arc<str>, Vec<Arc<str>>>,
+    /// Names of the services that the configuration has; `None` before the first configuration, when all count as named.
+    configured_services: Option<FxHashSet<Arc<str>>>,
+    /// Listed servers by id that are not used, because others have their addresses. None of them is in `servers`, and each
+    /// has an address of which a server is in use.
+    displaced: FxHashMap<Arc<str>, Displaced>,
     /// Number of other entries.
     peer_count: u32,
     /// Incarnations that ended, oldest first; at most [`MAX_ENDED`].
@@ -316,6 +323,7 @@
     /// Records that a server is not the one, or does not hold the version, that its record says.
     pub fn record_mismatch(&mut self, id: &str, now: Duration) {
         self.avoid(id, now + MISMATCH_BACKOFF);
+        self.refute(id, now);
     }
 
     fn avoid(&mut self, id: &str, until: Duration) {
@@ -331,6 +339,7 @@
             server.failure_rate += FAILURE_WEIGHT * (sample - server.failure_rate);
             if is_success {
                 server.consecutive_failures = 0;
+                server.has_answered = true;
             }
         }
     }
--- a/crates/pistachiolug_gateway/src/pool/listing.rs
+++ b/crates/pistachiolug_gateway/src/pool/listing.rs
@@ -7,7 +7,7 @@
     position::Position,
 };
 
-use super::{Pool, Server, quota::Quota, server::SLOWDOWN_RANGE};
+use super::{Pool, Server, addresses::Standing, quota::Quota, server::SLOWDOWN_RANGE};
 use crate::{
     allowance::Allowance,
     cold::Coldness,
@@ -51,14 +51,15 @@
 impl Pool {
     /// Adds or updates a listed server. A server that has restarted under a known id replaces the old one.
     ///
-    /// Of several rows with one address the latest is valid: the rows of servers that have ended expire only later.
-    /// Returns the id of the server that lost the address; this is the given one if its row is older. `None` if no
-    /// other server had the address.
+    /// Of several servers with one address one is used, usually the one whose row is the latest: the rows of servers that have
+    /// ended expire only later. Returns the id of the server that is not used, which may be the given one; `None` if no
+    /// other server has the address.
     ///
     /// # Arguments
     /// `position` is that of the record's row.
     pub fn put(&mut self, record: Record, position: Position, now: Duration) -> Option<Arc<str>> {
         self.unconfirmed.remove(&record.id);
+        let mut left_address = None;
         if let Some(server) = self.servers.get_mut(&record.id) {
             let is_same_start = server.record.started_ms == record.started_ms
                 && server.record.service == record.service
@@ -68,16 +69,18 @@
                 server.change_limits(entry, now, |server| server.update(record, position, now));
                 return None;
             }
+            left_address = Some(server.record.address);
             self.drop_server(&record.id.clone(), now);
         }
-        let previous = self.find_by_address(record.address);
-        if previous.is_some_and(|previous| previous.position > position) {
-            return Some(record.id);
-        }
-        let previous = previous.map(|previous| Arc::clone(&previous.record.id));
-        if let Some(previous) = &previous {
-            self.drop_server(previous, now);
+        let unused = self.claim_address(record, position, now);
+        if let Some(address) = left_address {
+            self.settle(address, now);
         }
+        unused
+    }
+
+    /// Adds a server to those that are used.
+    pub(super) fn insert_server(&mut self, record: Record, position: Position, now: Duration) {
         let incarnation = record.incarnation();
         let known = self
             .ended
@@ -113,10 +116,12 @@
             remove_at: None,
             position,
             models_changed_at: now,
+            has_answered: false,
+            held_since: now,
+            standing: Standing::default(),
         };
         server.begin_limits(entry, quota, now);
         self.servers.insert(Arc::clone(&server.record.id), server);
-        previous
     }
 
     /// Returns whether an incarnation is known to have ended.
@@ -154,6 +159,7 @@
             return self.put(record, position, now);
         }
         let id = Arc::clone(&record.id);
+        self.displaced.remove(&id);
         let unconfirmed = Unconfirmed {
             record,
             position,
@@ -174,6 +180,12 @@
         }
     }
 
+    /// Returns the record of the server that is used at an address.
+    pub fn server_at(&self, address: SocketAddr) -> Option<Record> {
+        let server = self.find_by_address(address);
+        server.map(|server| server.record.clone())
+    }
+
     pub(super) fn find_by_address(&self, address: SocketAddr) -> Option<&Server> {
         let mut servers = self.servers.values();
         servers.find(|server| server.record.address == address)
@@ -191,16 +203,18 @@
         })
     }
 
-    /// Schedules the removal of a server that the list no longer names; it is used until `at`. An earlier schedule
-    /// stays.
+    /// Schedules the removal of a server that the list no longer names; it is used until `at`, unless another one is listed
+    /// with its address. An earlier schedule stays.
     pub fn schedule_removal(&mut self, id: &str, at: Duration) {
         self.unconfirmed.remove(id);
+        self.displaced.remove(id);
         if let Some(server) = self.servers.get_mut(id) {
             server.remove_at.get_or_insert(at);
         }
     }
 
-    /// Removes the servers whose scheduled time has come and returns their ids.
+    /// Removes the servers whose scheduled time has come and returns their ids. Others that are listed with their addresses are
+    /// used again.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<Arc<str>> {
         let servers = self.servers.values();
         let due = servers.filter(|server| server.remove_at.is_some_and(|at| at <= now));
@@ -208,6 +222,7 @@
         for id in &ids {
             self.drop_server(id, now);
         }
+        self.settle_all(now);
         ids
     }
 
--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -4,7 +4,7 @@
 
 use pistachiolug_wire::{datagram::Work, position::Position};
 
-use super::{Requirements, quota::Quota};
+use super::{Requirements, addresses::Standing, quota::Quota};
 use crate::{
     allowance::Allowance,
     config::Engine,
@@ -75,6 +75,11 @@
     pub(super) position: Position,
     /// When the server was added, or when the models that it holds last changed.
     pub(super) models_changed_at: Duration,
+    /// Whether it has answered a request successfully since it has its address here.
+    pub(super) has_answered: bool,
+    /// When this entry began to use the server at its address.
+    pub(super) held_since: Duration,
+    pub(super) standing: Standing,
 }
 
 impl Server {
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -250,6 +250,9 @@
         *current = Some(Arc::clone(&config));
         drop(current);
         self.apply_cold_limits(&config);
+        let services = config.services().map(|service| Arc::clone(&service.name));
+        let now = self.now();
+        self.with_pool(|pool| pool.set_services(services, now));
     }
 
     /// Calls `action` with the server pool.
@@ -355,6 +358,7 @@
             let slow = i64::try_from(pool.count_slow(now));
             self.metrics.slow_servers.set(slow.unwrap_or(i64::MAX));
             pool.put_confirmed(now);
+            pool.settle_silent(now);
             pool.remove_expired(now)
         });
         for server in removed {
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -158,7 +158,9 @@
             self.state.record_server_end(&previous);
         }
         if let Some(server) = replaced {
-            log::info!(server = &*server, address:%, revision = position.revision; "server replaced by another at its address");
+            let by = self.state.with_pool(|pool| pool.server_at(address));
+            let by = by.as_ref().map_or("none", |by| &*by.id);
+            log::info!(server = &*server, address:%, by, revision = position.revision; "server not in use, another has its address");
         }
     }
 
@@ -181,6 +183,10 @@
             });
             if let Some(service) = service {
                 services.entry(service).or_default().push(id);
+            } else {
+                // It was listed but not in use: another one has its address, or an earlier copy of the list named it.
+                let now = self.state.now();
+                self.state.with_pool(|pool| pool.schedule_removal(id, now));
             }
         }
         for (service, ids) in services {
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, dead_code, unreachable_pub)]
 
+pub mod changes;
 pub mod deployment;
 
 use std::{
