Let the last change of a server in a batch count

Cause: the removals of a batch of changes were scheduled after all its rows, so a server that left and came back within one batch was listed and then removed. Its row doesn't change again.

Fix: a row takes back the removal that precedes it in the batch.

--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -1,6 +1,10 @@
 //! Updates an entry's state from the rows of the key-value service.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use pistachiolug_platform::kv;
 use pistachiolug_replica::{
@@ -174,7 +178,7 @@
     }
 
     /// Schedules the removal of servers whose rows are gone, by service.
-    fn schedule_removals(&self, ids: &[String]) {
+    fn schedule_removals(&self, ids: &BTreeSet<String>) {
         let mut services: BTreeMap<String, Vec<&String>> = BTreeMap::new();
         for id in ids {
             let service = self.state.with_pool(|pool| {
@@ -218,12 +222,22 @@
             made_after,
             is_restored: self.state.record_era(era),
         };
-        let mut removed = Vec::new();
+        // Removals are scheduled together: many at once may be leases that have expired.
+        let mut removed = BTreeSet::new();
         for change in changes {
             match change {
-                Change::Put(entry) => self.apply_row(&entry, source),
+                Change::Put(entry) => {
+                    if let Subject::Server(id) = self.decoder.subject(&entry.key)
+                        && removed.remove(&id)
+                    {
+                        log::info!(server = id.as_str(), revision = entry.revision; "server removed and listed again by the same changes");
+                    }
+                    self.apply_row(&entry, source);
+                }
                 Change::Removed { key } => match self.decoder.subject(&key) {
-                    Subject::Server(id) => removed.push(id),
+                    Subject::Server(id) => {
+                        removed.insert(id);
+                    }
                     // Entries that are missing from an earlier copy write their rows again.
                     Subject::Entry(_) if source.is_restored => {}
                     Subject::Entry(name) => {
