Take no status below 200 or above 599 for an answer

Callers: a faulty server's 101 or 600 to 999 was passed on with its seal (MIXED).

Cause: the HTTP library takes any three digits from 100 on for a status, and nothing compared it with those that end a request.

Fix: such an answer counts as lost, in the exchange with a server and in the HTTP client for all other calls. An entry decodes rows of another one only from an answer with status 200.

--- a/crates/pistachiolug_gateway/src/gossip.rs
+++ b/crates/pistachiolug_gateway/src/gossip.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, StatusCode};
 use pistachiolug_http::client::Client;
 use pistachiolug_kernel::{
     inbox::{self, Inbox},
@@ -244,6 +244,9 @@
         return;
     };
     let rows = match client.fetch(request, MAX_ROWS_BYTES, ROWS_TIMEOUT).await {
+        Ok(response) if response.status() != StatusCode::OK => {
+            Err(format!("status {}", response.status()))
+        }
         Ok(response) => updater
             .with_rows(|rows| {
                 let made_after = rows.complete_at();
--- a/crates/pistachiolug_gateway/src/send.rs
+++ b/crates/pistachiolug_gateway/src/send.rs
@@ -4,6 +4,7 @@
 
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
+use pistachiolug_http::client::is_final;
 use tokio::time::Instant;
 
 use crate::{
@@ -124,6 +125,9 @@
     if attempt_id.is_some_and(|attempt_id| attempt_id != call.id) {
         return Outcome::Lost("answer belongs to another request".to_owned());
     }
+    if !is_final(status) {
+        return Outcome::Lost(format!("status {status} ends no request"));
+    }
     let is_not_run = headers.contains_key(&names.not_run);
     let is_signed = headers.contains_key(&names.signature);
     if is_own_answer(state, &call.id, &response)
@@ -166,6 +170,9 @@
 /// the server.
 fn is_own_answer<T>(state: &State, id: &str, response: &Response<T>) -> bool {
     let (names, headers) = (&state.options.names, response.headers());
+    if !is_final(response.status()) {
+        return false;
+    }
     match headers::text(headers, &names.attempt) {
         Some(attempt_id) => attempt_id == id,
         None => headers.contains_key(&names.signature) || headers.contains_key(&names.not_run),
--- a/crates/pistachiolug_http/src/client.rs
+++ b/crates/pistachiolug_http/src/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -54,6 +54,12 @@
         /// Error of the HTTP library.
         source: legacy::Error,
     },
+    /// The answer has a status that ends no request; the peer may have processed it.
+    #[snafu(display("status {status} ends no request"))]
+    Status {
+        /// Status of the answer.
+        status: StatusCode,
+    },
     /// The body of the answer was cut short or too large.
     #[snafu(display("body broke: {source}"))]
     Body {
@@ -75,6 +81,12 @@
     }
 }
 
+/// Returns whether a status ends a request (RFC 9110, section 15). Those below 200 precede an answer, and those above 599
+/// don't exist.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// HTTP client; clones share one connection pool.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -119,7 +131,8 @@
     /// Sends a request and returns the response with a body that is still to be read.
     ///
     /// # Errors
-    /// Returns [`Error::Connect`], [`Error::Exchange`], or [`Error::Timeout`] if no head arrives within `time_limit`.
+    /// Returns [`Error::Connect`], [`Error::Exchange`], [`Error::Status`], or [`Error::Timeout`] if no head arrives within
+    /// `time_limit`.
     pub async fn send(
         &self,
         request: Request<Bytes>,
@@ -137,7 +150,12 @@
                         traffic::head_bytes(None, response.headers()),
                     );
                 }
-                Ok(response)
+                let status = response.status();
+                if is_final(status) {
+                    Ok(response)
+                } else {
+                    Err(Error::Status { status })
+                }
             }
             Ok(Err(source)) if source.is_connect() => Err(Error::Connect { source }),
             Ok(Err(source)) => Err(Error::Exchange { source }),
