Refuse requests that would outlast a planned stop

Callers: requests whose last bytes came late in a planned stop were passed on, ran, and were cut without an answer when the process ended, among them such that may not be repeated (LOST).

Cause: nothing compared a request with the time that is left until the process ends.

Fix: an entry that stops refuses, as not run, what servers could not answer before its end, by how long they lately worked on requests of the route. All waits end shortly before the process does, so that what is still at work gets 504.

--- a/crates/pistachiolug_gateway/src/acquire.rs
+++ b/crates/pistachiolug_gateway/src/acquire.rs
@@ -37,6 +37,7 @@
     if call.time_left().is_zero() {
         return Err(Reason::Overloaded);
     }
+    check_stop(state, call)?;
     let requirements = call.requirements(state, tried);
     let rank = call.rank();
     if tried.is_empty() {
@@ -74,7 +75,8 @@
         return Err(refusal_reason(servable, reopens_in, limit));
     };
     let (position, receiver) = state.enqueue(requirements, rank);
-    let until = call.deadline.min(state.now() + max_wait);
+    let latest_send = state.latest_send(call).unwrap_or(call.deadline);
+    let until = latest_send.min(state.now() + max_wait);
     let guard = QueueGuard {
         state,
         service: &call.service,
@@ -84,6 +86,8 @@
     drop(guard);
     let waited = call.arrived.elapsed();
     state.metrics.wait_seconds.observe(waited.as_secs_f64());
+    // The process may have been told to stop meanwhile.
+    check_stop(state, call)?;
     if let Ok(Ok(permit)) = permit {
         let requirements = call.requirements(state, tried);
         log_placed(call, &permit, &requirements, ahead);
@@ -94,6 +98,17 @@
     Err(refusal_reason(servable, reopens_in, limit))
 }
 
+/// Checks that a server could answer a request before this process ends.
+fn check_stop(state: &State, call: &Call) -> Result<(), Reason> {
+    let latest_send = state.latest_send(call);
+    let Some(late) = latest_send.and_then(|latest| state.now().checked_sub(latest)) else {
+        return Ok(());
+    };
+    let late_ms = late.as_millis() as u64;
+    log::info!(call = call.id.as_str(), service = &*call.service, late_ms; "process ends before a server could answer");
+    Err(Reason::Stopping)
+}
+
 /// Answer of admission control to a request that finds no free slot, and what it follows from.
 #[derive(Debug)]
 pub(crate) struct Admission {
--- a/crates/pistachiolug_gateway/src/answer.rs
+++ b/crates/pistachiolug_gateway/src/answer.rs
@@ -180,6 +180,7 @@
     /// Records that the server has sent the whole answer.
     fn end(&mut self) {
         if self.status.is_success() {
+            self.state.record_work(&self.call, &self.permit);
             self.permit.record_success();
         } else {
             self.permit.record_outcome();
--- a/crates/pistachiolug_gateway/src/call.rs
+++ b/crates/pistachiolug_gateway/src/call.rs
@@ -66,10 +66,11 @@
 }
 
 impl Call {
-    /// Returns the time until the deadline; zero after it.
+    /// Returns the time until the deadline, or until the last answers before the process ends; zero after it.
     pub fn time_left(&self) -> Duration {
         let state = &self.open_request.state;
-        self.deadline.saturating_sub(state.now())
+        let deadline = state.bound_by_stop(self.deadline);
+        deadline.saturating_sub(state.now())
     }
 
     /// Waits for a future until the deadline.
--- a/crates/pistachiolug_gateway/src/deadline.rs
+++ b/crates/pistachiolug_gateway/src/deadline.rs
@@ -1,4 +1,4 @@
-//! Deadlines on the clock of an entry, which suspensions of its machine bring closer.
+//! Deadlines on the clock of an entry, which suspensions of its machine and the end of the process bring closer.
 
 use std::time::Duration;
 
@@ -10,12 +10,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Passed;
 
-/// Waits until a time of [`State::now`].
+/// Waits until a time of [`State::now`], or until the last answers before the process ends.
 pub async fn sleep_until(state: &State, time: Duration) {
     loop {
         // Created first, so that no suspension is missed after the clock was read.
         let deadlines_moved = state.wait_for_moved_deadlines();
-        let left = time.saturating_sub(state.now());
+        let left = state.bound_by_stop(time).saturating_sub(state.now());
         if left.is_zero() {
             return;
         }
@@ -26,7 +26,7 @@
     }
 }
 
-/// Waits for a future until a time of [`State::now`].
+/// Waits for a future until a time of [`State::now`], or until the last answers before the process ends.
 ///
 /// # Errors
 /// [`Passed`] if the future is not ready then.
--- a/crates/pistachiolug_gateway/src/forward.rs
+++ b/crates/pistachiolug_gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Handling of one request at an entry: received, assigned to a server, sent, answered.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{Stream, future::Either as Source};
@@ -70,6 +70,7 @@
             Arrival::Whole(response) => {
                 let status = response.status();
                 if status.is_success() {
+                    state.record_work(&call, &permit);
                     permit.record_success();
                 } else {
                     permit.record_outcome();
@@ -161,6 +162,7 @@
         | Reason::Backoff
         | Reason::Limited
         | Reason::Unavailable
+        | Reason::Stopping
         | Reason::CrashSuspect
             if may_have_run =>
         {
@@ -174,6 +176,8 @@
             let reopens_in = acquire::time_to_reopening(state, call, &[]);
             Some(admission::retry_after(call.time_left(), reopens_in, point))
         }
+        // Another entry takes the request at once.
+        Reason::Stopping => Some(Duration::ZERO),
         Reason::CrashSuspect => state.suspect_delay(&call.fingerprint),
         _ => None,
     };
--- a/crates/pistachiolug_gateway/src/metrics.rs
+++ b/crates/pistachiolug_gateway/src/metrics.rs
@@ -64,7 +64,7 @@
 pub const CONNECTION_UNREAD: &str = "connection-unread";
 
 /// Outcomes of requests.
-const OUTCOMES: [&str; 16] = [
+const OUTCOMES: [&str; 17] = [
     ANSWERED,
     BROKEN,
     CALLER_LEFT,
@@ -79,6 +79,7 @@
     Reason::Backoff.as_str(),
     Reason::Limited.as_str(),
     Reason::Unavailable.as_str(),
+    Reason::Stopping.as_str(),
     Reason::Lost.as_str(),
     Reason::Late.as_str(),
 ];
--- a/crates/pistachiolug_gateway/src/process.rs
+++ b/crates/pistachiolug_gateway/src/process.rs
@@ -172,15 +172,16 @@
     let front = serve_front(Rc::clone(&state), front, closed, port_closed, used.clone());
     let front = spawn_local(front);
     let has_config = wait_for_config(Rc::clone(&state));
+    let drain = grace.saturating_sub(STOP_MARGIN);
     let stop = Stop {
         state,
         closing,
         port_closing,
         front,
         used,
+        drain,
         started_at: Cell::new(None),
     };
-    let drain = grace.saturating_sub(STOP_MARGIN);
     kernel
         .run_after(has_config, drain, || stop.is_done())
         .await
@@ -216,6 +217,8 @@
     front: JoinHandle<()>,
     /// Connections of callers.
     used: UsedConnections,
+    /// Longest time until the process ends after it was told to stop.
+    drain: Duration,
     started_at: Cell<Option<Instant>>,
 }
 
@@ -224,6 +227,7 @@
     fn is_done(&self) -> bool {
         let started_at = self.started_at.get().unwrap_or_else(|| {
             self.closing.send_replace(true);
+            self.state.begin_stop(self.state.now() + self.drain);
             Instant::now()
         });
         self.started_at.set(Some(started_at));
--- a/crates/pistachiolug_gateway/src/receive.rs
+++ b/crates/pistachiolug_gateway/src/receive.rs
@@ -91,7 +91,14 @@
     let deadline = state.now() + time_limit.min(route.timeout).saturating_sub(ANSWER_MARGIN);
     let read = read_body(state, &mut body, config.limits());
     let read = deadline::run_until(state, deadline, read).await;
-    let read = read.unwrap_or(Err(Reason::BadBody));
+    let read = read.unwrap_or_else(|_| {
+        let is_stop_over = state.is_stop_over();
+        Err(if is_stop_over {
+            Reason::Stopping
+        } else {
+            Reason::BadBody
+        })
+    });
     let bytes = match read {
         Ok(bytes) => bytes,
         Err(reason) => {
--- a/crates/pistachiolug_gateway/src/relay.rs
+++ b/crates/pistachiolug_gateway/src/relay.rs
@@ -162,6 +162,7 @@
         let server = self.source.as_ref().map(|source| &source.permit);
         if let Some(permit) = server.filter(|_| outcome == ANSWERED) {
             permit.record_answer(true);
+            self.state.record_work(call, permit);
             permit.record_success();
         }
         log::info!(
--- a/crates/pistachiolug_gateway/src/reply.rs
+++ b/crates/pistachiolug_gateway/src/reply.rs
@@ -42,6 +42,8 @@
     Limited,
     /// No server that could take the request is known; it did not and will not run.
     Unavailable,
+    /// The process is told to stop and ends before a server could have answered; the request did not and will not run.
+    Stopping,
     /// Servers crashed while they ran requests with the same content; this one did not and will not run.
     CrashSuspect,
     /// The server that got the request gave no complete answer; it may have run.
@@ -64,6 +66,7 @@
             Self::Backoff => "backoff",
             Self::Limited => "limited",
             Self::Unavailable => "unavailable",
+            Self::Stopping => "stopping",
             Self::CrashSuspect => "crash-suspect",
             Self::Lost => "lost",
             Self::Late => "late",
@@ -79,6 +82,7 @@
             | Self::Backoff
             | Self::Limited
             | Self::Unavailable
+            | Self::Stopping
             | Self::CrashSuspect => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadKey => StatusCode::UNAUTHORIZED,
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -31,6 +31,7 @@
 mod retries;
 mod slots;
 mod statements;
+mod stop;
 mod suspects;
 mod targets;
 
@@ -54,6 +55,7 @@
     queue::Queue,
     reachability::Reachability,
     reservation::{Ledger, Unmet},
+    stop::Work,
     unknown_headers::UnknownHeaders,
     versions::{self, Versions},
 };
@@ -145,6 +147,10 @@
     /// Wakes the task that sends demands and grants.
     demand_recorded: Notify,
     open_count: Cell<usize>,
+    /// When the process ends at the latest; `None` until it is told to stop.
+    stop_end: Cell<Option<Duration>>,
+    /// How long servers work on requests, by route.
+    work: RefCell<FxHashMap<Arc<str>, Work>>,
 }
 
 impl State {
@@ -195,6 +201,8 @@
             outgoing_grants: RefCell::default(),
             demand_recorded: Notify::new(),
             open_count: Cell::new(0),
+            stop_end: Cell::default(),
+            work: RefCell::default(),
         })
     }
 
