Keep removed servers only after an outage of the store for all

Cause: after any failed call of its own, an entry kept servers for 2.5 s after their rows had gone, because leases expire while the store is away. One entry's failure, or one watch that is cut, is no such outage.

Fix: an entry knows from the others' beacons when the store last answered them. Servers are kept only if there was a gap of more than 2 s in these answers, or none are known.

--- a/crates/pistachiolug_gateway/src/reachability.rs
+++ b/crates/pistachiolug_gateway/src/reachability.rs
@@ -8,6 +8,10 @@
 /// list again within two seconds of its recovery.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2500);
 
+/// Longest time between two answers to other entries that is no outage. Their watches are answered at least this often, and the
+/// row of a live server expires only after a longer silence of the service.
+const MAX_ANSWER_GAP: Duration = Duration::from_secs(2);
+
 /// Share of a service's servers whose simultaneous removal looks like expired leases rather than an intended change.
 const EXPIRY_SHARE: f64 = 0.5;
 
@@ -18,6 +22,10 @@
     unreachable_since: Option<Duration>,
     /// Whether the last call was refused because there were too many calls, which is no fault of the service.
     is_throttled: bool,
+    /// When the service last answered another entry, as far as this one has heard.
+    answered_others_at: Option<Duration>,
+    /// Whether the service, since it stopped answering this entry, did not answer the others either for a while.
+    is_away_for_all: bool,
     /// When the service last answered again after an outage, or was found to have come back from an earlier copy.
     recovered_at: Option<Duration>,
 }
@@ -36,11 +44,30 @@
     /// Records that the key-value service answered.
     pub fn record_success(&mut self, now: Duration) {
         self.is_throttled = false;
+        let is_away_for_all = self.is_away_for_all(now);
         if let Some(since) = self.unreachable_since.take() {
             let away_ms = now.saturating_sub(since).as_millis() as u64;
-            log::info!(away_ms; "key-value service reachable again");
-            self.recovered_at = Some(now);
+            log::info!(away_ms, is_away_for_all; "key-value service reachable again");
+            // While the service answered others, servers kept their rows.
+            if is_away_for_all {
+                self.recovered_at = Some(now);
+            }
         }
+        self.is_away_for_all = false;
+    }
+
+    /// Records that the service has answered another entry at a time.
+    pub fn record_answer_to_other(&mut self, at: Duration) {
+        self.is_away_for_all |= self.is_away_for_all(at);
+        self.answered_others_at = self.answered_others_at.max(Some(at));
+    }
+
+    /// Returns whether the service did not answer other entries for a while until `at` either, in an outage of this one. If
+    /// this entry hears of no answers to others, it can't tell, and the service counts as away for all.
+    fn is_away_for_all(&self, at: Duration) -> bool {
+        let answered = self.answered_others_at;
+        let is_gap = answered.is_none_or(|answered| at.saturating_sub(answered) > MAX_ANSWER_GAP);
+        self.unreachable_since.is_some() && (self.is_away_for_all || is_gap)
     }
 
     /// Records that the service has come back from an earlier copy, from which live servers may be missing.
@@ -59,12 +86,13 @@
 
     /// Returns until when servers that have just disappeared from the list are still used.
     ///
-    /// While the service is reachable, the removal of a single server takes effect at once.
+    /// The removal of a single server takes effect at once, unless its lease may have expired because the service is, or was
+    /// until shortly before, away for all.
     ///
     /// # Arguments
     /// `dropped` of the `listed` servers of a service disappeared together.
     pub fn usable_until(&self, dropped: usize, listed: usize, now: Duration) -> Duration {
-        if self.unreachable_since.is_some() {
+        if self.is_away_for_all(now) {
             return now + RECOVERY_GRACE;
         }
         if let Some(recovered_at) = self.recovered_at
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -275,6 +275,7 @@
             let complete_at = arrived_after.checked_sub(Duration::from_millis(age_ms.into()));
             if let Some(complete_at) = complete_at {
                 self.with_rows(|rows| rows.confirm_by_peer(beacon.position, complete_at));
+                self.with_reachability(|store| store.record_answer_to_other(complete_at));
             }
         }
         let now = self.now();
--- a/crates/pistachiolug_gateway/tests/beliefs.rs
+++ b/crates/pistachiolug_gateway/tests/beliefs.rs
@@ -8,6 +8,7 @@
 
 use pistachiolug_gateway::{
     config::{Config, Kind},
+    reachability::Reachability,
     state::{Options, State},
 };
 use pistachiolug_platform::kv;
@@ -113,6 +114,70 @@
     }
 }
 
+/// Guards against servers that are used after their rows were removed, because only this entry's own calls failed: the service
+/// answered other entries all the while, so no lease expired.
+#[test]
+fn a_removal_takes_effect_at_once_if_the_service_answers_other_entries() {
+    let millis = Duration::from_millis;
+    let failure = kv::Error::unavailable("cut");
+    // Times of answers to others, the first before the failure at 10 s; the service is back at 15 s.
+    let cases: [(&str, &[u64], bool); 5] = [
+        (
+            "others answered throughout",
+            &[9_500, 10_700, 11_900, 13_100, 14_300],
+            true,
+        ),
+        (
+            "others away for a while",
+            &[9_500, 12_700, 13_900, 14_900],
+            false,
+        ),
+        ("others away at the end", &[9_500, 10_700, 11_900], false),
+        ("no others heard", &[], false),
+        ("others heard again at the end", &[9_500, 14_900], false),
+    ];
+    for (name, answers, at_once) in cases {
+        let mut store = Reachability::default();
+        let (before, after): (Vec<u64>, Vec<u64>) =
+            answers.iter().partition(|answer| **answer < 10_000);
+        for answer in before {
+            store.record_answer_to_other(millis(answer));
+        }
+        store.record_failure(&failure, millis(10_000));
+        for answer in after {
+            store.record_answer_to_other(millis(answer));
+        }
+
+        let during = store.usable_until(1, 8, millis(15_000));
+        store.record_success(millis(15_000));
+        let afterwards = store.usable_until(1, 8, millis(15_100));
+
+        assert_eq!(during <= millis(15_000), at_once, "{name}");
+        assert_eq!(afterwards <= millis(15_100), at_once, "{name}");
+    }
+}
+
+/// Guards against servers that are kept because one watch was cut, and against an outage that is forgotten with it.
+#[test]
+fn an_outage_of_all_entries_is_remembered_and_a_cut_watch_is_none() {
+    let millis = Duration::from_millis;
+    let failure = kv::Error::unavailable("cut");
+    let mut store = Reachability::default();
+    store.record_answer_to_other(millis(9_900));
+
+    store.record_failure(&failure, millis(10_000));
+    store.record_success(millis(10_100));
+    let after_cut = store.usable_until(1, 8, millis(10_200));
+    store.record_failure(&failure, millis(20_000));
+    store.record_success(millis(25_000));
+    store.record_failure(&failure, millis(25_200));
+    store.record_answer_to_other(millis(25_200));
+    let after_outage = store.usable_until(1, 8, millis(25_300));
+
+    assert_eq!(after_cut, millis(10_200));
+    assert!(after_outage > millis(27_000), "{after_outage:?}");
+}
+
 /// Guards against retries that are served as first attempts. Their time limits are shorter by what the refused attempt
 /// took; those of first attempts differ by up to 15 percent.
 #[test]
