Share the decoder of keys between test fixtures

The prefixes and the subject of a key stood in two fixtures. The test of planned stops allows the output of its crowd, as the other tests do.

--- a/crates/pistachiolug_gateway/tests/support/changes.rs
+++ b/crates/pistachiolug_gateway/tests/support/changes.rs
@@ -15,11 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
-use super::{location, metrics, options, record};
-
-const SERVER_PREFIX: &str = "servers/";
-const ENTRY_PREFIX: &str = "entries/";
-const EVACUATION_PREFIX: &str = "evacuate/";
+use super::{deployment::subject, location, metrics, options, record};
 
 /// Decoder of servers as `SERVICE ADDRESS STARTED_MS`; other values can't be decoded.
 #[derive(Debug, Clone, Copy)]
@@ -50,16 +46,7 @@
     }
 
     fn subject(&self, key: &str) -> Subject {
-        if let Some(id) = key.strip_prefix(SERVER_PREFIX) {
-            return Subject::Server(id.to_owned());
-        }
-        if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
-            return Subject::Evacuation(zone.to_owned());
-        }
-        match key.strip_prefix(ENTRY_PREFIX) {
-            Some(name) => Subject::Entry(name.to_owned()),
-            None => Subject::Other,
-        }
+        subject(key)
     }
 
     fn entry_row(&self, _: &str, _: SocketAddr) -> (String, Vec<u8>) {
--- a/crates/pistachiolug_gateway/tests/support/deployment.rs
+++ b/crates/pistachiolug_gateway/tests/support/deployment.rs
@@ -140,19 +140,7 @@
     }
 
     fn subject(&self, key: &str) -> Subject {
-        if let Some(id) = key.strip_prefix(SERVER_PREFIX) {
-            return Subject::Server(id.to_owned());
-        }
-        if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
-            return Subject::Evacuation(zone.to_owned());
-        }
-        if let Some(part) = key.strip_prefix(CULPRIT_PREFIX) {
-            return Subject::Culprit(u64::from_str_radix(part, 16).unwrap());
-        }
-        match key.strip_prefix(ENTRY_PREFIX) {
-            Some(name) => Subject::Entry(name.to_owned()),
-            None => Subject::Other,
-        }
+        subject(key)
     }
 
     fn entry_row(&self, name: &str, address: SocketAddr) -> (String, Vec<u8>) {
@@ -178,6 +166,23 @@
     }
 }
 
+/// Returns the subject that a key names.
+pub fn subject(key: &str) -> Subject {
+    if let Some(id) = key.strip_prefix(SERVER_PREFIX) {
+        return Subject::Server(id.to_owned());
+    }
+    if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
+        return Subject::Evacuation(zone.to_owned());
+    }
+    if let Some(part) = key.strip_prefix(CULPRIT_PREFIX) {
+        return Subject::Culprit(u64::from_str_radix(part, 16).unwrap());
+    }
+    match key.strip_prefix(ENTRY_PREFIX) {
+        Some(name) => Subject::Entry(name.to_owned()),
+        None => Subject::Other,
+    }
+}
+
 /// Entry process; it runs on a thread of its own and is killed on drop.
 struct Process {
     front: SocketAddr,
