--- a/crates/pistachiolug_gateway/tests/addresses.rs
+++ b/crates/pistachiolug_gateway/tests/addresses.rs
@@ -274,11 +274,14 @@
         entry.apply(&[(LIVE, Some(&live()))]);
         entry.apply(&[(FOREIGN, Some(&row(HALL, ADDRESS, 2)))]);
 
+        let before = entry.state.with_pool(|pool| pool.displaced().count());
         entry.apply(&[(LIVE, None)]);
         entry.apply(&[(FOREIGN, None)]);
 
         assert_eq!(entry.server_of(SERVICE), None);
         assert_eq!(entry.server_of(HALL), None);
+        let after = entry.state.with_pool(|pool| pool.displaced().count());
+        assert_eq!((before, after), (1, 0));
     });
 }
 
