--- /dev/null
+++ b/review/standin-3/src/bin/late_entry.rs
@@ -0,0 +1,77 @@
+//! The store carries out an earlier write of a server's entry late, when the server has long reported `draining`.
+
+use std::{io, path::Path, process::ExitCode, thread, time::Duration};
+
+use review_standin_3::deployment::{self, Deployment};
+
+/// Bound of the pages for this deployment.
+const DRAIN: Duration = Duration::from_millis(2000);
+
+/// Interval at which servers write their entries, by the settings of the deployment.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// Time from the write without an answer to the report of `draining`; the store is stable again after `contact_ms`.
+const REPORT_AFTER: Duration = Duration::from_millis(3200);
+
+/// Time from the write without an answer until the store carries it out; the pages name one to six seconds.
+const LATE_BY: Duration = Duration::from_millis(5900);
+
+/// Time for which a request runs; the sheet allows up to 110 ms.
+const WORK: Duration = Duration::from_millis(90);
+
+fn main() -> ExitCode {
+    deployment::main(play)
+}
+
+fn play(case: &Path, has_trouble: bool) -> io::Result<bool> {
+    let mut deployment = Deployment::start(case, WORK)?;
+    let record = deployment.record.clone();
+    let store = deployment.store.clone();
+    deployment.send_wave("first");
+    thread::sleep(Duration::from_secs(1));
+    let server = deployment.servers[0].clone();
+    let key = server.key();
+    let earlier = server.entry("ready");
+    record.say(&format!("a write of {key} gets no answer: {earlier}"));
+    let sent_at = record.now();
+    thread::sleep(REPORT_AFTER);
+    server.leave();
+    let report = server.entry("draining");
+    store.put(&key, &report);
+    let reported_at = record.say(&format!("the store has accepted {key}: {report}"));
+    thread::sleep((sent_at + LATE_BY).saturating_sub(record.now()));
+    if has_trouble {
+        store.put(&key, &earlier);
+        record.say(&format!(
+            "the store has carried out the earlier write of {key}"
+        ));
+    }
+    thread::sleep(Duration::from_millis(150));
+    deployment.send_wave("after");
+    // The next status report corrects the entry.
+    let next = reported_at + HEARTBEAT * 3;
+    thread::sleep(next.saturating_sub(record.now()));
+    let report = server.entry("draining");
+    store.put(&key, &report);
+    record.say(&format!("the store has accepted {key}: {report}"));
+    thread::sleep(Duration::from_secs(2));
+    let (answers, runs) = deployment.finish()?;
+    let late = runs.iter().filter(|run| {
+        run.server == server.options.id && run.at.saturating_sub(reported_at) > DRAIN
+    });
+    let mut count = 0;
+    for run in late {
+        count += 1;
+        let after = run.at.saturating_sub(reported_at).as_secs_f64();
+        let status = answers.iter().find(|answer| answer.attempt == run.attempt);
+        let status = status.map_or(0, |answer| answer.status);
+        record.say(&format!(
+            "DRAIN: {} reached {} {after:.3} s after the store had accepted that it is draining; the client got {status}",
+            run.attempt, run.server
+        ));
+    }
+    record.say(&format!(
+        "{count} requests reached the server later than `drain_ms`"
+    ));
+    Ok(count > 0)
+}
