--- a/review/standin-3/src/bin/late_entry.rs
+++ b/review/standin-3/src/bin/late_entry.rs
@@ -7,8 +7,8 @@
 /// Bound of the pages for this deployment.
 const DRAIN: Duration = Duration::from_millis(2000);
 
-/// Interval at which servers write their entries, by the settings of the deployment.
-const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Time from the report of `draining` to the end of the server.
+const END_AFTER: Duration = Duration::from_millis(2900);
 
 /// Time from the write without an answer to the report of `draining`; the store is stable again after `contact_ms`.
 const REPORT_AFTER: Duration = Duration::from_millis(3200);
@@ -48,12 +48,14 @@
     }
     thread::sleep(Duration::from_millis(150));
     deployment.send_wave("after");
-    // The next status report corrects the entry.
-    let next = reported_at + HEARTBEAT * 3;
-    thread::sleep(next.saturating_sub(record.now()));
-    let report = server.entry("draining");
-    store.put(&key, &report);
-    record.say(&format!("the store has accepted {key}: {report}"));
+    // The server ends as it has said, a little later than `drain_ms`.
+    thread::sleep((reported_at + END_AFTER).saturating_sub(record.now()));
+    server.listener.close();
+    store.remove(&[key]);
+    record.say(&format!(
+        "{} has ended, and its entry is gone",
+        server.options.id
+    ));
     thread::sleep(Duration::from_secs(2));
     let (answers, runs) = deployment.finish()?;
     let late = runs.iter().filter(|run| {
