--- a/review/standin-3/src/daemon.rs
+++ b/review/standin-3/src/daemon.rs
@@ -18,7 +18,7 @@
 }
 
 /// Hosts of the entries, and of the servers with agents.
-const HOSTS: [u8; 6] = [10, 20, 30, 11, 21, 31];
+const HOSTS: [u8; 12] = [10, 20, 30, 11, 21, 31, 12, 22, 32, 13, 23, 33];
 
 /// Loopback network of this run, so that runs beside each other do not meet.
 #[derive(Debug, Clone, Copy)]
@@ -140,16 +140,16 @@
         })
     }
 
-    /// Returns a free address for a server with an agent in the zone with this index.
+    /// Returns a free address for the server with this index that has an agent; servers are dealt to the zones in turn.
     pub fn app(network: &Network, index: usize) -> io::Result<SocketAddr> {
         network.free(HOSTS[3 + index])
     }
 
     /// Creates the machine of the agent beside a server.
     pub fn agent(index: usize, app: SocketAddr, service: &str) -> Self {
-        let (zone, _) = ZONES[index];
+        let (zone, _) = ZONES[index % ZONES.len()];
         Self {
-            name: format!("side-{zone}-1"),
+            name: format!("side-{zone}-{}", index / ZONES.len() + 1),
             ip: app.ip(),
             zone,
             role: Role::Agent {
--- a/review/standin-3/src/lib.rs
+++ b/review/standin-3/src/lib.rs
@@ -4,8 +4,11 @@
 pub mod client;
 pub mod daemon;
 pub mod deployment;
+pub mod engine;
 pub mod http;
 pub mod json;
 pub mod record;
 pub mod server;
+pub mod sha256;
 pub mod store;
+pub mod weights;
