--- a/crates/pistachiolug_loader/src/lib.rs
+++ b/crates/pistachiolug_loader/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pacing;
 pub mod peer_server;
 pub mod plan;
+pub mod predecessor;
 pub mod process;
 pub mod row;
 pub mod schedule;
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -1,5 +1,6 @@
 //! Control loop that brings the engine to the required version.
 
+mod inspect;
 mod steps;
 
 use std::{rc::Rc, time::Duration};
@@ -13,6 +14,7 @@
     ahead,
     discovery::Discovery,
     engine::{Engine, Error, Origin, Report},
+    orders::Unconfirmed,
     pacing,
     row::Decoder,
     schedule,
@@ -30,6 +32,12 @@
 /// Interval between two reads of the report of a busy engine that must not serve what it loads without a check.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Fewest layers of a model that can be loaded in two parts.
+const MIN_LAYERS: usize = 2;
+
+/// Time before the deadline of a version from which entries send no requests to engines without it.
+const EXCLUSION: Duration = Duration::from_secs(1);
+
 /// Delay before a retry after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -45,6 +53,9 @@
     /// The engine may still accept an order for another version, whose pieces can't be had any more, or holds some layers
     /// that are not known to be whole or not of use.
     Unload(Target),
+    /// The engine holds nothing that it could give up, and may still accept an order of a predecessor for pieces of an unknown
+    /// version.
+    Settle(Target, Report),
     /// All pieces of the version are staged, and it is the engine's turn to load.
     Load(Target, Rc<StagedVersion>),
 }
@@ -129,7 +140,7 @@
                 continue;
             }
             // The next step reports the failure of a call.
-            if let Ok(report) = self.transfer.engine.report().await
+            if let Ok(report) = self.read_engine().await
                 && state.orders.borrow().is_news(&report)
             {
                 return;
@@ -141,13 +152,17 @@
     async fn prepare(&self, target: &Target) -> Result<Step, Error> {
         let (state, transfer) = (&self.transfer.state, &self.transfer);
         let (report, held) = self.read_report(target).await?;
-        if let Some(unconfirmed) = state.orders.borrow().unconfirmed() {
+        let unconfirmed = state.orders.borrow().unconfirmed();
+        if let Some(unconfirmed) = unconfirmed {
             let target = unconfirmed.version.map(|version| Target {
                 version,
                 ..target.clone()
             });
             return Ok(target.map_or(Step::WaitForLoad, Step::Check));
         }
+        if state.orders.borrow().must_inspect() {
+            self.inspect_stage(target, held).await?;
+        }
         // The plan and the deadline depend on the version that the engine has loaded.
         let plan = state.update_plan();
         let Some(target) = plan.map(|plan| plan.first) else {
@@ -156,6 +171,17 @@
         if state.orders.borrow().must_settle(target.version) {
             return Ok(Step::Unload(target));
         }
+        if state.orders.borrow().is_unidentified() && !report.busy {
+            let is_due = target.deadline.saturating_sub(state.now()) <= EXCLUSION;
+            match held {
+                None if report.models.is_empty() && target.layers >= MIN_LAYERS => {
+                    return Ok(Step::Settle(target, report));
+                }
+                // Pieces are fetched into memory until entries send no requests to the engine.
+                Some(held) if held < target.version && is_due => return Ok(Step::Unload(target)),
+                _ => {}
+            }
+        }
         if let Some(version) = report.partial_version(&target.model) {
             let is_known = state.orders.borrow().partial() == Some(version);
             let is_of_use = is_known && version == target.version;
@@ -193,8 +219,19 @@
                 Ok(())
             }
             Step::Check(target) => {
+                let state = &self.transfer.state;
+                let is_inherited = |load: Unconfirmed| load.is_inherited;
+                if state
+                    .orders
+                    .borrow()
+                    .unconfirmed()
+                    .is_some_and(is_inherited)
+                {
+                    let _pause = state.stage.pause().await;
+                    return self.check_inherited_load(&target).await;
+                }
                 let staged = self.transfer.staged_version(&target).await;
-                let _pause = self.transfer.state.stage.pause().await;
+                let _pause = state.stage.pause().await;
                 self.check_load(&target, staged).await.map(drop)
             }
             Step::Unload(target) => {
@@ -206,6 +243,11 @@
                 self.transfer.state.wake.notify_one();
                 result.map(drop)
             }
+            Step::Settle(target, report) => {
+                let result = self.invalidate_orders(&target, &report).await;
+                self.transfer.state.wake.notify_one();
+                result
+            }
             Step::Load(target, staged) => {
                 self.transfer.state.set_loading(true);
                 let result = self.verify_and_load(&target, &staged).await;
@@ -219,11 +261,21 @@
     /// been whole does not count.
     async fn read_report(&self, target: &Target) -> Result<(Report, Option<u64>), Error> {
         let asked_at = self.transfer.state.now();
-        let report = self.transfer.engine.report().await?;
+        let report = self.read_engine().await?;
         let held = self.observe(target, &report, asked_at);
         Ok((report, held))
     }
 
+    /// Reads the engine's report, and records if there is none.
+    async fn read_engine(&self) -> Result<Report, Error> {
+        let state = &self.transfer.state;
+        let report = self.transfer.engine.report().await;
+        if report.is_err() {
+            state.orders.borrow_mut().record_silence(state.now());
+        }
+        report
+    }
+
     fn observe(&self, target: &Target, report: &Report, asked_at: Duration) -> Option<u64> {
         let state = &self.transfer.state;
         let (is_news, unconfirmed) = {
--- a/crates/pistachiolug_loader/src/load/steps.rs
+++ b/crates/pistachiolug_loader/src/load/steps.rs
@@ -11,7 +11,10 @@
 use pistachiolug_wire::datagram::Change;
 use tokio::time::{sleep, timeout};
 
-use super::{BUSY_POLL_INTERVAL, LOAD_POLL_INTERVAL, LOAD_TIMEOUT, Loader, RETRY_DELAY};
+use super::{
+    BUSY_POLL_INTERVAL, EXCLUSION, LOAD_POLL_INTERVAL, LOAD_TIMEOUT, Loader, MIN_LAYERS,
+    RETRY_DELAY,
+};
 use crate::{
     engine::{Engine, Error, Layers, LoadResponse, Origin, Report},
     layers::{pieces_of_first, pieces_of_others},
@@ -25,16 +28,9 @@
 /// requests.
 const NOTICE_DELAY: Duration = Duration::from_millis(300);
 
-/// Time before the deadline of a version from which entries send no requests to engines without it, so that a notice has
-/// no effect.
-const EXCLUSION: Duration = Duration::from_secs(1);
-
 /// Longest check of a load with which the engine serves; after that it gives up its weights.
 const MAX_CHECK_TIME: Duration = Duration::from_millis(1500);
 
-/// Fewest layers of a model that can be loaded in two parts.
-const MIN_LAYERS: usize = 2;
-
 /// Order that is ready to be sent.
 #[derive(Debug, Clone, Copy)]
 struct Ready {
@@ -73,6 +69,7 @@
             // The deadline may be another one than when the pieces were fetched.
             let plan = state.plan();
             let deadline = plan.map_or(target.deadline, |plan| plan.first.deadline);
+            // Entries that send nothing need no notice.
             if deadline.saturating_sub(state.now()) > EXCLUSION {
                 sleep(NOTICE_DELAY).await;
             }
@@ -99,6 +96,26 @@
         }
     }
 
+    /// Makes an engine without a version accept an order, so that it refuses all that were sent before: it loads what is staged
+    /// for all layers but the first, with which it serves nothing. The check that follows makes it give them up.
+    pub(super) async fn invalidate_orders(
+        &self,
+        target: &Target,
+        report: &Report,
+    ) -> Result<(), Error> {
+        let ready = Ready {
+            layers: Layers::AllButFirst {
+                count: target.layers,
+            },
+            verified_at: None,
+        };
+        if self.order_load(target, report, ready).await?.is_some() {
+            let mut orders = self.transfer.state.orders.borrow_mut();
+            orders.accept(target.version, ready.layers, report, false);
+        }
+        Ok(())
+    }
+
     /// Verifies the staged pieces as far as the load asks for it, and orders the load. Returns `None` if the engine did not
     /// accept.
     async fn verify_and_order(
--- a/crates/pistachiolug_loader/src/manifest.rs
+++ b/crates/pistachiolug_loader/src/manifest.rs
@@ -102,7 +102,8 @@
 }
 
 impl<O: Origin> ManifestReader<'_, O> {
-    /// Reads the manifest of a version from the origin, or from agents that already have it.
+    /// Reads the manifest of a version from the origin, or from agents that already have it. Agents may still have one that
+    /// has left the origin.
     ///
     /// # Errors
     /// [`Error`] if the origin cannot be read, or its manifest has an unexpected number of pieces.
@@ -117,10 +118,17 @@
             self.log_read(target, "agent", start);
             return Ok(manifest);
         }
-        let manifest = self
+        let read = self
             .origin
             .read_manifest(self.address, &target.model, target.version)
-            .await?;
+            .await;
+        if read == Err(Error::Gone)
+            && let Some(manifest) = self.ask_agents(&name, target).await
+        {
+            self.log_read(target, "agent", start);
+            return Ok(manifest);
+        }
+        let manifest = read?;
         if manifest.digests.len() == target.pieces {
             self.log_read(target, "origin", start);
             return Ok(manifest);
--- a/crates/pistachiolug_loader/src/orders.rs
+++ b/crates/pistachiolug_loader/src/orders.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use crate::engine::{Layers, Report};
+use crate::{
+    engine::{Layers, Report},
+    predecessor,
+};
 
 /// Time from the verification of the staged pieces to the acceptance of an order in which no piece can have turned
 /// corrupt for so long that it must not be loaded: three seconds, less a margin for the two machines' clocks.
@@ -48,10 +51,28 @@
     pub is_partial: bool,
     /// When the engine was last known not to have taken the pieces, as time since the agent's start.
     pub taken_after: Duration,
+    /// Whether the engine had accepted its order before the agent's first report.
+    pub is_inherited: bool,
+}
+
+/// Order of the agent's predecessor that the engine may still accept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Inherited {
+    /// The staged pieces have not been inspected.
+    Unknown,
+    /// The staged pieces belong to no known version, so that the order may be for them.
+    Unidentified,
+    /// There is none, or it is the pending one.
+    Settled,
 }
 
 /// Load orders of an engine.
-#[derive(Debug, Default)]
+///
+/// A load that this process has not seen taken from whole pieces is unconfirmed until the pieces show that it was whole.
+/// Pieces of another version are staged only while no load is unconfirmed and no order for the staged pieces can be accepted
+/// any more, whichever process has sent it. So pieces of a newer version beside those of the loaded one show that the load
+/// was whole.
+#[derive(Debug)]
 pub struct Orders {
     /// Start of the engine as Unix time in milliseconds, and the number of orders that it is known to have accepted since;
     /// `None` before the first report.
@@ -60,12 +81,30 @@
     known_at: Duration,
     /// Whether this agent has sent an order.
     has_sent: bool,
+    inherited: Inherited,
+    /// Time since the agent's start after which no order or write of a predecessor is carried out.
+    inherited_until: Duration,
     pending: Option<Pending>,
     unconfirmed: Option<Unconfirmed>,
     /// Version of which the engine holds all layers but the first, taken from whole pieces.
     partial: Option<u64>,
 }
 
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            known: None,
+            known_at: Duration::ZERO,
+            has_sent: false,
+            inherited: Inherited::Unknown,
+            inherited_until: MAX_DELAY,
+            pending: None,
+            unconfirmed: None,
+            partial: None,
+        }
+    }
+}
+
 impl Orders {
     /// Returns whether a report shows orders, or an engine, that the agent does not know.
     pub fn is_news(&self, report: &Report) -> bool {
@@ -74,23 +113,35 @@
     }
 
     /// Records the engine's report. The load of an order that this agent does not know to have been accepted is
-    /// unconfirmed; a load that the engine had finished before the agent's start can't be checked any more.
+    /// unconfirmed. An engine that has accepted no order holds what it was started with.
     ///
     /// # Arguments
     /// `asked_at` is when the report was asked for, as time since the agent's start.
     pub fn observe(&mut self, model: &str, report: &Report, asked_at: Duration) {
         let held = report.held_version(model);
-        if self.is_news(report) {
+        let has_loaded = report.accepted_orders > 0 && (report.busy || held.is_some());
+        if self.known.is_none() {
+            // Layers with which the engine serves nothing are given up.
+            self.unconfirmed = (has_loaded && !report.is_partial).then_some(Unconfirmed {
+                version: held.filter(|_| !report.busy),
+                is_partial: false,
+                taken_after: Duration::ZERO,
+                is_inherited: true,
+            });
+            self.known_at = asked_at;
+        } else if self.is_news(report) {
+            // Orders before name another number of accepted orders, or are for another engine.
+            self.inherited = Inherited::Settled;
             let pending = self.pending.take();
             let ordered = pending.map(|pending| pending.version);
             let version = if report.busy { ordered } else { held };
             // Missing layers may be loaded beside those that the engine holds.
             let is_all = pending.is_some_and(|pending| pending.layers == Layers::All);
-            let has_loaded = report.accepted_orders > 0 && (report.busy || held.is_some());
             self.unconfirmed = has_loaded.then_some(Unconfirmed {
                 version,
                 is_partial: report.is_partial && !is_all,
                 taken_after: self.known_at,
+                is_inherited: false,
             });
             self.partial = None;
         } else {
@@ -113,6 +164,19 @@
         self.known = Some((report.started_ms, report.accepted_orders));
         let is_over = |pending: &Pending| asked_at >= pending.given_up_at + MAX_DELAY;
         self.pending = self.pending.filter(|pending| !is_over(pending));
+        if asked_at >= self.inherited_until {
+            self.inherited = Inherited::Settled;
+        }
+    }
+
+    /// Records that the engine did not answer. One that stands still carries out later what it has received before.
+    pub fn record_silence(&mut self, now: Duration) {
+        if now < self.inherited_until {
+            self.inherited_until = now + MAX_DELAY;
+        }
+        if let Some(pending) = &mut self.pending {
+            pending.given_up_at = pending.given_up_at.max(now);
+        }
     }
 
     /// Records that an order is about to be sent, and returns the one that was pending before.
@@ -146,15 +210,41 @@
         }
     }
 
+    /// Records which order of a predecessor the engine may still accept, as the staged pieces show.
+    pub fn inherit(&mut self, order: predecessor::Order, now: Duration) {
+        if self.inherited != Inherited::Unknown {
+            return;
+        }
+        self.inherited = match order {
+            predecessor::Order::Unidentified => Inherited::Unidentified,
+            predecessor::Order::None | predecessor::Order::For(_) => Inherited::Settled,
+        };
+        if let predecessor::Order::For(version) = order {
+            self.adopt(version, now);
+        }
+    }
+
+    /// Returns whether it is still to be found out which order of a predecessor the engine may accept.
+    pub fn must_inspect(&self) -> bool {
+        self.inherited == Inherited::Unknown
+    }
+
+    /// Returns whether the engine may still accept an order of a predecessor for the staged pieces, whose version is not
+    /// known.
+    pub fn is_unidentified(&self) -> bool {
+        self.inherited == Inherited::Unidentified
+    }
+
     /// Records that all pieces of a version that the engine does not hold were staged when the agent started: a predecessor
     /// of this agent may have ordered it shortly before.
     pub fn adopt(&mut self, version: u64, now: Duration) {
         let Some((_, accepted_orders)) = self.known else {
             return;
         };
-        if self.has_sent || self.pending.is_some() || now >= MAX_DELAY {
+        if self.has_sent || self.pending.is_some() || now >= self.inherited_until {
             return;
         }
+        self.inherited = Inherited::Settled;
         self.pending = Some(Pending {
             version,
             layers: Layers::All,
@@ -169,7 +259,7 @@
     /// # Arguments
     /// `now` is the time since the agent's start.
     pub fn may_accept(&self, now: Duration) -> bool {
-        self.pending.is_some() || now < MAX_DELAY
+        self.pending.is_some() || now < self.inherited_until
     }
 
     /// Records that the engine has answered that it accepts the order.
@@ -178,11 +268,13 @@
     /// `layers` are those of the order. `is_whole` is whether the pieces are known to have been whole when it was accepted.
     pub fn accept(&mut self, version: u64, layers: Layers, report: &Report, is_whole: bool) {
         self.known = Some((report.started_ms, report.accepted_orders + 1));
+        self.inherited = Inherited::Settled;
         self.pending = None;
         self.unconfirmed = (!is_whole).then_some(Unconfirmed {
             version: Some(version),
             is_partial: layers != Layers::All,
             taken_after: self.known_at,
+            is_inherited: false,
         });
     }
 
@@ -197,6 +289,7 @@
     /// Records that the engine has given up its version.
     pub fn unload(&mut self, report: &Report) {
         self.known = Some((report.started_ms, report.accepted_orders + 1));
+        self.inherited = Inherited::Settled;
         self.pending = None;
         self.unconfirmed = None;
         self.partial = None;
@@ -215,6 +308,7 @@
 
     /// Records that the order can't be settled.
     pub fn forget_pending(&mut self) {
+        self.inherited = Inherited::Settled;
         self.pending = None;
     }
 
@@ -242,9 +336,12 @@
         (now < pending.first_sent_at + time).then_some(pending.version)
     }
 
-    /// Returns whether pieces of a version may be staged. None may be while those have to be checked that the engine took.
+    /// Returns whether pieces of a version may be staged. None may be while those have to be checked that the engine took, or
+    /// while an order of a predecessor may be accepted of which the version is not known.
     pub fn may_stage(&self, version: u64) -> bool {
-        self.unconfirmed.is_none() && !self.must_settle(version)
+        self.unconfirmed.is_none()
+            && !self.must_settle(version)
+            && self.inherited == Inherited::Settled
     }
 
     /// Returns whether an order without an answer has to be settled before a version is staged.
--- a/crates/pistachiolug_loader/src/stage.rs
+++ b/crates/pistachiolug_loader/src/stage.rs
@@ -42,12 +42,20 @@
     pub fn new(clock: System) -> Self {
         Self {
             writes: Arc::default(),
-            unanswered_at: Rc::default(),
+            // A predecessor may have left one without an answer.
+            unanswered_at: Rc::new(Cell::new(Some(clock.now()))),
             written_at: Rc::default(),
             clock,
         }
     }
 
+    /// Records that no predecessor of the agent has written a piece.
+    pub fn forget_predecessor(&self) {
+        if self.written_at.get().is_none() {
+            self.unanswered_at.set(None);
+        }
+    }
+
     /// Waits until pieces may be written.
     pub async fn permit(&self) -> Permit {
         Permit {
--- a/crates/pistachiolug_loader/src/state.rs
+++ b/crates/pistachiolug_loader/src/state.rs
@@ -35,9 +35,6 @@
 /// Interval at which the plan is evaluated again, since pieces arrive and deadlines pass.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time after the agent's start in which pieces stay in memory until the versions of those that are staged are known.
-const IDENTIFICATION_TIME: Duration = Duration::from_millis(1500);
-
 /// Shortest time between two reads of the entries from the key-value service. All agents of a deployment start at once, and
 /// entries need seconds before they answer.
 const ENTRIES_INTERVAL: Duration = Duration::from_millis(1500);
@@ -437,6 +434,13 @@
             && self.told_version.replace(Some(version)) != Some(version)
     }
 
+    /// Returns the announced versions of a model in ascending order.
+    pub fn announced_versions(&self, model: &str) -> Vec<u64> {
+        let versions = self.versions.borrow();
+        let announced = versions.of(model).iter();
+        announced.map(|announced| announced.version).collect()
+    }
+
     /// Returns whether a version was announced.
     pub fn is_announced(&self, model: &str, version: u64) -> bool {
         self.versions.borrow().find(model, version).is_some()
@@ -511,20 +515,7 @@
 
     /// Returns whether pieces of a version may be staged now; otherwise they are kept in memory.
     pub fn may_stage(&self, version: u64) -> bool {
-        self.is_first(version) && self.orders.borrow().may_stage(version) && !self.is_identifying()
-    }
-
-    /// Returns whether it is not known yet which versions the pieces belong to that were staged before the agent's start.
-    fn is_identifying(&self) -> bool {
-        let models = self.models.borrow();
-        let loaded = self.loaded_version.get().unwrap_or_default();
-        self.now() < IDENTIFICATION_TIME
-            && models.first().is_some_and(|model| {
-                let versions = self.versions.borrow();
-                let announced = versions.of(&model.name).iter();
-                let mut ahead = announced.filter(|announced| announced.version > loaded);
-                ahead.any(|announced| self.staged(&model.name, announced.version).is_none())
-            })
+        self.is_first(version) && self.orders.borrow().may_stage(version)
     }
 
     /// Keeps the plan while the engine is ordered to load.
--- a/crates/pistachiolug_loader/src/transfer.rs
+++ b/crates/pistachiolug_loader/src/transfer.rs
@@ -8,7 +8,7 @@
     engine::{Engine, Error, Origin},
     exchange::Exchange,
     fetch::Fetcher,
-    manifest::ManifestReader,
+    manifest::{Manifest, ManifestReader},
     staged::StagedVersion,
     state::{State, Target},
 };
@@ -32,12 +32,26 @@
     /// Returns the record of a version's pieces. If there is none yet, it is created from the pieces that the engine has
     /// staged.
     pub async fn staged_version(&self, target: &Target) -> Result<Rc<StagedVersion>, Error> {
+        if self.state.should_announce(target.version) {
+            self.exchange.announce(&target.model, target.version);
+        }
         if let Some(staged) = self.state.staged(&target.model, target.version) {
             return Ok(staged);
         }
-        if self.state.should_announce(target.version) {
-            self.exchange.announce(&target.model, target.version);
+        let manifest = self.read_manifest(target).await?;
+        let staged = Rc::new(StagedVersion::new(target, manifest, self.state.clock()));
+        self.verify_staged(&staged).await?;
+        log::info!(model = target.model.as_str(), version = target.version, missing = staged.missing().len(); "staged pieces verified");
+        if staged.is_whole() && self.state.loaded_version() < Some(target.version) {
+            let now = self.state.now();
+            self.state.orders.borrow_mut().adopt(target.version, now);
         }
+        self.state.shelf.add(Rc::clone(&staged));
+        Ok(staged)
+    }
+
+    /// Reads the digests of a version's pieces.
+    pub async fn read_manifest(&self, target: &Target) -> Result<Manifest, Error> {
         let origin = self.state.origin().ok_or_else(|| Error::Failed {
             reason: "no origin of weights is configured".to_owned(),
         })?;
@@ -47,16 +61,7 @@
             client: &self.client,
             address: origin.address,
         };
-        let manifest = reader.read(target).await?;
-        let staged = Rc::new(StagedVersion::new(target, manifest, self.state.clock()));
-        self.verify_staged(&staged).await?;
-        log::info!(model = target.model.as_str(), version = target.version, missing = staged.missing().len(); "staged pieces verified");
-        if staged.is_whole() && self.state.loaded_version() < Some(target.version) {
-            let now = self.state.now();
-            self.state.orders.borrow_mut().adopt(target.version, now);
-        }
-        self.state.shelf.add(Rc::clone(&staged));
-        Ok(staged)
+        reader.read(target).await
     }
 
     /// Reads all staged pieces, verifies them and updates the record; pieces that have become corrupt count as missing.
--- a/crates/pistachiolug_loader/tests/orders.rs
+++ b/crates/pistachiolug_loader/tests/orders.rs
@@ -7,6 +7,7 @@
 use pistachiolug_loader::{
     engine::{Layers, Report},
     orders::{self, MAX_VERIFICATION_AGE, Orders},
+    predecessor::Order,
 };
 
 const MODEL: &str = "penne";
@@ -29,11 +30,20 @@
     orders.unconfirmed().and_then(|load| load.version)
 }
 
+/// Returns what is known of an engine that holds version 1 after it has accepted four orders, and of which the predecessor's
+/// load was checked.
+fn checked_engine() -> Orders {
+    let mut orders = Orders::default();
+    orders.observe(MODEL, &report(Some(1), 4, 7), Duration::ZERO);
+    orders.confirm();
+    orders
+}
+
 /// Returns what is known after an order for version 2 was sent at 1 s and not answered.
 fn unanswered_order() -> Orders {
-    let mut orders = Orders::default();
+    let mut orders = checked_engine();
     let before = report(Some(1), 4, 7);
-    orders.observe(MODEL, &before, Duration::ZERO);
+    orders.inherit(Order::None, Duration::ZERO);
     orders.send(2, Layers::All, &before, Duration::from_secs(1));
     orders
 }
@@ -115,21 +125,98 @@
     assert_eq!((orders.pending(), unconfirmed(&orders)), (None, None));
 }
 
-/// An agent that starts can't tell how its engine came to its version, and the pieces may be others by now.
+/// The case review/11: an agent that starts does not know whether the pieces were whole that its engine has taken.
 #[test]
-fn a_version_that_was_loaded_before_the_start_needs_no_check() {
+fn a_load_before_the_start_is_unconfirmed_until_it_is_checked() {
     let mut orders = Orders::default();
 
     orders.observe(MODEL, &report(Some(2), 5, 7), Duration::ZERO);
+    orders.observe(MODEL, &report(Some(2), 5, 7), Duration::from_secs(20));
+    let before = unconfirmed(&orders);
+    orders.confirm();
+    orders.observe(MODEL, &report(Some(2), 5, 7), Duration::from_secs(21));
+
+    assert_eq!((before, unconfirmed(&orders)), (Some(2), None));
+}
+
+/// The engine was started with what it holds.
+#[test]
+fn an_engine_that_has_accepted_no_order_needs_no_check() {
+    let mut orders = Orders::default();
+
+    orders.observe(MODEL, &report(Some(1), 0, 7), Duration::ZERO);
 
     assert_eq!(unconfirmed(&orders), None);
 }
 
+/// An engine that is busy at the start reports its version when the load is done.
+#[test]
+fn a_load_that_is_under_way_at_the_start_is_unconfirmed() {
+    let mut orders = Orders::default();
+    let busy = Report {
+        busy: true,
+        ..report(None, 5, 7)
+    };
+
+    orders.observe(MODEL, &busy, Duration::ZERO);
+    let is_known = orders.unconfirmed().is_some();
+    orders.observe(MODEL, &report(Some(2), 5, 7), Duration::from_secs(1));
+
+    assert_eq!((is_known, unconfirmed(&orders)), (true, Some(2)));
+}
+
+/// What the predecessor has ordered is known only from the staged pieces.
+#[test]
+fn nothing_is_staged_before_it_is_known_what_the_predecessor_may_have_ordered() {
+    let rows = [
+        (Order::None, true, true),
+        (Order::For(2), true, false),
+        (Order::Unidentified, false, false),
+    ];
+
+    for (order, may_stage_2, may_stage_3) in rows {
+        let mut orders = checked_engine();
+        assert!(!orders.may_stage(2) && !orders.may_stage(3));
+        orders.inherit(order, Duration::from_secs(1));
+
+        let may_stage = (orders.may_stage(2), orders.may_stage(3));
+        assert_eq!(may_stage, (may_stage_2, may_stage_3), "{order:?}");
+    }
+}
+
+/// Without an end, unreadable manifests would keep an agent from all versions.
+#[test]
+fn an_order_of_the_predecessor_is_forgotten_in_the_end() {
+    for order in [None, Some(Order::Unidentified)] {
+        let mut orders = checked_engine();
+        if let Some(order) = order {
+            orders.inherit(order, Duration::from_secs(1));
+        }
+
+        orders.observe(MODEL, &report(Some(1), 4, 7), Duration::from_secs(15));
+
+        assert!(orders.may_stage(3), "{order:?}");
+    }
+}
+
+/// An engine that stands still carries out later what it received before.
+#[test]
+fn an_order_lives_on_while_the_engine_does_not_answer() {
+    let mut orders = checked_engine();
+    orders.inherit(Order::Unidentified, Duration::from_secs(1));
+
+    orders.record_silence(Duration::from_secs(14));
+    orders.observe(MODEL, &report(Some(1), 4, 7), Duration::from_secs(28));
+    let before = orders.may_stage(3);
+    orders.observe(MODEL, &report(Some(1), 4, 7), Duration::from_secs(29));
+
+    assert_eq!((before, orders.may_stage(3)), (false, true));
+}
+
 /// The predecessor's order may still be accepted.
 #[test]
 fn a_version_that_was_staged_before_the_start_is_loaded_first() {
-    let mut orders = Orders::default();
-    orders.observe(MODEL, &report(Some(1), 4, 7), Duration::ZERO);
+    let mut orders = checked_engine();
 
     orders.adopt(2, Duration::from_secs(1));
 
--- a/crates/pistachiolug_loader/tests/scripted/mod.rs
+++ b/crates/pistachiolug_loader/tests/scripted/mod.rs
@@ -3,7 +3,12 @@
 #![allow(clippy::unwrap_used, dead_code, unreachable_pub)]
 
 use std::{
-    cell::RefCell, collections::BTreeMap, net::SocketAddr, ops::Range, rc::Rc, time::Duration,
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    ops::Range,
+    rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -134,6 +139,8 @@
     pub load_time: Duration,
     /// When the last load ends.
     pub busy_until: Duration,
+    /// Whether the engine answers nothing.
+    pub is_silent: bool,
     /// Number of reports that were asked for.
     pub reports: usize,
     /// Requests per second to which the engine limits all instances together.
@@ -179,7 +186,7 @@
 
     pub fn accept(&mut self, version: u64, layers: Layers, orders: u64) -> LoadResponse {
         self.carry_out_corruptions();
-        if self.orders != orders {
+        if self.orders != orders || self.clock.now() < self.busy_until {
             return LoadResponse::Conflict;
         }
         if self.held == Some(version) && !(self.is_partial && layers == Layers::All) {
@@ -280,6 +287,9 @@
         inner.reports += 1;
         let now = inner.clock.now();
         inner.calls.push(now);
+        if inner.is_silent {
+            return Err(unanswered());
+        }
         let busy = inner.clock.now() < inner.busy_until;
         let held = inner.held.filter(|_| !busy);
         let held = held.map(|version| (MODEL.to_owned(), version));
@@ -293,7 +303,7 @@
     }
 
     async fn stage(&self, _: &str, index: usize, bytes: Bytes) -> Result<(), Error> {
-        let version = (1..10).find(|version| piece(*version, index) == bytes);
+        let version = (1..100).find(|version| piece(*version, index) == bytes);
         match self.begin(Call::Write(version.unwrap(), index)) {
             Fate::Normal | Fate::Conflict | Fate::InEffect => {}
             Fate::Slow(time) => {
@@ -380,15 +390,44 @@
     }
 }
 
-/// Origin that always gives sound pieces.
+/// Origin that gives sound pieces of the newest version and the one before; clones share it.
 #[derive(Clone)]
 pub struct SoundOrigin {
     pub pieces: usize,
+    /// Newest version; `None` if all versions can be read.
+    pub newest: Rc<Cell<Option<u64>>>,
+    /// Time that the origin takes for a piece.
+    pub piece_time: Rc<Cell<Duration>>,
+    /// Whether the origin answers.
+    pub is_away: Rc<Cell<bool>>,
+}
+
+impl SoundOrigin {
+    pub fn new(pieces: usize) -> Self {
+        Self {
+            pieces,
+            newest: Rc::default(),
+            piece_time: Rc::new(Cell::new(READ_TIME)),
+            is_away: Rc::default(),
+        }
+    }
+
+    fn find(&self, version: u64) -> Result<(), Error> {
+        if self.is_away.get() {
+            return Err(unanswered());
+        }
+        match self.newest.get() {
+            Some(newest) if version > newest => Err(unanswered()),
+            Some(newest) if version + 2 <= newest => Err(Error::Gone),
+            _ => Ok(()),
+        }
+    }
 }
 
 impl Origin for SoundOrigin {
     async fn read_manifest(&self, _: SocketAddr, _: &str, version: u64) -> Result<Manifest, Error> {
         sleep(manifest_time(version)).await;
+        self.find(version)?;
         let digests = (0..self.pieces).map(|index| Sha256::digest(piece(version, index)).into());
         Ok(Manifest {
             digests: digests.collect(),
@@ -402,7 +441,8 @@
         version: u64,
         index: usize,
     ) -> Result<Bytes, Error> {
-        sleep(READ_TIME).await;
+        sleep(self.piece_time.get()).await;
+        self.find(version)?;
         Ok(piece(version, index))
     }
 }
@@ -433,6 +473,7 @@
 pub struct Agent {
     pub state: Rc<State>,
     pub engine: ScriptedEngine,
+    pub origin: SoundOrigin,
     pub loader: tokio::task::JoinHandle<()>,
 }
 
@@ -475,6 +516,7 @@
                 late_writes: Vec::new(),
                 load_time: Duration::ZERO,
                 busy_until: Duration::ZERO,
+                is_silent: false,
                 reports: 0,
                 limit: None,
                 calls: Vec::new(),
@@ -484,17 +526,16 @@
             })),
             script: Rc::new(RefCell::new(Box::new(script))),
         };
-        Self::run(state, engine).await
+        Self::run(state, engine, SoundOrigin::new(setup.pieces)).await
     }
 
-    pub async fn run(state: Rc<State>, engine: ScriptedEngine) -> Self {
+    pub async fn run(state: Rc<State>, engine: ScriptedEngine, origin: SoundOrigin) -> Self {
         let socket = || UdpSocket::bind("127.0.0.1:0");
-        let pieces = engine.inner.borrow().setup.pieces;
         let loader = Loader {
             transfer: Transfer {
                 state: Rc::clone(&state),
                 engine: Paced::new(engine.clone(), state.clock()),
-                origin: SoundOrigin { pieces },
+                origin: origin.clone(),
                 client: Client::new(0),
                 exchange: Exchange::new(socket().await.unwrap(), Rc::clone(&state)),
             },
@@ -512,13 +553,23 @@
         Self {
             state,
             engine,
+            origin,
             loader,
         }
     }
 
     /// Starts an agent in place of this one, which is killed. It knows nothing of the orders before.
     pub async fn restart(self) -> Self {
+        self.kill();
+        self.start_again().await
+    }
+
+    pub fn kill(&self) {
         self.loader.abort();
+    }
+
+    /// Starts an agent in place of this one, which was killed.
+    pub async fn start_again(self) -> Self {
         let address = self.state.options.server_address;
         let place = Place {
             address,
@@ -527,7 +578,7 @@
         let state = State::new(options(&place), metrics());
         let setup = self.engine.inner.borrow().setup;
         state.apply_view(view(place, setup));
-        Self::run(state, self.engine).await
+        Self::run(state, self.engine, self.origin).await
     }
 
     pub fn announce(&self, version: u64) {
--- a/crates/pistachiolug_loader/tests/whole.rs
+++ b/crates/pistachiolug_loader/tests/whole.rs
@@ -215,41 +215,30 @@
     });
 }
 
-/// The agent does not know the version that its predecessor has ordered.
+/// The agent does not know the version that its predecessor has ordered, and can't learn what its pieces should be.
 #[test]
 fn a_load_by_a_predecessors_order_is_checked_while_a_newer_version_is_fetched() {
     run(async {
-        let mut writes = 0;
-        let agent = Agent::start(move |engine, call| {
-            if matches!(call, Call::Write(3, _)) {
-                writes += 1;
-            }
-            if writes == 2 {
-                engine.carry_out_late_orders();
-            }
-            // The rest of the version takes seconds.
-            if writes >= 2 {
-                Fate::Slow(Duration::from_millis(300))
-            } else {
-                Fate::Normal
-            }
-        })
-        .await;
+        let agent = Agent::start(|_, _| Fate::Normal).await;
+        agent.origin.newest.set(Some(4));
+        // The version takes seconds.
+        agent.origin.piece_time.set(Duration::from_millis(300));
         {
             let mut inner = agent.engine.inner.borrow_mut();
             (0..PIECES).for_each(|index| inner.stage(index, piece(2, index)));
             inner.late_orders.push((2, Layers::All, 0, MAX_DELAY));
         }
 
-        agent.announce(3);
-        while agent.engine.inner.borrow().held != Some(2) {
-            sleep(Duration::from_millis(1)).await;
-        }
+        agent.announce(4);
+        sleep(Duration::from_millis(500)).await;
+        agent.engine.inner.borrow_mut().carry_out_late_orders();
+        let taken = agent.engine.inner.borrow().held;
         sleep(Duration::from_millis(700)).await;
 
         let held = agent.engine.inner.borrow().held;
-        assert_eq!(held, None);
-        assert!(agent.serve(3).await);
+        assert_eq!((taken, held), (Some(2), None));
+        assert!(agent.serve(4).await);
+        assert!(agent.incomplete_loads().is_empty());
     });
 }
 
