--- a/crates/pistachiolug_gateway/src/reachability.rs
+++ b/crates/pistachiolug_gateway/src/reachability.rs
@@ -8,13 +8,10 @@
 /// list again within two seconds of its recovery.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2500);
 
-/// Longest time between two answers to other entries that is no outage. Their watches are answered at least this often, and the
-/// row of a live server expires only after a longer silence of the service.
+/// Longest time between two answers to entries that is no outage. Their watches are answered at least this often, and the row of
+/// a live server expires only after a longer silence of the service.
 const MAX_ANSWER_GAP: Duration = Duration::from_secs(2);
 
-/// Share of a service's servers whose simultaneous removal looks like expired leases rather than an intended change.
-const EXPIRY_SHARE: f64 = 0.5;
-
 /// Reachability of the service; times are those of the process's clock.
 #[derive(Debug, Default)]
 pub struct Reachability {
@@ -22,6 +19,8 @@
     unreachable_since: Option<Duration>,
     /// Whether the last call was refused because there were too many calls, which is no fault of the service.
     is_throttled: bool,
+    /// When the service last answered any entry, as far as this one has heard.
+    answered_at: Option<Duration>,
     /// When the service last answered another entry, as far as this one has heard.
     answered_others_at: Option<Duration>,
     /// Whether the service, since it stopped answering this entry, did not answer the others either for a while.
@@ -41,8 +40,19 @@
         !self.is_reachable() && !self.is_throttled
     }
 
-    /// Records that the key-value service answered.
+    /// Records that the key-value service answered this entry.
     pub fn record_success(&mut self, now: Duration) {
+        self.record_answer(now);
+        self.record_contact_of_other(now);
+    }
+
+    /// Records that the key-value service has made changes to the rows, of which this entry may have heard from another one.
+    pub fn record_changes(&mut self, now: Duration) {
+        self.record_answer(now);
+    }
+
+    /// Records that another entry, which makes the calls in place of this one, reaches the service.
+    pub fn record_contact_of_other(&mut self, now: Duration) {
         self.is_throttled = false;
         let is_away_for_all = self.is_away_for_all(now);
         if let Some(since) = self.unreachable_since.take() {
@@ -56,8 +66,27 @@
         self.is_away_for_all = false;
     }
 
+    /// Records an answer of the service to any entry. One that comes after a silence ends an outage, also if no call failed.
+    fn record_answer(&mut self, at: Duration) {
+        if let Some(answered_at) = self.answered_at
+            && self.is_silent(at)
+        {
+            let silent_ms = at.saturating_sub(answered_at).as_millis() as u64;
+            log::info!(silent_ms; "key-value service answers again after a silence");
+            self.recovered_at = self.recovered_at.max(Some(at));
+        }
+        self.answered_at = self.answered_at.max(Some(at));
+    }
+
+    /// Returns whether the service has answered no entry for a while, as far as this one has heard.
+    fn is_silent(&self, now: Duration) -> bool {
+        let answered = self.answered_at;
+        answered.is_some_and(|answered| now.saturating_sub(answered) > MAX_ANSWER_GAP)
+    }
+
     /// Records that the service has answered another entry at a time.
     pub fn record_answer_to_other(&mut self, at: Duration) {
+        self.record_answer(at);
         self.is_away_for_all |= self.is_away_for_all(at);
         self.answered_others_at = self.answered_others_at.max(Some(at));
     }
@@ -86,25 +115,13 @@
 
     /// Returns until when servers that have just disappeared from the list are still used.
     ///
-    /// The removal of a single server takes effect at once, unless its lease may have expired because the service is, or was
-    /// until shortly before, away for all.
-    ///
-    /// # Arguments
-    /// `dropped` of the `listed` servers of a service disappeared together.
-    pub fn usable_until(&self, dropped: usize, listed: usize, now: Duration) -> Duration {
-        if self.is_away_for_all(now) {
+    /// A removal takes effect at once, however many servers disappear together, unless their leases may have expired because the
+    /// service is, or was until shortly before, away for all. Called before the answer is recorded that brings the removal.
+    pub fn usable_until(&self, now: Duration) -> Duration {
+        if self.is_away_for_all(now) || self.is_silent(now) {
             return now + RECOVERY_GRACE;
         }
-        if let Some(recovered_at) = self.recovered_at
-            && now < recovered_at + RECOVERY_GRACE
-        {
-            return recovered_at + RECOVERY_GRACE;
-        }
-        let looks_expired = dropped > 1 && dropped as f64 >= listed as f64 * EXPIRY_SHARE;
-        if looks_expired {
-            now + RECOVERY_GRACE
-        } else {
-            now
-        }
+        let recovered_at = self.recovered_at;
+        recovered_at.map_or(now, |recovered_at| now.max(recovered_at + RECOVERY_GRACE))
     }
 }
--- a/crates/pistachiolug_gateway/src/state.rs
+++ b/crates/pistachiolug_gateway/src/state.rs
@@ -283,7 +283,7 @@
         self.with_peers(|peers| peers.record_beacon(beacon, now));
         // An entry that makes no calls would not notice the end of an outage.
         if reaches_service && !self.is_active() {
-            self.with_reachability(|store| store.record_success(now));
+            self.with_reachability(|store| store.record_contact_of_other(now));
         }
     }
 
--- a/crates/pistachiolug_gateway/src/updater.rs
+++ b/crates/pistachiolug_gateway/src/updater.rs
@@ -1,10 +1,6 @@
 //! Updates an entry's state from the rows of the key-value service.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use pistachiolug_platform::kv;
 use pistachiolug_replica::{
@@ -187,33 +183,26 @@
         })
     }
 
-    /// Schedules the removal of servers whose rows are gone, by service.
+    /// Schedules the removal of servers whose rows are gone.
     fn schedule_removals(&self, ids: &BTreeSet<String>) {
-        let mut services: BTreeMap<String, Vec<&String>> = BTreeMap::new();
+        let now = self.state.now();
+        let until = self
+            .state
+            .with_reachability(|store| store.usable_until(now));
         for id in ids {
             let service = self.state.with_pool(|pool| {
                 let server = pool.get(id)?;
-                Some(server.record().service.to_string())
+                Some(Arc::clone(&server.record().service))
             });
-            if let Some(service) = service {
-                services.entry(service).or_default().push(id);
-            } else {
+            let Some(service) = service else {
                 // It was listed but not in use: another one has its address, or an earlier copy of the list named it.
                 self.forget_server(id);
-            }
-        }
-        for (service, ids) in services {
-            let listed = self.state.with_pool(|pool| pool.count_listed(&service));
-            let now = self.state.now();
-            let until = self
-                .state
-                .with_reachability(|store| store.usable_until(ids.len(), listed, now));
-            for id in ids {
-                let kept_ms = until.saturating_sub(now).as_millis() as u64;
-                log::info!(server = id.as_str(), service = service.as_str(), kept_ms; "server no longer in the list");
-                self.state
-                    .with_pool(|pool| pool.schedule_removal(id, until));
-            }
+                continue;
+            };
+            let kept_ms = until.saturating_sub(now).as_millis() as u64;
+            log::info!(server = id.as_str(), service = &*service, kept_ms; "server no longer in the list");
+            self.state
+                .with_pool(|pool| pool.schedule_removal(id, until));
         }
     }
 }
@@ -231,7 +220,7 @@
             made_after,
             is_restored: self.state.record_era(era),
         };
-        // Removals are scheduled together: many at once may be leases that have expired.
+        let has_changes = !changes.is_empty();
         let mut removed = BTreeSet::new();
         for change in changes {
             match change {
@@ -262,6 +251,11 @@
             }
         }
         self.schedule_removals(&removed);
+        if has_changes {
+            let now = self.state.now();
+            self.state
+                .with_reachability(|store| store.record_changes(now));
+        }
         self.state.refresh();
     }
 
--- a/crates/pistachiolug_gateway/tests/changes.rs
+++ b/crates/pistachiolug_gateway/tests/changes.rs
@@ -59,6 +59,44 @@
     }
 }
 
+/// Guards against review/12: most servers of a service leave together, and get requests for seconds although the key-value service
+/// answers all the while.
+#[test]
+fn servers_that_leave_together_get_no_requests_from_then_on() {
+    let cases: [(&str, &[&str]); 3] = [
+        ("one of three", &["servers/i-1"]),
+        ("two of three", &["servers/i-1", "servers/i-2"]),
+        ("all", &["servers/i-1", "servers/i-2", "servers/i-3"]),
+    ];
+    for (name, leaving) in cases {
+        run(async {
+            let mut entry = Entry::new().await;
+            let rows = ["servers/i-1", "servers/i-2", "servers/i-3"];
+            for (index, key) in rows.iter().enumerate() {
+                let address = format!("10.0.0.{}:80", index + 1);
+                entry.apply(&[(*key, Some(&row(SERVICE, &address, 1)))]);
+            }
+            let now = entry.state.now();
+            entry
+                .state
+                .with_reachability(|store| store.record_success(now));
+
+            let batch: Vec<_> = leaving.iter().map(|key| (*key, None)).collect();
+            entry.apply(&batch);
+
+            let now = entry.state.now();
+            let left: Vec<&str> = entry.state.with_pool(|pool| {
+                pool.remove_expired(now);
+                let ids = rows.iter().map(|key| &key["servers/".len()..]);
+                ids.filter(|id| pool.get(id).is_some()).collect()
+            });
+            let expected = rows.iter().filter(|key| !leaving.contains(key));
+            let expected: Vec<&str> = expected.map(|key| &key["servers/".len()..]).collect();
+            assert_eq!(left, expected, "{name}");
+        });
+    }
+}
+
 /// Guards against the removal of a server that an earlier batch has scheduled: its row is there again.
 #[test]
 fn a_server_whose_removal_is_scheduled_is_kept_if_it_is_listed_again() {
