Keep to a server's leaving when an earlier row of it arrives late (DRAIN)

Cause: the number of a server's writes was decoded and dropped, so that any later row of the incarnation counted.

Fix: a row that was written earlier does not take back that the server leaves.

Test: an_earlier_row_does_not_take_back_that_a_server_leaves failed before.

--- a/crates/pistachiolug_gateway/src/pool/server.rs
+++ b/crates/pistachiolug_gateway/src/pool/server.rs
@@ -84,8 +84,15 @@
 
 impl Server {
     /// Replaces the record. Keeps a version that the agent has announced if the list still names an older one. A newer
-    /// version in the list ends a load, because the agent's notice of its end may have been lost.
-    pub(super) fn update(&mut self, record: Record, position: Position, now: Duration) {
+    /// version in the list ends a load, because the agent's notice of its end may have been lost. An earlier write of the
+    /// server that is carried out late does not take back that the server leaves.
+    pub(super) fn update(&mut self, mut record: Record, position: Position, now: Duration) {
+        // Without a start, a lower number may also be that of a new incarnation.
+        let is_earlier = record.started_ms != 0 && record.writes < self.record.writes;
+        if self.record.leaving && is_earlier {
+            record.leaving = true;
+            record.writes = self.record.writes;
+        }
         if self.position != position {
             let (before, stated) = (self.record.cold_for, record.cold_for);
             self.quota.coldness.record_row(before, stated, now);
--- a/crates/pistachiolug_gateway/src/server.rs
+++ b/crates/pistachiolug_gateway/src/server.rs
@@ -35,15 +35,19 @@
     pub models: Vec<Model>,
     /// Unix time of the server's start in milliseconds; 0 if not stated. Distinguishes starts under one id.
     pub started_ms: u64,
+    /// Number of times that this incarnation has written its row. A lower one than that of the known row comes from a write that
+    /// was carried out late.
+    pub writes: u64,
     /// Time for which the server stays cold, from the moment at which the row was written; `None` if the row says nothing.
     pub cold_for: Option<Duration>,
 }
 
 impl Record {
-    /// Returns whether another record says the same, whatever it says of the time for which the server stays cold. That time
-    /// changes with each row.
+    /// Returns whether another record says the same, whatever it says of the time for which the server stays cold, and of the
+    /// number of its writes. These change with each row.
     pub fn is_same_listing(&self, other: &Self) -> bool {
         let other = Self {
+            writes: self.writes,
             cold_for: self.cold_for,
             ..other.clone()
         };
--- a/crates/pistachiolug_gateway/tests/draining.rs
+++ b/crates/pistachiolug_gateway/tests/draining.rs
@@ -273,3 +273,38 @@
         assert_eq!(can_serve(&pool), expected, "{name}");
     }
 }
+
+/// Guards against review/13: an earlier write of a server's row that is carried out late and lists it as ready again.
+#[test]
+fn an_earlier_row_does_not_take_back_that_a_server_leaves() {
+    let rows: [(&str, u64, [u64; 2], bool); 5] = [
+        ("earlier row", 4, [1, 1], false),
+        ("the same row", 5, [1, 1], false),
+        ("later row", 6, [1, 1], true),
+        ("row of a new start", 1, [1, 2], true),
+        ("row of a server that states no start", 1, [0, 0], true),
+    ];
+    for (name, writes, [first_start, started_ms], expected) in rows {
+        let mut pool = Pool::default();
+        let leaving = Record {
+            leaving: true,
+            writes: 5,
+            started_ms: first_start,
+            ..server()
+        };
+        pool.put(leaving, Position::without_era(1), NOW);
+
+        let row = Record {
+            leaving: name == "the same row",
+            writes,
+            started_ms,
+            ..server()
+        };
+        pool.put(row.clone(), Position::without_era(2), NOW);
+        let first = can_serve(&pool);
+        // A second row of the same kind says nothing new.
+        pool.put(row, Position::without_era(3), NOW);
+
+        assert_eq!((first, can_serve(&pool)), (expected, expected), "{name}");
+    }
+}
--- a/crates/pistachiolug_gateway/tests/support/mod.rs
+++ b/crates/pistachiolug_gateway/tests/support/mod.rs
@@ -361,6 +361,7 @@
             version: 1,
         }],
         started_ms: 1,
+        writes: 1,
         cold_for: None,
     }
 }
