--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -171,16 +171,10 @@
         if state.orders.borrow().must_settle(target.version) {
             return Ok(Step::Unload(target));
         }
-        if state.orders.borrow().is_unidentified() && !report.busy {
-            let is_due = target.deadline.saturating_sub(state.now()) <= EXCLUSION;
-            match held {
-                None if report.models.is_empty() && target.layers >= MIN_LAYERS => {
-                    return Ok(Step::Settle(target, report));
-                }
-                // Pieces are fetched into memory until entries send no requests to the engine.
-                Some(held) if held < target.version && is_due => return Ok(Step::Unload(target)),
-                _ => {}
-            }
+        if state.orders.borrow().is_unidentified()
+            && let Some(step) = self.settle_unidentified(&target, &report, held)
+        {
+            return Ok(step);
         }
         if let Some(version) = report.partial_version(&target.model) {
             let is_known = state.orders.borrow().partial() == Some(version);
@@ -210,6 +204,26 @@
         Ok(Step::Load(target, staged))
     }
 
+    /// Returns the step that makes the engine refuse an order of a predecessor for pieces of an unknown version; `None` if that
+    /// has to wait. Pieces are fetched into memory meanwhile.
+    fn settle_unidentified(
+        &self,
+        target: &Target,
+        report: &Report,
+        held: Option<u64>,
+    ) -> Option<Step> {
+        if report.busy {
+            return None;
+        }
+        let Some(held) = held else {
+            let can_settle = report.models.is_empty() && target.layers >= MIN_LAYERS;
+            return can_settle.then(|| Step::Settle(target.clone(), report.clone()));
+        };
+        // An engine that holds a version serves until entries send it no more requests.
+        let left = target.deadline.saturating_sub(self.transfer.state.now());
+        (held < target.version && left <= EXCLUSION).then(|| Step::Unload(target.clone()))
+    }
+
     async fn perform(&self, step: Step) -> Result<(), Error> {
         match step {
             Step::Wait => Ok(()),
--- a/crates/pistachiolug_loader/src/load/inspect.rs
+++ b/crates/pistachiolug_loader/src/load/inspect.rs
@@ -10,7 +10,7 @@
 use crate::{
     engine::{Engine, Error, Origin},
     manifest::{Digest, Manifest},
-    predecessor::Stage,
+    predecessor::Evidence,
     row::Decoder,
     staged::StagedVersion,
     state::Target,
@@ -66,18 +66,18 @@
         let manifests = self
             .read_manifests(target, Some(held), Some(held), &pieces)
             .await;
-        let stage = Stage {
+        let evidence = Evidence {
             pieces: &pieces,
             manifests: &manifests.by_version,
         };
-        let is_whole = stage.proves(held);
+        let is_whole = evidence.proves(held);
         let has_newer = state
             .newest_target()
             .is_some_and(|newest| newest.version > held);
         if !is_whole && manifests.is_incomplete && !(has_newer && state.now() >= MAX_PROOF_TIME) {
             return Err(failed("the manifests of the loaded pieces were not read"));
         }
-        log::info!(model = target.model.as_str(), version = held, is_whole, counts:? = stage.counts(); "load of a predecessor checked");
+        log::info!(model = target.model.as_str(), version = held, is_whole, counts:? = evidence.counts(); "load of a predecessor checked");
         if is_whole {
             state.orders.borrow_mut().confirm();
             self.inherit_order(target, Some(held), &pieces, &manifests);
@@ -98,17 +98,17 @@
         manifests: &Manifests,
     ) {
         let state = &self.transfer.state;
-        let stage = Stage {
+        let evidence = Evidence {
             pieces,
             manifests: &manifests.by_version,
         };
-        if manifests.is_incomplete && !stage.tells_order() {
+        if manifests.is_incomplete && !evidence.determines_order() {
             return;
         }
-        let order = stage.pending_order(held);
+        let order = evidence.pending_order(held);
         let staged = pieces.iter().flatten().count();
-        log::info!(model = target.model.as_str(), held:?, staged, counts:? = stage.counts(), order:?; "staged pieces inspected");
-        if stage.is_empty() {
+        log::info!(model = target.model.as_str(), held:?, staged, counts:? = evidence.counts(), order:?; "staged pieces inspected");
+        if evidence.is_empty() {
             state.stage.forget_predecessor();
         }
         state.orders.borrow_mut().inherit(order, state.now());
@@ -176,11 +176,13 @@
         let older = (held.unwrap_or_default() + 1..newest).rev();
         let others = older.take(MAX_OLDER_VERSIONS).chain([newest + 1]);
         for version in named.iter().copied().chain(others) {
-            let stage = Stage {
+            let evidence = Evidence {
                 pieces,
                 manifests: &manifests.by_version,
             };
-            if stage.tells_order() && unproven.is_none_or(|version| stage.proves(version)) {
+            if evidence.determines_order()
+                && unproven.is_none_or(|version| evidence.proves(version))
+            {
                 break;
             }
             if version < FIRST_VERSION || manifests.by_version.contains_key(&version) {
--- a/crates/pistachiolug_loader/src/predecessor.rs
+++ b/crates/pistachiolug_loader/src/predecessor.rs
@@ -10,7 +10,7 @@
 
 /// Pieces that an engine stages, and the manifests of the versions that they may belong to.
 #[derive(Debug, Clone, Copy)]
-pub struct Stage<'a> {
+pub struct Evidence<'a> {
     /// Digests of the staged pieces by index; `None` where no piece is staged.
     pub pieces: &'a [Option<Digest>],
     /// Known manifests by version.
@@ -28,10 +28,10 @@
     Unidentified,
 }
 
-impl Stage<'_> {
-    /// Returns whether further manifests would not change [`Stage::pending_order`]: no order can be for the pieces, or all of
+impl Evidence<'_> {
+    /// Returns whether further manifests would not change [`Evidence::pending_order`]: no order can be for the pieces, or all of
     /// them are of known versions.
-    pub fn tells_order(&self) -> bool {
+    pub fn determines_order(&self) -> bool {
         let is_known = |index| self.versions_at(index).next().is_some();
         self.pieces.contains(&None) || (0..self.pieces.len()).all(is_known)
     }
--- a/crates/pistachiolug_loader/tests/scripted/mod.rs
+++ b/crates/pistachiolug_loader/tests/scripted/mod.rs
@@ -250,6 +250,17 @@
         }
     }
 
+    /// Restarts the engine, which keeps what is staged.
+    pub fn restart(&mut self) {
+        self.held = None;
+        self.is_partial = false;
+        self.orders = 0;
+        self.started_ms += 1;
+        self.busy_until = self.clock.now();
+        self.late_orders.clear();
+        self.late_writes.clear();
+    }
+
     /// Replaces the engine by one that has nothing staged, at the same address.
     pub fn replace(&mut self) {
         self.staged.clear();
