Name the steps and states of inherited loads for what they are

No change of behaviour: a step of its own for the check of a load from before the start, NotInspected for the state before the inspection, and end_failure for what two records of the key-value service's answers share.

--- a/crates/pistachiolug_gateway/src/reachability.rs
+++ b/crates/pistachiolug_gateway/src/reachability.rs
@@ -43,7 +43,7 @@
     /// Records that the key-value service answered this entry.
     pub fn record_success(&mut self, now: Duration) {
         self.record_answer(now);
-        self.record_contact_of_other(now);
+        self.end_failure(now);
     }
 
     /// Records that the key-value service has made changes to the rows, of which this entry may have heard from another one.
@@ -53,6 +53,10 @@
 
     /// Records that another entry, which makes the calls in place of this one, reaches the service.
     pub fn record_contact_of_other(&mut self, now: Duration) {
+        self.end_failure(now);
+    }
+
+    fn end_failure(&mut self, now: Duration) {
         self.is_throttled = false;
         let is_away_for_all = self.is_away_for_all(now);
         if let Some(since) = self.unreachable_since.take() {
--- a/crates/pistachiolug_loader/src/load.rs
+++ b/crates/pistachiolug_loader/src/load.rs
@@ -14,7 +14,6 @@
     ahead,
     discovery::Discovery,
     engine::{Engine, Error, Origin, Report},
-    orders::Unconfirmed,
     pacing,
     row::Decoder,
     schedule,
@@ -50,6 +49,8 @@
     WaitForLoad,
     /// The engine has loaded this version from pieces that may not have been whole.
     Check(Target),
+    /// The same, by an order from before the agent's start.
+    CheckInherited(Target),
     /// The engine may still accept an order for another version, whose pieces can't be had any more, or holds some layers
     /// that are not known to be whole or not of use.
     Unload(Target),
@@ -158,7 +159,11 @@
                 version,
                 ..target.clone()
             });
-            return Ok(target.map_or(Step::WaitForLoad, Step::Check));
+            return Ok(match target {
+                None => Step::WaitForLoad,
+                Some(target) if unconfirmed.is_inherited => Step::CheckInherited(target),
+                Some(target) => Step::Check(target),
+            });
         }
         if state.orders.borrow().must_inspect() {
             self.inspect_stage(target, held).await?;
@@ -233,21 +238,14 @@
                 Ok(())
             }
             Step::Check(target) => {
-                let state = &self.transfer.state;
-                let is_inherited = |load: Unconfirmed| load.is_inherited;
-                if state
-                    .orders
-                    .borrow()
-                    .unconfirmed()
-                    .is_some_and(is_inherited)
-                {
-                    let _pause = state.stage.pause().await;
-                    return self.check_inherited_load(&target).await;
-                }
                 let staged = self.transfer.staged_version(&target).await;
-                let _pause = state.stage.pause().await;
+                let _pause = self.transfer.state.stage.pause().await;
                 self.check_load(&target, staged).await.map(drop)
             }
+            Step::CheckInherited(target) => {
+                let _pause = self.transfer.state.stage.pause().await;
+                self.check_inherited_load(&target).await
+            }
             Step::Unload(target) => {
                 let result = self.unload(&target).await;
                 // Without an answer the next try follows after a delay as well.
--- a/crates/pistachiolug_loader/src/orders.rs
+++ b/crates/pistachiolug_loader/src/orders.rs
@@ -59,7 +59,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Inherited {
     /// The staged pieces have not been inspected.
-    Unknown,
+    NotInspected,
     /// The staged pieces belong to no known version, so that the order may be for them.
     Unidentified,
     /// There is none, or it is the pending one.
@@ -96,7 +96,7 @@
             known: None,
             known_at: Duration::ZERO,
             has_sent: false,
-            inherited: Inherited::Unknown,
+            inherited: Inherited::NotInspected,
             inherited_until: MAX_DELAY,
             pending: None,
             unconfirmed: None,
@@ -212,7 +212,7 @@
 
     /// Records which order of a predecessor the engine may still accept, as the staged pieces show.
     pub fn inherit(&mut self, order: predecessor::Order, now: Duration) {
-        if self.inherited != Inherited::Unknown {
+        if self.inherited != Inherited::NotInspected {
             return;
         }
         self.inherited = match order {
@@ -226,7 +226,7 @@
 
     /// Returns whether it is still to be found out which order of a predecessor the engine may accept.
     pub fn must_inspect(&self) -> bool {
-        self.inherited == Inherited::Unknown
+        self.inherited == Inherited::NotInspected
     }
 
     /// Returns whether the engine may still accept an order of a predecessor for the staged pieces, whose version is not
